--- a/balancer/example_test.go
+++ b/balancer/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"cottonpond/balancer"
+	"birchmoor/balancer"
 )
 
 // host prints what a balancer asks for. A sidecar does these things.
--- a/cmd/dunlinsail/main.go
+++ b/cmd/dunlinsail/main.go
@@ -12,9 +12,9 @@
 	"runtime"
 	"syscall"
 
-	"cottonpond/internal/handover"
-	"cottonpond/internal/maintenance"
-	"cottonpond/internal/sidecar"
+	"birchmoor/internal/handover"
+	"birchmoor/internal/maintenance"
+	"birchmoor/internal/sidecar"
 )
 
 func main() {
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -9,8 +9,8 @@
 	"os"
 	"runtime/debug"
 
-	"cottonpond/balancer"
-	"cottonpond/internal/wire"
+	"birchmoor/balancer"
+	"birchmoor/internal/wire"
 )
 
 func main() {
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -21,7 +21,7 @@
 	"sync"
 	"time"
 
-	"cottonpond/internal/maintenance"
+	"birchmoor/internal/maintenance"
 )
 
 // State is what an old process tells the new one.
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -16,7 +16,7 @@
 	"testing"
 	"time"
 
-	"cottonpond/internal/maintenance"
+	"birchmoor/internal/maintenance"
 )
 
 var quiet = slog.New(slog.DiscardHandler)
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -19,9 +19,9 @@
 	"strings"
 	"time"
 
-	"cottonpond/balancer"
-	"cottonpond/internal/mgmt"
-	"cottonpond/internal/wire"
+	"birchmoor/balancer"
+	"birchmoor/internal/mgmt"
+	"birchmoor/internal/wire"
 )
 
 // Config is what a sidecar is told at its start.
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -17,7 +17,7 @@
 	"sync"
 	"time"
 
-	"cottonpond/balancer"
+	"birchmoor/balancer"
 )
 
 // List is discovery's form of the list of endpoints, or of what changed in it.
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"cottonpond/internal/metrics"
+	"birchmoor/internal/metrics"
 )
 
 // board is a discovery whose watches are written by hand.
--- a/internal/sidecar/flow.go
+++ b/internal/sidecar/flow.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"cottonpond/balancer"
+	"birchmoor/balancer"
 )
 
 // What is longer than bodyMost flows: it is passed on as it comes and never held whole.
--- a/internal/sidecar/handover_test.go
+++ b/internal/sidecar/handover_test.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
-	"cottonpond/internal/handover"
-	"cottonpond/internal/maintenance"
+	"birchmoor/internal/handover"
+	"birchmoor/internal/maintenance"
 )
 
 // held is a listening socket that the platform holds: whoever closes a listener on it leaves the socket alone.
--- a/internal/sidecar/helper_test.go
+++ b/internal/sidecar/helper_test.go
@@ -17,7 +17,7 @@
 	"testing"
 	"time"
 
-	"cottonpond/internal/maintenance"
+	"birchmoor/internal/maintenance"
 )
 
 // soon bounds every wait of these tests for something that must come.
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -9,9 +9,9 @@
 	"sync/atomic"
 	"time"
 
-	"cottonpond/balancer"
-	"cottonpond/internal/maintenance"
-	"cottonpond/internal/metrics"
+	"birchmoor/balancer"
+	"birchmoor/internal/maintenance"
+	"birchmoor/internal/metrics"
 )
 
 // clock tells microseconds: Unix time at its start, monotonic from there.
--- a/internal/sidecar/maintenance.go
+++ b/internal/sidecar/maintenance.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"cottonpond/balancer"
-	"cottonpond/internal/maintenance"
+	"birchmoor/balancer"
+	"birchmoor/internal/maintenance"
 )
 
 // call runs a function of the loop's ahead of all that requests bring, and returns once it has run.
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -7,8 +7,8 @@
 	"log/slog"
 	"os"
 
-	"cottonpond/balancer"
-	"cottonpond/internal/metrics"
+	"birchmoor/balancer"
+	"birchmoor/internal/metrics"
 )
 
 // reloader takes new configurations while the sidecar runs. Of a file, `settings` and `discovery` take effect
--- a/internal/sidecar/reload_test.go
+++ b/internal/sidecar/reload_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"cottonpond/internal/metrics"
+	"birchmoor/internal/metrics"
 )
 
 // A new configuration moves the watch to the discovery that its file names, at once and with nothing held
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -20,8 +20,8 @@
 	"syscall"
 	"time"
 
-	"cottonpond/balancer"
-	"cottonpond/internal/metrics"
+	"birchmoor/balancer"
+	"birchmoor/internal/metrics"
 )
 
 // answerMargin is kept from the client's time, so that the final answer reaches it before that is up.
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"cottonpond/internal/metrics"
+	"birchmoor/internal/metrics"
 )
 
 // What the client sent and what the endpoint answered go through unchanged.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -14,11 +14,11 @@
 	"sync/atomic"
 	"time"
 
-	"cottonpond/balancer"
-	"cottonpond/internal/handover"
-	"cottonpond/internal/maintenance"
-	"cottonpond/internal/metrics"
-	"cottonpond/internal/mgmt"
+	"birchmoor/balancer"
+	"birchmoor/internal/handover"
+	"birchmoor/internal/maintenance"
+	"birchmoor/internal/metrics"
+	"birchmoor/internal/mgmt"
 )
 
 const (
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -21,8 +21,8 @@
 	"syscall"
 	"time"
 
-	"cottonpond/balancer"
-	"cottonpond/internal/metrics"
+	"birchmoor/balancer"
+	"birchmoor/internal/metrics"
 )
 
 const (
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -14,8 +14,8 @@
 	"testing"
 	"time"
 
-	"cottonpond/balancer"
-	"cottonpond/internal/metrics"
+	"birchmoor/balancer"
+	"birchmoor/internal/metrics"
 )
 
 // A figure that is missing or makes no sense must not read as an idle endpoint.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"cottonpond/balancer"
+	"birchmoor/balancer"
 )
 
 // settingsText holds the pairs of a config text and the first error met.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"io"
 	"math"
 
-	"cottonpond/balancer"
+	"birchmoor/balancer"
 )
 
 // Code numbers an event or an action; the two have separate code spaces.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -10,7 +10,7 @@
 	"strings"
 	"testing"
 
-	"cottonpond/balancer"
+	"birchmoor/balancer"
 )
 
 func unhex(t testing.TB, parts ...string) []byte {
