Keep attempts at instant servers from being given up before they are sent

One connection to servers that answer in microseconds had every fifth request refused: the module gave a safe attempt six times the expected latency, well under a millisecond, and the program rounded what was left down to 0 ms and took the attempt for late. An attempt's own time-out is now 50 ms at least, what is left is rounded up, and averages of work and pace have floors, so that nothing near zero divides or is predicted as none. Probes that hold a request are recent for 20 ms at least.

Both tests fail on the old code.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -250,12 +250,12 @@
 // times what was expected sits on a connection that fell silent, more often than not; where a repeat is
 // harmless and would still be in time, another endpoint gets the request.
 func (b *Balancer) patience(now Micros, r *request, expected float64) Micros {
-	c := b.class(r)
+	c, wait := b.class(r), max(waitLeast, waitMost*expected)
 	if c.Repeat != Safe || r.Flows || len(r.attempts) >= r.Rules.s.Limits.MaxAttempts || b.credit < 1 ||
-		float64(now-r.arrived)+(waitMost+1)*expected > float64(c.Aim) {
+		float64(now-r.arrived)+wait+expected > float64(c.Aim) {
 		return 0
 	}
-	return Micros(waitMost * expected)
+	return Micros(wait)
 }
 
 // refuse gives the final answer "refused" where that is true, else "failed".
@@ -529,7 +529,8 @@
 	holdPart    = 10          // a request is held for no more than such a part of its aim
 	poolMost    = 24          // answers in the pool
 	probeBatch  = 3           // endpoints a round
-	recent      = 2.0         // mean works that an answer is recent for
+	recent      = 2.0         // mean works that an answer is recent for,
+	recentLeast = 2e4         // and no shorter: a probe must not cost more time than it saves
 	checksMost  = 6           // endpoints asked twice to learn how old reports are
 	memory      = 10.0        // mean works in which loads differ from what they were
 	poolAge     = second      // an answer is fresh for this long,
@@ -691,14 +692,14 @@
 func (e *endpoint) paceNow(now Micros, b *Balancer) float64 {
 	usual := b.fleet.or(1)
 	trust := max(0, 1-float64(now-e.paceAt)/float64(paceLife)) * share(e.pace.n > 0)
-	return (usual + (e.pace.v-usual)*trust) / e.warmth(now, b)
+	return max(paceLeast, usual+(e.pace.v-usual)*trust) / e.warmth(now, b)
 }
 
 // predict is the latency expected of a request of this work sent to e now.
 func (b *Balancer) predict(now Micros, e *endpoint, work float64) float64 {
 	x := e.rtt.or(0) + work*b.slowdown()*e.paceNow(now, b)*b.crowding(now, e)
 	// One that owes answers and gives none is jammed or stuck, long before averages show it.
-	return max(x, float64(now-e.quietFrom)*share(e.inflight > e.flows))
+	return max(1, x, float64(now-e.quietFrom)*share(e.inflight > e.flows))
 }
 
 // cost ranks endpoints: predicted latency, and as time a zone crossing's price.
@@ -717,10 +718,11 @@
 	n := min(int(min(drawsMost, holdSpend/max(1e-9, b.s.Prices.Probe))+b.rng.float()), len(b.list))
 	// A busy balancer's answers are recent without that. Where reports are rarely made anew, all who ask are
 	// told the same and would all follow it.
-	if span := recent * b.work.v; b.refresh() > span || b.demand.rate(now)*span > float64(second) {
+	span := max(recentLeast, recent*b.work.v)
+	if b.refresh() > span || b.demand.rate(now)*span > float64(second) {
 		n = 0
 	}
-	for i := len(b.pool) - 1; i >= 0 && n > 0 && float64(now-b.pool[i].answerAt) < recent*b.work.v; i-- {
+	for i := len(b.pool) - 1; i >= 0 && n > 0 && float64(now-b.pool[i].answerAt) < span; i-- {
 		n--
 	}
 	b.probeSome(now, n-b.asked, true)
@@ -857,7 +859,10 @@
 	roomLeast   = 0.2  // and by any
 	mixLeast    = 0.05 // part of all allowances that a balancer must carry to judge of shares
 	tenantSlack = 1.25 // refusals below a fifth say nothing of shares
-	waitMost    = 6.0  // times what is expected
+	waitMost    = 6.0  // times what is expected,
+	waitLeast   = 5e4  // but no less than what a busy machine, a lost packet or a collector may take
+	workLeast   = 1.0  // of a request, so that nothing divides by none
+	paceLeast   = 1e-3 // of an endpoint
 	windowGain  = 4.0  // worth counts more in the worst windows, and those are when requests are refused
 )
 
@@ -1204,7 +1209,7 @@
 		b.fleet.add(x, 0.02)
 	} else {
 		// Without hints a class's work is its mean latency without a queue, and the fleet's pace is 1.
-		b.classes[r.slot].work.add(x*r.work/was, 0.02)
+		b.classes[r.slot].work.add(max(workLeast, x*r.work/was), 0.02)
 	}
 }
 
--- a/balancer/helpers_test.go
+++ b/balancer/helpers_test.go
@@ -34,6 +34,7 @@
 // recorder keeps what a balancer asks of its host.
 type recorder struct {
 	sends   []sent
+	waits   []Micros // the time-outs of sends
 	refused []uint64
 	failed  []uint64
 	cancels []uint64
@@ -44,10 +45,12 @@
 	logs    []string
 }
 
-func (r *recorder) Send(id uint64, e uint32, _ Micros) { r.sends = append(r.sends, sent{id, e}) }
-func (r *recorder) Refuse(id uint64, _ Micros)         { r.refused = append(r.refused, id) }
-func (r *recorder) Fail(id uint64)                     { r.failed = append(r.failed, id) }
-func (r *recorder) Cancel(id uint64, _ int)            { r.cancels = append(r.cancels, id) }
+func (r *recorder) Send(id uint64, e uint32, wait Micros) {
+	r.sends, r.waits = append(r.sends, sent{id, e}), append(r.waits, wait)
+}
+func (r *recorder) Refuse(id uint64, _ Micros) { r.refused = append(r.refused, id) }
+func (r *recorder) Fail(id uint64)             { r.failed = append(r.failed, id) }
+func (r *recorder) Cancel(id uint64, _ int)    { r.cancels = append(r.cancels, id) }
 func (r *recorder) Timer(delay Micros, token uint32) {
 	r.timers, r.delays = append(r.timers, token), append(r.delays, delay)
 }
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"birchmoor/balancer"
 	"birchmoor/internal/metrics"
 )
 
@@ -664,3 +665,34 @@
 		})
 	}
 }
+
+// A service that answers in microseconds leaves attempts little time; none may be given up unsent for that.
+func TestInstantServiceIsServed(t *testing.T) {
+	var list []Instance
+	for _, id := range []string{"s1", "s2", "s3", "s4"} {
+		list = append(list, up(id, web(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "found") })))
+	}
+	s := start(t, configure(t, nowhere(t), list, `"probes":false`, `"probes":true`))
+	c, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	refused := 0
+	for range 1000 {
+		if resp, _ := s.askOn(t, c, look(1000)); resp.StatusCode != 200 {
+			refused++
+		}
+	}
+	if refused > 10 { // the breaker's rare refusals
+		t.Errorf("%d of 1000 requests to healthy endpoints were not served", refused)
+	}
+}
+
+func TestMillisLeft(t *testing.T) {
+	for left, want := range map[balancer.Micros]balancer.Micros{-5: 0, 0: 0, 1: 1, 999: 1, 1000: 1, 1001: 2} {
+		if got := millisLeft(left); got != want {
+			t.Errorf("%d µs left are told as %d ms, want %d", left, got, want)
+		}
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -129,9 +129,9 @@
 		return u.ended(u.noConn(ctx, err))
 	}
 	now := u.clock.now()
-	left := (deadline - now) / 1000
+	left := millisLeft(deadline - now)
 	if m.upload != nil {
-		left = m.upload.left / 1000 // from its last byte on
+		left = millisLeft(m.upload.left) // from its last byte on
 	}
 	if left < 1 || !mayGo(now) {
 		u.put(c)
@@ -140,6 +140,10 @@
 	return u.exchange(ctx, c, m.bytes(left), m.upload, u.sends, whole)
 }
 
+// millisLeft is what an endpoint is told of the time left, in whole milliseconds. Only when none is left is it 0:
+// what is due soon is not yet late.
+func millisLeft(left balancer.Micros) balancer.Micros { return (max(0, left) + 999) / 1000 }
+
 // probe asks an endpoint for its load, or for its health where there are no load reports.
 func (u *upstream) probe(to *target) reply {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
