Add the lab's model, referee, figures and simulation of whole fleets in virtual time

Nothing in the repository ran the program as a whole: each test made a few servers by hand. The lab begins with one model of the booking system (servers that share cores, queue, choke, warm up and fail; discovery; open-loop clients that retry), a referee that judges the four rules from the trace alone, figures, strict scenario files, and a simulation that hosts package balancer for each sidecar. birchmoor lab sim plays a scenario.

--- /dev/null
+++ b/cmd/birchmoor/lab.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"golang.org/x/term"
+
+	"birchmoor/internal/lab/figures"
+	"birchmoor/internal/lab/scenario"
+	"birchmoor/internal/lab/sim"
+)
+
+type labCommands struct {
+	Sim simCommand `cmd:"" help:"Play a scenario in virtual time, with the decision module of each sidecar."`
+}
+
+// console is where a command prints.
+type console struct{ out, err io.Writer }
+
+// progress shows how far a run is: one line that changes on a terminal, a line now and then elsewhere.
+func (c *console) progress(name string) func(second, asked int) {
+	f, ok := c.err.(*os.File)
+	live := ok && term.IsTerminal(int(f.Fd()))
+	return func(second, asked int) {
+		switch {
+		case live:
+			fmt.Fprintf(c.err, "\r%s: second %d, %d requests\x1b[K", name, second, asked)
+		case second%10 == 0:
+			fmt.Fprintf(c.err, "%s: second %d, %d requests\n", name, second, asked)
+		}
+	}
+}
+
+func (c *console) clear() {
+	if f, ok := c.err.(*os.File); ok && term.IsTerminal(int(f.Fd())) {
+		fmt.Fprint(c.err, "\r\x1b[K")
+	}
+}
+
+type output struct {
+	Out  string `help:"Folder for the result and what the report needs." type:"path" placeholder:"DIR"`
+	JSON string `help:"File for the result as JSON; - for standard output." placeholder:"FILE"`
+}
+
+// finish prints a result and keeps it where it was asked for.
+func (o *output) finish(c *console, x *figures.Result) error {
+	c.clear()
+	if o.Out != "" {
+		if err := os.MkdirAll(o.Out, 0o755); err != nil {
+			return err
+		}
+		if err := writeJSON(filepath.Join(o.Out, "result.json"), x, c.out); err != nil {
+			return err
+		}
+	}
+	if o.JSON != "" {
+		if err := writeJSON(o.JSON, x, c.out); err != nil {
+			return err
+		}
+	}
+	if o.JSON != "-" {
+		printResult(c.out, x)
+	}
+	if !x.Passed() {
+		return errMissed
+	}
+	return nil
+}
+
+func writeJSON(path string, x any, out io.Writer) error {
+	text, err := json.MarshalIndent(x, "", " ")
+	if err != nil {
+		return err
+	}
+	if path == "-" {
+		_, err = out.Write(append(text, '\n'))
+		return err
+	}
+	return os.WriteFile(path, append(text, '\n'), 0o644)
+}
+
+// printResult prints a run's figures; its last line is the verdict.
+func printResult(w io.Writer, x *figures.Result) {
+	fmt.Fprintf(w, "%s: %d sidecars, %d servers, %.0f s by %s, seed %d\n", x.Scenario, x.Sidecars, x.Servers, x.Length, x.Host, x.Seed)
+	fmt.Fprintf(w, "%-14s %8s %8s %8s %8s %8s %9s\n", "class", "asked", "service", "p50 ms", "p90 ms", "p99 ms", "p99.9 ms")
+	for _, c := range x.Classes {
+		fmt.Fprintf(w, "%-14s %8d %8.3f %8.1f %8.1f %8.1f %9.1f\n", c.Name, c.Tasks, c.Service, c.P50, c.P90, c.P99, c.P999)
+	}
+	n, f := x.Verdict.Counts, x.Figures
+	fmt.Fprintf(w, "requests: asked %d = served %d + refused %d + failed %d + gone %d", n.Asked, n.Served, n.Refused, n.Failed, n.Gone)
+	if n.Excused+n.Unheard > 0 {
+		fmt.Fprintf(w, " (%d with a sidecar that was killed, %d unheard)", n.Excused, n.Unheard)
+	}
+	fmt.Fprintf(w, "\nfor each that clients want: %.2f tries, %.2f attempts, %.3f turned away, %.3f connections opened, %.2f probes\n",
+		f["tries_per_task"], f["attempts_per_task"], f["turned_per_task"], f["connects_per_task"], f["probes_per_task"])
+	fmt.Fprintf(w, "attempts into other zones %.3f, worst 10 s %.3f, took %.1f s, at most %.0f MB", f["crossings"], x.Worst10s, x.Took, x.MemoryMB)
+	if x.Host == "run" {
+		fmt.Fprintf(w, ", the lab itself late by %.1f ms (99.9%%), %.1f at most", x.LateP999, x.LateMost)
+	}
+	fmt.Fprintln(w)
+	for _, b := range x.Verdict.Breaches {
+		fmt.Fprintf(w, "broken at %.3f s: %s: request %x, sidecar %d, server %d: %s\n", float64(b.At)/1e6, b.Rule, b.Request, b.Sidecar, b.Server, b.Text)
+	}
+	for _, m := range x.Missed {
+		fmt.Fprintln(w, "missed:", m)
+	}
+	fmt.Fprintln(w, x.Line())
+}
+
+// load reads a scenario and sees that a host can play it.
+func load(path, host string) (*scenario.Scenario, error) {
+	s, err := scenario.Read(path)
+	if err != nil {
+		return nil, err
+	}
+	if !s.On(host) {
+		return nil, fmt.Errorf("%s: can be played by %v only", path, s.Hosts)
+	}
+	return s, nil
+}
+
+type simCommand struct {
+	Scenario string `arg:"" type:"existingfile" help:"Scenario file, such as lab/scenarios/calm.toml."`
+	Seed     uint64 `default:"1" help:"All that is drawn comes from it."`
+	Sidecars int    `help:"So many sidecars in place of the scenario's; the load stays."`
+	Logs     int    `help:"Print so many lines of the modules' logs."`
+	output   `embed:""`
+}
+
+func (k *simCommand) Run(ctx context.Context, c *console) error {
+	s, err := load(k.Scenario, "sim")
+	if err != nil {
+		return err
+	}
+	if k.Sidecars > 0 {
+		s.Fleet.Sidecars = k.Sidecars
+	}
+	x, err := sim.Run(ctx, s, sim.Options{Seed: k.Seed, Progress: c.progress(s.Name), Logs: k.Logs})
+	if err != nil {
+		return err
+	}
+	for _, line := range x.Log {
+		fmt.Fprintln(c.out, line)
+	}
+	return k.finish(c, x)
+}
--- /dev/null
+++ b/cmd/birchmoor/main.go
@@ -0,0 +1,67 @@
+// Command birchmoor is the product's command line: the lab, and what operators run by hand.
+//
+// Exit codes: 0 for success, 1 for a run that missed its figures or broke a rule, 2 for bad input, 130 on Ctrl-C.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit codes.
+const (
+	exitMissed = 1
+	exitInput  = 2
+	exitStop   = 130
+)
+
+type commands struct {
+	Lab labCommands `cmd:"" help:"Play the booking system: the sidecar among servers, clients and faults of our own."`
+}
+
+// errMissed says that a run was judged, and not kindly; what is wrong has been printed.
+var errMissed = errors.New("missed")
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// run runs the command line and returns the exit code.
+func run(ctx context.Context, args []string, out, errs io.Writer) int {
+	var c commands
+	code := -1
+	parser, err := kong.New(&c, kong.Name("birchmoor"), kong.UsageOnError(), kong.Writers(out, errs),
+		kong.Description("birchmoor: a client-side load-balancing sidecar, and the lab that shows what it does."),
+		kong.Exit(func(n int) { code = n }), kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
+	if err != nil {
+		panic(err) // the commands above are wrong
+	}
+	parsed, err := parser.Parse(args)
+	if code >= 0 {
+		return code // help was asked for
+	}
+	if err == nil {
+		parsed.BindTo(ctx, (*context.Context)(nil))
+		err = parsed.Run(&console{out: out, err: errs})
+	}
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, errMissed):
+		return exitMissed
+	case ctx.Err() != nil:
+		fmt.Fprintln(errs, "birchmoor: stopped")
+		return exitStop
+	}
+	fmt.Fprintln(errs, "birchmoor:", err)
+	return exitInput
+}
--- /dev/null
+++ b/internal/lab/draw/draw.go
@@ -0,0 +1,57 @@
+// Package draw gives every random choice of the lab a named stream of its own, all from one seed.
+//
+// A stream is told by its name and, where there are many of a kind, by numbers. Adding a draw in one place thus
+// never moves what is drawn in another, and the two hosts of the lab draw the same world from the same seed.
+package draw
+
+import (
+	"encoding/binary"
+	"math"
+	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Seed is what all streams of a run come from.
+type Seed uint64
+
+// Stream is one sequence of draws. It is not safe for concurrent use.
+type Stream struct{ *rand.Rand }
+
+// Stream returns the stream of this name and these numbers, at its beginning.
+func (s Seed) Stream(name string, numbers ...uint64) Stream {
+	b := make([]byte, 0, 64)
+	b = binary.BigEndian.AppendUint64(b, uint64(s))
+	b = append(b, name...)
+	for _, n := range numbers {
+		b = binary.BigEndian.AppendUint64(b, n)
+	}
+	h := xxhash.Sum64(b)
+	return Stream{rand.New(rand.NewPCG(uint64(s)^0x9e3779b97f4a7c15, h))}
+}
+
+// Between draws evenly from lo to hi.
+func (s Stream) Between(lo, hi float64) float64 { return lo + (hi-lo)*s.Float64() }
+
+// Chance draws true with probability p.
+func (s Stream) Chance(p float64) bool { return s.Float64() < p }
+
+// Exp draws from the exponential distribution of this mean.
+func (s Stream) Exp(mean float64) float64 { return mean * s.ExpFloat64() }
+
+// Lognormal draws from the log-normal distribution of this mean and coefficient of variation.
+func (s Stream) Lognormal(mean, cv float64) float64 {
+	if cv <= 0 {
+		return mean
+	}
+	v := math.Log(1 + cv*cv)
+	return mean * math.Exp(s.NormFloat64()*math.Sqrt(v)-v/2)
+}
+
+// Pareto draws from a bounded Pareto distribution of about this mean, with shape 1.5 and a longest value of 100
+// means: few draws carry much of the sum.
+func (s Stream) Pareto(mean float64) float64 {
+	const shape, most = 1.5, 100
+	least := mean * (shape - 1) / shape
+	return min(most*mean, least/math.Pow(1-s.Float64(), 1/shape))
+}
