Add the lab's rig: the real program among stand-ins and a faulty network

The same model and scenario now also play in real time: slot servers, discovery, clients and operators on loopback sockets, a relay with faults on each link, and the sidecar program as processes that the kernel ends with the lab.

--- a/cmd/birchmoor/lab.go
+++ b/cmd/birchmoor/lab.go
@@ -11,11 +11,13 @@
 	"golang.org/x/term"
 
 	"birchmoor/internal/lab/figures"
+	"birchmoor/internal/lab/rig"
 	"birchmoor/internal/lab/scenario"
 	"birchmoor/internal/lab/sim"
 )
 
 type labCommands struct {
+	Run runCommand `cmd:"" help:"Play a scenario in real time: the program as processes, on real sockets."`
 	Sim simCommand `cmd:"" help:"Play a scenario in virtual time, with the decision module of each sidecar."`
 }
 
@@ -124,6 +126,30 @@
 	return s, nil
 }
 
+type runCommand struct {
+	Scenario string `arg:"" type:"existingfile" help:"Scenario file, such as lab/scenarios/calm.toml."`
+	Seed     uint64 `default:"1" help:"All that is drawn comes from it."`
+	Bin      string `help:"The sidecar program; without it, dunlinsail beside this command." type:"existingfile" placeholder:"PATH"`
+	output   `embed:""`
+}
+
+func (k *runCommand) Run(ctx context.Context, c *console) error {
+	s, err := load(k.Scenario, "run")
+	if err != nil {
+		return err
+	}
+	if k.Bin == "" {
+		if k.Bin, err = rig.Program(); err != nil {
+			return err
+		}
+	}
+	x, err := rig.Run(ctx, s, rig.Options{Seed: k.Seed, Bin: k.Bin, Dir: k.Out, Progress: c.progress(s.Name)})
+	if err != nil {
+		return err
+	}
+	return k.finish(c, x)
+}
+
 type simCommand struct {
 	Scenario string `arg:"" type:"existingfile" help:"Scenario file, such as lab/scenarios/calm.toml."`
 	Seed     uint64 `default:"1" help:"All that is drawn comes from it."`
--- a/internal/lab/model/faults.go
+++ b/internal/lab/model/faults.go
@@ -36,10 +36,10 @@
 // fault arranges a fault, as often as it repeats.
 func (w *World) fault(f *scenario.Fault, number int) {
 	if f.Kind == "cold" {
-		w.mark(f, number, 0, f.For.Micros())
+		w.mark(f, number, w.origin, f.For.Micros())
 		return
 	}
-	at := f.At.Micros()
+	at := w.origin + f.At.Micros()
 	for range f.Repeat {
 		w.once(f, number, at)
 		at += f.For.Micros() + f.Lag.Micros() + evq.Second
--- a/internal/lab/model/world.go
+++ b/internal/lab/model/world.go
@@ -37,6 +37,7 @@
 	Servers []*Server
 	Disc    *Discovery
 
+	origin  Micros // of the scenario's times
 	host    Host
 	sink    trace.Sink
 	rates   []float64 // of first tries, by sidecar
@@ -140,6 +141,7 @@
 
 // Begin begins the arrivals and the faults.
 func (w *World) Begin() {
+	w.origin = w.Q.Now()
 	for n := range w.rates {
 		w.callers++
 		w.arrivals(n)
@@ -150,6 +152,9 @@
 	w.gauge()
 }
 
+// Origin is the instant at which the scenario's times begin.
+func (w *World) Origin() Micros { return w.origin }
+
 // Done says whether all that was asked has ended.
 func (w *World) Done() bool { return w.callers == 0 && w.open == 0 }
 
@@ -159,7 +164,7 @@
 // gauge reports the servers' state now and then.
 func (w *World) gauge() {
 	now := w.Q.Now()
-	if now > w.S.Length.Micros()+2*evq.Second {
+	if now > w.origin+w.S.Length.Micros()+2*evq.Second {
 		return
 	}
 	for _, s := range w.Servers {
@@ -196,7 +201,7 @@
 			if d.Chance(w.S.Load.RateAt(at/float64(length)) * w.S.Factor(now) / most) {
 				n++
 				t := w.task(sidecar, n, now)
-				w.Q.At(now, func() {
+				w.Q.At(w.origin+now, func() {
 					w.open++
 					w.ask(t, 0)
 					next()
@@ -222,10 +227,10 @@
 	return most * factor
 }
 
-// task draws what a client wants.
+// task draws what a client wants; at counts from the origin.
 func (w *World) task(sidecar int, n uint64, at Micros) *Task {
 	d := w.Seed.Stream("task", uint64(sidecar), n)
-	t := &Task{ID: uint64(sidecar)<<32 | n, Sidecar: sidecar, At: at, draw: d}
+	t := &Task{ID: uint64(sidecar)<<32 | n, Sidecar: sidecar, At: w.origin + at, draw: d}
 	pick := d.Float64() * w.shares[len(w.shares)-1]
 	for t.Class < len(w.shares)-1 && pick >= w.shares[t.Class] {
 		t.Class++
@@ -256,7 +261,7 @@
 	case "rough":
 		t.Hint = max(1, Micros(work*d.Lognormal(1, 0.5)))
 	}
-	t.GiveUp = at + c.GiveUp.Micros()
+	t.GiveUp = t.At + c.GiveUp.Micros()
 	return t
 }
 
--- /dev/null
+++ b/internal/lab/relay/relay.go
@@ -0,0 +1,311 @@
+// Package relay is a faulty network: a TCP relay on loopback for each link, with delay, jitter, bandwidth, black holes,
+// resets, half-closed directions, and writes that come slowly and in pieces.
+package relay
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+// Conditions are how a link behaves. The zero value passes everything on at once.
+type Conditions struct {
+	Delay     time.Duration // of each chunk, one way
+	Jitter    float64       // part of the delay by which it varies, evenly
+	Bandwidth int           // bytes a second in each direction; 0 for no bound
+	Hole      bool          // what is sent is lost, with no word; connections that lost something break when it ends
+	Split     int           // bytes a write at most; 0 for no bound
+	Pause     time.Duration // between the pieces of a split write
+	HalfClose bool          // the end of sending on one side is not passed on
+}
+
+const (
+	chunkMost  = 16 << 10
+	chunksMost = 64 // on their way in a direction: beyond that the sender waits
+)
+
+// Link relays the connections made to its listener to one target.
+type Link struct {
+	target string
+
+	mu    sync.Mutex
+	now   Conditions
+	ln    net.Listener
+	conns map[*pair]struct{}
+	wg    sync.WaitGroup
+	rng   *rand.Rand
+	over  bool
+}
+
+// New returns a link to a target that does not listen yet. Its random draws come from the seed.
+func New(target string, seed uint64, c Conditions) *Link {
+	return &Link{target: target, now: c, conns: map[*pair]struct{}{}, rng: rand.New(rand.NewPCG(seed, 0x6c696e6b))}
+}
+
+// Listen accepts connections on ln until Refuse or Close.
+func (l *Link) Listen(ln net.Listener) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.over {
+		ln.Close()
+		return
+	}
+	l.ln = ln
+	l.wg.Add(1)
+	go l.accept(ln)
+}
+
+func (l *Link) accept(ln net.Listener) {
+	defer l.wg.Done()
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		l.mu.Lock()
+		if l.over {
+			l.mu.Unlock()
+			reset(c)
+			return
+		}
+		l.wg.Add(1)
+		l.mu.Unlock()
+		go l.relay(c)
+	}
+}
+
+// Set changes the conditions, also for connections that are open.
+func (l *Link) Set(change func(*Conditions)) {
+	l.mu.Lock()
+	was := l.now.Hole
+	change(&l.now)
+	var broken []*pair
+	if was && !l.now.Hole {
+		for p := range l.conns {
+			if p.lost {
+				broken = append(broken, p)
+			}
+		}
+	}
+	l.mu.Unlock()
+	for _, p := range broken {
+		p.reset()
+	}
+}
+
+// Reset breaks all open connections, in both directions.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	list := make([]*pair, 0, len(l.conns))
+	for p := range l.conns {
+		list = append(list, p)
+	}
+	l.mu.Unlock()
+	for _, p := range list {
+		p.reset()
+	}
+}
+
+// Refuse stops listening: new connections are refused until Listen.
+func (l *Link) Refuse() {
+	l.mu.Lock()
+	ln := l.ln
+	l.ln = nil
+	l.mu.Unlock()
+	if ln != nil {
+		ln.Close()
+	}
+}
+
+// Open is how many connections are open.
+func (l *Link) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+// Close ends the link and waits for all that it started.
+func (l *Link) Close() {
+	l.mu.Lock()
+	l.over = true
+	l.mu.Unlock()
+	l.Refuse()
+	l.Reset()
+	l.wg.Wait()
+}
+
+func (l *Link) conditions() Conditions {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.now
+}
+
+// wait draws the delay of a chunk.
+func (l *Link) wait() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := &l.now
+	return time.Duration(float64(c.Delay) * (1 + c.Jitter*(2*l.rng.Float64()-1)))
+}
+
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		t.SetLinger(0)
+	}
+	c.Close()
+}
+
+// pair is one relayed connection: the caller's side and the target's.
+type pair struct {
+	near, far net.Conn
+	lost      bool // something was lost in a black hole; guarded by Link.mu
+	ctx       context.Context
+	cancel    context.CancelFunc
+}
+
+func (p *pair) reset() {
+	p.cancel()
+	reset(p.near)
+	if p.far != nil {
+		reset(p.far)
+	}
+}
+
+// relay carries one connection until both directions have ended or it is broken.
+func (l *Link) relay(near net.Conn) {
+	defer l.wg.Done()
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &pair{near: near, ctx: ctx, cancel: cancel}
+	defer p.reset()
+	dial := net.Dialer{Timeout: 5 * time.Second}
+	far, err := dial.DialContext(ctx, "tcp", l.target)
+	if err != nil {
+		return
+	}
+	p.far = far
+	l.mu.Lock()
+	if l.over {
+		l.mu.Unlock()
+		return
+	}
+	l.conns[p] = struct{}{}
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		delete(l.conns, p)
+		l.mu.Unlock()
+	}()
+	ended := make(chan bool, 2) // whether the direction ended cleanly
+	go func() { ended <- l.pump(p, near, far) }()
+	go func() { ended <- l.pump(p, far, near) }()
+	if !<-ended {
+		p.reset()
+	}
+	<-ended
+}
+
+// chunk is what was read at once, and when it is due at the other side. No bytes mean the end of sending.
+type chunk struct {
+	data []byte
+	due  time.Time
+	err  error
+}
+
+// pump carries one direction. Reading goes on while earlier chunks are on their way.
+func (l *Link) pump(p *pair, from, to net.Conn) (clean bool) {
+	chunks := make(chan chunk, chunksMost)
+	go func() {
+		defer close(chunks)
+		var last time.Time
+		for {
+			buf := make([]byte, chunkMost)
+			n, err := from.Read(buf)
+			due := time.Now().Add(l.wait())
+			if due.Before(last) {
+				due = last // a connection does not reorder
+			}
+			if c := l.conditions(); c.Bandwidth > 0 && n > 0 {
+				due = due.Add(time.Duration(n) * time.Second / time.Duration(c.Bandwidth))
+			}
+			last = due
+			select {
+			case chunks <- chunk{buf[:n], due, err}:
+			case <-p.ctx.Done():
+				return
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	for c := range chunks {
+		if !sleep(p.ctx, time.Until(c.due)) {
+			return false
+		}
+		if len(c.data) > 0 && !l.write(p, to, c.data) {
+			return false
+		}
+		if c.err != nil {
+			now := l.conditions()
+			if now.Hole {
+				l.lose(p)
+				<-p.ctx.Done() // the other side hears nothing of it
+				return false
+			}
+			if c.err != io.EOF {
+				return false
+			}
+			if t, ok := to.(*net.TCPConn); ok && !now.HalfClose {
+				t.CloseWrite()
+			}
+			return true
+		}
+	}
+	return false
+}
+
+// write passes data on as the conditions of this moment have it.
+func (l *Link) write(p *pair, to net.Conn, data []byte) bool {
+	for len(data) > 0 {
+		c := l.conditions()
+		if c.Hole {
+			l.lose(p)
+			return true
+		}
+		piece := data
+		if c.Split > 0 && len(piece) > c.Split {
+			piece = piece[:c.Split]
+		}
+		if _, err := to.Write(piece); err != nil {
+			return false
+		}
+		if data = data[len(piece):]; len(data) > 0 && c.Pause > 0 && !sleep(p.ctx, c.Pause) {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *Link) lose(p *pair) {
+	l.mu.Lock()
+	p.lost = true
+	l.mu.Unlock()
+}
+
+// sleep waits, and says whether that was not cut short.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
