--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -237,8 +237,10 @@
 	e.sentAt = now
 	b.called = slices.DeleteFunc(b.called, func(c calledBack) bool { return c.id == e.ID })
 	e.whole.try(now)
+	e.outTo = max(e.outTo, e.whole.outTo)
 	for _, i := range b.parts(r) {
 		e.ills[i].try(now)
+		e.outTo = max(e.outTo, e.ills[i].outTo)
 	}
 	b.sentWork.add(now, r.work)
 	b.out.Send(r.ID, e.ID, b.patience(now, r, expected))
@@ -946,7 +948,7 @@
 // a part of what the aim leaves for waiting. Classes of little value for their work give way first.
 func (b *Balancer) room(now Micros, r *request, e *endpoint) float64 {
 	alone := e.rtt.or(0) + r.work*b.slowdown()*e.paceNow(now, b)
-	share := max(roomLeast, roomMost*b.value(now, r))
+	share := max(roomLeast, roomMost*b.valueNow(now, r))
 	if b.reportsLate {
 		share = 1 // the least loaded endpoint is not known: averages must not refuse what it would serve
 	}
@@ -954,6 +956,14 @@
 	return min(alone+share*spare, float64(r.Deadline-now))
 }
 
+// valueNow is r's value, worked out once for all the endpoints that are weighed at an instant.
+func (b *Balancer) valueNow(now Micros, r *request) float64 {
+	if r.valueAt != now || r.value == 0 {
+		r.value, r.valueAt = b.value(now, r), now
+	}
+	return r.value
+}
+
 // value ranks r's class, 0 to 1, by the goal's gain from a unit of its work: worth, and more if served worst.
 func (b *Balancer) value(now Micros, r *request) float64 {
 	var work, worth float64
@@ -1141,6 +1151,7 @@
 	i.trial = false
 	i.outFor = min(max(2*i.outFor, second), window)
 	i.outTo = now + i.outFor/2 + b.rng.below(i.outFor)
+	e.outTo = max(e.outTo, i.outTo)
 	of := ""
 	if part >= 0 {
 		of = " of part " + strconv.Itoa(part)
@@ -1158,6 +1169,9 @@
 
 // shuns says whether e is ejected, for a part that r belongs to or as a whole.
 func (b *Balancer) shuns(now Micros, e *endpoint, r *request) bool {
+	if now >= e.outTo {
+		return false
+	}
 	for _, i := range b.parts(r) {
 		if now < e.ills[i].outTo {
 			return true
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -86,6 +86,8 @@
 	slot     int    // of its class
 	arrived  Micros
 	work     float64
+	value    float64 // of its class, as of valueAt; 0 if not worked out
+	valueAt  Micros
 	hint     float64 // logarithm of its hint over the mean of its class
 	attempts []attempt
 	out      int     // attempts without outcome
@@ -113,19 +115,19 @@
 	Endpoint
 	seen     bool // named by the list being read
 	isCold   bool
+	hasLoad  bool
+	probing  bool
 	coldFrom Micros  // start of its warm-up
 	room     float64 // work that it may still get while cold
 	roomAt   Micros
 
-	inflight  int    // own attempts without outcome
-	flows     int    // of them with a body or an answer under way
-	sentAt    Micros // latest own send
-	quietFrom Micros // its latest answer since it holds any
-	probing   bool
+	inflight  int     // own attempts without outcome
+	flows     int     // of them with a body or an answer under way
+	sentAt    Micros  // latest own send
+	quietFrom Micros  // its latest answer since it holds any
 	sum       float32 // of its latest report
 	asked     uint32  // the round of held requests that waits for its answer
 	probedAt  Micros
-	hasLoad   bool
 	answerAt  Micros  // latest probe answer with a load figure
 	others    float64 // load of others when it answered
 	ownAt     int     // own in flight then
@@ -133,8 +135,9 @@
 
 	pace   ewma // time taken per work and crowding
 	paceAt Micros
-	whole  ill   // failures of any request
-	ills   []ill // of each class, then of each tenant: an endpoint may fail one and serve the others
+	outTo  Micros // no part of the traffic shuns it from then on
+	whole  ill    // failures of any request
+	ills   []ill  // of each class, then of each tenant: an endpoint may fail one and serve the others
 	br     breaker
 }
 
@@ -156,7 +159,8 @@
 	passed        Micros // last forced pass
 }
 
-type bucket struct{ requests, accepts, failures int }
+// bucket counts a fortieth of the window. An endpoint has a ring of them at each balancer: they are kept small.
+type bucket struct{ requests, accepts, failures int32 }
 
 func (b *Balancer) newRequest(now Micros, in Request) *request {
 	var r *request
@@ -169,7 +173,7 @@
 	// The high bits count uses of the slot, so that an old timer finds nothing.
 	r.token += 1 << slotBits
 	r.Request, r.arrived, r.attempts, r.out, r.ended, r.stream = in, now, r.attempts[:0], 0, false, false
-	r.good = 0
+	r.good, r.value = 0, 0
 	r.slot = in.Rules.slots[in.Class]
 	b.classes[r.slot].open++
 	b.requests[in.ID] = r
@@ -197,8 +201,8 @@
 	for k.head < n {
 		k.head++
 		old := &k.ring[k.head%buckets]
-		k.requests -= old.requests
-		k.accepts -= old.accepts
+		k.requests -= int(old.requests)
+		k.accepts -= int(old.accepts)
 		*old = bucket{}
 	}
 	return &k.ring[n%buckets]
@@ -208,8 +212,8 @@
 func (k *breaker) count(now Micros, accepts, failures int) {
 	at := k.slide(now)
 	at.requests++
-	at.accepts += accepts
-	at.failures += failures
+	at.accepts += int32(accepts)
+	at.failures += int32(failures)
 	k.requests++
 	k.accepts += accepts
 }
--- a/cmd/birchmoor/lab.go
+++ b/cmd/birchmoor/lab.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"runtime/pprof"
 
 	"golang.org/x/term"
 
@@ -155,6 +156,7 @@
 	Seed     uint64 `default:"1" help:"All that is drawn comes from it."`
 	Sidecars int    `help:"So many sidecars in place of the scenario's; the load stays."`
 	Logs     int    `help:"Print so many lines of the modules' logs."`
+	Profile  string `help:"Write a CPU profile of the simulation there." placeholder:"FILE"`
 	output   `embed:""`
 }
 
@@ -166,6 +168,17 @@
 	if k.Sidecars > 0 {
 		s.Fleet.Sidecars = k.Sidecars
 	}
+	if k.Profile != "" {
+		f, err := os.Create(k.Profile)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		if err := pprof.StartCPUProfile(f); err != nil {
+			return err
+		}
+		defer pprof.StopCPUProfile()
+	}
 	x, err := sim.Run(ctx, s, sim.Options{Seed: k.Seed, Progress: c.progress(s.Name), Logs: k.Logs})
 	if err != nil {
 		return err
--- a/internal/lab/evq/evq.go
+++ b/internal/lab/evq/evq.go
@@ -5,7 +5,6 @@
 package evq
 
 import (
-	"container/heap"
 	"context"
 	"time"
 
@@ -20,10 +19,7 @@
 
 // Event is something to do at an instant.
 type Event struct {
-	at    Micros
-	order uint64
-	do    func()
-	place int
+	do func() // nil once done or dropped
 }
 
 // Queue holds events. Only the goroutine in Run may use it, but for Post and Now in real time.
@@ -64,21 +60,29 @@
 	if q.posted == nil {
 		at = max(at, q.now)
 	}
-	e := &Event{at: at, order: q.order, do: do}
-	heap.Push(&q.events, e)
+	e := &Event{do: do}
+	q.events.push(entry{at, q.order, e})
 	return e
 }
 
 // After does something after a delay.
 func (q *Queue) After(delay Micros, do func()) *Event { return q.At(q.Now()+delay, do) }
 
-// Drop takes an event out, if it is still to come. It may be nil.
+// Drop has an event not happen, if it is still to come. It may be nil. Its place is free once it would have been due.
 func (q *Queue) Drop(e *Event) {
-	if e != nil && e.place >= 0 {
-		heap.Remove(&q.events, e.place)
+	if e != nil {
+		e.do = nil
 	}
 }
 
+// next takes the first event out, and says when it was due; nil if it was dropped.
+func (q *Queue) next() (Micros, func()) {
+	e := q.events.pop()
+	do := e.event.do
+	e.event.do = nil
+	return e.at, do
+}
+
 // Post has the goroutine in Run do something; real time only. It says no if ctx ended first.
 func (q *Queue) Post(ctx context.Context, do func()) bool {
 	select {
@@ -98,9 +102,11 @@
 		if n%4096 == 0 && ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
-		e := heap.Pop(&q.events).(*Event)
-		q.now = e.at
-		e.do()
+		at, do := q.next()
+		if do != nil {
+			q.now = at
+			do()
+		}
 	}
 	return nil
 }
@@ -111,11 +117,14 @@
 	for !done() {
 		now := q.Now()
 		for len(q.events) > 0 && q.events[0].at <= now {
-			e := heap.Pop(&q.events).(*Event)
-			by := now - e.at
+			at, do := q.next()
+			if do == nil {
+				continue
+			}
+			by := now - at
 			q.late.RecordValue(max(1, by))
 			q.worst = max(q.worst, by)
-			e.do()
+			do()
 		}
 		wait := time.Hour
 		if len(q.events) > 0 {
@@ -141,25 +150,59 @@
 	return q.late.ValueAtQuantile(99.9), q.worst
 }
 
-type eventHeap []*Event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].order < h[j].order
-}
-func (h eventHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].place, h[j].place = i, j
+// entry is an event in the heap, with what it is ordered by beside it: a run's heap is larger than the caches.
+type entry struct {
+	at    Micros
+	order uint64
+	event *Event
 }
-func (h *eventHeap) Push(x any) {
-	e := x.(*Event)
-	e.place = len(*h)
+
+func (a *entry) before(b *entry) bool { return a.at < b.at || a.at == b.at && a.order < b.order }
+
+// eventHeap is a heap of four children a node.
+type eventHeap []entry
+
+func (h *eventHeap) push(e entry) {
 	*h = append(*h, e)
+	s := *h
+	i := len(s) - 1
+	for i > 0 {
+		up := (i - 1) / 4
+		if !e.before(&s[up]) {
+			break
+		}
+		s[i] = s[up]
+		i = up
+	}
+	s[i] = e
 }
-func (h *eventHeap) Pop() any {
-	last := len(*h) - 1
-	e := (*h)[last]
-	(*h)[last], e.place = nil, -1
-	*h = (*h)[:last]
-	return e
+
+func (h *eventHeap) pop() entry {
+	s := *h
+	top, last := s[0], s[len(s)-1]
+	s[len(s)-1] = entry{}
+	s = s[:len(s)-1]
+	*h = s
+	if len(s) == 0 {
+		return top
+	}
+	i := 0
+	for {
+		least := 4*i + 1
+		if least >= len(s) {
+			break
+		}
+		for c := least + 1; c < min(4*i+5, len(s)); c++ {
+			if s[c].before(&s[least]) {
+				least = c
+			}
+		}
+		if !s[least].before(&last) {
+			break
+		}
+		s[i] = s[least]
+		i = least
+	}
+	s[i] = last
+	return top
 }
--- /dev/null
+++ b/internal/lab/scenario/scenario_test.go
@@ -0,0 +1,87 @@
+package scenario
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const plain = `name = "x"
+[[servers]]
+count = 2
+speed = [1.0, 2.0]
+
+[[class]]
+name = "look"
+work = "10ms"
+
+[load]
+rate = 5.0
+`
+
+func TestDefaults(t *testing.T) {
+	s, err := Parse("x.toml", []byte(plain))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Total() != 2 || s.Classes[0].Aim != Dur(400*time.Millisecond) || !s.On("run") || !s.On("sim") || s.Fleet.Sidecars != 2 {
+		t.Errorf("unexpected: %+v", s)
+	}
+}
+
+// Every fault of a file is named with its line and key, and nothing is read.
+func TestBadFiles(t *testing.T) {
+	for _, c := range []struct{ name, text, want string }{
+		{"unknown key", plain + "[net]\nsmae = \"1ms\"\n", "x.toml:13: net.smae: is not a key"},
+		{"unknown table", plain + "[nets]\nsame = \"1ms\"\n", "x.toml:12: nets"},
+		{"range upside down", strings.Replace(plain, "[1.0, 2.0]", "[2.0, 1.0]", 1), "x.toml:4: servers[0].speed: the range 2 to 1 is upside down"},
+		{"three numbers", strings.Replace(plain, "[1.0, 2.0]", "[2.0, 1.0, 3.0]", 1), "x.toml:4: servers[0].speed: takes one number or two"},
+		{"negative rate", strings.Replace(plain, "rate = 5.0", "rate = -5.0", 1), "x.toml:11: load.rate: -5 is not above 0"},
+		{"no duration", strings.Replace(plain, `"10ms"`, `"10"`, 1), "x.toml:8: class.work"},
+		{"wrong kind", strings.Replace(plain, "count = 2", `count = "two"`, 1), "x.toml:3:"},
+		{"cut short", plain[:len(plain)-6], "x.toml:11"},
+		{"no servers", "name = \"x\"\n[[class]]\nname = \"a\"\n", "x.toml: servers: no [[servers]]"},
+		{"class twice", plain + "[[class]]\nname = \"look\"\n", `x.toml:13: class[1].name: "look" is there twice`},
+		{"unknown fault", plain + "[[fault]]\nkind = \"fire\"\n", `x.toml:13: fault[0].kind: "fire" is not a kind of fault`},
+		{"fault after the end", plain + "[[fault]]\nkind = \"burst\"\nat = \"1h\"\n", "x.toml:14: fault[0].at: is after the end"},
+		{"no such server", plain + "[[fault]]\nkind = \"hang\"\nservers = [2]\n", "x.toml:14: fault[0].servers: 2 is not a server's number"},
+		{"keep of no class", plain + "[keep.class]\nbook = 0.5\n", `keep.class: "book" is not a class`},
+		{"too many requests", strings.Replace(plain, "rate = 5.0", "rate = 1e9", 1), "load.rate: makes over"},
+	} {
+		s, err := Parse("x.toml", []byte(c.text))
+		if err == nil || s != nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: got %v, want %q", c.name, err, c.want)
+		}
+	}
+	_, err := Parse("x.toml", []byte(strings.NewReplacer("rate = 5.0", "rate = 0.0", "count = 2", "count = -2").Replace(plain)))
+	if err == nil || !strings.Contains(err.Error(), "servers[0].count") || !strings.Contains(err.Error(), "load.rate") {
+		t.Errorf("two faults, but the error is %v", err)
+	}
+}
+
+func TestScenariosAreSound(t *testing.T) {
+	files, err := filepath.Glob("../../../lab/scenarios/*.toml")
+	if err != nil || len(files) < 14 {
+		t.Fatalf("%d scenarios (%v)", len(files), err)
+	}
+	for _, f := range files {
+		s, err := Read(f)
+		if err != nil {
+			t.Error(err)
+		} else if s.Name+".toml" != filepath.Base(f) || s.Keep.Service == 0 || s.About == "" {
+			t.Errorf("%s: is named %q, keeps service %v", f, s.Name, s.Keep.Service)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(plain)
+	f.Add(plain + "[[fault]]\nkind = \"burst\"\nat = \"1s\"\nfor = \"1s\"\nfactor = 2.0\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := Parse("x.toml", []byte(text))
+		if err == nil && (s.Load.Rate <= 0 || s.Total() < 1 || s.Length <= 0) {
+			t.Errorf("taken: %+v", s)
+		}
+	})
+}
--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -18,11 +18,11 @@
 	draw     draw.Stream
 	calls    map[uint64]*call
 	last     uint64
-	idle     map[int][]*conn // by server, the latest last
-	after    int64           // generation of the list
-	asking   bool            // a call of discovery is under way, or the watch is open
-	wait     Micros          // before the next, where discovery is watched for good
-	frozen   Micros          // until when nothing is done
+	idle     [][]*conn // by server, the latest last
+	after    int64     // generation of the list
+	asking   bool      // a call of discovery is under way, or the watch is open
+	wait     Micros    // before the next, where discovery is watched for good
+	frozen   Micros    // until when nothing is done
 	dead     bool
 	retired  bool  // takes nothing new
 	next     *node // took over from this one
@@ -54,21 +54,20 @@
 
 // conn is a connection to a server's process.
 type conn struct {
-	server  int
-	starts  int // of the server's process
-	full    bool
-	ready   bool   // the handshake is done
-	first   func() // waits for that
-	idleAt  Micros
-	closed  bool
-	watched bool // a sweep is due
+	server int
+	starts int // of the server's process
+	full   bool
+	ready  bool   // the handshake is done
+	first  func() // waits for that
+	idleAt Micros
+	closed bool
 }
 
 const openWait = 100 * 1000
 
 func (h *host) newNode(number int, settings balancer.Settings) *node {
 	n := &node{h: h, number: number, zone: h.w.SidecarZone(number), settings: settings, calls: map[uint64]*call{},
-		idle: map[int][]*conn{}, draw: h.seed.Stream("network", uint64(number), uint64(h.q.Now()))}
+		idle: make([][]*conn, len(h.w.Servers)), draw: h.seed.Stream("network", uint64(number), uint64(h.q.Now()))}
 	var err error
 	if n.b, err = balancer.New(settings, n.draw.Uint64(), n); err != nil {
 		panic(err) // the settings were checked when they were made
@@ -90,6 +89,7 @@
 	if !n.settings.Subscribe {
 		n.Watch(true)
 	}
+	n.h.q.After(Micros(n.draw.Float64()*float64(evq.Second)), func() { n.do(n.sweep) })
 }
 
 func (n *node) now() balancer.Micros { return origin + n.h.q.Now() }
@@ -617,37 +617,25 @@
 	}
 	o.idleAt = n.h.q.Now()
 	n.idle[o.server] = append(n.idle[o.server], o)
-	if !o.watched {
-		o.watched = true
-		n.h.q.After(n.idleMost(o.server), func() { n.sweep(o) })
-	}
 }
 
 // idleMost is how long a connection is kept idle: well under the time after which the server closes it.
 func (n *node) idleMost(server int) Micros { return n.h.w.Servers[server].Spec.Idle.Micros() * 2 / 3 }
 
-// sweep closes a connection that has been idle for long, or looks again later.
-func (n *node) sweep(o *conn) {
-	o.watched = false
-	if o.closed {
-		return
-	}
-	at := -1
-	for i, c := range n.idle[o.server] {
-		if c == o {
-			at = i
+// sweep closes the connections that have been idle for long, once a second as the real program does.
+func (n *node) sweep() {
+	now := n.h.q.Now()
+	for server, list := range n.idle {
+		cut := 0
+		for cut < len(list) && now-list[cut].idleAt >= n.idleMost(server) {
+			n.close(server, list[cut])
+			cut++
+		}
+		if cut > 0 {
+			n.idle[server] = append(list[:0], list[cut:]...)
 		}
 	}
-	if at < 0 {
-		return // in use: it is watched again once idle
-	}
-	if left := o.idleAt + n.idleMost(o.server) - n.h.q.Now(); left > 0 {
-		o.watched = true
-		n.h.q.After(left, func() { n.sweep(o) })
-		return
-	}
-	n.idle[o.server] = append(n.idle[o.server][:at], n.idle[o.server][at+1:]...)
-	n.close(o.server, o)
+	n.h.q.After(evq.Second, func() { n.do(n.sweep) })
 }
 
 func (n *node) close(server int, o *conn) {
@@ -664,7 +652,7 @@
 	for _, o := range n.idle[server] {
 		n.close(server, o)
 	}
-	delete(n.idle, server)
+	n.idle[server] = nil
 	for _, c := range sorted(n.calls) {
 		for _, a := range c.attempts {
 			if !a.done && a.server == server && a.conn != nil {
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -69,7 +69,10 @@
 	q := evq.Virtual()
 	ref, rec := referee.New(referee.From(s, 0)), figures.New(s)
 	h := &host{q: q, s: s, seed: draw.Seed(o.Seed), links: map[[2]int]*link{}, logs: o.Logs, banned: map[int]bool{}}
-	h.sink = trace.Sinks(append([]trace.Sink{ref, rec}, o.Sinks...)...)
+	// Who watches the run works beside it: the order of the events is all that they go by.
+	aside := trace.Beside(trace.Sinks(append([]trace.Sink{ref, rec}, o.Sinks...)...))
+	defer aside.Close()
+	h.sink = aside
 	h.w = model.New(q, s, o.Seed, h, h.sink)
 	h.w.Prepare()
 	for n := range s.Fleet.Sidecars {
@@ -100,6 +103,7 @@
 	if err != nil {
 		return nil, err
 	}
+	aside.Close()
 	x := rec.End(ref.End(q.Now()))
 	x.Host, x.Seed = "sim", o.Seed
 	x.Took, x.MemoryMB = time.Since(began).Seconds(), PeakMB()
@@ -148,7 +152,7 @@
 // ServerStopped breaks a server's idle connections; what is under way has been told by the server.
 func (h *host) ServerStopped(server int) {
 	for _, n := range h.all() {
-		delete(n.idle, server)
+		n.idle[server] = nil
 	}
 }
 
--- a/internal/lab/trace/trace.go
+++ b/internal/lab/trace/trace.go
@@ -111,3 +111,57 @@
 		}
 	})
 }
+
+// Aside takes events on the caller's goroutine and gives them to a sink on another, in order.
+type Aside struct {
+	batch []Event
+	full  chan []Event
+	free  chan []Event
+	done  chan struct{}
+}
+
+const batchSize = 2048
+
+// Beside returns an Aside for a sink. Close gives it what is left and waits for it.
+func Beside(sink Sink) *Aside {
+	a := &Aside{full: make(chan []Event, 8), free: make(chan []Event, 10), done: make(chan struct{})}
+	go func() {
+		defer close(a.done)
+		for batch := range a.full {
+			for i := range batch {
+				sink.Take(batch[i])
+			}
+			select {
+			case a.free <- batch[:0]:
+			default:
+			}
+		}
+	}()
+	return a
+}
+
+// Take takes the next event.
+func (a *Aside) Take(e Event) {
+	if a.batch == nil {
+		select {
+		case a.batch = <-a.free:
+		default:
+			a.batch = make([]Event, 0, batchSize)
+		}
+	}
+	if a.batch = append(a.batch, e); len(a.batch) == batchSize {
+		a.full <- a.batch
+		a.batch = nil
+	}
+}
+
+// Close ends it; it may be called again.
+func (a *Aside) Close() {
+	if a.full == nil {
+		return
+	}
+	a.full <- a.batch
+	close(a.full)
+	<-a.done
+	a.full = nil
+}
