Add lab compare, lab bench and lab report

A claim needs two things side by side and a word on whether they differ at all. lab compare plays two programs, settings files or scenarios over the same seeds in turn and gives each figure's difference with a bootstrap interval; lab bench measures no proxy, httputil.ReverseProxy and the sidecar over the same instant servers in one run, each a process with GOMAXPROCS=1; lab report draws a run as one HTML file with inline SVG.

--- /dev/null
+++ b/cmd/birchmoor/bench.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+	"time"
+
+	"birchmoor/internal/lab/bench"
+)
+
+type benchCommand struct {
+	JSON    string        `help:"File for the result as JSON; - for standard output." placeholder:"FILE"`
+	For     time.Duration `default:"2s" help:"How long each measurement takes."`
+	Rounds  int           `default:"2" help:"How often each is repeated, the parties in turn."`
+	Conns   []int         `default:"1,16,128" help:"Connections with one request at a time each."`
+	Servers []int         `default:"10,100,1000" help:"Servers in the list, for the growth at 16 connections."`
+	Profile string        `type:"path" help:"Folder for CPU profiles of the sidecar." placeholder:"DIR"`
+}
+
+func (k *benchCommand) Help() string {
+	return `Example: birchmoor lab bench --json bench.json
+
+An absolute time means little on a shared machine: look at the ratios within a run.`
+}
+
+func (k *benchCommand) Run(ctx context.Context, c *console) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	if k.Profile != "" {
+		if err := os.MkdirAll(k.Profile, 0o755); err != nil {
+			return err
+		}
+	}
+	for _, n := range append(append([]int{}, k.Conns...), k.Servers...) {
+		if n < 1 || n > 1500 {
+			return fmt.Errorf("%d is not within 1 and 1500", n)
+		}
+	}
+	rows, err := bench.Run(ctx, bench.Options{Self: []string{self, "lab", "bench-peer"}, Conns: k.Conns, Sizes: k.Servers, For: k.For,
+		Rounds: max(1, k.Rounds), Profile: k.Profile, Progress: c.count("bench")})
+	if err != nil {
+		return err
+	}
+	c.clear()
+	if k.JSON != "" {
+		if err := writeJSON(k.JSON, map[string]any{"cpus": runtime.NumCPU(), "go": runtime.Version(), "rows": rows}, c.out); err != nil || k.JSON == "-" {
+			return err
+		}
+	}
+	fmt.Fprintf(c.out, "%-14s %6s %8s %10s %9s %9s %9s %8s %8s %9s %8s %8s\n", "party", "conns", "servers", "requests/s", "p50 µs", "p99 µs",
+		"p99.9 µs", "CPU µs", "allocs", "bytes", "peak MB", "not 200")
+	for _, r := range rows {
+		fmt.Fprintf(c.out, "%-14s %6d %8d %10.0f %9.0f %9.0f %9.0f %8.1f %8.1f %9.0f %8.1f %8d\n", r.Party, r.Conns, r.Servers, r.Rate, r.P50, r.P99,
+			r.P999, r.CPU, r.Allocs, r.Bytes, r.PeakMB, r.Refused)
+	}
+	return nil
+}
+
+// benchPeerCommand is one party of a benchmark, run by the benchmark itself.
+type benchPeerCommand struct {
+	Role   string `arg:""`
+	Config string `arg:""`
+}
+
+func (k *benchPeerCommand) Run(ctx context.Context) error {
+	return bench.Peer(ctx, k.Role, k.Config, os.Stdin, os.Stdout)
+}
--- /dev/null
+++ b/cmd/birchmoor/compare.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"birchmoor/internal/lab/figures"
+	"birchmoor/internal/lab/rig"
+	"birchmoor/internal/lab/scenario"
+	"birchmoor/internal/lab/sim"
+	"birchmoor/internal/lab/stats"
+	"birchmoor/internal/lab/told"
+)
+
+type compareCommand struct {
+	A        string   `arg:"" type:"existingfile" help:"Scenario (.toml), settings told otherwise (.json), or a sidecar program."`
+	B        string   `arg:"" type:"existingfile" help:"Another of the same kind."`
+	Scenario []string `type:"existingfile" help:"Scenarios to play, where A and B are settings or programs." placeholder:"FILE"`
+	Seeds    int      `default:"8" help:"So many pairs for each scenario."`
+	Seed     uint64   `default:"1" help:"The first seed."`
+	Host     string   `enum:"run,sim,auto" default:"auto" help:"Where to play: run, sim, or auto (run for programs, else sim)."`
+	Bin      string   `type:"existingfile" help:"The sidecar program where A and B are not; without it, dunlinsail beside this command." placeholder:"PATH"`
+	JSON     string   `help:"File for the result as JSON; - for standard output." placeholder:"FILE"`
+}
+
+// side is one of the two that are compared.
+type side struct {
+	name      string
+	scenarios []*scenario.Scenario
+	bin       string
+}
+
+// comparison is what --json writes.
+type comparison struct {
+	A       string                      `json:"a"`
+	B       string                      `json:"b"`
+	Host    string                      `json:"host"`
+	Void    int                         `json:"void"` // pairs left out since the lab was late
+	Broken  [2]int                      `json:"runs_that_broke_rules"`
+	Figures map[string]stats.Difference `json:"figures"`
+}
+
+func (k *compareCommand) Help() string {
+	return `Examples:
+  birchmoor lab compare old/dunlinsail bin/dunlinsail --scenario lab/scenarios/burst.toml
+  birchmoor lab compare a.json b.json --scenario lab/scenarios/burst.toml --seeds 20
+  birchmoor lab compare one.toml other.toml
+
+A settings file holds what the sidecars are told otherwise than the scenario says,
+such as {"limits":{"most-tries":1}}. A key that the settings do not have is an error.`
+}
+
+func (k *compareCommand) Run(ctx context.Context, c *console) error {
+	sides, host, err := k.sides()
+	if err != nil {
+		return err
+	}
+	if k.Seeds < 1 {
+		return fmt.Errorf("--seeds: %d is not above 0", k.Seeds)
+	}
+	out := comparison{A: k.A, B: k.B, Host: host, Figures: map[string]stats.Difference{}}
+	values := [2]map[string][]float64{{}, {}}
+	total := len(sides[0].scenarios) * k.Seeds
+	show, done := c.count("compare"), 0
+	for n := range sides[0].scenarios {
+		for seed := k.Seed; seed < k.Seed+uint64(k.Seeds); seed++ {
+			var pair [2]*figures.Result
+			for i := range sides { // A B A B
+				show(done, 2*total)
+				if pair[i], err = play(ctx, sides[i].scenarios[n], host, sides[i].bin, seed); err != nil {
+					return err
+				}
+				done++
+				if !pair[i].Verdict.Kept() {
+					out.Broken[i]++
+				}
+			}
+			if pair[0].Void != "" || pair[1].Void != "" {
+				out.Void++
+				continue
+			}
+			for i, x := range pair {
+				for name, v := range x.Figures {
+					values[i][name] = append(values[i][name], v)
+				}
+			}
+		}
+	}
+	c.clear()
+	for name := range values[0] {
+		if len(values[0][name]) == len(values[1][name]) {
+			out.Figures[name] = stats.Compare(values[0][name], values[1][name])
+		}
+	}
+	if k.JSON != "" {
+		if err := writeJSON(k.JSON, &out, c.out); err != nil || k.JSON == "-" {
+			return err
+		}
+	}
+	out.print(c)
+	if out.Broken[0]+out.Broken[1] > 0 {
+		return errMissed
+	}
+	return nil
+}
+
+func (o *comparison) print(c *console) {
+	var names []string
+	for name := range o.Figures {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	fmt.Fprintf(c.out, "A %s, B %s, by %s\n", o.A, o.B, o.Host)
+	fmt.Fprintf(c.out, "%-22s %10s %10s %11s   %-25s %s\n", "figure", "A", "B", "B - A", "95% interval", "")
+	for _, name := range names {
+		d := o.Figures[name]
+		word := "cannot be told apart"
+		if d.Told && d.Mean > 0 {
+			word = "B is higher"
+		} else if d.Told {
+			word = "B is lower"
+		}
+		fmt.Fprintf(c.out, "%-22s %10.4f %10.4f %+11.4f   %+.4f to %+.4f%*s %s\n", name, d.A, d.B, d.Mean, d.Low, d.High,
+			max(0, 25-len(fmt.Sprintf("%+.4f to %+.4f", d.Low, d.High))), "", word)
+	}
+	if o.Void > 0 {
+		fmt.Fprintf(c.out, "%d pairs were left out: the lab was late\n", o.Void)
+	}
+	d := o.Figures["service"]
+	fmt.Fprintf(c.out, "service %.3f and %.3f over %d pairs, rules broken in %d and %d runs\n", d.A, d.B, d.N, o.Broken[0], o.Broken[1])
+}
+
+// sides finds out what A and B are.
+func (k *compareCommand) sides() (sides [2]side, host string, err error) {
+	host = k.Host
+	kind := strings.ToLower(filepath.Ext(k.A))
+	if kind != strings.ToLower(filepath.Ext(k.B)) {
+		return sides, host, fmt.Errorf("%s and %s are not of one kind", k.A, k.B)
+	}
+	programs := kind != ".toml" && kind != ".json"
+	if host == "auto" {
+		if host = "sim"; programs {
+			host = "run"
+		}
+	}
+	if programs && host == "sim" {
+		return sides, host, fmt.Errorf("programs can be compared by run only: sim hosts the module of this command")
+	}
+	bin := k.Bin
+	if host == "run" && bin == "" && !programs {
+		if bin, err = rig.Program(); err != nil {
+			return sides, host, err
+		}
+	}
+	if kind != ".toml" && len(k.Scenario) == 0 {
+		return sides, host, fmt.Errorf("name what to play with --scenario")
+	}
+	for i, path := range [2]string{k.A, k.B} {
+		x := side{name: path, bin: bin}
+		files := k.Scenario
+		if programs {
+			if x.bin, err = filepath.Abs(path); err != nil {
+				return sides, host, err
+			}
+		}
+		if kind == ".toml" {
+			files = []string{path}
+		}
+		for _, file := range files {
+			s, err := load(file, host)
+			if err != nil {
+				return sides, host, err
+			}
+			if kind == ".json" {
+				if s.Overlay, err = settings(path, s); err != nil {
+					return sides, host, err
+				}
+			}
+			x.scenarios = append(x.scenarios, s)
+		}
+		sides[i] = x
+	}
+	return sides, host, nil
+}
+
+// settings reads what is told otherwise.
+func settings(path string, s *scenario.Scenario) (map[string]any, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var over map[string]any
+	if err := json.Unmarshal(text, &over); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if names := told.Foreign(s, over); len(names) > 0 {
+		return nil, fmt.Errorf("%s: %s: the settings have no such key", path, strings.Join(names, ", "))
+	}
+	s.Overlay = over
+	if _, err := told.Parsed(s, 0); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return over, nil
+}
+
+func play(ctx context.Context, s *scenario.Scenario, host, bin string, seed uint64) (*figures.Result, error) {
+	if host == "sim" {
+		return sim.Run(ctx, s, sim.Options{Seed: seed})
+	}
+	return rig.Run(ctx, s, rig.Options{Seed: seed, Bin: bin})
+}
--- a/cmd/birchmoor/lab.go
+++ b/cmd/birchmoor/lab.go
@@ -18,8 +18,12 @@
 )
 
 type labCommands struct {
-	Run runCommand `cmd:"" help:"Play a scenario in real time: the program as processes, on real sockets."`
-	Sim simCommand `cmd:"" help:"Play a scenario in virtual time, with the decision module of each sidecar."`
+	Run       runCommand       `cmd:"" help:"Play a scenario in real time: the program as processes, on real sockets."`
+	Sim       simCommand       `cmd:"" help:"Play a scenario in virtual time, with the decision module of each sidecar."`
+	Compare   compareCommand   `cmd:"" help:"Play two binaries, settings files or scenarios over the same seeds, in turn."`
+	Bench     benchCommand     `cmd:"" help:"Measure no proxy, Go's reverse proxy and the sidecar side by side."`
+	Report    reportCommand    `cmd:"" help:"Draw a run as one HTML file."`
+	BenchPeer benchPeerCommand `cmd:"" hidden:""`
 }
 
 // console is where a command prints.
@@ -39,6 +43,19 @@
 	}
 }
 
+// count shows how many of a number of things are done.
+func (c *console) count(name string) func(done, of int) {
+	f, ok := c.err.(*os.File)
+	live := ok && term.IsTerminal(int(f.Fd()))
+	return func(done, of int) {
+		if live {
+			fmt.Fprintf(c.err, "\r%s: %d of %d\x1b[K", name, done, of)
+		} else {
+			fmt.Fprintf(c.err, "%s: %d of %d\n", name, done, of)
+		}
+	}
+}
+
 func (c *console) clear() {
 	if f, ok := c.err.(*os.File); ok && term.IsTerminal(int(f.Fd())) {
 		fmt.Fprint(c.err, "\r\x1b[K")
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -28,7 +28,8 @@
 	Faults    []Fault   `toml:"fault"`     //
 	Keep      Keep      `toml:"keep"`      // the figures that the run must reach
 
-	Path string `toml:"-"`
+	Path    string         `toml:"-"`
+	Overlay map[string]any `toml:"-"` // settings that an experiment tells otherwise
 }
 
 // Fleet is the sidecars and where they are.
--- a/internal/lab/told/told.go
+++ b/internal/lab/told/told.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"sort"
 
 	"birchmoor/balancer"
 	"birchmoor/internal/lab/scenario"
@@ -39,7 +40,7 @@
 		mode = "automatic"
 	}
 	r, l := &s.Rules, &s.Limits
-	return map[string]any{
+	base := map[string]any{
 		"peers-total": s.Fleet.Sidecars, "position": sidecar, "zone": sidecar % len(s.Fleet.Zones),
 		"areas": s.Fleet.Zones, "skus": kinds, "discovery": mode, "tick": 0, "classes": classes,
 		"callers":  map[string]any{"marks-retry": s.Clients.Marks},
@@ -54,6 +55,45 @@
 		"goal":      map[string]any{"whole": 0.75, "worst-window": 0.15, "worst-class": 0.1},
 		"prices":    map[string]any{"cross-zone": 0.03, "probe": 0.0029, "waste": 0.047, "late-fail": 0.025},
 	}
+	overlay(base, s.Overlay)
+	return base
+}
+
+// overlay puts what an experiment tells otherwise in the place of the scenario's.
+func overlay(base, over map[string]any) {
+	for k, v := range over {
+		if to, ok := base[k].(map[string]any); ok {
+			if from, ok := v.(map[string]any); ok {
+				overlay(to, from)
+				continue
+			}
+		}
+		base[k] = v
+	}
+}
+
+// Foreign returns the keys of an overlay that the settings do not have, as paths.
+func Foreign(s *scenario.Scenario, over map[string]any) []string {
+	plain := *s
+	plain.Overlay = nil
+	var find func(base, over map[string]any, path string) []string
+	find = func(base, over map[string]any, path string) (names []string) {
+		for k, v := range over {
+			has, ok := base[k]
+			if !ok {
+				names = append(names, path+k)
+				continue
+			}
+			to, inner := has.(map[string]any)
+			if from, ok := v.(map[string]any); ok && inner {
+				names = append(names, find(to, from, path+k+".")...)
+			}
+		}
+		return names
+	}
+	names := find(Settings(&plain, 0), over, "")
+	sort.Strings(names)
+	return names
 }
 
 // Parsed returns the same as the decision module takes it.
