--- a/internal/lab/model/discovery.go
+++ b/internal/lab/model/discovery.go
@@ -138,7 +138,9 @@
 		d.watches[sidecar] = o
 		d.order = append(d.order, sidecar)
 	}
-	o.calls++
+	if keep {
+		o.calls++ // takes the place of an earlier one that is not answered yet
+	}
 	call := o.calls
 	if d.down > 0 || wait > 1_000_000 {
 		d.busyUntil -= each // it is not worked at
@@ -146,7 +148,7 @@
 		return
 	}
 	d.w.Q.After(wait, func() {
-		if d.down > 0 || o.calls != call {
+		if d.down > 0 || keep && o.calls != call {
 			answer(Update{}, false)
 			return
 		}
