Let drawn servers compete while a long list's pool is thin; test rig and relay

Draws now compete as long as fewer than 12 answers are fresh, which is the old bound for a list of 24; shorter lists are as before.

The relay reset connections that had ended cleanly and lost their last bytes; a rig whose sidecars had all gone never looked whether its time was over.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -768,7 +768,7 @@
 			}
 		}
 		// A pool of few would take all: while most endpoints are unanswered, draws compete.
-		n := 2 * share(pooled < 2 || len(b.list) <= poolMost && 2*pooled < len(b.list))
+		n := 2 * share(pooled < 2 || 2*pooled < min(poolMost, len(b.list)))
 		for try := 0; n > 0 && try < 8 && len(b.list) > 0; try++ {
 			if e := b.list[b.rng.index(len(b.list))]; fits(e) {
 				n--
--- a/internal/lab/evq/evq_test.go
+++ b/internal/lab/evq/evq_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"sort"
 	"testing"
 	"testing/synctest"
@@ -94,3 +95,7 @@
 		}
 	})
 }
+
+func init() {
+	flag.Set("rapid.seed", "20261201") // the same verdict every time; the command line goes before it
+}
--- a/internal/lab/referee/referee_test.go
+++ b/internal/lab/referee/referee_test.go
@@ -1,6 +1,7 @@
 package referee
 
 import (
+	"flag"
 	"os/exec"
 	"strings"
 	"testing"
@@ -196,3 +197,7 @@
 		}
 	}
 }
+
+func init() {
+	flag.Set("rapid.seed", "20261201") // the same verdict every time; the command line goes before it
+}
--- a/internal/lab/relay/relay.go
+++ b/internal/lab/relay/relay.go
@@ -15,6 +15,8 @@
 type Conditions struct {
 	Delay     time.Duration // of each chunk, one way
 	Jitter    float64       // part of the delay by which it varies, evenly
+	Stalls    float64       // share of chunks that are held up,
+	Stall     time.Duration // for up to this
 	Bandwidth int           // bytes a second in each direction; 0 for no bound
 	Hole      bool          // what is sent is lost, with no word; connections that lost something break when it ends
 	Split     int           // bytes a write at most; 0 for no bound
@@ -148,7 +150,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := &l.now
-	return time.Duration(float64(c.Delay) * (1 + c.Jitter*(2*l.rng.Float64()-1)))
+	d := time.Duration(float64(c.Delay) * (1 + c.Jitter*(2*l.rng.Float64()-1)))
+	if c.Stalls > 0 && l.rng.Float64() < c.Stalls {
+		d += time.Duration(l.rng.Float64() * float64(c.Stall))
+	}
+	return d
 }
 
 func reset(c net.Conn) {
@@ -179,7 +185,16 @@
 	defer l.wg.Done()
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &pair{near: near, ctx: ctx, cancel: cancel}
-	defer p.reset()
+	clean := false
+	defer func() {
+		if !clean {
+			p.reset()
+			return
+		}
+		cancel()
+		p.near.Close() // what is still in the kernel's buffers goes out
+		p.far.Close()
+	}()
 	dial := net.Dialer{Timeout: 5 * time.Second}
 	far, err := dial.DialContext(ctx, "tcp", l.target)
 	if err != nil {
@@ -203,8 +218,10 @@
 	go func() { ended <- l.pump(p, far, near) }()
 	if !<-ended {
 		p.reset()
+		<-ended
+		return
 	}
-	<-ended
+	clean = <-ended
 }
 
 // chunk is what was read at once, and when it is due at the other side. No bytes mean the end of sending.
--- a/internal/lab/rig/client.go
+++ b/internal/lab/rig/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -122,6 +123,8 @@
 func (k *callers) ask(y *model.Try, f *flight) {
 	id := fmt.Sprintf("%016x", y.ID)
 	r := k.r
+	stop := context.AfterFunc(r.ctx, f.leave) // a run that ends waits for nobody
+	defer stop()
 	cut := func(unheard bool) {
 		at := time.Now()
 		r.post(func() { r.w.CutOff(y, r.at(at), unheard) })
@@ -129,6 +132,8 @@
 	select {
 	case k.most <- struct{}{}:
 		defer func() { <-k.most }()
+	case <-r.ctx.Done():
+		return
 	case <-time.After(time.Duration(y.Patient) * time.Microsecond):
 		return // the client has no connection left; its time-out is told by the model
 	}
--- a/internal/lab/rig/process.go
+++ b/internal/lab/rig/process.go
@@ -25,6 +25,7 @@
 	upgradeFor = 6 * time.Second  // for a new process to say yes
 	restFor    = 700 * time.Millisecond
 	pollEvery  = 20 * time.Millisecond
+	pollMost   = time.Second // the socket takes connections also while no process does
 )
 
 // process is a running sidecar program.
@@ -144,7 +145,7 @@
 	select {
 	case <-p.ended:
 	default:
-		syscall.Kill(p.cmd.Process.Pid, s)
+		syscall.Kill(-p.cmd.Process.Pid, s) // and those that it started, if any
 	}
 }
 
@@ -168,7 +169,7 @@
 func (h *home) ready(ctx context.Context, p *process) error {
 	ctx, cancel := context.WithTimeout(ctx, readyMost)
 	defer cancel()
-	c := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	c := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: pollMost}
 	tick := time.NewTicker(pollEvery)
 	defer tick.Stop()
 	for {
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -126,6 +126,10 @@
 				r.sink.Take(e)
 			}
 			r.w.Begin()
+			// When the run may end is looked at with each event: there is one at each of these instants.
+			for _, at := range []int64{s.Length.Micros(), s.Length.Micros() + lag.Microseconds() + 1000} {
+				r.q.At(r.w.Origin()+at, func() {})
+			}
 		})
 	})
 	end := s.Length.Micros()
--- a/internal/lab/scenario/read.go
+++ b/internal/lab/scenario/read.go
@@ -283,6 +283,8 @@
 	least("net.same", s.Net.Same)
 	least("net.cross", s.Net.Cross)
 	part("net.jitter", s.Net.Jitter)
+	part("net.stalls", s.Net.Stalls)
+	least("net.stall", s.Net.Stall)
 	least("discovery.notice", s.Discovery.Notice)
 	least("discovery.add", s.Discovery.Add)
 	least("discovery.call", s.Discovery.Call)
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -118,6 +118,8 @@
 	Same   Dur     `toml:"same"`
 	Cross  Dur     `toml:"cross"` // between zones
 	Jitter float64 `toml:"jitter"`
+	Stalls float64 `toml:"stalls"` // share of messages that a busy machine or a lost packet holds up,
+	Stall  Dur     `toml:"stall"`  // for up to this
 }
 
 // Discovery is how the list of servers comes to the sidecars.
--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -534,6 +534,9 @@
 			more = l.more
 		}
 	}
+	if net := &n.h.s.Net; net.Stalls > 0 && n.draw.Chance(net.Stalls) {
+		more += Micros(n.draw.Float64() * float64(net.Stall.Micros()))
+	}
 	j := n.h.s.Net.Jitter
 	return more + Micros(float64(mean.Micros())*(1+j*(2*n.draw.Float64()-1)))
 }
