Let cold servers do what their pace allows while requests are refused

A cold server was let have a part of what is sent, and what is sent is little while requests are refused: a trap that holds until the told ramp has passed.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -462,9 +462,10 @@
 // balancers doing so, their sum stays under what it can do; none needs to know of the others. Each send
 // is charged a little more than its work, for the handshake that it may cost.
 const (
-	coldShare  = 0.28 // of the multiple at which it falls over
-	coldCharge = 1.15
-	probeShare = 0.01 // of a request's work, taken from a cold endpoint's room by a probe
+	coldShare   = 0.28 // of the multiple at which it falls over
+	coldCharge  = 1.15
+	refusedGain = 2.0  // a share of refusals above the half of which this is the inverse counts as whole
+	probeShare  = 0.01 // of a request's work, taken from a cold endpoint's room by a probe
 )
 
 // coldRoom refills the token bucket of a cold endpoint and says whether a
@@ -475,7 +476,12 @@
 	if b.warm == 0 { // what is sent would only follow what cold ones are let have
 		rate = b.demand.rate(now) * work
 	}
-	fill := b.ours * min(1, coldShare*b.s.Contract.FallMultiple) * e.warmth(now, b) * rate / max(1, strength)
+	each := rate / max(1, strength)
+	// While requests are refused little is sent, and a part of that would keep cold endpoints idle and the
+	// refusals going. Then the guide is what its pace lets an endpoint of few cores do, shared by all balancers.
+	able := cores / (e.paceNow(now, b) * e.warmth(now, b)) * float64(second) / float64(b.s.Balancers)
+	each = max(each, min(1, refusedGain*b.refused.v)*able)
+	fill := b.ours * min(1, coldShare*b.s.Contract.FallMultiple) * e.warmth(now, b) * each
 	most := max(fill*float64(b.s.Contract.OverloadFor)/float64(second)/2, work*coldCharge)
 	e.room = min(most, e.room+fill*float64(now-e.roomAt)/float64(second))
 	e.roomAt = now
--- a/balancer/range_test.go
+++ b/balancer/range_test.go
@@ -35,3 +35,35 @@
 		}
 	}
 }
+
+// While requests are refused, a cold endpoint may get what its pace lets it do, and no more than this balancer's part
+// of that: what little is sent must not keep it idle.
+func TestColdEndpointsHelpWhileRefusing(t *testing.T) {
+	fill := func(refused float64, balancers int) float64 {
+		s := testSettings()
+		s.Balancers = balancers
+		b, _ := start(t, s, ready(6))
+		list := ready(6)
+		for i := range 5 {
+			list[i].StartTime = second
+		}
+		b.Members(2*second, ListFull, list)
+		b.fleet.add(1, 1) // one of work takes one of time
+		b.refused.v = refused
+		e := b.byID[1]
+		if !e.cold(2*second, b) {
+			t.Fatal("it is not cold")
+		}
+		e.room, e.roomAt = 0, 2*second
+		b.sentWork.add(2*second, 100_000) // next to nothing
+		b.coldRoom(3*second, e, 1_000_000)
+		return e.room / (b.ours * coldShare * s.Contract.FallMultiple * e.warmth(3*second, b))
+	}
+	quiet, half, busy, shared := fill(0, 2), fill(0.25, 2), fill(1, 2), fill(1, 8)
+	if want := cores * float64(second) / 2; math.Abs(busy-want) > 0.02*want {
+		t.Errorf("while all is refused it may get %v a second, want %v", busy, want)
+	}
+	if math.Abs(half-busy/2) > 0.02*busy || math.Abs(shared-busy/4) > 0.02*busy || quiet > busy/10 {
+		t.Errorf("it may get %v without refusals, %v with a quarter refused, %v as one of eight balancers", quiet, half, shared)
+	}
+}
