--- /dev/null
+++ b/cmd/birchmoor/main_test.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"birchmoor/internal/lab/figures"
+)
+
+// birchmoor runs the command line.
+func birchmoor(args ...string) (code int, out, errs string) {
+	var o, e bytes.Buffer
+	code = run(context.Background(), args, &o, &e)
+	return code, o.String(), e.String()
+}
+
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+const tiny = `name = "tiny"
+length = "3s"
+[[servers]]
+count = 4
+[[class]]
+name = "look"
+work = "5ms"
+[load]
+rate = 50
+`
+
+func TestSim(t *testing.T) {
+	dir := t.TempDir()
+	code, out, errs := birchmoor("lab", "sim", write(t, "tiny.toml", tiny), "--out", dir, "--seed", "4")
+	if code != 0 || !strings.HasSuffix(out, "service 1.00, rules kept\n") {
+		t.Fatalf("exit %d\n%s\n%s", code, out, errs)
+	}
+	var x figures.Result
+	text, err := os.ReadFile(filepath.Join(dir, "result.json"))
+	if err == nil {
+		err = json.Unmarshal(text, &x)
+	}
+	if err != nil || x.Seed != 4 || x.Verdict.Counts.Asked < 100 {
+		t.Errorf("the result: %v, %+v", err, x.Verdict)
+	}
+	code, out, errs = birchmoor("lab", "report", dir)
+	if code != 0 {
+		t.Fatalf("report: exit %d, %s", code, errs)
+	}
+	page, err := os.ReadFile(strings.TrimSpace(out))
+	if err != nil || strings.Count(string(page), "<svg") < 8 || strings.Contains(string(page), "<script") ||
+		strings.Contains(string(page), "src=") || !strings.Contains(string(page), "service 1.00, rules kept") {
+		t.Errorf("the report: %v, %d bytes, %d plots", err, len(page), strings.Count(string(page), "<svg"))
+	}
+}
+
+func TestExitCodes(t *testing.T) {
+	for name, c := range map[string]struct {
+		text string
+		code int
+		want string
+	}{
+		"missed figure": {tiny + "[keep]\np99_most = \"1ms\"\n", exitMissed, "missed: p99 in ms"},
+		"unknown key":   {tiny + "[keep]\nservices = 0.5\n", exitInput, ":11: keep.services"},
+		"other host":    {"hosts = [\"run\"]\n" + tiny, exitInput, "can be played by [run] only"},
+	} {
+		code, out, errs := birchmoor("lab", "sim", write(t, "x.toml", c.text))
+		if code != c.code || !strings.Contains(out+errs, c.want) {
+			t.Errorf("%s: exit %d, want %d\n%s\n%s", name, code, c.code, out, errs)
+		}
+	}
+	if code, _, _ := birchmoor("lab", "sim", "no-such-file.toml"); code != exitInput {
+		t.Errorf("a file that is not there: exit %d", code)
+	}
+	if code, out, _ := birchmoor("lab", "--help"); code != 0 || !strings.Contains(out, "compare") {
+		t.Errorf("help: exit %d, %s", code, out)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if code := run(ctx, []string{"lab", "sim", write(t, "x.toml", tiny)}, &bytes.Buffer{}, &bytes.Buffer{}); code != exitStop {
+		t.Errorf("stopped: exit %d", code)
+	}
+}
+
+func TestCompare(t *testing.T) {
+	a, b := write(t, "a.toml", tiny), write(t, "b.toml", strings.Replace(tiny, `"5ms"`, `"50ms"`, 1))
+	code, out, errs := birchmoor("lab", "compare", a, b, "--seeds", "5", "--json", "-")
+	var x comparison
+	if err := json.Unmarshal([]byte(out), &x); code != 0 || err != nil {
+		t.Fatalf("exit %d, %v\n%s", code, err, errs)
+	}
+	if d := x.Figures["p50_ms"]; !d.Told || d.Mean < 20 {
+		t.Errorf("ten times the work is not told apart: %+v", d)
+	}
+	if d := x.Figures["failed"]; d.Told {
+		t.Errorf("nothing fails in either, but: %+v", d)
+	}
+	_, out, _ = birchmoor("lab", "compare", a, a, "--seeds", "4")
+	if !strings.Contains(out, "cannot be told apart") || strings.Contains(out, "B is") {
+		t.Errorf("the same twice:\n%s", out)
+	}
+	one, other := write(t, "one.json", `{"limits":{"most-tries":1}}`), write(t, "other.json", `{}`)
+	if code, out, errs := birchmoor("lab", "compare", one, other, "--scenario", a, "--seeds", "2"); code != 0 {
+		t.Errorf("settings: exit %d\n%s%s", code, out, errs)
+	}
+	bad := write(t, "bad.json", `{"limits":{"most-tires":1}}`)
+	if code, _, errs := birchmoor("lab", "compare", bad, other, "--scenario", a); code != exitInput || !strings.Contains(errs, "limits.most-tires") {
+		t.Errorf("an unknown setting: exit %d, %s", code, errs)
+	}
+	if code, _, _ := birchmoor("lab", "compare", a, one); code != exitInput {
+		t.Errorf("two kinds: exit %d", code)
+	}
+}
