--- /dev/null
+++ b/internal/lab/draw/draw_test.go
@@ -0,0 +1,54 @@
+package draw
+
+import (
+	"math"
+	"testing"
+)
+
+// A stream is told by seed, name and numbers alone: what others draw does not move it.
+func TestStreamsAreTheirOwn(t *testing.T) {
+	first := Seed(7).Stream("work", 3).Uint64()
+	other := Seed(7).Stream("arrivals", 3)
+	for range 100 {
+		other.Uint64()
+	}
+	if got := Seed(7).Stream("work", 3).Uint64(); got != first {
+		t.Errorf("drawn again it is %x, was %x", got, first)
+	}
+	seen := map[uint64]string{first: "work 3"}
+	for name, s := range map[string]Stream{"another seed": Seed(8).Stream("work", 3), "another name": Seed(7).Stream("works", 3),
+		"another number": Seed(7).Stream("work", 4), "one number more": Seed(7).Stream("work", 3, 0)} {
+		v := s.Uint64()
+		if seen[v] != "" {
+			t.Errorf("%s draws the same as %s", name, seen[v])
+		}
+		seen[v] = name
+	}
+}
+
+func TestDistributions(t *testing.T) {
+	const n = 200_000
+	s := Seed(1).Stream("test")
+	for name, draw := range map[string]func() float64{
+		"exp": func() float64 { return s.Exp(50) }, "lognormal": func() float64 { return s.Lognormal(50, 0.5) },
+		"pareto": func() float64 { return s.Pareto(50) }, "between": func() float64 { return s.Between(20, 80) },
+		"fixed": func() float64 { return s.Lognormal(50, 0) },
+	} {
+		var sum, squares float64
+		for range n {
+			x := draw()
+			if x < 0 || math.IsNaN(x) {
+				t.Fatalf("%s draws %v", name, x)
+			}
+			sum += x
+			squares += x * x
+		}
+		mean := sum / n
+		if math.Abs(mean-50) > 6 { // a bounded Pareto loses some of its tail
+			t.Errorf("%s has mean %v, want 50", name, mean)
+		}
+		if cv := math.Sqrt(squares/n-mean*mean) / mean; name == "lognormal" && math.Abs(cv-0.5) > 0.02 {
+			t.Errorf("%s varies by %v, want 0.5", name, cv)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/told/told_test.go
@@ -0,0 +1,55 @@
+package told
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"birchmoor/balancer"
+	"birchmoor/internal/lab/scenario"
+)
+
+func TestWhatIsTold(t *testing.T) {
+	s, err := scenario.Read("../../../lab/scenarios/calm.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Parsed(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Balancers != 3 || got.Position != 1 || got.Zone != 1 || !got.Subscribe || len(got.Classes) != 4 || got.Kinds != 3 {
+		t.Errorf("told: %+v", got)
+	}
+	want := balancer.Class{Name: "confirm", Repeat: balancer.Unsafe, Group: balancer.GroupCell, Aim: 600_000, GiveUp: 1_500_000, Worth: 10}
+	if d := cmp.Diff(want, got.Classes[1]); d != "" {
+		t.Errorf("confirm (- want, + got):\n%s", d)
+	}
+	if d := cmp.Diff([]balancer.Field{balancer.FieldInflight, balancer.FieldUtil, balancer.FieldServed}, got.Fields); d != "" {
+		t.Errorf("fields of a report:\n%s", d)
+	}
+}
+
+func TestOverlay(t *testing.T) {
+	s, err := scenario.Read("../../../lab/scenarios/calm.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	over := map[string]any{"limits": map[string]any{"most-tries": 1.0}, "discovery": "automatic"}
+	if names := Foreign(s, over); len(names) != 0 {
+		t.Errorf("foreign: %v", names)
+	}
+	s.Overlay = over
+	got, err := Parsed(s, 0)
+	if err != nil || got.Limits.MaxAttempts != 1 || got.Subscribe || !got.Limits.Probes {
+		t.Errorf("%v, %+v", err, got.Limits)
+	}
+	names := Foreign(s, map[string]any{"limits": map[string]any{"x": 1}, "y": 2})
+	if d := cmp.Diff([]string{"limits.x", "y"}, names); d != "" {
+		t.Errorf("foreign keys:\n%s", d)
+	}
+	s.Overlay = map[string]any{"limits": map[string]any{"most-tries": 0.0}}
+	if _, err := Parsed(s, 0); err == nil {
+		t.Error("no attempt at all is taken")
+	}
+}
