--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -345,8 +345,7 @@
 
 // Fault begins or ends a fault of links or sidecars.
 func (r *rig) Fault(f *scenario.Fault, on bool) {
-	switch f.Kind {
-	case "black-hole", "reset", "delay":
+	if f.OnLinks() {
 		for _, l := range r.w.Links(f) {
 			r.linkFault(r.slots[l[1]].links[l[0]], f, on)
 		}
@@ -361,6 +360,21 @@
 	switch f.Kind {
 	case "black-hole":
 		l.Set(func(c *relay.Conditions) { c.Hole = on })
+	case "bandwidth", "pieces", "half-close":
+		n, pause := int(f.Factor), time.Duration(f.Lag)
+		if !on {
+			n, pause = 0, 0
+		}
+		l.Set(func(c *relay.Conditions) {
+			switch f.Kind {
+			case "bandwidth":
+				c.Bandwidth = n
+			case "pieces":
+				c.Split, c.Pause = n, pause
+			default:
+				c.HalfClose = on
+			}
+		})
 	case "delay":
 		more := time.Duration(f.Lag)
 		if !on {
--- a/internal/lab/rig/rig_test.go
+++ b/internal/lab/rig/rig_test.go
@@ -90,6 +90,9 @@
 		"links": "[[fault]]\nkind = \"black-hole\"\nat = \"1s\"\nfor = \"1s\"\nservers = [2]\n" +
 			"[[fault]]\nkind = \"reset\"\nat = \"1s\"\nfor = \"1s\"\nevery = \"100ms\"\nservers = [3]\n" +
 			"[[fault]]\nkind = \"drain\"\nat = \"500ms\"\nfor = \"1s\"\nservers = [0]\n",
+		"slow links": "[[fault]]\nkind = \"bandwidth\"\nat = \"500ms\"\nfor = \"1s\"\nfactor = 20000.0\n" +
+			"[[fault]]\nkind = \"pieces\"\nat = \"1s\"\nfor = \"1s\"\nfactor = 50.0\nlag = \"1ms\"\nservers = [0, 1]\n" +
+			"[[fault]]\nkind = \"half-close\"\nat = \"1500ms\"\nfor = \"1s\"\nservers = [2]\n",
 		"killed, discovery down": "[[fault]]\nkind = \"kill\"\nat = \"1s\"\nfor = \"500ms\"\nsidecars = [1]\n" +
 			"[[fault]]\nkind = \"discovery-down\"\nat = \"500ms\"\nfor = \"1s\"\n",
 	} {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -219,6 +219,9 @@
 	"black-hole":      "what goes between sidecars and servers is lost, with no word",
 	"reset":           "connections between sidecars and servers break, every time again",
 	"delay":           "what goes between sidecars and servers takes lag longer",
+	"bandwidth":       "links between sidecars and servers carry factor bytes a second in each direction",
+	"pieces":          "what goes between sidecars and servers comes in pieces of factor bytes, lag apart",
+	"half-close":      "the end of sending is not passed on between sidecars and servers",
 	"upgrade":         "a new process takes over from each of the sidecars",
 	"kill":            "the sidecars are killed outright and start again after for",
 	"stop":            "the sidecars are asked to end and start again",
@@ -227,11 +230,20 @@
 	"asleep":          "nothing is asked of the sidecars, and discovery is down; then all wake at once",
 }
 
-// LoadedKinds lists the faults that change the arrivals, which are drawn ahead.
+// onLoad says whether the fault changes the arrivals, which are drawn ahead.
 func (f *Fault) onLoad() bool {
 	return f.Kind == "burst" || f.Kind == "heavy-tail" || f.Kind == "asleep"
 }
 
+// OnLinks says whether the fault is one of the links between sidecars and servers.
+func (f *Fault) OnLinks() bool {
+	switch f.Kind {
+	case "black-hole", "reset", "delay", "bandwidth", "pieces", "half-close":
+		return true
+	}
+	return false
+}
+
 // Error is a fault of a file.
 type Error struct {
 	Path   string
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -37,6 +37,7 @@
 	lag       = 60 * evq.Second       // after the last arrival a run is ended, whatever is open
 	clientTo  = 60                    // from a client to its sidecar, and back
 	probeWait = 250 * 1000
+	headBytes = 200
 )
 
 // host carries the world's words to the nodes, and theirs to the world.
@@ -206,8 +207,7 @@
 
 // Fault begins or ends a fault of links or sidecars.
 func (h *host) Fault(f *scenario.Fault, on bool) {
-	switch f.Kind {
-	case "black-hole", "reset", "delay":
+	if f.OnLinks() {
 		for _, l := range h.w.Links(f) {
 			h.link(l[0], l[1]).fault(h, l, f, on)
 		}
@@ -239,6 +239,11 @@
 		l.lost++
 	case "delay":
 		l.more += Micros(step) * f.Lag.Micros()
+	case "bandwidth": // a message's own time on the link
+		l.more += Micros(step) * Micros(float64(h.message())/f.Factor*1e6)
+	case "pieces":
+		l.more += Micros(step) * Micros(float64(h.message())/f.Factor) * f.Lag.Micros()
+	case "half-close": // nobody here ends the sending of a connection that goes on
 	case "reset":
 		l.reset += step
 		every := f.Every.Micros()
@@ -263,6 +268,9 @@
 	}
 }
 
+// message is about how many bytes a request or an answer has on the wire.
+func (h *host) message() int { return headBytes + (h.s.Load.Bodies+h.s.Load.Answer)/2 }
+
 // process does to a sidecar's process what a fault says.
 func (h *host) process(sidecar int, f *scenario.Fault, on bool) {
 	n := h.nodes[sidecar]
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -96,6 +96,9 @@
 			s := *base
 			s.Faults = []scenario.Fault{{Kind: kind, At: s.Length / 5, For: s.Length / 5, Factor: 3, Repeat: 1, Share: 0.5,
 				Lag: s.Length / 50, Every: s.Length / 50}}
+			if kind == "bandwidth" || kind == "pieces" {
+				s.Faults[0].Factor, s.Faults[0].Lag = 2000, 1000
+			}
 			began := 0
 			x := play(t, &s, 2, trace.Func(func(e trace.Event) {
 				if e.Kind == trace.Began {
