--- a/internal/lab/rig/client.go
+++ b/internal/lab/rig/client.go
@@ -143,6 +143,7 @@
 		return
 	}
 	text := k.text(y, id)
+	kills := r.homes[k.sidecar].kills.Load()
 	for {
 		if !f.on(c) {
 			c.Close()
@@ -157,7 +158,7 @@
 			break
 		}
 		c.Close()
-		if !kept {
+		if !kept || r.homes[k.sidecar].kills.Load() != kills {
 			cut(false)
 			return
 		}
--- a/internal/lab/rig/process.go
+++ b/internal/lab/rig/process.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -49,6 +50,7 @@
 	now    *process // that clients reach; nil while none runs
 	old    *process // one that finishes
 	starts int
+	kills  atomic.Int32 // how often a process was killed: what it had taken may have run
 }
 
 func newHome(r *rig, number int) (*home, error) {
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -414,6 +414,7 @@
 	case f.Kind == "kill" && on && p != nil:
 		note(trace.Gone)
 		p.wanted = true
+		h.kills.Add(1)
 		p.signal(syscall.SIGKILL)
 	case f.Kind == "stop" && on && p != nil:
 		note(trace.Gone)
