--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -252,7 +252,7 @@
 	switch {
 	case unheard:
 		r.v.Counts.Unheard++
-	case t.excused || r.down[t.sidecar]:
+	case t.excused:
 		r.v.Counts.Excused++
 	default:
 		r.breach(Lost, e, "no final answer by its time (%v)", e.Kind)
@@ -335,11 +335,12 @@
 	}
 }
 
-// killed notes what the lab did to a sidecar: what it holds then, and is asked meanwhile, is not its fault.
+// killed notes what the lab did to a sidecar: what it is asked meanwhile is not its fault, nor, if it was killed, what
+// it held. One that was asked to end (Draining) owes an answer to all that it had taken.
 func (r *Referee) killed(e *trace.Event) {
 	r.down[e.Sidecar] = e.State != trace.Up
 	for _, t := range r.tries {
-		if t.sidecar == e.Sidecar && !t.over {
+		if e.State == trace.Gone && t.sidecar == e.Sidecar && !t.over {
 			t.excused = true
 		}
 	}
--- a/internal/lab/referee/referee_test.go
+++ b/internal/lab/referee/referee_test.go
@@ -101,6 +101,9 @@
 			s.tell(3, trace.Draining).wait(400*ms).tell(3, trace.Draining).wait(200*ms).ask(1, 1, 0).run(1, 3).answer(1, trace.Served)
 		}},
 		"a cut connection": {Lost, func(s *script) { s.ask(1, 1, 0).run(1, 0).add(trace.Event{Kind: trace.Cut, Request: 1}) }},
+		"a request held at a planned end": {Lost, func(s *script) {
+			s.ask(1, 1, 0).add(trace.Event{Kind: trace.Killed, State: trace.Draining}).wait(2000 * ms).add(trace.Event{Kind: trace.Left, Request: 1})
+		}},
 		"two tries of one booking": {Duplicates, func(s *script) {
 			s.ask(1, 1, 1).run(1, 0).answer(1, trace.Failed).ask(2, 1, 1).run(2, 1).answer(2, trace.Served)
 		}},
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -38,6 +38,7 @@
 	slack     = 50 * 1000        // of the rules' times, on sockets
 	lag       = 10 * time.Second // after the last arrival a run is ended, whatever is open
 	linksMost = 600
+	stopTakes = 500 * 1000             // for so long a sidecar that was asked to end takes what comes
 	lateMost  = 150 * time.Millisecond // by which the lab may be late once,
 	lateOften = 25 * time.Millisecond  // and in one event of a thousand
 )
@@ -417,7 +418,8 @@
 		h.kills.Add(1)
 		p.signal(syscall.SIGKILL)
 	case f.Kind == "stop" && on && p != nil:
-		note(trace.Gone)
+		// What it has taken by then it must answer; what comes later may wait for the next process.
+		r.q.After(stopTakes, func() { note(trace.Draining) })
 		p.wanted = true
 		r.wg.Go(func() { h.end(p) })
 	case (f.Kind == "kill" || f.Kind == "stop") && !on:
--- a/internal/lab/rig/rig_test.go
+++ b/internal/lab/rig/rig_test.go
@@ -93,6 +93,7 @@
 		"slow links": "[[fault]]\nkind = \"bandwidth\"\nat = \"500ms\"\nfor = \"1s\"\nfactor = 20000.0\n" +
 			"[[fault]]\nkind = \"pieces\"\nat = \"1s\"\nfor = \"1s\"\nfactor = 50.0\nlag = \"1ms\"\nservers = [0, 1]\n" +
 			"[[fault]]\nkind = \"half-close\"\nat = \"1500ms\"\nfor = \"1s\"\nservers = [2]\n",
+		"asked to end": "[[fault]]\nkind = \"stop\"\nat = \"1s\"\nfor = \"700ms\"\nsidecars = [0]\n",
 		"killed, discovery down": "[[fault]]\nkind = \"kill\"\nat = \"1s\"\nfor = \"500ms\"\nsidecars = [1]\n" +
 			"[[fault]]\nkind = \"discovery-down\"\nat = \"500ms\"\nfor = \"1s\"\n",
 	} {
