--- a/cmd/dunlinsail/main.go
+++ b/cmd/dunlinsail/main.go
@@ -15,6 +15,7 @@
 	"birchmoor/internal/handover"
 	"birchmoor/internal/maintenance"
 	"birchmoor/internal/sidecar"
+	"birchmoor/internal/snapshot"
 )
 
 func main() {
@@ -42,6 +43,7 @@
 	h := sidecar.Host{Bans: maintenance.Nowhere{}, Reload: reload, Read: read, Log: log}
 	if dir := os.Getenv("TMPDIR"); dir != "" {
 		h.Bans = maintenance.File{Path: filepath.Join(dir, "bans.json")}
+		h.Kept = snapshot.File{Path: filepath.Join(dir, "known.snapshot")}
 		h.Handover = filepath.Join(dir, "handover.sock")
 	}
 	if config.Mgmt != "" {
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -3,6 +3,7 @@
 //
 //	join  new to old: the reply is the old one's State; from now on both share their budgets
 //	mark  either way: an operator's call, which binds in both before it is answered
+//	eject either way: the endpoints that the one has ejected, and for how long yet
 //	take  new to old: the new one accepts; the old one has stopped to when it replies
 //
 // The connection lasts until one of the two ends, and its end is how the other one knows.
@@ -28,17 +29,33 @@
 type State struct {
 	Marks []maintenance.Mark `json:"marks"`
 	List  json.RawMessage    `json:"list"` // of endpoints, in discovery's form
+
+	Snapshot []byte `json:"snapshot,omitempty"` // of the decision module, in package snapshot's form
+}
+
+// Ejection is an endpoint that a process sends nothing for a while, since it failed.
+type Ejection struct {
+	ID   string `json:"id"`
+	Left int64  `json:"left"` // microseconds
+}
+
+// Peer is what can be told to the process beside this one.
+type Peer struct {
+	Mark  func(context.Context, maintenance.Mark) error
+	Eject func(context.Context, []Ejection) error
 }
 
 // Process is what the conversation needs of the process that it is held in.
 type Process interface {
-	// Beside is called with what tells the other process of an operator's call, and begins the time in which
-	// both share their budgets. The function that it returns ends that time.
-	Beside(tell func(context.Context, maintenance.Mark) error) (leave func())
+	// Beside is called with what can be told to the other process, and begins the time in which both share their
+	// budgets. The function that it returns ends that time.
+	Beside(other Peer) (leave func())
 	// State returns what a new process must know. It is called after Beside.
 	State(ctx context.Context) (State, error)
 	// Merge makes an operator's call to the other process bind here.
 	Merge(ctx context.Context, marks ...maintenance.Mark) error
+	// Ejected takes the other process's word on endpoints that fail.
+	Ejected(list []Ejection)
 	// Yield stops accepting: the other process does. Resume accepts again, since that one is gone.
 	Yield()
 	Resume()
@@ -57,6 +74,7 @@
 	Seq   uint64            `json:"seq"`
 	Mark  *maintenance.Mark `json:"mark,omitempty"`
 	State *State            `json:"state,omitempty"`
+	Out   []Ejection        `json:"out,omitempty"`
 	Error string            `json:"error,omitempty"`
 }
 
@@ -156,6 +174,14 @@
 	return err
 }
 
+// eject tells the other side whom this one has ejected.
+func (t *talk) eject(ctx context.Context, list []Ejection) error {
+	_, err := t.ask(ctx, message{Op: "eject", Out: list})
+	return err
+}
+
+func (t *talk) peer() Peer { return Peer{Mark: t.mark, Eject: t.eject} }
+
 // merged handles the other side's mark.
 func merged(p Process, m message) message {
 	if m.Mark == nil {
@@ -238,7 +264,7 @@
 			conn.SetReadDeadline(time.Time{})
 			log.Info("a new process has joined")
 			leave()
-			leave = p.Beside(t.mark)
+			leave = p.Beside(t.peer())
 			ctx, cancel := context.WithTimeout(ctx, replyTime)
 			defer cancel()
 			state, err := p.State(ctx)
@@ -252,6 +278,9 @@
 			return message{}
 		case "mark":
 			return merged(p, m)
+		case "eject":
+			p.Ejected(m.Out)
+			return message{}
 		}
 		return message{Error: "unknown request " + m.Op}
 	})
@@ -285,13 +314,17 @@
 	go func() {
 		defer close(o.gone)
 		o.t.run(func(m message) message {
-			if m.Op != "mark" {
-				return message{Error: "unknown request " + m.Op}
+			switch m.Op {
+			case "mark":
+				return merged(p, m)
+			case "eject":
+				p.Ejected(m.Out)
+				return message{}
 			}
-			return merged(p, m)
+			return message{Error: "unknown request " + m.Op}
 		})
 	}()
-	leave := p.Beside(o.t.mark)
+	leave := p.Beside(o.t.peer())
 	go func() {
 		<-o.gone
 		leave()
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -26,14 +26,15 @@
 	did  chan string
 	mu   sync.Mutex
 	tell func(context.Context, maintenance.Mark) error
+	out  func(context.Context, []Ejection) error
 }
 
 func newProcess() *process { return &process{did: make(chan string, 32)} }
 
-func (p *process) Beside(tell func(context.Context, maintenance.Mark) error) func() {
+func (p *process) Beside(other Peer) func() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.tell = tell
+	p.tell, p.out = other.Mark, other.Eject
 	p.did <- "beside"
 	return func() { p.did <- "alone" }
 }
@@ -50,6 +51,10 @@
 	return nil
 }
 
+func (p *process) Ejected(list []Ejection) {
+	p.did <- fmt.Sprint("out ", list[0].ID, " ", list[0].Left)
+}
+
 func (p *process) Yield()  { p.did <- "yield" }
 func (p *process) Resume() { p.did <- "resume" }
 
@@ -110,6 +115,12 @@
 	if err := fresh.tell(t.Context(), maintenance.Mark{ID: "bad"}); err == nil || !strings.Contains(err.Error(), "unknown id") {
 		t.Error("an error of the other process was lost:", err)
 	}
+	for from, to := range map[*process]*process{old: fresh, fresh: old} {
+		if err := from.out(t.Context(), []Ejection{{"s-4", 900}}); err != nil {
+			t.Error(err)
+		}
+		to.expect(t, "out s-4 900")
+	}
 	o.Take(t.Context(), quiet)
 	old.expect(t, "yield")
 	// The new one is found from now on; that the old one ends does not take its path away.
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"birchmoor/balancer"
+	"birchmoor/internal/handover"
 	"birchmoor/internal/maintenance"
 	"birchmoor/internal/metrics"
 )
@@ -44,7 +45,7 @@
 type call struct {
 	id     string // the client's
 	class  string
-	config *snapshot
+	config *view
 	in     balancer.Request // but for the ID, which the loop gives
 	out    message
 	answer chan answer // holds the one final answer
@@ -108,13 +109,14 @@
 type loop struct {
 	clock    clock
 	config   *Config
-	snapshot atomic.Pointer[snapshot] // for the requests that come now
+	view     atomic.Pointer[view] // for the requests that come now
 	log      *slog.Logger
 	events   chan func(now balancer.Micros)
 	urgent   chan func(now balancer.Micros) // operators' calls: they do not wait behind requests
 	figures  *metrics.Registry
-	part     atomic.Pointer[float64] // of the limits, this process's
-	over     chan struct{}           // closed once the loop takes no more events
+	part     atomic.Pointer[float64]                   // of the limits, this process's
+	tell     atomic.Pointer[func([]handover.Ejection)] // the process beside this one; nil while there is none
+	over     chan struct{}                             // closed once the loop takes no more events
 	balancer *balancer.Balancer
 	upstream *upstream
 	watch    func(on bool)
@@ -143,12 +145,12 @@
 	if l.balancer, err = balancer.New(c.Settings, c.Seed, l); err != nil {
 		return nil, err
 	}
-	l.snapshot.Store(&snapshot{c, l.balancer.Rules()})
+	l.view.Store(&view{c, l.balancer.Rules()})
 	return l, nil
 }
 
-// snapshot is a configuration as a request meets it; it never changes.
-type snapshot struct {
+// view is a configuration as a request meets it; it never changes.
+type view struct {
 	*Config
 	rules *balancer.Rules
 }
@@ -166,7 +168,7 @@
 		for _, name := range c.Classes {
 			l.figures.Class(name) // shown from now on
 		}
-		l.snapshot.Store(&snapshot{c, rules})
+		l.view.Store(&view{c, rules})
 	})
 	return errors.Join(err, failed)
 }
--- a/internal/sidecar/maintenance.go
+++ b/internal/sidecar/maintenance.go
@@ -39,6 +39,7 @@
 // gauge shows how many endpoints are avoided, again and again.
 func (l *loop) gauge(now balancer.Micros) {
 	l.figures.Unhealthy.Set(int64(l.balancer.Avoided(now)))
+	l.ejections(now)
 	l.at(now+gaugeEvery.Microseconds(), l.gauge)
 }
 
--- /dev/null
+++ b/internal/sidecar/recall.go
@@ -0,0 +1,173 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"birchmoor/balancer"
+	"birchmoor/internal/handover"
+	"birchmoor/internal/snapshot"
+)
+
+// What this process knows is kept for the next one: handed over while both run, and in a file for the case that it
+// is killed. What of it the next one believes, the module decides.
+
+const (
+	keepEvery  = 2 * time.Second // between two files, at least,
+	keepPart   = 200             // and no more than such a part of a core goes into them,
+	keepPace   = 64 << 10        // nor more bytes a second than this
+	tellMost   = 1024            // ejections told at once
+	tellWithin = 500 * time.Millisecond
+)
+
+// picture is the module's state with the names of its endpoints. The loop's goroutine takes it.
+func (l *loop) picture(now balancer.Micros) *snapshot.Kept {
+	k := &snapshot.Kept{Sidecar: l.config.Name, State: l.balancer.Snapshot(now, false)}
+	k.Names = make([]string, 0, len(k.State.Endpoints))
+	known := k.State.Endpoints[:0]
+	places := make([]int, len(k.State.Endpoints))
+	for i, e := range k.State.Endpoints {
+		places[i] = -1
+		// One that has left the list, and still owes an answer, has no name any more.
+		if named := l.byNumber[e.ID]; named != nil {
+			places[i] = len(known)
+			known = append(known, e)
+			k.Names = append(k.Names, named.told.ID)
+		}
+	}
+	pool := k.State.Pool[:0]
+	for _, at := range k.State.Pool {
+		if places[at] >= 0 {
+			pool = append(pool, places[at])
+		}
+	}
+	k.State.Endpoints, k.State.Pool = known, pool
+	return k
+}
+
+// pictured returns the picture as bytes. Only taking it holds the loop.
+func (l *loop) pictured(ctx context.Context) ([]byte, error) {
+	var k *snapshot.Kept
+	if err := l.call(ctx, func(now balancer.Micros) { k = l.picture(now) }); err != nil {
+		return nil, err
+	}
+	k.Clock = snapshot.Now()
+	return snapshot.Encode(k)
+}
+
+// recall tells the module what an earlier process knew. What is not of this sidecar, or makes no sense, is passed
+// over: a start without it is as good as any.
+func (l *loop) recall(ctx context.Context, k *snapshot.Kept, from string) {
+	if k.Sidecar != l.config.Name {
+		l.log.Warn("snapshot of another sidecar passed over", "from", from, "its name", k.Sidecar)
+		return
+	}
+	age := snapshot.Now().Since(k.Clock)
+	var known int
+	var err error
+	failed := l.call(ctx, func(now balancer.Micros) {
+		k.Renumber(func(name string) (uint32, bool) {
+			if e := l.byName[name]; e != nil {
+				return e.number, true
+			}
+			return 0, false
+		})
+		known, err = l.balancer.Recall(now, k.State, age)
+	})
+	switch {
+	case failed != nil:
+	case err != nil:
+		l.log.Warn("snapshot passed over", "from", from, "error", err)
+	default:
+		l.log.Info("recalled what an earlier process knew", "from", from, "endpoints", known, "of", len(k.Names),
+			"age", time.Duration(age)*time.Microsecond)
+	}
+}
+
+// ejections tells the process beside this one whom the module has ejected, if there is one to tell.
+func (l *loop) ejections(now balancer.Micros) {
+	tell := l.tell.Load()
+	if tell == nil {
+		return
+	}
+	var list []handover.Ejection
+	l.balancer.Ejections(now, func(id uint32, left balancer.Micros) {
+		if e := l.byNumber[id]; e != nil && len(list) < tellMost {
+			list = append(list, handover.Ejection{ID: e.told.ID, Left: left})
+		}
+	})
+	if len(list) > 0 {
+		(*tell)(list)
+	}
+}
+
+// heard passes on whom the process beside this one has ejected.
+func (l *loop) heard(list []handover.Ejection) {
+	l.post(func(now balancer.Micros) {
+		for _, x := range list[:min(len(list), tellMost)] {
+			if e := l.byName[x.ID]; e != nil && x.Left > 0 {
+				l.balancer.Heard(now, e.number, x.Left)
+			}
+		}
+	})
+}
+
+// keeper keeps the picture in a file.
+type keeper struct {
+	loop *loop
+	file snapshot.File
+}
+
+// run keeps on until ctx ends. While paused says so another process is the one to keep it.
+func (k keeper) run(ctx context.Context, paused func() bool) {
+	if k.file.Path == "" {
+		return
+	}
+	wait := keepEvery
+	failing := false
+	for {
+		timer := time.NewTimer(wait)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+		if paused() {
+			continue
+		}
+		began := time.Now()
+		data, err := k.loop.pictured(ctx)
+		if err == nil {
+			err = k.file.Save(data)
+		}
+		wait = keepWait(time.Since(began), len(data))
+		if err != nil && ctx.Err() == nil && !failing {
+			k.loop.log.Warn("what is known here is not kept", "error", err)
+		}
+		failing = err != nil
+	}
+}
+
+// keepWait is how long to wait after a file that took so long and has so many bytes.
+func keepWait(took time.Duration, bytes int) time.Duration {
+	return max(keepEvery, keepPart*took, time.Duration(bytes)*time.Second/keepPace)
+}
+
+// teller returns what hands ejections to another process one after the other: while one list is under way, later
+// ones are dropped, since the next is soon made.
+func teller(eject func(context.Context, []handover.Ejection) error) func([]handover.Ejection) {
+	busy := make(chan struct{}, 1)
+	return func(list []handover.Ejection) {
+		select {
+		case busy <- struct{}{}:
+			go func() {
+				defer func() { <-busy }()
+				ctx, cancel := context.WithTimeout(context.Background(), tellWithin)
+				defer cancel()
+				eject(ctx, list) // one that does not hear finds out by itself
+			}()
+		default:
+		}
+	}
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -305,7 +305,7 @@
 
 // parse reads the rest of a request and says what is wrong with it.
 func (s *server) parse(conn *client, r *http.Request, head []byte) (*call, error) {
-	config := s.loop.snapshot.Load()
+	config := s.loop.view.Load()
 	switch {
 	case !r.ProtoAtLeast(1, 1) || r.ProtoMajor != 1:
 		return nil, bad(http.StatusHTTPVersionNotSupported, "this version of HTTP is not spoken here")
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -19,6 +19,7 @@
 	"birchmoor/internal/maintenance"
 	"birchmoor/internal/metrics"
 	"birchmoor/internal/mgmt"
+	"birchmoor/internal/snapshot"
 )
 
 const (
@@ -36,6 +37,7 @@
 	Socket   handover.Socket         // where clients connect
 	Mgmt     net.Listener            // where operators call; nil for nowhere
 	Bans     maintenance.Store       // what operators said, over the life of a process
+	Kept     snapshot.File           // what a process knew, for the next one
 	Handover string                  // where old and new processes find each other; empty for nowhere
 	Reload   <-chan os.Signal        // at each the configuration is read again
 	Read     func() (*Config, error) // that
@@ -51,6 +53,7 @@
 	up      *upstream
 	server  *server
 	book    *maintenance.Book
+	yields  atomic.Bool // a new process accepts in place of this one
 	serving atomic.Bool // this process can serve, and an old one has handed over
 
 	mu      sync.Mutex
@@ -120,6 +123,7 @@
 		return err
 	}
 	beside.Go(func() { n.takeOver(ctx, old) })
+	beside.Go(func() { keeper{l, h.Kept}.run(ctx, func() bool { return !n.serving.Load() || n.yields.Load() }) })
 	h.Log.Info("serving", "name", c.Name, "listen", c.Listen)
 	select {
 	case err := <-n.broken:
@@ -215,10 +219,11 @@
 
 // join looks for an old process and takes over what it knows.
 func (n *node) join(ctx context.Context) *handover.Old {
-	if n.host.Handover == "" {
-		return nil
+	var old *handover.Old
+	var state handover.State
+	if n.host.Handover != "" {
+		old, state = handover.Join(ctx, n.host.Handover, n, n.log)
 	}
-	old, state := handover.Join(ctx, n.host.Handover, n, n.log)
 	if len(state.List) > 0 {
 		var held List
 		if err := json.Unmarshal(state.List, &held); err != nil {
@@ -228,12 +233,29 @@
 			n.loop.call(ctx, func(now balancer.Micros) { n.loop.members(now, balancer.ListCached, held) })
 		}
 	}
+	n.recall(ctx, state.Snapshot)
 	if err := n.book.Merge(ctx, state.Marks...); err != nil {
 		n.log.Error("the old process's bans do not bind", "error", err)
 	}
 	return old
 }
 
+// recall tells the module what an earlier process knew: the old one's word, else what was kept in the file.
+func (n *node) recall(ctx context.Context, told []byte) {
+	from := "the old process"
+	was, err := snapshot.Decode(told)
+	if len(told) == 0 {
+		from = n.host.Kept.Path
+		was, err = n.host.Kept.Load()
+	}
+	switch {
+	case err != nil:
+		n.log.Warn("snapshot passed over", "from", from, "error", err)
+	case was != nil:
+		n.loop.recall(ctx, was, from)
+	}
+}
+
 // takeOver waits until this process can serve, has an old one stop accepting, and is then the one that a new
 // process finds.
 func (n *node) takeOver(ctx context.Context, old *handover.Old) {
@@ -272,8 +294,10 @@
 }
 
 // Beside begins a time in which another process serves beside this one.
-func (n *node) Beside(tell func(context.Context, maintenance.Mark) error) (leave func()) {
-	forget := n.book.Beside(tell)
+func (n *node) Beside(other handover.Peer) (leave func()) {
+	forget := n.book.Beside(other.Mark)
+	tell := teller(other.Eject)
+	n.loop.tell.Store(&tell)
 	count := func(more int) {
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -283,6 +307,7 @@
 	count(1)
 	return func() {
 		forget()
+		n.loop.tell.CompareAndSwap(&tell, nil)
 		count(-1)
 	}
 }
@@ -294,7 +319,14 @@
 		return handover.State{}, err
 	}
 	list, err := json.Marshal(held)
-	return handover.State{Marks: n.book.Marks(), List: list}, err
+	if err != nil {
+		return handover.State{}, err
+	}
+	known, err := n.loop.pictured(ctx)
+	if err != nil {
+		n.log.Warn("the new process will not know what is known here", "error", err)
+	}
+	return handover.State{Marks: n.book.Marks(), List: list, Snapshot: known}, nil
 }
 
 // Merge makes calls to the other process bind here.
@@ -302,10 +334,14 @@
 	return n.book.Merge(ctx, marks...)
 }
 
+// Ejected takes the other process's word on endpoints that fail.
+func (n *node) Ejected(list []handover.Ejection) { n.loop.heard(list) }
+
 // Yield stops accepting. What has been taken is answered, and so is what open connections still bring; each
 // answer closes its connection, and those that bring nothing are closed one by one.
 func (n *node) Yield() {
 	n.refrain()
+	n.yields.Store(true)
 	n.server.closing.Store(true)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.mu.Lock()
@@ -335,6 +371,7 @@
 		return // the platform's socket keeps what comes for the next process
 	}
 	n.server.closing.Store(false)
+	n.yields.Store(false)
 	if err := n.accept(); err != nil {
 		n.broken <- err
 	}
