--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -928,6 +928,18 @@
 		b.out.Refuse(in.ID, 0) // taken, so it is owed an answer; nothing is known of it, and nothing was sent
 		return
 	}
+	r := b.take(now, in)
+	if now >= in.Deadline || b.open > b.s.Limits.MaxOpen {
+		b.refuse(now, r)
+		return
+	}
+	if !b.hold(now, r) {
+		b.place(now, r)
+	}
+}
+
+// take enters a request into the ledger and the averages.
+func (b *Balancer) take(now Micros, in Request) *request {
 	r := b.newRequest(now, in)
 	b.demand.add(now, 1)
 	b.credit = min(budgetBurst, b.credit+retryShare)
@@ -943,13 +955,7 @@
 		r.work = c.work.v * math.Exp(b.trust*r.hint)
 	}
 	b.work.add(r.work, 0.02)
-	if now >= in.Deadline || b.open > b.s.Limits.MaxOpen {
-		b.refuse(now, r)
-		return
-	}
-	if !b.hold(now, r) {
-		b.place(now, r)
-	}
+	return r
 }
 
 // place sends a new request or refuses it.
--- a/balancer/snapshot.go
+++ b/balancer/snapshot.go
@@ -543,3 +543,23 @@
 	}
 	return ills
 }
+
+// State returns the rules as data.
+func (r *Rules) State() RulesState { return RulesState{r.s, r.slots} }
+
+// RulesOf returns rules for a request of a balancer that has s.Slots. The error is a *SettingError or a
+// *SnapshotError.
+func (b *Balancer) RulesOf(s RulesState) (*Rules, error) {
+	if err := s.Settings.Validate(); err != nil {
+		return nil, err
+	}
+	for _, at := range s.Slots {
+		if at < 0 || at >= len(b.classes) {
+			return nil, &SnapshotError{"Rules.Slots", "name what is not there"}
+		}
+	}
+	if len(s.Slots) != len(s.Settings.Classes) {
+		return nil, &SnapshotError{"Rules.Slots", "are not one for each class"}
+	}
+	return &Rules{s: s.Settings, slots: slices.Clone(s.Slots)}, nil
+}
--- /dev/null
+++ b/cmd/birchmoor/capture.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"strings"
+	"time"
+
+	"birchmoor/balancer"
+	"birchmoor/internal/capture"
+	"birchmoor/internal/lab/scenario"
+	"birchmoor/internal/lab/sim"
+)
+
+// Of a simulated sidecar all is kept, in segments of ten seconds.
+const (
+	simSegment = 10_000_000
+	simBytes   = 1 << 30
+	simFile    = 64 << 20
+)
+
+// simTap records the processes of one simulated sidecar. Each has files of its own: its module is another one.
+func simTap(dir string, s *scenario.Scenario, sidecar int) sim.Tap {
+	return func(start int, out balancer.Actions, begin func(balancer.Actions) (*balancer.Balancer, error)) (
+		balancer.Module, func(), error) {
+		name := fmt.Sprintf("sidecar-%d.%d", sidecar, start)
+		w, err := capture.Create(capture.Config{Dir: dir, Name: name, Bytes: simBytes, FileBytes: simFile, FileAge: time.Hour,
+			Queue: 16, Retry: time.Second, Log: slog.New(slog.DiscardHandler), Wait: true})
+		if err != nil {
+			return nil, nil, err
+		}
+		r, err := capture.New(capture.Options{Sidecar: fmt.Sprintf("n%d", sidecar), Every: simSegment, Sink: w,
+			Name: func(id uint32) string { return serverName(s, int(id)-1) }}, out, begin)
+		if err != nil {
+			w.Close()
+			return nil, nil, err
+		}
+		return r, func() { r.Close(); w.Close() }, nil
+	}
+}
+
+// serverName is a server's name: its kind and its number.
+func serverName(s *scenario.Scenario, number int) string {
+	n := number
+	for _, k := range s.Servers {
+		if n < k.Count {
+			return fmt.Sprintf("%s.%d", strings.ToLower(k.Kind), number)
+		}
+		n -= k.Count
+	}
+	return ""
+}
--- a/cmd/birchmoor/lab.go
+++ b/cmd/birchmoor/lab.go
@@ -174,6 +174,8 @@
 	Sidecars int    `help:"So many sidecars in place of the scenario's; the load stays."`
 	Logs     int    `help:"Print so many lines of the modules' logs."`
 	Profile  string `help:"Write a CPU profile of the simulation there." placeholder:"FILE"`
+	Capture  string `help:"Folder for a capture of what one sidecar's module is told and answers." type:"path" placeholder:"DIR"`
+	Captured int    `help:"The sidecar that is captured." placeholder:"N"`
 	output   `embed:""`
 }
 
@@ -196,7 +198,11 @@
 		}
 		defer pprof.StopCPUProfile()
 	}
-	x, err := sim.Run(ctx, s, sim.Options{Seed: k.Seed, Progress: c.progress(s.Name), Logs: k.Logs})
+	o := sim.Options{Seed: k.Seed, Progress: c.progress(s.Name), Logs: k.Logs, Tapped: k.Captured}
+	if k.Capture != "" {
+		o.Tap = simTap(k.Capture, s, k.Captured)
+	}
+	x, err := sim.Run(ctx, s, o)
 	if err != nil {
 		return err
 	}
--- a/cmd/birchmoor/main.go
+++ b/cmd/birchmoor/main.go
@@ -23,7 +23,8 @@
 )
 
 type commands struct {
-	Lab labCommands `cmd:"" help:"Play the booking system: the sidecar among servers, clients and faults of our own."`
+	Lab    labCommands   `cmd:"" help:"Play the booking system: the sidecar among servers, clients and faults of our own."`
+	Replay replayCommand `cmd:"" help:"Play a capture again: what the decision module was told, and whether it decides the same."`
 }
 
 // errMissed says that a run was judged, and not kindly; what is wrong has been printed.
--- /dev/null
+++ b/cmd/birchmoor/replay_test.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"birchmoor/internal/replay"
+)
+
+// asProgram has the test's binary stand for the command: another build to replay against.
+const asProgram = "BIRCHMOOR_TEST_AS_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+	}
+	os.Exit(m.Run())
+}
+
+func capturesOf(name string) string { return filepath.Join("..", "..", "lab", "captures", name) }
+
+func TestReplay(t *testing.T) {
+	svg := filepath.Join(t.TempDir(), "t.svg")
+	code, out, errs := birchmoor("replay", capturesOf("gray-failure"), "--from", "12s", "--to", "13s", "--explain", "700", "--timeline",
+		"fast-2.1", "--out", svg)
+	if code != 0 || !strings.Contains(out, "all decisions are as recorded") || !strings.Contains(out, "decided: send 700") {
+		t.Fatalf("exit %d\n%s\n%s", code, out, errs)
+	}
+	if text, err := os.ReadFile(svg); err != nil || !strings.Contains(string(text), "<svg") {
+		t.Errorf("the timeline: %v", err)
+	}
+	code, out, _ = birchmoor("replay", capturesOf("gray-failure"), "--json", "-")
+	var r replay.Report
+	if err := json.Unmarshal([]byte(out), &r); code != 0 || err != nil || r.Decisions == 0 {
+		t.Errorf("exit %d, %v", code, err)
+	}
+}
+
+func TestReplayAgainst(t *testing.T) {
+	t.Setenv(asProgram, "1")
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	code, out, errs := birchmoor("replay", capturesOf("discovery-down"), "--against", self, "--from", "3s", "--to", "6s")
+	if code != 0 || !strings.Contains(out, "both builds decide the same") {
+		t.Errorf("exit %d\n%s\n%s", code, out, errs)
+	}
+	other := write(t, "other.json", `{"classes":[{"name":"slot-search","repeat":"pure","target":1,"give-up":2}]}`)
+	code, out, errs = birchmoor("replay", capturesOf("discovery-down"), "--against", other)
+	if code != 0 || !strings.Contains(out, "open loop") {
+		t.Errorf("exit %d\n%s\n%s", code, out, errs)
+	}
+}
+
+func TestReplayNamesWhatIsWrong(t *testing.T) {
+	cut := capturesOf("gray-failure")
+	list, err := os.ReadDir(cut)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := os.ReadFile(filepath.Join(cut, list[0].Name()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := write(t, "cut.capture", string(data[:len(data)/2]))
+	if code, out, _ := birchmoor("replay", path); code != exitMissed || !strings.Contains(out, "not readable") || !strings.Contains(out, "byte") {
+		t.Errorf("exit %d: %s", code, out)
+	}
+	for _, args := range [][]string{{write(t, "x.capture", "no capture")}, {t.TempDir()}, {path, "--from", "noon"},
+		{path, "--against", write(t, "bad.json", `{"classes":[]}`)}} {
+		if code, _, errs := birchmoor(append([]string{"replay"}, args...)...); code != exitInput || errs == "" {
+			t.Errorf("%v: exit %d, %s", args, code, errs)
+		}
+	}
+}
--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -14,7 +14,7 @@
 	number   int
 	zone     int
 	settings balancer.Settings
-	b        *balancer.Balancer
+	b        balancer.Module
 	draw     draw.Stream
 	calls    map[uint64]*call
 	last     uint64
@@ -24,8 +24,9 @@
 	wait     Micros    // before the next, where discovery is watched for good
 	frozen   Micros    // until when nothing is done
 	dead     bool
-	retired  bool  // takes nothing new
-	next     *node // took over from this one
+	retired  bool   // takes nothing new
+	untap    func() // ends what records it; nil if nothing does
+	next     *node  // took over from this one
 }
 
 // call is a client's request.
@@ -68,10 +69,21 @@
 func (h *host) newNode(number int, settings balancer.Settings) *node {
 	n := &node{h: h, number: number, zone: h.w.SidecarZone(number), settings: settings, calls: map[uint64]*call{},
 		idle: make([][]*conn, len(h.w.Servers)), draw: h.seed.Stream("network", uint64(number), uint64(h.q.Now()))}
-	var err error
-	if n.b, err = balancer.New(settings, n.draw.Uint64(), n); err != nil {
+	seed := n.draw.Uint64()
+	begin := func(out balancer.Actions) (*balancer.Balancer, error) { return balancer.New(settings, seed, out) }
+	if h.tap != nil && number == h.tapped {
+		h.starts++
+		var err error
+		if n.b, n.untap, err = h.tap(h.starts, n, begin); err != nil {
+			panic(err) // as below
+		}
+		return n
+	}
+	b, err := begin(n)
+	if err != nil {
 		panic(err) // the settings were checked when they were made
 	}
+	n.b = balancer.Plain{Balancer: b}
 	return n
 }
 
@@ -80,7 +92,7 @@
 	n.b.Start(n.now())
 	for server := range n.h.w.Servers {
 		if n.h.banned[server] {
-			n.b.TakeOut(number(server), n.now())
+			n.b.TakeOut(n.now(), number(server), n.now())
 		}
 	}
 	u := n.h.w.Disc.Whole(n.number)
@@ -141,6 +153,7 @@
 // die ends the process outright.
 func (n *node) die() {
 	n.dead = true
+	n.over()
 	n.h.w.Disc.Unwatch(n.number)
 	for _, c := range sorted(n.calls) {
 		if !c.ended {
@@ -156,6 +169,14 @@
 	n.closeIdle()
 }
 
+// over ends what records the process.
+func (n *node) over() {
+	if n.untap != nil {
+		n.untap()
+		n.untap = nil
+	}
+}
+
 // closeIdle closes all idle connections, in the order of the servers.
 func (n *node) closeIdle() {
 	for server := range n.h.w.Servers {
@@ -170,8 +191,8 @@
 func (n *node) retire(next *node) {
 	n.retired, n.next = true, next
 	if next != nil {
-		n.b.Share(0.5)
-		next.b.Share(0.5)
+		n.b.Share(n.now(), 0.5)
+		next.b.Share(n.now(), 0.5)
 		if n.h.s.Fleet.Recall != "none" {
 			n.h.q.After(evq.Second/10, func() { n.tell(next) })
 		}
@@ -188,8 +209,9 @@
 		return
 	}
 	n.dead = true
+	n.over()
 	if n.next != nil {
-		n.next.b.Share(1)
+		n.next.b.Share(n.now(), 1)
 	}
 	n.closeIdle()
 	for i, o := range n.h.olds {
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -30,8 +30,14 @@
 	Progress func(second, asked int) // called once a simulated second; may be nil
 	Sinks    []trace.Sink            // get the trace, too
 	Logs     int                     // lines of the modules' logs to keep
+	Tap      Tap                     // stands before the modules of one sidecar's processes; nil for none
+	Tapped   int                     // that sidecar
 }
 
+// Tap puts something before a process's module; start counts the processes from 1. end is called once it is over.
+type Tap func(start int, out balancer.Actions, begin func(balancer.Actions) (*balancer.Balancer, error)) (
+	m balancer.Module, end func(), err error)
+
 const (
 	origin    = 1_000_000_000_000_000 // the module's clock at the start of the run
 	lag       = 60 * evq.Second       // after the last arrival a run is ended, whatever is open
@@ -54,6 +60,9 @@
 	log    []string
 	logs   int
 	asked  int
+	tap    Tap
+	tapped int // a sidecar
+	starts int // of its processes
 	banned map[int]bool
 }
 
@@ -70,7 +79,7 @@
 	began := time.Now()
 	q := evq.Virtual()
 	ref, rec := referee.New(referee.From(s, 0)), figures.New(s)
-	h := &host{q: q, s: s, seed: draw.Seed(o.Seed), links: map[[2]int]*link{}, logs: o.Logs, banned: map[int]bool{}}
+	h := &host{q: q, s: s, seed: draw.Seed(o.Seed), links: map[[2]int]*link{}, logs: o.Logs, tap: o.Tap, tapped: o.Tapped, banned: map[int]bool{}}
 	// Who watches the run works beside it: the order of the events is all that they go by.
 	aside := trace.Beside(trace.Sinks(append([]trace.Sink{ref, rec}, o.Sinks...)...))
 	defer aside.Close()
@@ -103,6 +112,9 @@
 	}
 	end := s.Length.Micros()
 	err := q.Run(ctx, func() bool { return q.Now() >= end && h.w.Done() || q.Now() > end+lag })
+	for _, n := range h.all() {
+		n.over()
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -179,7 +191,7 @@
 	for _, n := range h.all() {
 		n.do(func() {
 			if out {
-				n.b.TakeOut(number(server), n.now())
+				n.b.TakeOut(n.now(), number(server), n.now())
 			} else {
 				n.b.CallBack(n.now(), number(server), n.now())
 			}
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -167,7 +167,7 @@
 	}
 	cfg := configure(t, nowhere(t), nil)
 	clk := clock{time.Now()}
-	l, err := newLoop(cfg, clk, newUpstream(cfg, clk, new(metrics.Counter), quiet), func(bool) {}, metrics.New(), quiet)
+	l, err := newLoop(cfg, clk, newUpstream(cfg, clk, new(metrics.Counter), quiet), func(bool) {}, metrics.New(), nil, quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -117,7 +117,7 @@
 	part     atomic.Pointer[float64]                   // of the limits, this process's
 	tell     atomic.Pointer[func([]handover.Ejection)] // the process beside this one; nil while there is none
 	over     chan struct{}                             // closed once the loop takes no more events
-	balancer *balancer.Balancer
+	balancer balancer.Module
 	upstream *upstream
 	watch    func(on bool)
 	ready    atomic.Bool // an endpoint is known to serve
@@ -135,14 +135,32 @@
 	order    uint64
 }
 
-func newLoop(c *Config, clk clock, up *upstream, watch func(bool), figures *metrics.Registry,
+// Tap puts something between the loop and the module. It is given the loop's actions, what makes the balancer with
+// the actions that it is to have, and the names of endpoints.
+type Tap func(out balancer.Actions, begin func(balancer.Actions) (*balancer.Balancer, error),
+	name func(id uint32) string) (balancer.Module, error)
+
+func newLoop(c *Config, clk clock, up *upstream, watch func(bool), figures *metrics.Registry, tap Tap,
 	log *slog.Logger) (*loop, error) {
 	l := &loop{clock: clk, config: c, log: log, upstream: up, watch: watch, figures: figures,
 		events: make(chan func(balancer.Micros), 256), urgent: make(chan func(balancer.Micros)),
 		over: make(chan struct{}), bans: map[string]uint32{}, met: recent{names: map[string]struct{}{}},
 		calls: map[uint64]*call{}, ids: map[string]*call{}, byName: map[string]*endpoint{}, byNumber: map[uint32]*endpoint{}}
 	var err error
-	if l.balancer, err = balancer.New(c.Settings, c.Seed, l); err != nil {
+	begin := func(out balancer.Actions) (*balancer.Balancer, error) { return balancer.New(c.Settings, c.Seed, out) }
+	if tap != nil {
+		l.balancer, err = tap(l, begin, func(id uint32) string {
+			if e := l.byNumber[id]; e != nil {
+				return e.told.ID
+			}
+			return ""
+		})
+	} else {
+		var b *balancer.Balancer
+		b, err = begin(l)
+		l.balancer = balancer.Plain{Balancer: b}
+	}
+	if err != nil {
 		return nil, err
 	}
 	l.view.Store(&view{c, l.balancer.Rules()})
@@ -158,8 +176,8 @@
 // reload takes a new configuration, or changes nothing. What is open keeps the snapshot it came with.
 func (l *loop) reload(ctx context.Context, c *Config) error {
 	var failed error
-	err := l.call(ctx, func(balancer.Micros) {
-		rules, err := l.balancer.Reload(c.Settings)
+	err := l.call(ctx, func(now balancer.Micros) {
+		rules, err := l.balancer.Reload(now, c.Settings)
 		if failed = err; err != nil {
 			return
 		}
@@ -205,7 +223,7 @@
 	for {
 		now = l.clock.now()
 		if part := l.part.Swap(nil); part != nil {
-			l.balancer.Share(*part)
+			l.balancer.Share(now, *part)
 		}
 		for len(l.alarms) > 0 && l.alarms[0].at <= now {
 			heap.Pop(&l.alarms).(*alarm).ring(now)
--- a/internal/sidecar/maintenance.go
+++ b/internal/sidecar/maintenance.go
@@ -73,7 +73,7 @@
 			number = l.numbers
 		}
 		l.bans[m.ID] = number
-		l.balancer.TakeOut(number, min(now, m.At))
+		l.balancer.TakeOut(now, number, min(now, m.At))
 	case !m.Out && (banned || force && e != nil):
 		delete(l.bans, m.ID)
 		if e != nil {
--- a/internal/sidecar/recall_test.go
+++ b/internal/sidecar/recall_test.go
@@ -24,7 +24,7 @@
 func lone(t *testing.T, c *Config, log *slog.Logger) *loop {
 	t.Helper()
 	clk, figures := clock{time.Now()}, metrics.New(c.Classes...)
-	l, err := newLoop(c, clk, newUpstream(c, clk, &figures.Sends, log), func(bool) {}, figures, log)
+	l, err := newLoop(c, clk, newUpstream(c, clk, &figures.Sends, log), func(bool) {}, figures, nil, log)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -624,7 +624,7 @@
 				<-release
 				return dial(ctx, network, addr)
 			}
-			l, err := newLoop(cfg, clk, u, func(bool) {}, metrics.New(), quiet)
+			l, err := newLoop(cfg, clk, u, func(bool) {}, metrics.New(), nil, quiet)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -38,6 +38,7 @@
 	Mgmt     net.Listener            // where operators call; nil for nowhere
 	Bans     maintenance.Store       // what operators said, over the life of a process
 	Kept     snapshot.File           // what a process knew, for the next one
+	Tap      Tap                     // between the loop and the decision module; nil for nothing
 	Handover string                  // where old and new processes find each other; empty for nowhere
 	Reload   <-chan os.Signal        // at each the configuration is read again
 	Read     func() (*Config, error) // that
@@ -76,7 +77,7 @@
 	n.up = newUpstream(c, clk, &figures.Sends, h.Log)
 	d := &discovery{}
 	var err error
-	if n.loop, err = newLoop(c, clk, n.up, d.set, figures, h.Log); err != nil {
+	if n.loop, err = newLoop(c, clk, n.up, d.set, figures, h.Tap, h.Log); err != nil {
 		return err
 	}
 	l := n.loop
