Serve with an operator file: a state that outlives the process, and captures

Need: the platform gives no disk, so its program records nothing; other teams' machines have one.

Change: birchmoor sidecar serves as dunlinsail does, and an operator file (TOML, strictly read) turns on a lasting state and captures. What a program makes of the environment is sidecar.HostOf, for both. A process's captures carry its number, so that files of several in one folder are told apart. A gap is logged with its size.

Measured: killed outright, a sidecar leaves a capture that replays and a state that the next one recalls (test).

--- a/cmd/birchmoor/main.go
+++ b/cmd/birchmoor/main.go
@@ -23,8 +23,9 @@
 )
 
 type commands struct {
-	Lab    labCommands   `cmd:"" help:"Play the booking system: the sidecar among servers, clients and faults of our own."`
-	Replay replayCommand `cmd:"" help:"Play a capture again: what the decision module was told, and whether it decides the same."`
+	Sidecar sidecarCommand `cmd:"" help:"Serve: the sidecar, with what an operator file turns on."`
+	Lab     labCommands    `cmd:"" help:"Play the booking system: the sidecar among servers, clients and faults of our own."`
+	Replay  replayCommand  `cmd:"" help:"Play a capture again: what the decision module was told, and whether it decides the same."`
 }
 
 // errMissed says that a run was judged, and not kindly; what is wrong has been printed.
--- /dev/null
+++ b/cmd/birchmoor/sidecar.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"birchmoor/balancer"
+	"birchmoor/internal/capture"
+	"birchmoor/internal/operator"
+	"birchmoor/internal/sidecar"
+	"birchmoor/internal/snapshot"
+)
+
+type sidecarCommand struct {
+	Operator string `type:"existingfile" help:"Operator file, such as deploy/operator.toml." placeholder:"FILE"`
+}
+
+func (k *sidecarCommand) Help() string {
+	return `Serves as dunlinsail does, and is told where by the same ROUTER_ variables; the operator
+file turns on what the platform does not give: a state that outlives the process, captures.
+
+Example:
+  ROUTER_CONFIG=config.json birchmoor sidecar --operator deploy/operator.toml`
+}
+
+func (k *sidecarCommand) Run(ctx context.Context, c *console) error {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP) // before anything else: unheard it ends the program
+	log := slog.New(slog.NewTextHandler(c.err, nil))
+	var f operator.File
+	if k.Operator != "" {
+		read, err := operator.Read(k.Operator)
+		if err != nil {
+			return err
+		}
+		f = *read
+	}
+	config, err := sidecar.ReadConfig(os.Getenv)
+	if err != nil {
+		return err
+	}
+	h, err := sidecar.HostOf(config, os.Getenv, reload, log)
+	if err != nil {
+		return err
+	}
+	if f.Keep != nil {
+		if err := os.MkdirAll(f.Keep.Dir, 0o755); err != nil {
+			return err
+		}
+		h.Kept = snapshot.File{Path: filepath.Join(f.Keep.Dir, config.Name+".snapshot")}
+	}
+	if f.Capture != nil {
+		tap, end, err := captureTap(f.Capture, config.Name, log)
+		if err != nil {
+			return err
+		}
+		defer end()
+		h.Tap = tap
+	}
+	return sidecar.Run(ctx, config, h)
+}
+
+// captureTap records what the sidecar's module is told and answers. end is called when the loop is over.
+func captureTap(c *operator.Capture, name string, log *slog.Logger) (tap sidecar.Tap, end func(), err error) {
+	w, err := capture.Create(capture.Config{Dir: c.Dir, Name: name, Bytes: int64(c.BudgetMB) << 20,
+		FileBytes: int64(c.FileMB) << 20, FileAge: time.Duration(c.FileAge), Queue: c.Queue, Retry: time.Duration(c.Retry), Log: log})
+	if err != nil {
+		return nil, nil, err
+	}
+	var r *capture.Recorder
+	tap = func(out balancer.Actions, begin func(balancer.Actions) (*balancer.Balancer, error), names func(uint32) string) (
+		balancer.Module, error) {
+		var err error
+		r, err = capture.New(capture.Options{Sidecar: name, Run: uint64(time.Now().UnixMicro()),
+			Every: time.Duration(c.Segment).Microseconds(), Name: names, Sink: w}, out, begin)
+		if err != nil {
+			return nil, fmt.Errorf("capture: %w", err)
+		}
+		return r, nil
+	}
+	return tap, func() {
+		if r != nil {
+			r.Close()
+		}
+		w.Close()
+		n := &w.Counts
+		log.Info("capture ended", "records", n.Records.Load(), "bytes", n.Bytes.Load(), "files", n.Files.Load(),
+			"segments", n.Segments.Load(), "lost", n.Lost.Load())
+	}, nil
+}
--- /dev/null
+++ b/cmd/birchmoor/sidecar_test.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"birchmoor/internal/capture"
+	"birchmoor/internal/sidecar"
+)
+
+const settingsOfOne = `{"peers-total":1,"areas":["a"],"skus":["m"],"discovery":"automatic",
+	"classes":[{"name":"look","repeat":"pure","target":500000,"give-up":1000000,"credit":1.0}],
+	"contract":{"drain-grace":250000,"cold-from":0.2,"ramp-time":10000000,"fall-multiple":2.5,"overload-for":2000000,
+	"ask-within":10000000},"limits":{"cancel":true,"probes":false,"most-tries":3,"most-held":1000,"dial-timeout":1000000},
+	"reporting":{"how":"none"},"tenants":[{"name":"acme","allowance-per-s":100.0,"share":1.0}]}`
+
+// program runs the sidecar as a process of its own, and returns its address, its log and what kills it.
+func program(t *testing.T, operatorFile, server string) (addr string, log *bytes.Buffer, kill func()) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	addr = ln.Addr().String()
+	file, err := ln.(*net.TCPListener).File() // which the process inherits: nobody else gets the address meanwhile
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	config, err := json.Marshal(map[string]any{"name": "n0", "listen": addr, "discovery": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
+		"known": sidecar.List{Generation: 1, Reset: true, Instances: []sidecar.Instance{{ID: "s-1", Addr: server, Zone: "a", Kind: "m",
+			Cell: 1, Lifecycle: "up", Weight: 1}}}, "settings": json.RawMessage(settingsOfOne)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	log = &bytes.Buffer{}
+	cmd := exec.Command(self, "sidecar", "--operator", operatorFile)
+	cmd.Env = append(os.Environ(), asProgram+"=1", "ROUTER_CONFIG="+write(t, "config.json", string(config)), "ROUTER_FD=3",
+		"TMPDIR="+t.TempDir())
+	cmd.ExtraFiles, cmd.Stderr = []*os.File{file}, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := false
+	kill = func() {
+		if !ended {
+			ended = true
+			cmd.Process.Kill()
+			cmd.Wait()
+		}
+	}
+	t.Cleanup(kill)
+	for end := time.Now().Add(10 * time.Second); ; {
+		if resp, err := http.Get("http://" + addr + "/-/ready"); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == 200 {
+				return addr, log, kill
+			}
+		}
+		if time.Now().After(end) {
+			kill()
+			t.Fatalf("it does not become ready:\n%s", log)
+		}
+	}
+}
+
+// A sidecar that is killed outright leaves a capture that replays and a state that the next one recalls.
+func TestSidecarKilledOutright(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	dir := t.TempDir()
+	op := filepath.Join(dir, "op.toml")
+	if err := os.WriteFile(op, []byte("[keep]\ndir = \"state\"\n[capture]\ndir = \"captures\"\nsegment = \"1s\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	addr, log, kill := program(t, op, strings.TrimPrefix(server.URL, "http://"))
+	client := http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	frames := func() int64 {
+		list, err := capture.Files(filepath.Join(dir, "captures"), "n0")
+		if err != nil || len(list) == 0 {
+			return 0
+		}
+		info, err := os.Stat(list[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		return info.Size()
+	}
+	kept := filepath.Join(dir, "state", "n0.snapshot")
+	begun := time.Now()
+	for n := 0; ; n++ {
+		req, err := http.NewRequest("GET", "http://"+addr+"/look/1", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for name, value := range map[string]string{"X-Trace-Id": fmt.Sprintf("%020x", n+1), "X-Qos": "look", "X-Customer": "acme",
+			"X-Expires-In-Ms": "900"} {
+			req.Header.Set(name, value)
+		}
+		resp, err := client.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if _, err := os.Stat(kept); err == nil && frames() > 2000 {
+			break
+		}
+		if time.Since(begun) > 30*time.Second {
+			t.Fatalf("%d bytes are recorded, and the state is not kept: %s %s", frames(), resp.Status, log)
+		}
+	}
+	kill()
+	code, out, errs := birchmoor("replay", filepath.Join(dir, "captures"))
+	// The kernel may end the process within a write: then the file is cut, and says so.
+	if strings.Contains(out, "differences") || code != 0 && !strings.Contains(out, ": cut:") || !strings.Contains(out, "segments") {
+		t.Errorf("exit %d\n%s\n%s", code, out, errs)
+	}
+	_, log, kill = program(t, op, strings.TrimPrefix(server.URL, "http://"))
+	kill()
+	if !strings.Contains(log.String(), "recalled what an earlier process knew") || !strings.Contains(log.String(), "endpoints=1 of=1") {
+		t.Errorf("the log:\n%s", log)
+	}
+}
+
+func TestSidecarNamesWhatIsWrong(t *testing.T) {
+	code, _, errs := birchmoor("sidecar", "--operator", write(t, "op.toml", "[capture]\ndirr = \"x\"\n"))
+	if code != exitInput || !strings.Contains(errs, ":2: capture.dirr") {
+		t.Errorf("exit %d: %s", code, errs)
+	}
+}
--- a/cmd/dunlinsail/main.go
+++ b/cmd/dunlinsail/main.go
@@ -3,19 +3,13 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
-	"net"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"runtime"
 	"syscall"
 
-	"birchmoor/internal/handover"
-	"birchmoor/internal/maintenance"
 	"birchmoor/internal/sidecar"
-	"birchmoor/internal/snapshot"
 )
 
 func main() {
@@ -33,29 +27,15 @@
 
 // run serves until SIGTERM.
 func run(reload <-chan os.Signal, log *slog.Logger) error {
-	read := func() (*sidecar.Config, error) { return sidecar.ReadConfig(os.Getenv) }
-	config, err := read()
+	config, err := sidecar.ReadConfig(os.Getenv)
 	if err != nil {
 		return err
 	}
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	h := sidecar.Host{Bans: maintenance.Nowhere{}, Reload: reload, Read: read, Log: log}
-	if dir := os.Getenv("TMPDIR"); dir != "" {
-		h.Bans = maintenance.File{Path: filepath.Join(dir, "bans.json")}
-		h.Kept = snapshot.File{Path: filepath.Join(dir, "known.snapshot")}
-		h.Handover = filepath.Join(dir, "handover.sock")
-	}
-	if config.Mgmt != "" {
-		if h.Mgmt, err = net.Listen("tcp", config.Mgmt); err != nil {
-			return fmt.Errorf("listen for operators: %w", err)
-		}
-	}
-	h.Socket = handover.Own(config.Listen)
-	if fd := os.Getenv("ROUTER_FD"); fd != "" {
-		if h.Socket, err = handover.Inherit(fd); err != nil {
-			return err
-		}
+	h, err := sidecar.HostOf(config, os.Getenv, reload, log)
+	if err != nil {
+		return err
 	}
 	return sidecar.Run(stop, config, h)
 }
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -15,6 +15,7 @@
 	sink               Sink
 	name               func(id uint32) string
 	sidecar            string
+	run                uint64
 	every              balancer.Micros // between two segments, at most
 
 	batch           *batch
@@ -60,6 +61,7 @@
 // Options say how a recorder works.
 type Options struct {
 	Sidecar string
+	Run     uint64                 // names the process, where several of a sidecar record into one folder
 	Every   balancer.Micros        // a fresh segment at least so often
 	Name    func(id uint32) string // of an endpoint, "" if it has none; nil for none
 	Sink    Sink
@@ -67,7 +69,7 @@
 
 // New returns a recorder around the balancer that begin makes with the actions given to it.
 func New(o Options, out balancer.Actions, begin func(balancer.Actions) (*balancer.Balancer, error)) (*Recorder, error) {
-	r := &Recorder{out: out, sink: o.Sink, name: o.Name, sidecar: o.Sidecar, every: o.Every}
+	r := &Recorder{out: out, sink: o.Sink, name: o.Name, sidecar: o.Sidecar, run: o.Run, every: o.Every}
 	if r.name == nil {
 		r.name = func(uint32) string { return "" }
 	}
@@ -108,7 +110,7 @@
 	if r.lost > 0 {
 		b.gap = &Record{Kind: KindGap, At: now, Count: r.lost, Line: r.why}
 	}
-	b.kept = &snapshot.Kept{Sidecar: r.sidecar, Clock: snapshot.Clock{Wall: now}, State: r.Balancer.Snapshot(now, true)}
+	b.kept = &snapshot.Kept{Sidecar: r.sidecar, Run: r.run, Clock: snapshot.Clock{Wall: now}, State: r.Balancer.Snapshot(now, true)}
 	for i := range b.kept.State.Endpoints {
 		b.kept.Names = append(b.kept.Names, r.name(b.kept.State.Endpoints[i].ID))
 	}
--- a/internal/capture/writer.go
+++ b/internal/capture/writer.go
@@ -185,6 +185,9 @@
 	w.Counts.Frames.Add(1)
 	w.Counts.Records.Add(b.records)
 	if b.segment {
+		if b.gap != nil {
+			w.c.Log.Warn("capture: a gap", "records", b.gap.Count, "reason", b.gap.Line)
+		}
 		w.Counts.Segments.Add(1)
 		w.pending = 0
 	}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,145 @@
+// Package operator reads the operator file: what a sidecar does beyond what the platform gives it. Without the file
+// all of it is off.
+//
+// The file is TOML, strictly read: an unknown key or a value out of range is an error that names file, line and key.
+package operator
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// File is an operator file.
+type File struct {
+	Keep    *Keep    `toml:"keep"`
+	Capture *Capture `toml:"capture"`
+}
+
+// Keep is where what is known outlives a start.
+type Keep struct {
+	Dir string `toml:"dir"` // holds one file for each sidecar's name
+}
+
+// Capture is a recording of what the decision module is told and answers.
+type Capture struct {
+	Dir      string   `toml:"dir"`
+	BudgetMB int      `toml:"budget_mb"` // of all files of a sidecar
+	FileMB   int      `toml:"file_mb"`   // a file begins anew beyond this,
+	FileAge  Duration `toml:"file_age"`  // or after this
+	Segment  Duration `toml:"segment"`   // a snapshot at least so often
+	Queue    int      `toml:"queue"`     // batches of 24 KiB on their way to the disk, at most
+	Retry    Duration `toml:"retry"`     // after the disk failed
+}
+
+// Duration is written as Go does: "5m".
+type Duration time.Duration
+
+// UnmarshalText reads one.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	*d = Duration(v)
+	return err
+}
+
+// Error names the place of a fault.
+type Error struct {
+	Path   string
+	Line   int // 0 if it is of no line
+	Key    string
+	Reason string
+}
+
+// Error tells all of it.
+func (e *Error) Error() string {
+	s := e.Path
+	if e.Line > 0 {
+		s += fmt.Sprintf(":%d", e.Line)
+	}
+	if e.Key != "" {
+		s += ": " + e.Key
+	}
+	return s + ": " + e.Reason
+}
+
+// Read reads a file. Relative folders are within the file's own.
+func Read(path string) (*File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("operator file: %w", err)
+	}
+	f := &File{}
+	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(f); err != nil {
+		return nil, decodeError(path, err)
+	}
+	if err := f.fill(path); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+func decodeError(path string, err error) error {
+	if strict := (*toml.StrictMissingError)(nil); errors.As(err, &strict) {
+		var all []error
+		for _, e := range strict.Errors {
+			line, _ := e.Position()
+			all = append(all, &Error{path, line, strings.Join(e.Key(), "."), "is not a key of operator files"})
+		}
+		return errors.Join(all...)
+	}
+	if wrong := (*toml.DecodeError)(nil); errors.As(err, &wrong) {
+		line, _ := wrong.Position()
+		return &Error{path, line, strings.Join(wrong.Key(), "."), strings.TrimPrefix(wrong.Error(), "toml: ")}
+	}
+	return &Error{Path: path, Reason: err.Error()}
+}
+
+// fill sets what is not given, and says what is out of range.
+func (f *File) fill(path string) error {
+	var faults []error
+	dir := func(key string, v *string) {
+		if *v == "" {
+			faults = append(faults, &Error{path, 0, key, "is missing"})
+		} else if !filepath.IsAbs(*v) {
+			*v = filepath.Join(filepath.Dir(path), *v)
+		}
+	}
+	number := func(key string, v *int, fallback, least, most int) {
+		if *v == 0 {
+			*v = fallback
+		}
+		if *v < least || *v > most {
+			faults = append(faults, &Error{path, 0, key, fmt.Sprintf("%d is not within %d and %d", *v, least, most)})
+		}
+	}
+	span := func(key string, v *Duration, fallback, least, most time.Duration) {
+		if *v == 0 {
+			*v = Duration(fallback)
+		}
+		if d := time.Duration(*v); d < least || d > most {
+			faults = append(faults, &Error{path, 0, key, fmt.Sprintf("%v is not within %v and %v", d, least, most)})
+		}
+	}
+	if f.Keep != nil {
+		dir("keep.dir", &f.Keep.Dir)
+	}
+	if c := f.Capture; c != nil {
+		dir("capture.dir", &c.Dir)
+		number("capture.budget_mb", &c.BudgetMB, 256, 1, 1<<20)
+		number("capture.file_mb", &c.FileMB, min(16, max(1, c.BudgetMB/4)), 1, 4096)
+		number("capture.queue", &c.Queue, 32, 2, 4096)
+		span("capture.file_age", &c.FileAge, 30*time.Minute, time.Second, 24*time.Hour)
+		span("capture.segment", &c.Segment, 5*time.Minute, time.Second, time.Hour)
+		span("capture.retry", &c.Retry, 5*time.Second, 100*time.Millisecond, time.Hour)
+		if c.FileMB > c.BudgetMB {
+			faults = append(faults, &Error{path, 0, "capture.file_mb", "is over capture.budget_mb"})
+		}
+	}
+	return errors.Join(faults...)
+}
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -83,6 +83,7 @@
 	before   *balancer.Snapshot // the state that the latest input met, if the request to explain is open
 	open     bool               // that request is
 	whole    bool               // nothing is missing since the latest snapshot
+	run      uint64             // the process that recorded it
 	muted    bool               // what the module answers to our own settings does not count
 
 	began  time.Time
@@ -238,7 +239,7 @@
 		p.r.Faults = append(p.r.Faults, fmt.Sprintf("the snapshot at %d is not readable: %v", x.At, err))
 		return nil
 	}
-	if p.b != nil && p.whole && x.Flag && p.o.Settings == nil {
+	if p.b != nil && p.whole && x.Flag && k.Run == p.run && p.o.Settings == nil {
 		mine, err := snapshot.Marshal(p.b.Snapshot(x.At, true))
 		if err != nil {
 			return err
@@ -258,7 +259,7 @@
 		p.r.Faults = append(p.r.Faults, fmt.Sprintf("at %d: %v", x.At, err))
 		return nil
 	}
-	p.b, p.whole = b, true
+	p.b, p.whole, p.run = b, true, k.Run
 	p.r.Segments++
 	clear(p.names)
 	for i, e := range k.State.Endpoints {
--- /dev/null
+++ b/internal/sidecar/host.go
@@ -0,0 +1,37 @@
+package sidecar
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+
+	"birchmoor/internal/handover"
+	"birchmoor/internal/maintenance"
+	"birchmoor/internal/snapshot"
+)
+
+// HostOf makes of the environment what a program gives a sidecar: the sockets, and files in TMPDIR if that is set.
+func HostOf(c *Config, getenv func(string) string, reload <-chan os.Signal, log *slog.Logger) (Host, error) {
+	h := Host{Bans: maintenance.Nowhere{}, Reload: reload, Log: log,
+		Read: func() (*Config, error) { return ReadConfig(getenv) }}
+	if dir := getenv("TMPDIR"); dir != "" {
+		h.Bans = maintenance.File{Path: filepath.Join(dir, "bans.json")}
+		h.Kept = snapshot.File{Path: filepath.Join(dir, "known.snapshot")}
+		h.Handover = filepath.Join(dir, "handover.sock")
+	}
+	var err error
+	if c.Mgmt != "" {
+		if h.Mgmt, err = net.Listen("tcp", c.Mgmt); err != nil {
+			return Host{}, fmt.Errorf("listen for operators: %w", err)
+		}
+	}
+	h.Socket = handover.Own(c.Listen)
+	if fd := getenv("ROUTER_FD"); fd != "" {
+		if h.Socket, err = handover.Inherit(fd); err != nil {
+			return Host{}, err
+		}
+	}
+	return h, nil
+}
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -38,7 +38,8 @@
 	Sidecar string             `cbor:"1,keyasint"` // whose it is
 	Clock   Clock              `cbor:"2,keyasint"` // when it was taken
 	State   *balancer.Snapshot `cbor:"3,keyasint"`
-	Names   []string           `cbor:"4,keyasint"` // of State.Endpoints, in their order
+	Names   []string           `cbor:"4,keyasint"`           // of State.Endpoints, in their order
+	Run     uint64             `cbor:"5,keyasint,omitempty"` // of a capture: names the process
 }
 
 // Error says what is wrong with a snapshot.
