--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -416,3 +416,30 @@
 		}
 	}
 }
+
+// A frame begins with an event, never with the answers to one: a process that is killed leaves none without them.
+func TestFramesEndBetweenEvents(t *testing.T) {
+	r, err := NewReader(bytes.NewReader(captured(t, 3000)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	last, frames := int64(0), 0
+	for {
+		x, err := r.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Offset() != last {
+			if last = r.Offset(); x.Kind.Answer() {
+				t.Fatalf("a frame begins with %s", x.String())
+			}
+			frames++
+		}
+	}
+	if frames < 20 {
+		t.Errorf("%d frames", frames)
+	}
+}
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -90,6 +90,13 @@
 		r.drop(1)
 		return
 	}
+	// A batch ends between two events: a process that is killed leaves no event without its answers.
+	if b := r.batch; b != nil && r.begun && b.records > 0 && (len(b.data) >= batchBytes || now-b.at >= batchSpan) {
+		if r.flush(); !r.begun && !r.begin(now) {
+			r.drop(1)
+			return
+		}
+	}
 	r.add(&x)
 }
 
@@ -118,7 +125,7 @@
 	return true
 }
 
-// add appends to the batch, and sends that off once it is large or old.
+// add appends to the batch.
 func (r *Recorder) add(x *Record) {
 	if r.batch == nil {
 		b := batches.Get().(*batch)
@@ -128,9 +135,6 @@
 	r.batch.data = x.append(r.batch.data, r.last)
 	r.batch.records++
 	r.last = r.now
-	if len(r.batch.data) >= batchBytes || r.now-r.batch.at >= batchSpan {
-		r.flush()
-	}
 }
 
 // flush offers the batch to the sink. If it is not taken, all up to the next segment is lost.
