--- a/balancer/snapshot.go
+++ b/balancer/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 )
 
@@ -561,5 +562,12 @@
 	if len(s.Slots) != len(s.Settings.Classes) {
 		return nil, &SnapshotError{"Rules.Slots", "are not one for each class"}
 	}
+	// Requests that came under the same rules share them: a snapshot tells each once.
+	text := fmt.Sprint(s)
+	for _, r := range b.requests {
+		if fmt.Sprint(r.Rules.State()) == text {
+			return r.Rules, nil
+		}
+	}
 	return &Rules{s: s.Settings, slots: slices.Clone(s.Slots)}, nil
 }
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -104,7 +104,7 @@
 type idle struct{ silent }
 
 // tampered records a life in which something happens to the module that is not recorded.
-func tampered(t *testing.T, tamper func(b *balancer.Balancer)) []string {
+func tampered(t *testing.T, tamper func(r *capture.Recorder, now balancer.Micros)) []string {
 	t.Helper()
 	dir := t.TempDir()
 	w, err := capture.Create(capture.Config{Dir: dir, Name: "x", Bytes: 1 << 20, FileBytes: 1 << 20, FileAge: time.Hour, Queue: 4,
@@ -130,7 +130,7 @@
 			r.Outcome(now+100, balancer.Outcome{ID: id + 1, Endpoint: e + 1, Latency: 900, Settled: true})
 		}
 		if id == 300 {
-			tamper(r.Balancer)
+			tamper(r, now)
 		}
 	}
 	r.Close()
@@ -144,14 +144,17 @@
 
 // The replay shows what is planted: a state that was changed behind its back, a decision it would not take.
 func TestReplayShowsPlantedFaults(t *testing.T) {
-	if r := play(t, tampered(t, func(*balancer.Balancer) {}), Options{}); r.Differences != 0 {
+	if r := play(t, tampered(t, func(*capture.Recorder, balancer.Micros) {}), Options{}); r.Differences != 0 {
 		t.Fatalf("nothing is planted, and %+v", r.First)
 	}
-	r := play(t, tampered(t, func(b *balancer.Balancer) { b.Share(0.25) }), Options{})
+	r := play(t, tampered(t, func(r *capture.Recorder, _ balancer.Micros) { r.Balancer.Share(0.25) }), Options{})
 	if r.Differences == 0 || r.First.Input != "the state at a snapshot" {
 		t.Errorf("a changed share: %+v", r.First)
 	}
-	r = play(t, tampered(t, func(b *balancer.Balancer) { b.TakeOut(1, 0); b.TakeOut(2, 0) }), Options{})
+	r = play(t, tampered(t, func(r *capture.Recorder, _ balancer.Micros) {
+		r.Balancer.TakeOut(1, 0)
+		r.Balancer.TakeOut(2, 0)
+	}), Options{})
 	if r.Differences == 0 || !strings.HasPrefix(r.First.Input, "request") {
 		t.Fatalf("a ban: %+v", r.First)
 	}
@@ -161,7 +164,7 @@
 }
 
 func TestAgainstOtherSettingsTellsTheFirstDifference(t *testing.T) {
-	list := tampered(t, func(*balancer.Balancer) {})
+	list := tampered(t, func(*capture.Recorder, balancer.Micros) {})
 	s := balancer.Settings{Balancers: 1, Classes: []balancer.Class{{Name: "look", Aim: 400_000, GiveUp: 900_000, Worth: 1}},
 		Limits:   balancer.Limits{MaxAttempts: 2, MaxOpen: 100, RetryAfter: true, Cancel: true},
 		Contract: balancer.Contract{ColdFrom: 0.2, RampTime: 1_000_000, FallMultiple: 2}}
@@ -224,3 +227,24 @@
 		t.Error("nothing was drawn of nothing")
 	}
 }
+
+// A reload drops a class while a request of it is on its way, and another is open: both replay.
+func TestReloadThatDropsAClass(t *testing.T) {
+	list := tampered(t, func(r *capture.Recorder, now balancer.Micros) {
+		old := r.Rules()
+		r.Request(now+1, balancer.Request{ID: 9001, Deadline: now + 400_000})
+		s := balancer.Settings{Balancers: 1, Classes: []balancer.Class{{Name: "other", Aim: 300_000, GiveUp: 900_000, Worth: 2}},
+			Limits:   balancer.Limits{MaxAttempts: 1, MaxOpen: 100, RetryAfter: true},
+			Contract: balancer.Contract{ColdFrom: 0.2, RampTime: 1_000_000, FallMultiple: 2}}
+		if _, err := r.Reload(now+2, s); err != nil {
+			t.Fatal(err)
+		}
+		r.Request(now+3, balancer.Request{ID: 9002, Deadline: now + 400_000, Rules: old})
+		for e := range uint32(3) {
+			r.Outcome(now+4, balancer.Outcome{ID: 9002, Endpoint: e + 1, Status: balancer.Error})
+		}
+	})
+	if r := play(t, list, Options{}); r.Differences != 0 || len(r.Faults) > 0 || r.Segments < 3 {
+		t.Errorf("%+v, first %+v", r, r.First)
+	}
+}
