--- a/balancer/module.go
+++ b/balancer/module.go
@@ -38,3 +38,15 @@
 func (p Plain) Reload(_ Micros, s Settings) (*Rules, error) {
 	return p.Balancer.Reload(s)
 }
+
+// Silent is a host that does nothing of what it is asked: for balancers that are only looked at.
+type Silent struct{}
+
+func (Silent) Send(uint64, uint32, Micros) {}
+func (Silent) Refuse(uint64, Micros)       {}
+func (Silent) Fail(uint64)                 {}
+func (Silent) Cancel(uint64, int)          {}
+func (Silent) Timer(Micros, uint32)        {}
+func (Silent) Probe(uint32)                {}
+func (Silent) Watch(bool)                  {}
+func (Silent) Log(string)                  {}
--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -22,17 +22,6 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-type idle struct{}
-
-func (idle) Send(uint64, uint32, balancer.Micros) {}
-func (idle) Refuse(uint64, balancer.Micros)       {}
-func (idle) Fail(uint64)                          {}
-func (idle) Cancel(uint64, int)                   {}
-func (idle) Timer(balancer.Micros, uint32)        {}
-func (idle) Probe(uint32)                         {}
-func (idle) Watch(bool)                           {}
-func (idle) Log(string)                           {}
-
 func settings() balancer.Settings {
 	return balancer.Settings{Balancers: 2, Classes: []balancer.Class{{Name: "look", Aim: 400_000, GiveUp: 1_000_000, Worth: 1}},
 		Fields: []balancer.Field{balancer.FieldInflight}, Limits: balancer.Limits{Probes: true, Cancel: true, MaxAttempts: 3, MaxOpen: 1000},
@@ -45,7 +34,7 @@
 func recorder(t testing.TB, sink Sink, every balancer.Micros) *Recorder {
 	t.Helper()
 	r, err := New(Options{Sidecar: "n0", Every: every, Sink: sink, Name: func(id uint32) string { return fmt.Sprint("s-", id) }},
-		idle{}, func(out balancer.Actions) (*balancer.Balancer, error) { return balancer.New(settings(), 7, out) })
+		balancer.Silent{}, func(out balancer.Actions) (*balancer.Balancer, error) { return balancer.New(settings(), 7, out) })
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/capture/record.go
+++ b/internal/capture/record.go
@@ -25,7 +25,6 @@
 	KindGap      Kind = iota + 1 // a stretch is missing: Count records, for Line's reason
 	KindSnapshot                 // Blob: package snapshot's form, without names of endpoints that are not listed. Flag: it follows the segment before
 
-	KindStart
 	KindMembers
 	KindRequest
 	KindHeaders
@@ -52,7 +51,7 @@
 	kinds
 )
 
-var kindNames = [kinds]string{KindGap: "gap", KindSnapshot: "snapshot", KindStart: "start", KindMembers: "members",
+var kindNames = [kinds]string{KindGap: "gap", KindSnapshot: "snapshot", KindMembers: "members",
 	KindRequest: "request", KindHeaders: "headers", KindUploaded: "uploaded", KindOutcome: "outcome",
 	KindClientGone: "client-gone", KindTimer: "timer", KindProbed: "probed", KindTakeOut: "take-out",
 	KindCallBack: "call-back", KindShare: "share", KindReload: "reload", KindHeard: "heard", KindRecall: "recall",
@@ -124,7 +123,6 @@
 		i(r.At - last)
 	}
 	switch r.Kind {
-	case KindStart:
 	case KindGap:
 		u(r.Count)
 		text(r.Line)
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -27,7 +27,6 @@
 	why             string
 	going           bool // a segment has been begun
 	closed, started bool
-	snapshot        *balancer.Snapshot
 }
 
 // Sink takes batches. Offer says whether it took one; it never waits. Ready says whether there is room to begin a
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -192,6 +192,18 @@
 	return failed(p.Merge(ctx, *m.Mark))
 }
 
+// told handles what either side may tell the other.
+func told(p Process, m message) message {
+	switch m.Op {
+	case "mark":
+		return merged(p, m)
+	case "eject":
+		p.Ejected(m.Out)
+		return message{}
+	}
+	return message{Error: "unknown request " + m.Op}
+}
+
 func failed(err error) message {
 	if err != nil {
 		return message{Error: err.Error()}
@@ -276,13 +288,8 @@
 			p.Yield()
 			yielded = true
 			return message{}
-		case "mark":
-			return merged(p, m)
-		case "eject":
-			p.Ejected(m.Out)
-			return message{}
 		}
-		return message{Error: "unknown request " + m.Op}
+		return told(p, m)
 	})
 	leave()
 	if ctx.Err() != nil {
@@ -313,16 +320,7 @@
 	o := &Old{t: newTalk(conn), gone: make(chan struct{})}
 	go func() {
 		defer close(o.gone)
-		o.t.run(func(m message) message {
-			switch m.Op {
-			case "mark":
-				return merged(p, m)
-			case "eject":
-				p.Ejected(m.Out)
-				return message{}
-			}
-			return message{Error: "unknown request " + m.Op}
-		})
+		o.t.run(func(m message) message { return told(p, m) })
 	}()
 	leave := p.Beside(o.t.peer())
 	go func() {
--- a/internal/lab/scenario/read.go
+++ b/internal/lab/scenario/read.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
+	"birchmoor/internal/strict"
 )
 
 // most bounds what a scenario may ask for, so that a slip of the pen does not take the machine down.
@@ -37,9 +37,8 @@
 func Parse(path string, text []byte) (*Scenario, error) {
 	s := defaults()
 	s.Path = path
-	d := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	if err := d.Decode(s); err != nil {
-		return nil, decodeError(path, err)
+	if err := strict.Decode(path, "scenarios", text, s); err != nil {
+		return nil, err
 	}
 	s.fill()
 	if err := s.check(index(text)); err != nil {
@@ -48,22 +47,6 @@
 	return s, nil
 }
 
-func decodeError(path string, err error) error {
-	if strict := (*toml.StrictMissingError)(nil); errors.As(err, &strict) {
-		var all []error
-		for _, e := range strict.Errors {
-			line, _ := e.Position()
-			all = append(all, &Error{path, line, strings.Join(e.Key(), "."), "is not a key of scenarios"})
-		}
-		return errors.Join(all...)
-	}
-	if wrong := (*toml.DecodeError)(nil); errors.As(err, &wrong) {
-		line, _ := wrong.Position()
-		return &Error{path, line, strings.Join(wrong.Key(), "."), strings.TrimPrefix(wrong.Error(), "toml: ")}
-	}
-	return &Error{Path: path, Reason: err.Error()}
-}
-
 func ms(n float64) Dur { return Dur(n * float64(time.Millisecond)) }
 
 // defaults is the booking system as its users describe it, of no servers and classes.
@@ -185,7 +168,7 @@
 	var faults []error
 	need := func(ok bool, key, reason string, args ...any) {
 		if !ok && len(faults) < 50 {
-			faults = append(faults, &Error{s.Path, at.line(key), key, fmt.Sprintf(reason, args...)})
+			faults = append(faults, &Error{Path: s.Path, Line: at.line(key), Key: key, Reason: fmt.Sprintf(reason, args...)})
 		}
 	}
 	positive := func(key string, d Dur) { need(d > 0, key, "%v is not above 0", time.Duration(d)) }
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -6,8 +6,9 @@
 
 import (
 	"fmt"
-	"strings"
 	"time"
+
+	"birchmoor/internal/strict"
 )
 
 // Scenario is a whole file.
@@ -246,24 +247,4 @@
 }
 
 // Error is a fault of a file.
-type Error struct {
-	Path   string
-	Line   int    // from 1; 0 if the key is not written
-	Key    string // such as servers[1].speed
-	Reason string
-}
-
-// Error tells the place, the key and the reason.
-func (e *Error) Error() string {
-	var b strings.Builder
-	b.WriteString(e.Path)
-	if e.Line > 0 {
-		fmt.Fprintf(&b, ":%d", e.Line)
-	}
-	b.WriteString(": ")
-	if e.Key != "" {
-		b.WriteString(e.Key + ": ")
-	}
-	b.WriteString(e.Reason)
-	return b.String()
-}
+type Error = strict.Error
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -5,15 +5,13 @@
 package operator
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
-	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
+	"birchmoor/internal/strict"
 )
 
 // File is an operator file.
@@ -48,25 +46,8 @@
 	return err
 }
 
-// Error names the place of a fault.
-type Error struct {
-	Path   string
-	Line   int // 0 if it is of no line
-	Key    string
-	Reason string
-}
-
-// Error tells all of it.
-func (e *Error) Error() string {
-	s := e.Path
-	if e.Line > 0 {
-		s += fmt.Sprintf(":%d", e.Line)
-	}
-	if e.Key != "" {
-		s += ": " + e.Key
-	}
-	return s + ": " + e.Reason
-}
+// Error is a fault of the file.
+type Error = strict.Error
 
 // Read reads a file. Relative folders are within the file's own.
 func Read(path string) (*File, error) {
@@ -75,8 +56,8 @@
 		return nil, fmt.Errorf("operator file: %w", err)
 	}
 	f := &File{}
-	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(f); err != nil {
-		return nil, decodeError(path, err)
+	if err := strict.Decode(path, "operator files", text, f); err != nil {
+		return nil, err
 	}
 	if err := f.fill(path); err != nil {
 		return nil, err
@@ -84,28 +65,12 @@
 	return f, nil
 }
 
-func decodeError(path string, err error) error {
-	if strict := (*toml.StrictMissingError)(nil); errors.As(err, &strict) {
-		var all []error
-		for _, e := range strict.Errors {
-			line, _ := e.Position()
-			all = append(all, &Error{path, line, strings.Join(e.Key(), "."), "is not a key of operator files"})
-		}
-		return errors.Join(all...)
-	}
-	if wrong := (*toml.DecodeError)(nil); errors.As(err, &wrong) {
-		line, _ := wrong.Position()
-		return &Error{path, line, strings.Join(wrong.Key(), "."), strings.TrimPrefix(wrong.Error(), "toml: ")}
-	}
-	return &Error{Path: path, Reason: err.Error()}
-}
-
 // fill sets what is not given, and says what is out of range.
 func (f *File) fill(path string) error {
 	var faults []error
 	dir := func(key string, v *string) {
 		if *v == "" {
-			faults = append(faults, &Error{path, 0, key, "is missing"})
+			faults = append(faults, &Error{Path: path, Key: key, Reason: "is missing"})
 		} else if !filepath.IsAbs(*v) {
 			*v = filepath.Join(filepath.Dir(path), *v)
 		}
@@ -115,7 +80,7 @@
 			*v = fallback
 		}
 		if *v < least || *v > most {
-			faults = append(faults, &Error{path, 0, key, fmt.Sprintf("%d is not within %d and %d", *v, least, most)})
+			faults = append(faults, &Error{Path: path, Key: key, Reason: fmt.Sprintf("%d is not within %d and %d", *v, least, most)})
 		}
 	}
 	span := func(key string, v *Duration, fallback, least, most time.Duration) {
@@ -123,7 +88,7 @@
 			*v = Duration(fallback)
 		}
 		if d := time.Duration(*v); d < least || d > most {
-			faults = append(faults, &Error{path, 0, key, fmt.Sprintf("%v is not within %v and %v", d, least, most)})
+			faults = append(faults, &Error{Path: path, Key: key, Reason: fmt.Sprintf("%v is not within %v and %v", d, least, most)})
 		}
 	}
 	if f.Keep != nil {
@@ -138,7 +103,7 @@
 		span("capture.segment", &c.Segment, 5*time.Minute, time.Second, time.Hour)
 		span("capture.retry", &c.Retry, 5*time.Second, 100*time.Millisecond, time.Hour)
 		if c.FileMB > c.BudgetMB {
-			faults = append(faults, &Error{path, 0, "capture.file_mb", "is over capture.budget_mb"})
+			faults = append(faults, &Error{Path: path, Key: "capture.file_mb", Reason: "is over capture.budget_mb"})
 		}
 	}
 	return errors.Join(faults...)
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -285,8 +285,6 @@
 func (p *player) feed(x *capture.Record) error {
 	b, at := p.b, x.At
 	switch x.Kind {
-	case capture.KindStart:
-		b.Start(at)
 	case capture.KindMembers:
 		for i, e := range x.Entries {
 			if x.Names[i] != "" {
@@ -422,7 +420,7 @@
 	if len(mine) == 0 {
 		return
 	}
-	copied, err := balancer.Resume(p.before, silent{})
+	copied, err := balancer.Resume(p.before, balancer.Silent{})
 	if err != nil {
 		return // it was one a moment ago
 	}
@@ -484,15 +482,3 @@
 func (h hand) Probe(e uint32)  { h.add(capture.Record{Kind: capture.KindProbe, Endpoint: e}) }
 func (h hand) Watch(on bool)   { h.add(capture.Record{Kind: capture.KindWatch, Flag: on}) }
 func (h hand) Log(line string) { h.add(capture.Record{Kind: capture.KindLog, Line: line}) }
-
-// silent takes nothing.
-type silent struct{}
-
-func (silent) Send(uint64, uint32, balancer.Micros) {}
-func (silent) Refuse(uint64, balancer.Micros)       {}
-func (silent) Fail(uint64)                          {}
-func (silent) Cancel(uint64, int)                   {}
-func (silent) Timer(balancer.Micros, uint32)        {}
-func (silent) Probe(uint32)                         {}
-func (silent) Watch(bool)                           {}
-func (silent) Log(string)                           {}
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -101,8 +101,6 @@
 	}
 }
 
-type idle struct{ silent }
-
 // tampered records a life in which something happens to the module that is not recorded.
 func tampered(t *testing.T, tamper func(r *capture.Recorder, now balancer.Micros)) []string {
 	t.Helper()
@@ -116,7 +114,7 @@
 		Limits:   balancer.Limits{MaxAttempts: 2, MaxOpen: 100},
 		Contract: balancer.Contract{ColdFrom: 0.2, RampTime: 1_000_000, FallMultiple: 2}}
 	r, err := capture.New(capture.Options{Every: 200_000, Sink: w, Name: func(id uint32) string { return fmt.Sprint("s-", id) }},
-		idle{}, func(out balancer.Actions) (*balancer.Balancer, error) { return balancer.New(s, 3, out) })
+		balancer.Silent{}, func(out balancer.Actions) (*balancer.Balancer, error) { return balancer.New(s, 3, out) })
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/snapshot/file.go
+++ b/internal/snapshot/file.go
@@ -6,6 +6,7 @@
 	"io"
 	"io/fs"
 	"os"
+	"path/filepath"
 )
 
 // File keeps one snapshot. The zero File keeps nothing.
@@ -42,6 +43,12 @@
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
 	defer in.Close()
+	// Processes that were killed while they saved left these.
+	if left, err := filepath.Glob(f.Path + ".*"); err == nil {
+		for _, path := range left {
+			os.Remove(path)
+		}
+	}
 	data, err := io.ReadAll(io.LimitReader(in, headSize+most+1))
 	if err != nil {
 		return nil, fmt.Errorf("snapshot: %w", err)
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -15,24 +15,13 @@
 	"birchmoor/balancer"
 )
 
-type idle struct{}
-
-func (idle) Send(uint64, uint32, balancer.Micros) {}
-func (idle) Refuse(uint64, balancer.Micros)       {}
-func (idle) Fail(uint64)                          {}
-func (idle) Cancel(uint64, int)                   {}
-func (idle) Timer(balancer.Micros, uint32)        {}
-func (idle) Probe(uint32)                         {}
-func (idle) Watch(bool)                           {}
-func (idle) Log(string)                           {}
-
 // known returns what a sidecar with n endpoints knows, with requests under way.
 func known(t testing.TB, n int) *Kept {
 	t.Helper()
 	b, err := balancer.New(balancer.Settings{Balancers: 2, Classes: []balancer.Class{
 		{Name: "look", Aim: 400_000, GiveUp: 1_000_000, Worth: 1}}, Fields: []balancer.Field{balancer.FieldInflight},
 		Limits:   balancer.Limits{Probes: true, MaxAttempts: 3, MaxOpen: 1000},
-		Contract: balancer.Contract{ColdFrom: 0.2, RampTime: 1_000_000, FallMultiple: 2}}, 5, idle{})
+		Contract: balancer.Contract{ColdFrom: 0.2, RampTime: 1_000_000, FallMultiple: 2}}, 5, balancer.Silent{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -82,7 +71,7 @@
 	if !bytes.Equal(data, encoded(t, back)) {
 		t.Error("written again it has other bytes")
 	}
-	if _, err := balancer.Resume(back.State, idle{}); err != nil {
+	if _, err := balancer.Resume(back.State, balancer.Silent{}); err != nil {
 		t.Error(err)
 	}
 }
@@ -148,7 +137,7 @@
 	if s := k.State.Endpoints; s[2].ID != 1 || s[0].ID == s[1].ID || s[0].ID < 1<<31 {
 		t.Errorf("numbers %d %d %d", s[0].ID, s[1].ID, s[2].ID)
 	}
-	if _, err := balancer.Resume(k.State, idle{}); err != nil {
+	if _, err := balancer.Resume(k.State, balancer.Silent{}); err != nil {
 		t.Error(err)
 	}
 }
@@ -191,6 +180,13 @@
 	if left, _ := os.ReadDir(dir); len(left) != 1 {
 		t.Errorf("%d files are left", len(left))
 	}
+	os.WriteFile(f.Path+".77", []byte("half"), 0o600) // of a process that was killed
+	if _, err := f.Load(); err != nil {
+		t.Error(err)
+	}
+	if _, err := os.Stat(f.Path + ".77"); err == nil {
+		t.Error("what a killed process left stays for ever")
+	}
 	os.WriteFile(f.Path, []byte("BMsn"), 0o600)
 	if k, err := f.Load(); k != nil || err == nil || !strings.Contains(err.Error(), f.Path) {
 		t.Errorf("a cut file: %v", err)
@@ -213,7 +209,7 @@
 		if err != nil {
 			return
 		}
-		b, err := balancer.Resume(k.State, idle{})
+		b, err := balancer.Resume(k.State, balancer.Silent{})
 		if err != nil {
 			return
 		}
@@ -229,7 +225,7 @@
 func BenchmarkSnapshot(b *testing.B) {
 	for _, n := range []int{10, 100, 1000} {
 		k := known(b, n)
-		m, err := balancer.Resume(k.State, idle{})
+		m, err := balancer.Resume(k.State, balancer.Silent{})
 		if err != nil {
 			b.Fatal(err)
 		}
