--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -501,10 +501,11 @@
 }
 
 // A cold endpoint gets at most a share of its warmth's part of our own mean work per warm endpoint. All
-// balancers doing so, their sum stays under what it can do; none needs to know of the others. Each send
+// balancers doing so, their sum stays well under what it bears; none needs to know of the others. Each send
 // is charged a little more than its work, for the handshake that it may cost.
 const (
-	coldShare   = 0.28 // of the multiple at which it falls over
+	coldShare   = 0.45 // of the multiple at which it falls over,
+	coldMost    = 1.4  // and of what it can do, at most
 	coldCharge  = 1.15
 	refusedGain = 2.0  // a share of refusals above the half of which this is the inverse counts as whole
 	probeShare  = 0.01 // of a request's work, taken from a cold endpoint's room by a probe
@@ -523,7 +524,7 @@
 	// refusals going. Then the guide is what its pace lets an endpoint of few cores do, shared by all balancers.
 	able := cores / (e.paceNow(now, b) * e.warmth(now, b)) * float64(second) / float64(b.s.Balancers)
 	each = max(each, min(1, refusedGain*b.refused.v)*able)
-	fill := b.ours * min(1, coldShare*b.s.Contract.FallMultiple) * e.warmth(now, b) * each
+	fill := b.ours * min(coldMost, coldShare*b.s.Contract.FallMultiple) * e.warmth(now, b) * each
 	most := max(fill*float64(b.s.Contract.OverloadFor)/float64(second)/2, work*coldCharge)
 	e.room = min(most, e.room+fill*float64(now-e.roomAt)/float64(second))
 	e.roomAt = now
--- a/cmd/birchmoor/lab.go
+++ b/cmd/birchmoor/lab.go
@@ -185,7 +185,9 @@
 		return err
 	}
 	if k.Sidecars > 0 {
-		s.Fleet.Sidecars = k.Sidecars
+		if err := s.SetSidecars(k.Sidecars); err != nil {
+			return err
+		}
 	}
 	if k.Profile != "" {
 		f, err := os.Create(k.Profile)
--- a/internal/lab/scenario/read.go
+++ b/internal/lab/scenario/read.go
@@ -163,6 +163,12 @@
 	}
 }
 
+// SetSidecars plays the scenario with another number of sidecars. A fault of one that is not there is an error.
+func (s *Scenario) SetSidecars(n int) error {
+	s.Fleet.Sidecars = n
+	return s.check(nil)
+}
+
 // check finds all that makes no sense.
 func (s *Scenario) check(at lines) error {
 	var faults []error
