--- a/cmd/birchmoor/main.go
+++ b/cmd/birchmoor/main.go
@@ -24,6 +24,10 @@
 
 type commands struct {
 	Sidecar sidecarCommand `cmd:"" help:"Serve: the sidecar, with what an operator file turns on."`
+	Run     daemonCommand  `cmd:"" help:"Serve as the daemon: the sidecar and the replicated store, as an operator file says."`
+	Check   checkCommand   `cmd:"" help:"Name every fault of an operator file."`
+	Store   storeCommands  `cmd:"" help:"Ask a running daemon's store, and tell it."`
+	Keys    keysCommands   `cmd:"" help:"Make and rotate the keys by which replicas of the store know each other."`
 	Lab     labCommands    `cmd:"" help:"Play the booking system: the sidecar among servers, clients and faults of our own."`
 	Replay  replayCommand  `cmd:"" help:"Play a capture again: what the decision module was told, and whether it decides the same."`
 }
--- a/cmd/birchmoor/sidecar.go
+++ b/cmd/birchmoor/sidecar.go
@@ -33,14 +33,18 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP) // before anything else: unheard it ends the program
 	log := slog.New(slog.NewTextHandler(c.err, nil))
-	var f operator.File
+	f := &operator.File{}
 	if k.Operator != "" {
-		read, err := operator.Read(k.Operator)
-		if err != nil {
+		var err error
+		if f, err = operator.Read(k.Operator); err != nil {
 			return err
 		}
-		f = *read
 	}
+	return serve(ctx, f, reload, log)
+}
+
+// serve runs a sidecar until ctx ends.
+func serve(ctx context.Context, f *operator.File, reload <-chan os.Signal, log *slog.Logger) error {
 	config, err := sidecar.ReadConfig(os.Getenv)
 	if err != nil {
 		return err
--- /dev/null
+++ b/cmd/birchmoor/store.go
@@ -0,0 +1,472 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strconv"
+	"text/tabwriter"
+	"time"
+	"unicode/utf8"
+
+	"birchmoor/internal/lab/storesim"
+	"birchmoor/internal/store"
+	"birchmoor/internal/store/admin"
+	"birchmoor/internal/store/disk"
+	"birchmoor/internal/store/replica"
+)
+
+type storeCommands struct {
+	Status   storeStatus   `cmd:"" help:"How a replica of the store stands."`
+	Members  storeMembers  `cmd:"" help:"List the replicas."`
+	Add      storeAdd      `cmd:"" help:"Add a replica, which waits with an empty disk."`
+	Remove   storeRemove   `cmd:"" help:"Remove a replica for good."`
+	Handover storeHandover `cmd:"" help:"Give leadership away, before a planned stop."`
+	Get      storeGet      `cmd:"" help:"Read a key, or all keys with a prefix."`
+	Put      storePut      `cmd:"" help:"Write a key."`
+	Delete   storeDelete   `cmd:"" help:"Delete a key."`
+	Watch    storeWatch    `cmd:"" help:"Follow changes."`
+	Snapshot storeSnapshot `cmd:"" help:"Save the whole store in a file, or begin a new cluster from one."`
+	Sim      storeSim      `cmd:"" help:"Play clusters of the store in simulation, many seeds."`
+}
+
+type socketFlag struct {
+	Socket string `help:"Socket of a running daemon." default:"store.sock" env:"BIRCHMOOR_STORE" placeholder:"PATH"`
+	JSON   bool   `help:"As JSON."`
+}
+
+// call asks the daemon, for at most a while.
+func (s *socketFlag) call(ctx context.Context, f func(context.Context, *admin.Client) error) error {
+	ctx, cancel := context.WithTimeout(ctx, 15*time.Second)
+	defer cancel()
+	return f(ctx, admin.Dial(s.Socket))
+}
+
+func (s *socketFlag) print(c *console, v any, table func(*tabwriter.Writer)) error {
+	if s.JSON {
+		e := json.NewEncoder(c.out)
+		e.SetIndent("", " ")
+		return e.Encode(v)
+	}
+	w := tabwriter.NewWriter(c.out, 0, 4, 2, ' ', 0)
+	table(w)
+	return w.Flush()
+}
+
+type storeStatus struct{ socketFlag }
+
+func (k *storeStatus) Run(ctx context.Context, c *console) error {
+	return k.call(ctx, func(ctx context.Context, a *admin.Client) error {
+		s, err := a.Status(ctx)
+		if err != nil {
+			return err
+		}
+		return k.print(c, s, func(w *tabwriter.Writer) {
+			state := "follows"
+			switch {
+			case s.Failed != "":
+				state = "stopped: " + s.Failed
+			case s.WaitingToJoin:
+				state = "waits to be taken into a cluster"
+			case s.Leading:
+				state = "leads"
+			case s.Lead == 0:
+				state = "knows no leader"
+			}
+			copied := "not confirmed since the start"
+			if s.Age.Proved {
+				copied = fmt.Sprintf("confirmed by a quorum %v ago", s.Age.Age.Round(time.Millisecond))
+			}
+			for _, x := range [][2]any{{"name", s.Name}, {"cluster", fmt.Sprintf("%x", s.Self.Cluster)}, {"member", s.Self.Member}, {"state", state}, {"copy", copied},
+				{"term", s.Term}, {"revision", s.Revision}, {"keys", s.Keys}, {"bytes", s.Bytes}, {"disk", s.Disk},
+				{"applied", fmt.Sprintf("%d of %d", s.Applied, s.Commit)}, {"members settled", s.Settled},
+				{"peers refused", s.Refused}, {"connections refused", s.Untaken}, {"messages dropped", s.Dropped}} {
+				fmt.Fprintf(w, "%v\t%v\n", x[0], x[1])
+			}
+		})
+	})
+}
+
+type storeMembers struct{ socketFlag }
+
+func (k *storeMembers) Run(ctx context.Context, c *console) error {
+	return k.call(ctx, func(ctx context.Context, a *admin.Client) error {
+		s, err := a.Status(ctx)
+		if err != nil {
+			return err
+		}
+		return k.print(c, s.Peers, func(w *tabwriter.Writer) {
+			fmt.Fprintln(w, "ID\tNAME\tADDRESS\tROLE\tLEVEL\tSTARTS\tENTRY")
+			for _, p := range s.Peers {
+				role := "votes"
+				switch {
+				case p.Leads:
+					role = "leads"
+				case p.Learner:
+					role = "learns"
+				}
+				match := "-" // the leader alone knows
+				if p.Match > 0 {
+					match = strconv.FormatUint(p.Match, 10)
+				}
+				fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%d\t%d\t%s\n", p.ID, p.Name, p.Address, role, p.Level, p.Boot, match)
+			}
+		})
+	})
+}
+
+// change makes a change, and prints a note if its outcome is unknown.
+func (s *socketFlag) change(ctx context.Context, c *console, r admin.Request, table func(*tabwriter.Writer, admin.Change)) error {
+	if r.ID == (store.RequestID{}) {
+		var b [8]byte
+		if _, err := rand.Read(b[:]); err != nil {
+			return err
+		}
+		r.ID = store.RequestID{Client: binary.BigEndian.Uint64(b[:]) >> 1, Seq: 1}
+	}
+	return s.call(ctx, func(ctx context.Context, a *admin.Client) error {
+		x, err := a.Change(ctx, r)
+		var e *admin.Error
+		if errors.As(err, &e) && e.Unknown != nil || err != nil && ctx.Err() != nil {
+			return fmt.Errorf("%w; to find out and have it made once, say it again with --request %d-%d", err, r.ID.Client, r.ID.Seq)
+		}
+		if err != nil {
+			return err
+		}
+		return s.print(c, x, func(w *tabwriter.Writer) { table(w, x) })
+	})
+}
+
+type requestFlag struct {
+	Request string `help:"Id of a request whose outcome is unknown: it is made once." placeholder:"ID"`
+}
+
+func (r requestFlag) id() (id store.RequestID, err error) {
+	if r.Request == "" {
+		return id, nil
+	}
+	if n, err := fmt.Sscanf(r.Request, "%d-%d", &id.Client, &id.Seq); n != 2 || err != nil {
+		return id, fmt.Errorf("--request %q is not of the form 123-1", r.Request)
+	}
+	return id, nil
+}
+
+type storeAdd struct {
+	socketFlag
+	requestFlag
+	Name    string `arg:"" help:"Name of the replica."`
+	Address string `arg:"" help:"Where the others reach it, such as 127.0.0.1:7402."`
+}
+
+func (k *storeAdd) Help() string {
+	return `Start the replica with join = true and an empty folder first. It learns until it has caught up,
+and votes from then on. One replica at a time.
+
+Example:
+  birchmoor store add b 127.0.0.1:7402`
+}
+
+func (k *storeAdd) Run(ctx context.Context, c *console) error {
+	id, err := k.id()
+	if err != nil {
+		return err
+	}
+	return k.change(ctx, c, admin.Request{ID: id, Add: &store.Join{Name: k.Name, Address: k.Address}}, func(w *tabwriter.Writer, x admin.Change) {
+		fmt.Fprintf(w, "member %d, a learner until it has caught up\n", x.Member)
+	})
+}
+
+type storeRemove struct {
+	socketFlag
+	requestFlag
+	Member uint64 `arg:"" help:"Id of the member; it is never given again."`
+}
+
+func (k *storeRemove) Run(ctx context.Context, c *console) error {
+	id, err := k.id()
+	if err != nil {
+		return err
+	}
+	return k.change(ctx, c, admin.Request{ID: id, Del: k.Member}, func(w *tabwriter.Writer, x admin.Change) {
+		fmt.Fprintf(w, "member %d is removed\n", k.Member)
+	})
+}
+
+type storeHandover struct{ socketFlag }
+
+func (k *storeHandover) Run(ctx context.Context, c *console) error {
+	return k.call(ctx, func(ctx context.Context, a *admin.Client) error { return a.HandOver(ctx) })
+}
+
+type storeGet struct {
+	socketFlag
+	Key    string `arg:"" help:"Key, or prefix."`
+	Prefix bool   `help:"All keys that begin with it."`
+	Stale  bool   `help:"This copy as it is, without asking the quorum; its age is told."`
+	Limit  int    `help:"So many keys at most." default:"1000"`
+}
+
+func text(b []byte) string {
+	if utf8.Valid(b) {
+		return string(b)
+	}
+	return fmt.Sprintf("%q", b)
+}
+
+func (k *storeGet) Run(ctx context.Context, c *console) error {
+	q := url.Values{"limit": {strconv.Itoa(k.Limit)}}
+	if k.Stale {
+		q.Set("stale", "true")
+	}
+	if k.Prefix {
+		q.Set("prefix", k.Key)
+	} else {
+		q.Set("key", k.Key)
+	}
+	return k.call(ctx, func(ctx context.Context, a *admin.Client) error {
+		i, err := a.Range(ctx, q)
+		if err != nil {
+			return err
+		}
+		if len(i.Items) == 0 && !k.Prefix {
+			fmt.Fprintf(c.err, "%s: no such key at revision %d\n", k.Key, i.Age.Revision)
+			return errMissed
+		}
+		return k.print(c, i, func(w *tabwriter.Writer) {
+			for _, x := range i.Items {
+				fmt.Fprintf(w, "%s\t%s\t%d\n", x.Key, text(x.Value), x.Modified)
+			}
+			if i.More {
+				fmt.Fprintln(w, "and more: raise --limit")
+			}
+			if k.Stale {
+				fmt.Fprintf(w, "stale: revision %d, confirmed %v ago\n", i.Age.Revision, i.Age.Age.Round(time.Millisecond))
+			}
+		})
+	})
+}
+
+type storePut struct {
+	socketFlag
+	requestFlag
+	Key   string  `arg:"" help:"Key."`
+	Value string  `arg:"" help:"Value; - reads standard input."`
+	If    *uint64 `help:"Only if the key was last put at this revision; 0: only if there is none." placeholder:"REVISION"`
+}
+
+func (k *storePut) Run(ctx context.Context, c *console) error {
+	value := []byte(k.Value)
+	if k.Value == "-" {
+		var err error
+		if value, err = io.ReadAll(io.LimitReader(os.Stdin, 2<<20)); err != nil {
+			return err
+		}
+	}
+	return putOrDelete(ctx, c, &k.socketFlag, k.requestFlag, store.Op{Key: k.Key, Value: value}, k.If)
+}
+
+func putOrDelete(ctx context.Context, c *console, s *socketFlag, r requestFlag, op store.Op, at *uint64) error {
+	id, err := r.id()
+	if err != nil {
+		return err
+	}
+	t := &store.Txn{Then: []store.Op{op}}
+	if at != nil {
+		t.If = []store.Compare{{Key: op.Key, Modified: *at}}
+	}
+	held := true
+	err = s.change(ctx, c, admin.Request{ID: id, Txn: t}, func(w *tabwriter.Writer, x admin.Change) {
+		if held = x.Held; held {
+			fmt.Fprintf(w, "revision %d\n", x.Revision)
+		}
+	})
+	if err == nil && !held {
+		fmt.Fprintf(c.err, "%s was changed meanwhile: nothing was done\n", op.Key)
+		return errMissed
+	}
+	return err
+}
+
+type storeDelete struct {
+	socketFlag
+	requestFlag
+	Key string  `arg:"" help:"Key."`
+	If  *uint64 `help:"Only if the key was last put at this revision." placeholder:"REVISION"`
+}
+
+func (k *storeDelete) Run(ctx context.Context, c *console) error {
+	return putOrDelete(ctx, c, &k.socketFlag, k.requestFlag, store.Op{Key: k.Key, Delete: true}, k.If)
+}
+
+type storeWatch struct {
+	socketFlag
+	Prefix string  `arg:"" optional:"" help:"Keys that begin with it."`
+	After  *uint64 `help:"Changes after this revision; without it, from now on." placeholder:"REVISION"`
+}
+
+func (k *storeWatch) Run(ctx context.Context, c *console) error {
+	q := url.Values{"prefix": {k.Prefix}}
+	if k.After != nil {
+		q.Set("after", strconv.FormatUint(*k.After, 10))
+	}
+	enc := json.NewEncoder(c.out)
+	return admin.Dial(k.Socket).Watch(ctx, q, func(e store.Event) error {
+		if k.JSON {
+			return enc.Encode(e)
+		}
+		what := "put   "
+		if e.Deleted {
+			what = "delete"
+		}
+		_, err := fmt.Fprintf(c.out, "%d  %s  %s  %s\n", e.Revision, what, e.Item.Key, text(e.Item.Value))
+		return err
+	})
+}
+
+type storeSnapshot struct {
+	Save    snapshotSave    `cmd:"" help:"Save the store as it is now."`
+	Restore snapshotRestore `cmd:"" help:"Begin a new cluster of one replica from a saved file."`
+}
+
+type snapshotSave struct {
+	socketFlag
+	File string `arg:"" help:"File to write."`
+}
+
+func (k *snapshotSave) Run(ctx context.Context, c *console) error {
+	f, err := os.CreateTemp(filepath.Dir(k.File), ".snapshot-*")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(f.Name()) // without effect once renamed
+	revision, err := admin.Dial(k.Socket).Save(ctx, f)
+	if err == nil {
+		_, err = f.Seek(0, io.SeekStart)
+	}
+	var s *store.State
+	if err == nil {
+		s, err = store.Load(f) // what is kept is whole
+	}
+	err = errors.Join(err, f.Sync(), f.Close())
+	if err == nil {
+		err = os.Rename(f.Name(), k.File)
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.out, "%s: revision %s, %d keys\n", k.File, revision, s.Len())
+	return nil
+}
+
+type snapshotRestore struct {
+	File    string `arg:"" type:"existingfile" help:"File that was saved."`
+	Dir     string `arg:"" help:"Empty folder for the store."`
+	Name    string `help:"Name of the replica." required:""`
+	Address string `help:"Where others will reach it." placeholder:"HOST:PORT"`
+}
+
+func (k *snapshotRestore) Run(c *console) error {
+	f, err := os.Open(k.File)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	s, err := store.Load(f)
+	if err != nil {
+		return fmt.Errorf("%s: %w", k.File, err)
+	}
+	d, err := disk.Open(k.Dir, disk.Options{})
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	if d.Identity().Cluster != 0 {
+		return fmt.Errorf("%s holds a store already", k.Dir)
+	}
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return err
+	}
+	s.Renew(binary.BigEndian.Uint64(b[:])>>1 | 1)
+	s.Found(k.Name, k.Address, d.Identity().Disk)
+	if err := replica.FoundFrom(d, d.Identity(), s); err != nil {
+		return err
+	}
+	fmt.Fprintf(c.out, "%s: a new cluster %x at revision %d, %d keys\n", k.Dir, s.Cluster(), s.Revision(), s.Len())
+	return nil
+}
+
+type storeSim struct {
+	Seeds    int    `help:"So many." default:"100"`
+	Seed     uint64 `help:"The first." default:"0"`
+	Plant    string `help:"Put a fault in, and count the seeds until it is found; list names them." placeholder:"NAME"`
+	Replicas int    `help:"At the start." default:"3"`
+	Ops      int    `help:"Requests of each client." default:"60"`
+	Faults   int    `help:"Faults that are caused in a run." default:"24"`
+	JSON     bool   `help:"A line of JSON for each run."`
+}
+
+func (k *storeSim) Help() string {
+	return `Exit code 1 if a promise was broken; with --plant, if the fault was not found.
+
+Examples:
+  birchmoor store sim --seeds 1000
+  birchmoor store sim --seed 106 --seeds 1 --json
+  birchmoor store sim --plant stale-read`
+}
+
+func (k *storeSim) Run(ctx context.Context, c *console) error {
+	o := storesim.Options{Replicas: k.Replicas, Ops: k.Ops, Faults: k.Faults}
+	for _, f := range storesim.Faults {
+		if k.Plant == "list" {
+			fmt.Fprintf(c.out, "%-18s %s\n", f.Name, f.About)
+		} else if f.Name == k.Plant {
+			o.Planted = f.Fault
+		}
+	}
+	if k.Plant == "list" {
+		return nil
+	}
+	if k.Plant != "" && o.Planted == 0 {
+		return fmt.Errorf("--plant %q is not a fault: list names them", k.Plant)
+	}
+	broken := 0
+	var sum storesim.Result
+	enc := json.NewEncoder(c.out)
+	for i := range uint64(k.Seeds) {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		r := storesim.Run(k.Seed+i, o)
+		sum.Ops, sum.Crashes, sum.Cuts, sum.Elected = sum.Ops+r.Ops, sum.Crashes+r.Crashes, sum.Cuts+r.Cuts, sum.Elected+r.Elected
+		sum.Joined, sum.Left, sum.Installs = sum.Joined+r.Joined, sum.Left+r.Left, sum.Installs+r.Installs
+		if k.JSON {
+			if err := enc.Encode(r); err != nil {
+				return err
+			}
+		}
+		if len(r.Broken) > 0 {
+			broken++
+			if !k.JSON {
+				fmt.Fprintf(c.out, "seed %d: %q\n", r.Seed, r.Broken)
+			}
+			if k.Plant != "" {
+				fmt.Fprintf(c.err, "%s: found by seed %d, after %d\n", k.Plant, r.Seed, i+1)
+				return nil
+			}
+		}
+	}
+	fmt.Fprintf(c.err, "%d seeds, %d broken: %d requests, %d crashes, %d cuts, %d leaders, %d joined, %d left, %d snapshots installed\n",
+		k.Seeds, broken, sum.Ops, sum.Crashes, sum.Cuts, sum.Elected, sum.Joined, sum.Left, sum.Installs)
+	if broken > 0 || k.Plant != "" {
+		return errMissed
+	}
+	return nil
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -7,10 +7,12 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"time"
 
+	"birchmoor/internal/keys"
 	"birchmoor/internal/strict"
 )
 
@@ -18,6 +20,22 @@
 type File struct {
 	Keep    *Keep    `toml:"keep"`
 	Capture *Capture `toml:"capture"`
+	Store   *Store   `toml:"store"`
+}
+
+// Store is a replica of the store.
+type Store struct {
+	Name    string   `toml:"name"`    // of the replica
+	Dir     string   `toml:"dir"`     // of its disk
+	Socket  string   `toml:"socket"`  // where operators reach it
+	Listen  string   `toml:"listen"`  // where other replicas do; empty: one copy alone
+	Address string   `toml:"address"` // by which they do, if it is not Listen
+	Join    bool     `toml:"join"`    // an empty disk waits to be taken into a cluster
+	Keys    string   `toml:"keys"`    // folder with ca.pem and NAME.key
+	Plain   bool     `toml:"plain"`   // TCP without keys, on loopback alone
+	TotalMB int      `toml:"total_mb"`
+	Tick    Duration `toml:"tick"`
+	Elect   int      `toml:"elect_ticks"` // silence of a leader after which another is elected
 }
 
 // Keep is where what is known outlives a start.
@@ -106,5 +124,32 @@
 			faults = append(faults, &Error{Path: path, Key: "capture.file_mb", Reason: "is over capture.budget_mb"})
 		}
 	}
+	if s := f.Store; s != nil {
+		dir("store.dir", &s.Dir)
+		dir("store.socket", &s.Socket)
+		number("store.total_mb", &s.TotalMB, 256, 1, 4096)
+		number("store.elect_ticks", &s.Elect, 10, 3, 100)
+		span("store.tick", &s.Tick, 100*time.Millisecond, 10*time.Millisecond, 10*time.Second)
+		bad := func(key, reason string) { faults = append(faults, &Error{Path: path, Key: key, Reason: reason}) }
+		if err := keys.CheckName(s.Name); err != nil {
+			bad("store.name", err.Error())
+		}
+		if s.Keys != "" {
+			dir("store.keys", &s.Keys)
+		}
+		host, _, err := net.SplitHostPort(s.Listen)
+		switch ip := net.ParseIP(host); {
+		case s.Listen == "":
+			if s.Join || s.Address != "" {
+				bad("store.listen", "is missing, and others are to reach this replica")
+			}
+		case err != nil:
+			bad("store.listen", err.Error())
+		case s.Plain && (ip == nil || !ip.IsLoopback()):
+			bad("store.plain", "is for loopback addresses alone")
+		case s.Plain == (s.Keys != ""):
+			bad("store.keys", "one of keys and plain = true is needed, and not both")
+		}
+	}
 	return errors.Join(faults...)
 }
--- /dev/null
+++ b/internal/store/admin/admin.go
@@ -0,0 +1,410 @@
+// Package admin is how operators reach a running store: HTTP with JSON over a Unix socket that is the owner's alone.
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"time"
+
+	"birchmoor/internal/keys"
+	"birchmoor/internal/store"
+	"birchmoor/internal/store/engine"
+	"birchmoor/internal/store/replica"
+)
+
+const (
+	bodyMost  = 4 << 20
+	rangeMost = 10000
+	waitMost  = 10 * time.Second // for a request's outcome
+	watchMost = 64               // watches at once
+)
+
+// Fault is an error as it is told.
+type Fault struct {
+	Error   string           `json:"error"`
+	Unknown *store.RequestID `json:"unknown,omitempty"` // the change may have been made
+	Oldest  uint64           `json:"oldest,omitempty"`  // of a watch that is compacted
+}
+
+// Items answers a read.
+type Items struct {
+	Items []store.Item `json:"items"`
+	More  bool         `json:"more,omitempty"`
+	Age   engine.Age   `json:"copy"`
+	Stale bool         `json:"stale"` // was asked for
+}
+
+// Change answers a change.
+type Change struct {
+	Revision uint64 `json:"revision"`
+	Held     bool   `json:"held"`
+	Member   uint64 `json:"member,omitempty"`
+	Lease    uint64 `json:"lease,omitempty"`
+}
+
+// Request asks for a change. A request that is sent again with the same id is done once.
+type Request struct {
+	ID  store.RequestID `json:"id"`
+	Txn *store.Txn      `json:"txn,omitempty"`
+	Add *store.Join     `json:"add,omitempty"`
+	Del uint64          `json:"remove,omitempty"`
+}
+
+// Server answers operators.
+type Server struct {
+	e       *engine.Engine
+	http    *http.Server
+	ln      net.Listener
+	watches chan struct{}
+}
+
+// Listen makes the socket and serves it. A socket that a process that is gone left behind is replaced.
+func Listen(path string, e *engine.Engine) (*Server, error) {
+	if c, err := net.DialTimeout("unix", path, time.Second); err == nil {
+		c.Close()
+		return nil, fmt.Errorf("another process serves %s", path)
+	}
+	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, err
+	}
+	ln, err := net.Listen("unix", path)
+	if err != nil {
+		return nil, err
+	}
+	if err := os.Chmod(path, 0o600); err != nil {
+		return nil, errors.Join(err, ln.Close())
+	}
+	s := &Server{e: e, ln: ln, watches: make(chan struct{}, watchMost)}
+	m := http.NewServeMux()
+	m.HandleFunc("GET /v1/status", s.status)
+	m.HandleFunc("GET /v1/range", s.read)
+	m.HandleFunc("GET /v1/watch", s.watch)
+	m.HandleFunc("GET /v1/snapshot", s.save)
+	m.HandleFunc("POST /v1/change", s.change)
+	m.HandleFunc("POST /v1/handover", s.handOver)
+	s.http = &http.Server{Handler: m, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
+	go s.http.Serve(ln)
+	return s, nil
+}
+
+// Close ends all requests.
+func (s *Server) Close() error { return s.http.Close() }
+
+func answer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func fail(w http.ResponseWriter, err error) {
+	f, status := Fault{Error: err.Error()}, http.StatusServiceUnavailable
+	var unknown *engine.UnknownError
+	var gone *store.ErrCompacted
+	switch {
+	case errors.As(err, &unknown):
+		f.Unknown, status = &unknown.ID, http.StatusGatewayTimeout
+	case errors.As(err, &gone):
+		f.Oldest, status = gone.Oldest, http.StatusGone
+	case errors.Is(err, store.ErrTooLarge), errors.Is(err, store.ErrBadKey), errors.Is(err, errBad):
+		status = http.StatusBadRequest
+	case errors.Is(err, store.ErrFull):
+		status = http.StatusInsufficientStorage
+	case errors.Is(err, store.ErrMember), errors.Is(err, store.ErrNoLease), errors.Is(err, store.ErrForgotten):
+		status = http.StatusConflict
+	case errors.Is(err, replica.ErrNoLeader):
+		w.Header().Set("Retry-After", "1")
+	}
+	answer(w, status, f)
+}
+
+var errBad = errors.New("bad request")
+
+func number(q url.Values, key string) (uint64, error) {
+	if q.Get(key) == "" {
+		return 0, nil
+	}
+	v, err := strconv.ParseUint(q.Get(key), 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %s: %q is not a number", errBad, key, q.Get(key))
+	}
+	return v, nil
+}
+
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), waitMost)
+	defer cancel()
+	st, err := s.e.Status(ctx)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, http.StatusOK, st)
+}
+
+func (s *Server) read(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), waitMost)
+	defer cancel()
+	q := r.URL.Query()
+	limit, err := number(q, "limit")
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	if limit == 0 || limit > rangeMost {
+		limit = rangeMost
+	}
+	from, end := q.Get("from"), q.Get("end")
+	if q.Has("prefix") {
+		from, end = q.Get("prefix"), store.PrefixEnd(q.Get("prefix"))
+	}
+	if q.Has("key") {
+		from, end = q.Get("key"), q.Get("key")+"\x00"
+	}
+	out := Items{Items: []store.Item{}, Stale: q.Get("stale") == "true"}
+	out.Age, err = s.e.View(ctx, out.Stale, func(st *store.State) {
+		st.Range(from, end, func(i store.Item) bool {
+			if out.More = uint64(len(out.Items)) == limit; out.More {
+				return false
+			}
+			out.Items = append(out.Items, i)
+			return true
+		})
+	})
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, http.StatusOK, out)
+}
+
+func (s *Server) change(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), waitMost)
+	defer cancel()
+	var q Request
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyMost))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&q); err != nil {
+		fail(w, fmt.Errorf("%w: byte %d: %w", errBad, d.InputOffset(), err))
+		return
+	}
+	c := store.Command{ID: q.ID, Txn: q.Txn, Join: q.Add}
+	if q.Del != 0 {
+		c.Leave = &store.Leave{Member: q.Del}
+	}
+	set := 0
+	for _, is := range []bool{c.Txn != nil, c.Join != nil, c.Leave != nil} {
+		if is {
+			set++
+		}
+	}
+	if set != 1 {
+		fail(w, fmt.Errorf("%w: one of txn, add and remove", errBad))
+		return
+	}
+	if c.Join != nil {
+		if err := keys.CheckName(c.Join.Name); err != nil {
+			fail(w, fmt.Errorf("%w: %w", errBad, err))
+			return
+		}
+		if _, _, err := net.SplitHostPort(c.Join.Address); err != nil {
+			fail(w, fmt.Errorf("%w: address: %w", errBad, err))
+			return
+		}
+	}
+	res, err := s.e.Do(ctx, c)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, http.StatusOK, Change{Revision: res.Revision, Held: res.Held, Member: res.Member, Lease: res.Lease})
+}
+
+func (s *Server) handOver(w http.ResponseWriter, r *http.Request) {
+	if err := s.e.HandOver(r.Context()); err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, http.StatusOK, struct{}{})
+}
+
+// watch sends events as lines of JSON for as long as the connection lasts.
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	select {
+	case s.watches <- struct{}{}:
+		defer func() { <-s.watches }()
+	default:
+		fail(w, replica.ErrBusy)
+		return
+	}
+	after, err := number(r.URL.Query(), "after")
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	if !r.URL.Query().Has("after") { // from now on
+		a, err := s.e.View(r.Context(), false, func(*store.State) {})
+		if err != nil {
+			fail(w, err)
+			return
+		}
+		after = a.Revision
+	}
+	begun := false
+	c := http.NewResponseController(w)
+	enc := json.NewEncoder(w)
+	for {
+		events, to, err := s.e.Next(r.Context(), r.URL.Query().Get("prefix"), after, 256)
+		if err != nil {
+			if !begun {
+				fail(w, err)
+			} else if r.Context().Err() == nil {
+				f := Fault{Error: err.Error()}
+				var gone *store.ErrCompacted
+				if errors.As(err, &gone) {
+					f.Oldest = gone.Oldest
+				}
+				_ = enc.Encode(f)
+			}
+			return
+		}
+		begun, after = true, to
+		for i := range events {
+			// A reader that does not read is cut off, and comes back from where it was.
+			_ = c.SetWriteDeadline(time.Now().Add(waitMost))
+			if enc.Encode(&events[i]) != nil {
+				return
+			}
+		}
+		if c.Flush() != nil {
+			return
+		}
+	}
+}
+
+func (s *Server) save(w http.ResponseWriter, r *http.Request) {
+	st, err := s.e.Save(r.Context())
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Store-Revision", strconv.FormatUint(st.Revision(), 10))
+	_ = st.Save(w) // a reader finds by its checksum that it is cut
+}
+
+// Client asks a Server.
+type Client struct{ http *http.Client }
+
+// Dial returns a client of the socket at a path.
+func Dial(path string) *Client {
+	return &Client{&http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "unix", path)
+	}}}}
+}
+
+// Error is what a Server answered in place of an answer.
+type Error struct {
+	Status int
+	Fault
+}
+
+func (e *Error) Error() string { return e.Fault.Error }
+
+func (c *Client) do(ctx context.Context, method, path string, q url.Values, body io.Reader) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://store"+path+"?"+q.Encode(), body)
+	if err != nil {
+		return nil, err
+	}
+	a, err := c.http.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	if a.StatusCode == http.StatusOK {
+		return a, nil
+	}
+	defer a.Body.Close()
+	e := &Error{Status: a.StatusCode}
+	if err := json.NewDecoder(io.LimitReader(a.Body, bodyMost)).Decode(&e.Fault); err != nil {
+		return nil, fmt.Errorf("the store answered %s", a.Status)
+	}
+	return nil, e
+}
+
+func (c *Client) call(ctx context.Context, method, path string, q url.Values, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		r, w := io.Pipe()
+		go func() { w.CloseWithError(json.NewEncoder(w).Encode(in)) }()
+		body = r
+	}
+	a, err := c.do(ctx, method, path, q, body)
+	if err != nil {
+		return err
+	}
+	defer a.Body.Close()
+	return json.NewDecoder(a.Body).Decode(out)
+}
+
+// Status asks how the store stands.
+func (c *Client) Status(ctx context.Context) (s engine.Status, err error) {
+	return s, c.call(ctx, "GET", "/v1/status", nil, nil, &s)
+}
+
+// Range reads keys; the query is of /v1/range.
+func (c *Client) Range(ctx context.Context, q url.Values) (i Items, err error) {
+	return i, c.call(ctx, "GET", "/v1/range", q, nil, &i)
+}
+
+// Change asks for a change.
+func (c *Client) Change(ctx context.Context, r Request) (x Change, err error) {
+	return x, c.call(ctx, "POST", "/v1/change", nil, r, &x)
+}
+
+// HandOver gives leadership away, if the replica has it.
+func (c *Client) HandOver(ctx context.Context) error {
+	return c.call(ctx, "POST", "/v1/handover", nil, nil, &struct{}{})
+}
+
+// Save writes the state, and says at which revision.
+func (c *Client) Save(ctx context.Context, w io.Writer) (string, error) {
+	a, err := c.do(ctx, "GET", "/v1/snapshot", nil, nil)
+	if err != nil {
+		return "", err
+	}
+	defer a.Body.Close()
+	_, err = io.Copy(w, a.Body)
+	return a.Header.Get("Store-Revision"), err
+}
+
+// Watch calls f with changes until ctx ends, f fails or the store says that it cannot go on.
+func (c *Client) Watch(ctx context.Context, q url.Values, f func(store.Event) error) error {
+	a, err := c.do(ctx, "GET", "/v1/watch", q, nil)
+	if err != nil {
+		return err
+	}
+	defer a.Body.Close()
+	d := json.NewDecoder(a.Body)
+	for {
+		var line struct {
+			store.Event
+			Fault
+		}
+		if err := d.Decode(&line); err != nil {
+			return err
+		}
+		if line.Fault.Error != "" {
+			return &Error{Status: http.StatusGone, Fault: line.Fault}
+		}
+		if err := f(line.Event); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/store/engine/engine.go
@@ -0,0 +1,655 @@
+// Package engine runs one replica of the store: its loop, disk and network. All methods may be called by any goroutine.
+//
+// The loop takes what came, up to a bound, lets the replica work on it, which waits for the disk once for all of it,
+// and hands out what was answered. It yields between rounds, so that a busy store does not hold up what else runs in
+// the process.
+package engine
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	mathrand "math/rand/v2"
+	"net"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"birchmoor/internal/keys"
+	"birchmoor/internal/store"
+	"birchmoor/internal/store/disk"
+	"birchmoor/internal/store/peer"
+	"birchmoor/internal/store/replica"
+
+	"github.com/cespare/xxhash/v2"
+	"go.etcd.io/raft/v3/raftpb"
+)
+
+// Config is what a store runs by.
+type Config struct {
+	Name    string // of this replica
+	Dir     string // of its disk
+	Address string // by which others reach it; of Listener, if empty
+	Join    bool   // an empty disk waits to be taken in; else it founds a cluster of its own
+	Limits  store.Limits
+	Keys    *keys.Pair   // nil: plain TCP on loopback
+	Listen  net.Listener // nil: one copy alone, reached by no one
+	Tick    time.Duration
+	Elect   int // ticks
+	Log     *slog.Logger
+	Tune    func(*replica.Config) // for tests
+	Disk    disk.Options
+
+	// Event is told of each change in order, Reset of a whole new state, both by the loop. They must not wait.
+	Event func(store.Event)
+	Reset func(*store.State)
+	// Unsettled is told at the start what the log's end says that is not known to be agreed on.
+	Unsettled func(*store.Command)
+}
+
+const (
+	roundMost = 256 // inputs of one round
+	inboxMost = 1024
+	retryMin  = 20 * time.Millisecond
+	retryMost = 500 * time.Millisecond
+	proveFor  = time.Second // how often a quorum is asked to confirm the copy
+)
+
+// ErrClosed says that the store has ended.
+var ErrClosed = errors.New("the store is closed")
+
+// UnknownError says that a change may have been made. ID finds it out: the same request may be sent again.
+type UnknownError struct{ ID store.RequestID }
+
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("%v; request %x-%d", replica.ErrUnknown, e.ID.Client, e.ID.Seq)
+}
+
+func (e *UnknownError) Unwrap() error { return replica.ErrUnknown }
+
+// Engine is a running replica.
+type Engine struct {
+	cfg    Config
+	disk   *disk.Disk
+	net    *peer.Net
+	client uint64
+	seq    atomic.Uint64
+
+	calls chan func()
+	inbox chan *raftpb.Message
+	done  chan struct{}
+	stop  context.CancelFunc
+	ctx   context.Context
+	wg    sync.WaitGroup
+
+	node    *replica.Node // nil while an empty disk waits to be taken in
+	adopted replica.Identity
+	greeter map[uint64][2]string // who greeted while no members were known: they are answered
+	waits   map[replica.Token]func(replica.Done)
+	token   replica.Token
+	peers   uint64 // a sum of the members that the network was told of
+
+	proved  atomic.Int64 // when a quorum last confirmed the copy, by the process's clock; 0 never
+	begun   time.Time
+	changed atomic.Pointer[chan struct{}] // closed when the revision goes on
+}
+
+// Open starts a replica. It must be closed.
+func Open(cfg Config) (*Engine, error) {
+	if cfg.Tick == 0 {
+		cfg.Tick = 100 * time.Millisecond
+	}
+	if cfg.Limits == (store.Limits{}) {
+		cfg.Limits = store.DefaultLimits
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	if err := keys.CheckName(cfg.Name); err != nil {
+		return nil, err
+	}
+	if cfg.Address == "" && cfg.Listen != nil {
+		cfg.Address = cfg.Listen.Addr().String()
+	}
+	d, err := disk.Open(cfg.Dir, cfg.Disk)
+	if err != nil {
+		return nil, err
+	}
+	e := &Engine{cfg: cfg, disk: d, client: random(), calls: make(chan func(), inboxMost), inbox: make(chan *raftpb.Message, inboxMost),
+		done: make(chan struct{}), waits: map[replica.Token]func(replica.Done){}, begun: time.Now()}
+	first := make(chan struct{})
+	e.changed.Store(&first)
+	e.ctx, e.stop = context.WithCancel(context.Background())
+	if d.Identity().Cluster == 0 && !cfg.Join {
+		if err := replica.Found(d, random(), cfg.Name, cfg.Address, cfg.Limits); err != nil {
+			return nil, errors.Join(err, d.Close())
+		}
+	}
+	if d.Identity().Cluster != 0 {
+		if err := e.begin(); err != nil {
+			return nil, errors.Join(err, d.Close())
+		}
+	}
+	if cfg.Listen != nil {
+		if e.net, err = peer.New(cfg.Name, cfg.Address, cfg.Listen, (*host)(e), cfg.Keys, cfg.Log); err != nil {
+			return nil, errors.Join(err, d.Close())
+		}
+		e.introduce()
+	}
+	e.wg.Add(1)
+	go e.loop()
+	return e, nil
+}
+
+func random() uint64 {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		panic(err)
+	}
+	return binary.BigEndian.Uint64(b[:])>>1 | 1
+}
+
+// begin starts the node on a disk that belongs to a cluster.
+func (e *Engine) begin() error {
+	rc := replica.Config{Rand: mathrand.New(mathrand.NewPCG(random(), random())), Log: e.cfg.Log, ElectTicks: e.cfg.Elect,
+		TickMillis: int(e.cfg.Tick / time.Millisecond)}
+	if e.cfg.Tune != nil {
+		e.cfg.Tune(&rc)
+	}
+	n, err := replica.New(rc, e.disk)
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	e.node = n
+	e.adopt()
+	if e.cfg.Unsettled != nil {
+		n.Unsettled(e.cfg.Unsettled)
+	}
+	return nil
+}
+
+// adopt listens to a state that is new as a whole.
+func (e *Engine) adopt() {
+	if e.cfg.Reset != nil {
+		e.cfg.Reset(e.node.State())
+	}
+	e.node.State().Notify(func(x store.Event) {
+		if e.cfg.Event != nil {
+			e.cfg.Event(x)
+		}
+	})
+}
+
+// Close hands leadership over if it can, stops the replica and closes its disk. What is open is answered ErrClosed.
+func (e *Engine) Close() error {
+	for range 30 {
+		led := false
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		err := e.do(ctx, func() {
+			if e.node != nil && len(e.node.State().Members()) > 1 {
+				led = !e.node.HandOver()
+			}
+		})
+		cancel()
+		if err != nil || !led {
+			break
+		}
+		time.Sleep(e.cfg.Tick / 2)
+	}
+	return e.Kill()
+}
+
+// Kill stops at once, as a crash would but for the disk, which is closed.
+func (e *Engine) Kill() error {
+	e.stop()
+	<-e.done
+	if e.net != nil {
+		e.net.Close()
+	}
+	e.wg.Wait()
+	return e.disk.Close()
+}
+
+func (e *Engine) loop() {
+	defer e.wg.Done()
+	defer close(e.done)
+	t := time.NewTicker(e.cfg.Tick)
+	defer t.Stop()
+	var lastProof time.Time
+	for {
+		select {
+		case <-e.ctx.Done():
+			for t, f := range e.waits {
+				f(replica.Done{Token: t, Err: ErrClosed})
+			}
+			return
+		case <-t.C:
+			if e.node != nil {
+				e.node.Tick()
+				if now := time.Now(); now.Sub(lastProof) >= proveFor {
+					lastProof = now
+					e.read(func(d replica.Done) {
+						if d.Err == nil {
+							e.proved.Store(int64(time.Since(e.begun)) + 1)
+						}
+					})
+				}
+			}
+		case f := <-e.calls:
+			f()
+		case m := <-e.inbox:
+			e.step(m)
+		}
+		for range roundMost { // what else came meanwhile is written together
+			select {
+			case f := <-e.calls:
+				f()
+				continue
+			case m := <-e.inbox:
+				e.step(m)
+				continue
+			default:
+			}
+			break
+		}
+		if e.node != nil {
+			e.drive()
+		}
+		runtime.Gosched()
+	}
+}
+
+// step takes a message; the first one that comes to an empty disk begins its replica.
+func (e *Engine) step(m *raftpb.Message) {
+	if e.node == nil {
+		if e.adopted.Member == 0 || m.GetTo() != e.adopted.Member {
+			return
+		}
+		err := e.disk.Belong(e.adopted)
+		if err == nil {
+			err = e.begin()
+		}
+		if err != nil {
+			e.cfg.Log.Error("the store cannot join", "error", err)
+			return
+		}
+		e.introduce()
+		e.cfg.Log.Info("the store was taken into a cluster", "member", e.adopted.Member)
+	}
+	e.node.Step(m)
+}
+
+func (e *Engine) drive() {
+	before := e.node.State().Revision()
+	out := e.node.Drive()
+	if out.Renewed {
+		e.adopt()
+	}
+	if e.net != nil {
+		e.net.Send(out.Messages)
+	}
+	for _, d := range out.Done {
+		if f := e.waits[d.Token]; f != nil {
+			delete(e.waits, d.Token)
+			f(d)
+		}
+	}
+	if j := out.Snapshot; j != nil {
+		e.wg.Add(1)
+		go func() {
+			defer e.wg.Done()
+			err := j.Run()
+			select {
+			case e.calls <- func() { e.node.Saved(j, err) }:
+			case <-e.done:
+			}
+		}()
+	}
+	if out.Applied > 0 || out.Renewed {
+		e.introduce()
+	}
+	if out.Renewed || e.node.State().Revision() != before {
+		next := make(chan struct{})
+		close(*e.changed.Swap(&next))
+	}
+}
+
+// introduce tells the network who the members are.
+func (e *Engine) introduce() {
+	if e.net == nil || e.node == nil {
+		return
+	}
+	all := map[uint64][2]string{}
+	members := e.node.State().Members()
+	if len(members) == 0 {
+		all = maps.Clone(e.greeter)
+	}
+	sum := uint64(len(all)) + 1
+	for _, m := range members {
+		sum = sum*31 + xxhash.Sum64String(fmt.Sprint(m.ID, m.Name, m.Address))
+		if m.ID != e.node.Self().Member {
+			all[m.ID] = [2]string{m.Name, m.Address}
+		}
+	}
+	if sum != e.peers {
+		e.peers = sum
+		e.net.Peers(all)
+	}
+}
+
+// do has the loop run f, and waits for it.
+func (e *Engine) do(ctx context.Context, f func()) error {
+	ran := make(chan struct{})
+	select {
+	case e.calls <- func() { f(); close(ran) }:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-e.done:
+		return ErrClosed
+	}
+	select {
+	case <-ran:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-e.done:
+		select {
+		case <-ran:
+			return nil
+		default:
+			return ErrClosed
+		}
+	}
+}
+
+func (e *Engine) await(f func(replica.Done)) replica.Token {
+	e.token++
+	e.waits[e.token] = f
+	return e.token
+}
+
+func (e *Engine) read(f func(replica.Done)) { e.node.Read(e.await(f)) }
+
+// ask has the loop put a request to the node and waits for its answer.
+func (e *Engine) ask(ctx context.Context, put func(replica.Token)) (replica.Done, error) {
+	answer := make(chan replica.Done, 1)
+	err := e.do(ctx, func() {
+		if e.node == nil {
+			answer <- replica.Done{Err: replica.ErrNoLeader}
+			return
+		}
+		put(e.await(func(d replica.Done) { answer <- d }))
+	})
+	if err != nil {
+		return replica.Done{}, err
+	}
+	select {
+	case d := <-answer:
+		return d, nil
+	case <-ctx.Done():
+		return replica.Done{}, ctx.Err()
+	case <-e.done:
+		return replica.Done{Err: ErrClosed}, nil
+	}
+}
+
+// Do makes a change and returns its outcome. A request without an id gets one. It is sent again until its outcome is
+// known or ctx ends; then the error is an UnknownError if the change may have been made.
+func (e *Engine) Do(ctx context.Context, c store.Command) (store.Result, error) {
+	if c.ID == (store.RequestID{}) {
+		c.ID = store.RequestID{Client: e.client, Seq: e.seq.Add(1)}
+	}
+	if c.Since == 0 {
+		if err := e.do(ctx, func() {
+			if e.node != nil {
+				c.Since = max(1, e.node.State().Index())
+			}
+		}); err != nil {
+			return store.Result{}, err
+		}
+	}
+	sent, wait := false, retryMin
+	var last error
+	for {
+		d, err := e.ask(ctx, func(t replica.Token) { x := c; e.node.Propose(t, &x) })
+		switch {
+		case err == nil && d.Err == nil:
+			return d.Result, d.Result.Err
+		case err == nil && (errors.Is(d.Err, replica.ErrNoLeader) || errors.Is(d.Err, replica.ErrBusy)):
+			last = d.Err
+		default:
+			sent = true
+			if last = err; err == nil {
+				last = d.Err
+			}
+		}
+		if errors.Is(last, ErrClosed) || errors.Is(last, replica.ErrStopped) || ctx.Err() != nil {
+			break
+		}
+		select {
+		case <-ctx.Done():
+		case <-e.done:
+		case <-time.After(wait/2 + mathrand.N(wait)):
+		}
+		wait = min(2*wait, retryMost)
+	}
+	if sent {
+		return store.Result{}, &UnknownError{c.ID}
+	}
+	return store.Result{}, last
+}
+
+// Age is how old a copy may be.
+type Age struct {
+	Revision uint64        `json:"revision"`
+	Proved   bool          `json:"proved"` // a quorum confirmed the copy since the start,
+	Age      time.Duration `json:"age_ns"` // so long ago
+}
+
+// View has f read the state. If stale is not set, it shows all that was answered to anyone before the call; else it is
+// this copy as it is, whose age is told. f runs in the loop and must be short.
+func (e *Engine) View(ctx context.Context, stale bool, f func(*store.State)) (Age, error) {
+	for wait := retryMin; !stale; wait = min(2*wait, retryMost) {
+		d, err := e.ask(ctx, func(t replica.Token) { e.node.Read(t) })
+		if err == nil && d.Err == nil {
+			break
+		}
+		if err == nil {
+			err = d.Err
+		}
+		if errors.Is(err, ErrClosed) || errors.Is(err, replica.ErrStopped) {
+			return Age{}, err
+		}
+		select {
+		case <-ctx.Done():
+			return Age{}, fmt.Errorf("%w: %w", err, ctx.Err())
+		case <-e.done:
+		case <-time.After(wait/2 + mathrand.N(wait)):
+		}
+	}
+	var a Age
+	err := e.do(ctx, func() {
+		if e.node == nil {
+			return
+		}
+		a = e.age()
+		a.Revision = e.node.State().Revision()
+		f(e.node.State())
+	})
+	return a, err
+}
+
+func (e *Engine) age() Age {
+	p := e.proved.Load()
+	if p == 0 {
+		return Age{}
+	}
+	return Age{Proved: true, Age: time.Since(e.begun) - time.Duration(p)}
+}
+
+// Proof says when a quorum last confirmed this copy.
+func (e *Engine) Proof() Age { return e.age() }
+
+// Next returns the changes of keys with a prefix after a revision, waiting for one, and the revision up to which they
+// go. The error is a *store.ErrCompacted if the history no longer reaches back. A reader that does not come costs nothing.
+func (e *Engine) Next(ctx context.Context, prefix string, after uint64, most int) ([]store.Event, uint64, error) {
+	for {
+		changed := *e.changed.Load()
+		var events []store.Event
+		var to uint64
+		var gone error
+		if err := e.do(ctx, func() {
+			if to = after; e.node != nil {
+				events, to, gone = e.node.State().Changes(nil, prefix, after, most)
+			}
+		}); err != nil {
+			return nil, after, err
+		}
+		if gone != nil || len(events) > 0 {
+			return events, to, gone
+		}
+		after = max(after, to)
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, after, ctx.Err()
+		case <-e.done:
+			return nil, after, ErrClosed
+		}
+	}
+}
+
+// Status is how the store stands.
+type Status struct {
+	replica.Status
+	WaitingToJoin bool  `json:"waiting_to_join,omitempty"`
+	Age           Age   `json:"copy"`
+	Disk          int64 `json:"disk_bytes"`
+	Refused       int64 `json:"peers_refused"`
+	Untaken       int64 `json:"connections_refused"`
+	Dropped       int64 `json:"messages_dropped"`
+	Sent          int64 `json:"messages_sent"`
+	Received      int64 `json:"messages_received"`
+}
+
+// Status returns it.
+func (e *Engine) Status(ctx context.Context) (Status, error) {
+	var s Status
+	err := e.do(ctx, func() {
+		if e.node == nil {
+			s.WaitingToJoin, s.Name, s.Self = true, e.cfg.Name, e.disk.Identity()
+			return
+		}
+		s.Status = e.node.Status()
+		s.Age = e.age()
+		s.Age.Revision = s.Revision
+	})
+	s.Disk = e.disk.Size()
+	if e.net != nil {
+		st := &e.net.Stats
+		s.Refused, s.Untaken, s.Dropped = st.Refused.Load(), st.Untaken.Load(), st.Dropped.Load()
+		s.Sent, s.Received = st.Sent.Load(), st.Received.Load()
+	}
+	return s, err
+}
+
+// Save returns a copy of the state, to be saved elsewhere.
+func (e *Engine) Save(ctx context.Context) (*store.State, error) {
+	var s *store.State
+	_, err := e.View(ctx, false, func(now *store.State) { s = now.Clone() })
+	if err == nil && s == nil {
+		err = replica.ErrNoLeader
+	}
+	return s, err
+}
+
+// HandOver gives leadership away.
+func (e *Engine) HandOver(ctx context.Context) error {
+	return e.do(ctx, func() {
+		if e.node != nil {
+			e.node.HandOver()
+		}
+	})
+}
+
+// host is the engine as the network sees it.
+type host Engine
+
+func (h *host) Hello() replica.Hello {
+	e := (*Engine)(h)
+	var out replica.Hello
+	_ = e.do(e.ctx, func() {
+		out = replica.Hello{Identity: e.disk.Identity(), Name: e.cfg.Name}
+		if e.adopted.Member != 0 { // a disk that was greeted answers as the member that it is to become
+			out.Cluster, out.Member = e.adopted.Cluster, e.adopted.Member
+		}
+		if e.node != nil {
+			out = e.node.Hello()
+		}
+	})
+	return out
+}
+
+func (h *host) Admit(x peer.Hello) error {
+	e := (*Engine)(h)
+	var verdict error
+	err := e.do(e.ctx, func() {
+		switch {
+		case e.node != nil:
+			if x.Member != 0 && x.Member != e.node.Self().Member {
+				verdict = fmt.Errorf("this is member %d, and %d was meant", e.node.Self().Member, x.Member)
+				return
+			}
+			if verdict = e.node.Admit(x.From); verdict == nil {
+				e.greeted(x)
+			}
+		case x.Member == 0 || x.From.Cluster == 0:
+			verdict = errors.New("this replica waits to be taken into a cluster")
+		default:
+			e.adopted = replica.Identity{Cluster: x.From.Cluster, Member: x.Member}
+			e.greeted(x)
+		}
+	})
+	return errors.Join(err, verdict)
+}
+
+// greeted keeps where a greeter is reached, until the members are known.
+func (e *Engine) greeted(x peer.Hello) {
+	if e.node != nil && len(e.node.State().Members()) > 0 || x.Address == "" || len(e.greeter) >= 16 {
+		return
+	}
+	if e.greeter == nil {
+		e.greeter = map[uint64][2]string{}
+	}
+	e.greeter[x.From.Member] = [2]string{x.Name, x.Address}
+	e.introduce()
+}
+
+func (h *host) Deliver(ctx context.Context, m *raftpb.Message) {
+	select {
+	case h.inbox <- m:
+	case <-ctx.Done():
+	case <-h.done:
+	}
+}
+
+func (h *host) Unreachable(member uint64) { h.tell(func(n *replica.Node) { n.Unreachable(member) }) }
+
+func (h *host) Sent(member uint64, ok bool) { h.tell(func(n *replica.Node) { n.Sent(member, ok) }) }
+
+// tell leaves word with the loop if there is room. It is called by the loop itself, too, which must not wait.
+func (h *host) tell(f func(*replica.Node)) {
+	select {
+	case h.calls <- func() {
+		if h.node != nil {
+			f(h.node)
+		}
+	}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/store/engine/engine_test.go
@@ -0,0 +1,287 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"birchmoor/internal/keys"
+	"birchmoor/internal/store"
+	"birchmoor/internal/store/disk"
+	"birchmoor/internal/store/replica"
+)
+
+// cluster is replicas in one process, over loopback with keys.
+type cluster struct {
+	t    *testing.T
+	dir  string
+	addr map[string]string
+	all  map[string]*Engine
+}
+
+func newCluster(t *testing.T, names ...string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir(), addr: map[string]string{}, all: map[string]*Engine{}}
+	c.must(keys.Init(c.keys(), "test"))
+	for i, name := range names {
+		c.must(keys.Issue(c.keys(), name, time.Hour, false))
+		c.start(name, i > 0)
+		if i > 0 {
+			c.add(names[0], name)
+		}
+	}
+	t.Cleanup(func() {
+		for _, e := range c.all {
+			e.Kill()
+		}
+	})
+	return c
+}
+
+func (c *cluster) keys() string { return filepath.Join(c.dir, "keys") }
+
+func (c *cluster) must(err error) {
+	c.t.Helper()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *cluster) start(name string, join bool) *Engine {
+	c.t.Helper()
+	at := c.addr[name]
+	if at == "" {
+		at = "127.0.0.1:0"
+	}
+	ln, err := net.Listen("tcp", at)
+	c.must(err)
+	c.addr[name] = ln.Addr().String()
+	pair, err := keys.Open(c.keys(), name)
+	c.must(err)
+	e, err := Open(Config{Name: name, Dir: filepath.Join(c.dir, name), Join: join, Keys: pair, Listen: ln, Tick: 10 * time.Millisecond,
+		Elect: 20, Disk: disk.Options{NoSync: true}, Tune: func(r *replica.Config) { r.SnapshotLog, r.KeepEntries = 20000, 50 }})
+	c.must(err)
+	c.all[name] = e
+	return e
+}
+
+func (c *cluster) ctx() context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	c.t.Cleanup(cancel)
+	return ctx
+}
+
+func (c *cluster) add(by, name string) uint64 {
+	c.t.Helper()
+	r, err := c.all[by].Do(c.ctx(), store.Command{Join: &store.Join{Name: name, Address: c.addr[name]}})
+	c.must(err)
+	c.until(by, func(s Status) bool { return s.Settled && len(s.Peers) > 1 })
+	return r.Member
+}
+
+// until waits for a state of a replica; what it is about shows in its watch, so that nothing is slept for in vain.
+func (c *cluster) until(name string, ok func(Status) bool) {
+	c.t.Helper()
+	for ctx := c.ctx(); ; {
+		s, err := c.all[name].Status(ctx)
+		c.must(err)
+		if ok(s) {
+			return
+		}
+		c.must(c.all[name].do(ctx, func() {}))
+	}
+}
+
+func put(key, value string) store.Command {
+	return store.Command{Txn: &store.Txn{Then: []store.Op{{Key: key, Value: []byte(value)}}}}
+}
+
+func (c *cluster) get(name, key string) string {
+	c.t.Helper()
+	var v string
+	_, err := c.all[name].View(c.ctx(), false, func(s *store.State) {
+		i, _ := s.Get(key)
+		v = string(i.Value)
+	})
+	c.must(err)
+	return v
+}
+
+// Writers go on while each replica in turn is killed and started again: nothing that was answered is lost.
+func TestNothingAnsweredIsLostWhenReplicasAreKilledInTurn(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	var mu sync.Mutex
+	answered := map[string]string{}
+	at := func(name string) *Engine { mu.Lock(); defer mu.Unlock(); return c.all[name] }
+	stop, wg := make(chan struct{}), sync.WaitGroup{}
+	names := []string{"a", "b", "c"}
+	for w := range 3 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				cmd := put(fmt.Sprintf("w%d/%d", w, i%50), fmt.Sprint(i))
+				cmd.ID = store.RequestID{Client: uint64(w + 1), Seq: uint64(i + 1)}
+				for n := i; ; n++ { // the same request, at whoever answers
+					ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+					_, err := at(names[n%3]).Do(ctx, cmd)
+					cancel()
+					if err == nil {
+						break
+					}
+				}
+				mu.Lock()
+				answered[cmd.Txn.Then[0].Key] = fmt.Sprint(i)
+				mu.Unlock()
+			}
+		}()
+	}
+	count := func() int { mu.Lock(); defer mu.Unlock(); return len(answered) }
+	for _, name := range names {
+		before := count()
+		c.must(at(name).Kill())
+		for count() < min(150, before+20) { // the others go on
+			c.must(at(names[(1+indexOf(names, name))%3]).do(c.ctx(), func() {}))
+		}
+		mu.Lock()
+		c.start(name, true)
+		mu.Unlock()
+		c.until(name, func(s Status) bool { return s.Lead != 0 })
+	}
+	close(stop)
+	wg.Wait()
+	for key, v := range answered {
+		if got := c.get("b", key); got != v {
+			t.Fatalf("%s is %q, and %q was answered", key, got, v)
+		}
+	}
+}
+
+func indexOf(all []string, x string) int {
+	for i, v := range all {
+		if v == x {
+			return i
+		}
+	}
+	return -1
+}
+
+func TestAReplicaThatWasLongAwayCatchesUpBySnapshot(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	c.must(c.all["c"].Kill())
+	for i := range 400 {
+		_, err := c.all["a"].Do(c.ctx(), put(fmt.Sprint("k", i%40), fmt.Sprintf("%0500d", i)))
+		c.must(err)
+	}
+	c.start("c", false)
+	if v := c.get("c", "k39"); v != fmt.Sprintf("%0500d", 399) {
+		t.Fatalf("%.20q", v)
+	}
+}
+
+func TestAnEmptyDiskUnderAnOldNameIsRefusedUntilAddedAnew(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	c.must(c.all["c"].Kill())
+	delete(c.all, "c")
+	c.addr["c2"] = c.addr["c"]
+	old := c.dir
+	c.dir = t.TempDir() // an empty disk
+	c.must(keys.Init(filepath.Join(c.dir, "unused"), "x"))
+	pair, err := keys.Open(filepath.Join(old, "keys"), "c")
+	c.must(err)
+	ln, err := net.Listen("tcp", c.addr["c"])
+	c.must(err)
+	e, err := Open(Config{Name: "c", Dir: filepath.Join(c.dir, "c"), Join: true, Keys: pair, Listen: ln, Tick: 10 * time.Millisecond, Elect: 20,
+		Disk: disk.Options{NoSync: true}})
+	c.must(err)
+	c.all["c"] = e
+	refused := func(s Status) bool { return s.Refused > 0 }
+	both := func() bool {
+		x, err := c.all["a"].Status(c.ctx())
+		c.must(err)
+		y, err := c.all["b"].Status(c.ctx())
+		c.must(err)
+		return refused(x) || refused(y)
+	}
+	for !both() {
+		_, err := c.all["a"].Do(c.ctx(), put("k", "v"))
+		c.must(err)
+	}
+	if s, err := e.Status(c.ctx()); err != nil || !s.WaitingToJoin {
+		t.Fatalf("%+v %v", s, err)
+	}
+	_, err = c.all["a"].Do(c.ctx(), store.Command{Leave: &store.Leave{Member: 3}})
+	c.must(err)
+	c.until("a", func(s Status) bool { return s.Settled && len(s.Peers) == 2 })
+	c.add("a", "c")
+	c.until("a", func(s Status) bool { return s.Settled && len(s.Peers) == 3 })
+	if v := c.get("c", "k"); v != "v" {
+		t.Fatal(v)
+	}
+}
+
+func TestAForeignCertificateIsNotLetIn(t *testing.T) {
+	c := newCluster(t, "a")
+	foreign := filepath.Join(c.dir, "foreign")
+	c.must(keys.Init(foreign, "other"))
+	c.must(keys.Issue(foreign, "b", time.Hour, false))
+	pair, err := keys.Open(foreign, "b")
+	c.must(err)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.must(err)
+	e, err := Open(Config{Name: "b", Dir: filepath.Join(c.dir, "b"), Join: true, Keys: pair, Listen: ln, Disk: disk.Options{NoSync: true}})
+	c.must(err)
+	defer e.Kill()
+	_, err = c.all["a"].Do(c.ctx(), store.Command{Join: &store.Join{Name: "b", Address: ln.Addr().String()}})
+	c.must(err)
+	c.until("a", func(s Status) bool { return s.Untaken > 0 })
+	if s, err := e.Status(c.ctx()); err != nil || !s.WaitingToJoin {
+		t.Fatalf("%+v %v", s, err)
+	}
+}
+
+func TestAWatchMissesNothingOrSaysSo(t *testing.T) {
+	e, err := Open(Config{Name: "a", Dir: t.TempDir(), Disk: disk.Options{NoSync: true}, Tick: 10 * time.Millisecond,
+		Limits: store.Limits{Key: 64, Value: 64, Total: 1 << 20, Ops: 8, Events: 20, History: 1 << 20, Leases: 8, Results: 100, Members: 3}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for i := range 30 {
+		if _, err := e.Do(ctx, put(fmt.Sprint("k", i), "v")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var gone *store.ErrCompacted
+	if _, _, err := e.Next(ctx, "k", 3, 5); !errors.As(err, &gone) || gone.Oldest != 11 {
+		t.Fatal(err)
+	}
+	at, n := uint64(10), 0
+	for at < 30 {
+		events, to, err := e.Next(ctx, "k", at, 3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, x := range events {
+			if n++; x.Revision != uint64(10+n) {
+				t.Fatalf("revision %d after %d", x.Revision, 9+n)
+			}
+		}
+		at = to
+	}
+	if n != 20 {
+		t.Fatal(n)
+	}
+}
--- /dev/null
+++ b/internal/store/peer/frame.go
@@ -0,0 +1,75 @@
+package peer
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+)
+
+// A frame is its kind in a byte, the length of its payload in four, the CRC-32C of kind and payload in four, big
+// endian, and the payload.
+type kind byte
+
+const (
+	kHello   kind = 'h' // who the sender is, CBOR
+	kVerdict kind = 'v' // whether it is heard, CBOR
+	kMessage kind = 'm' // of raft, protobuf
+	kBulk    kind = 's' // of raft, without its snapshot's data, which follows in parts; eight bytes of length before it
+	kPart    kind = 'p'
+)
+
+const (
+	headBytes = 9
+	frameMost = 24 << 20 // a message holds a megabyte of entries, or one entry that is longer
+	helloMost = 4 << 10
+	partBytes = 256 << 10
+)
+
+// ErrFrame says that what came is not of this protocol.
+var ErrFrame = errors.New("not a frame of the store")
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+func sum(k kind, b []byte) uint32 {
+	return crc32.Update(crc32.Checksum([]byte{byte(k)}, castagnoli), castagnoli, b)
+}
+
+// appendFrame adds a frame to buf.
+func appendFrame(buf []byte, k kind, payload []byte) []byte {
+	buf = append(buf, byte(k))
+	buf = binary.BigEndian.AppendUint32(buf, uint32(len(payload)))
+	buf = binary.BigEndian.AppendUint32(buf, sum(k, payload))
+	return append(buf, payload...)
+}
+
+// readFrame reads one whose payload is at most so long. The memory is taken as the bytes come, so that a length alone
+// costs nothing.
+func readFrame(r io.Reader, most int) (kind, []byte, error) {
+	var head [headBytes]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return 0, nil, err
+	}
+	k, n := kind(head[0]), binary.BigEndian.Uint32(head[1:])
+	switch k {
+	case kHello, kVerdict, kMessage, kBulk, kPart:
+	default:
+		return 0, nil, fmt.Errorf("%w: kind %#x", ErrFrame, head[0])
+	}
+	if int64(n) > int64(most) {
+		return 0, nil, fmt.Errorf("%w: %d bytes, at most %d", ErrFrame, n, most)
+	}
+	var b []byte
+	for have := 0; have < int(n); have = len(b) {
+		step := min(int(n)-have, max(64<<10, have))
+		b = append(b, make([]byte, step)...)
+		if _, err := io.ReadFull(r, b[have:]); err != nil {
+			return 0, nil, fmt.Errorf("%w: cut off: %w", ErrFrame, err)
+		}
+	}
+	if sum(k, b) != binary.BigEndian.Uint32(head[5:]) {
+		return 0, nil, fmt.Errorf("%w: the checksum is another", ErrFrame)
+	}
+	return k, b, nil
+}
--- /dev/null
+++ b/internal/store/peer/peer.go
@@ -0,0 +1,517 @@
+// Package peer carries the messages of a replicated store between its replicas: frames over TCP with mutual TLS.
+//
+// Each replica dials each other one and sends on what it dialled; a second connection carries snapshots, so that a
+// long one holds up nothing. Both sides greet first, by name, disk and cluster, and each judges the other. What cannot
+// be sent is dropped, as raft allows: queues are bounded by messages and bytes.
+package peer
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"birchmoor/internal/keys"
+	"birchmoor/internal/store/replica"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// Protocol is the version that is spoken. A side that knows a higher one speaks the lower of both.
+const Protocol = 1
+
+const (
+	dialTime   = 2 * time.Second
+	helloTime  = 3 * time.Second
+	idleTime   = 30 * time.Second // heartbeats come far more often
+	writeTime  = 5 * time.Second
+	backMin    = 50 * time.Millisecond
+	backMost   = 2 * time.Second
+	queueMsgs  = 512
+	queueBytes = 32 << 20
+	connsMost  = 64 // taken at once, those that have not greeted included
+)
+
+// Hello opens a connection.
+type Hello struct {
+	Protocol int           `cbor:"1,keyasint"`
+	From     replica.Hello `cbor:"2,keyasint"`
+	Name     string        `cbor:"3,keyasint"` // of the sender
+	To       string        `cbor:"4,keyasint"` // whom it means
+	Member   uint64        `cbor:"5,keyasint"` // and that one's id
+	Address  string        `cbor:"6,keyasint"` // where the sender is reached, for one that knows no members yet
+}
+
+// Verdict answers one.
+type Verdict struct {
+	Refused string        `cbor:"1,keyasint,omitempty"`
+	From    replica.Hello `cbor:"2,keyasint"`
+	Name    string        `cbor:"3,keyasint"`
+}
+
+// Host is the replica that a Net speaks for. Its methods may be called by any goroutine.
+type Host interface {
+	// Hello is how this replica greets; a disk of no cluster greets with zeros.
+	Hello() replica.Hello
+	// Admit judges a greeting; to says how the greeter names this replica, for a disk that belongs to no cluster yet.
+	Admit(h Hello) error
+	// Deliver takes a message. It may wait, which slows the sender down.
+	Deliver(ctx context.Context, m *raftpb.Message)
+	Unreachable(member uint64)
+	Sent(member uint64, ok bool)
+}
+
+var errIdle = errors.New("nothing to send")
+
+// Stats counts what a Net did.
+type Stats struct {
+	Refused  atomic.Int64 // greetings, by either side
+	Untaken  atomic.Int64 // connections over the bound, or without the right keys
+	Dropped  atomic.Int64 // messages that found the queue full or no connection
+	Sent     atomic.Int64
+	Received atomic.Int64
+	Faults   atomic.Int64 // connections that ended with a frame that is none
+}
+
+// Net is a replica's side of the network.
+type Net struct {
+	name    string
+	address string
+	host    Host
+	keys    *keys.Pair // nil for plain TCP
+	log     *slog.Logger
+	Stats   Stats
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	ln     net.Listener
+	slots  chan struct{}
+
+	mu    sync.Mutex
+	links map[uint64]*link
+}
+
+// New serves a listener, which it closes at the end. Plain TCP, without keys, is for loopback alone.
+func New(name, address string, ln net.Listener, host Host, pair *keys.Pair, log *slog.Logger) (*Net, error) {
+	if a, ok := ln.Addr().(*net.TCPAddr); pair == nil && (!ok || !a.IP.IsLoopback()) {
+		return nil, fmt.Errorf("store: plain TCP on %s, which is not a loopback address", ln.Addr())
+	}
+	n := &Net{name: name, address: address, host: host, keys: pair, log: log, ln: ln, slots: make(chan struct{}, connsMost), links: map[uint64]*link{}}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.wg.Add(1)
+	go n.accept()
+	return n, nil
+}
+
+// Close ends all connections and waits for their goroutines.
+func (n *Net) Close() {
+	n.cancel()
+	n.ln.Close()
+	n.wg.Wait()
+}
+
+// Addr is where it listens.
+func (n *Net) Addr() net.Addr { return n.ln.Addr() }
+
+func (n *Net) accept() {
+	defer n.wg.Done()
+	for {
+		c, err := n.ln.Accept()
+		if err != nil {
+			if n.ctx.Err() != nil {
+				return
+			}
+			select { // such as too many open files
+			case <-n.ctx.Done():
+				return
+			case <-time.After(backMin):
+			}
+			continue
+		}
+		select {
+		case n.slots <- struct{}{}:
+		default:
+			n.Stats.Untaken.Add(1)
+			c.Close()
+			continue
+		}
+		n.wg.Add(1)
+		go func() {
+			defer n.wg.Done()
+			defer func() { <-n.slots }()
+			n.serve(c)
+		}()
+	}
+}
+
+// bound closes a connection when the Net ends.
+func (n *Net) bound(c net.Conn) func() bool { return context.AfterFunc(n.ctx, func() { c.Close() }) }
+
+func (n *Net) serve(c net.Conn) {
+	defer c.Close()
+	defer n.bound(c)()
+	c.SetDeadline(time.Now().Add(helloTime))
+	certified := ""
+	if n.keys != nil {
+		t := tls.Server(c, n.keys.Server())
+		if err := t.HandshakeContext(n.ctx); err != nil {
+			n.Stats.Untaken.Add(1)
+			n.log.Warn("a peer of the store was not let in", "from", c.RemoteAddr(), "error", err)
+			return
+		}
+		certified, c = keys.Names(t.ConnectionState()), t
+	}
+	r := bufio.NewReaderSize(c, 64<<10)
+	k, b, err := readFrame(r, helloMost)
+	var h Hello
+	if err == nil && k != kHello {
+		err = ErrFrame
+	}
+	if err == nil {
+		err = cbor.Unmarshal(b, &h)
+	}
+	if err != nil {
+		n.Stats.Faults.Add(1)
+		return
+	}
+	switch {
+	case n.keys != nil && certified != h.Name:
+		err = fmt.Errorf("the certificate is for %q, and the greeting from %q", certified, h.Name)
+	case h.To != n.name:
+		err = fmt.Errorf("this is %q, and %q was meant", n.name, h.To)
+	case h.Protocol < 1:
+		err = fmt.Errorf("protocol %d", h.Protocol)
+	default:
+		err = n.host.Admit(h)
+	}
+	v := Verdict{From: n.host.Hello(), Name: n.name}
+	if err != nil {
+		v.Refused = err.Error()
+		n.Stats.Refused.Add(1)
+		n.log.Warn("a peer of the store was refused", "peer", h.Name, "reason", err)
+	}
+	if b, err = cbor.Marshal(&v); err != nil {
+		return
+	}
+	if _, err := c.Write(appendFrame(nil, kVerdict, b)); err != nil || v.Refused != "" {
+		return
+	}
+	if err := n.receive(c, r, h.From.Member); err != nil && n.ctx.Err() == nil {
+		if errors.Is(err, ErrFrame) {
+			n.Stats.Faults.Add(1)
+		}
+		n.log.Debug("a peer of the store is gone", "peer", h.Name, "error", err)
+	}
+}
+
+// receive takes messages until the connection ends.
+func (n *Net) receive(c net.Conn, r *bufio.Reader, from uint64) error {
+	for {
+		c.SetDeadline(time.Now().Add(idleTime))
+		k, b, err := readFrame(r, frameMost)
+		if err != nil {
+			return err
+		}
+		var data []byte
+		if k == kBulk {
+			if data, b, err = n.bulk(c, r, b); err != nil {
+				return err
+			}
+		} else if k != kMessage {
+			return ErrFrame
+		}
+		m := &raftpb.Message{}
+		if err := proto.Unmarshal(b, m); err != nil {
+			return fmt.Errorf("%w: %w", ErrFrame, err)
+		}
+		if m.GetFrom() != from {
+			return fmt.Errorf("%w: a message from member %d on the connection of %d", ErrFrame, m.GetFrom(), from)
+		}
+		if data != nil {
+			if m.Snapshot == nil {
+				return ErrFrame
+			}
+			m.Snapshot.Data = data
+		}
+		n.Stats.Received.Add(1)
+		n.host.Deliver(n.ctx, m)
+	}
+}
+
+// bulk reads a snapshot's parts.
+func (n *Net) bulk(c net.Conn, r *bufio.Reader, b []byte) (data, message []byte, err error) {
+	if len(b) < 8 {
+		return nil, nil, ErrFrame
+	}
+	size := binary.BigEndian.Uint64(b)
+	for uint64(len(data)) < size {
+		c.SetDeadline(time.Now().Add(idleTime))
+		k, p, err := readFrame(r, partBytes)
+		if err != nil {
+			return nil, nil, err
+		}
+		if k != kPart || len(p) == 0 || uint64(len(data)+len(p)) > size {
+			return nil, nil, ErrFrame
+		}
+		data = append(data, p...)
+	}
+	return data, b[8:], nil
+}
+
+// link is how messages go to one member.
+type link struct {
+	n             *Net
+	member        uint64
+	name, address string
+	cancel        context.CancelFunc
+	ctx           context.Context
+
+	queue chan *raftpb.Message
+	bulk  chan *raftpb.Message
+	bytes atomic.Int64
+}
+
+// Peers sets whom messages can go to, by member. A member that is not there any more, or elsewhere, is let go.
+func (n *Net) Peers(all map[uint64][2]string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for id, l := range n.links {
+		if p, ok := all[id]; !ok || p != [2]string{l.name, l.address} {
+			l.cancel()
+			delete(n.links, id)
+		}
+	}
+	for id, p := range all {
+		if n.links[id] != nil || n.ctx.Err() != nil {
+			continue
+		}
+		l := &link{n: n, member: id, name: p[0], address: p[1], queue: make(chan *raftpb.Message, queueMsgs), bulk: make(chan *raftpb.Message, 1)}
+		l.ctx, l.cancel = context.WithCancel(n.ctx)
+		n.links[id] = l
+		n.wg.Add(2)
+		go l.run(l.queue)
+		go l.run(l.bulk)
+	}
+}
+
+// Send hands messages over; it never waits.
+func (n *Net) Send(all []*raftpb.Message) {
+	for _, m := range all {
+		n.mu.Lock()
+		l := n.links[m.GetTo()]
+		n.mu.Unlock()
+		snap := m.GetType() == raftpb.MsgSnap
+		if l == nil {
+			n.drop(m)
+			continue
+		}
+		q := l.queue
+		if snap {
+			q = l.bulk
+		}
+		size := int64(proto.Size(m))
+		if l.bytes.Load()+size > queueBytes && !snap {
+			n.drop(m)
+			continue
+		}
+		select {
+		case q <- m:
+			l.bytes.Add(size)
+		default:
+			n.drop(m)
+		}
+	}
+}
+
+func (n *Net) drop(m *raftpb.Message) {
+	n.Stats.Dropped.Add(1)
+	if m.GetType() == raftpb.MsgSnap {
+		n.host.Sent(m.GetTo(), false)
+	} else {
+		n.host.Unreachable(m.GetTo())
+	}
+}
+
+// run sends what a queue holds, on one connection after another.
+func (l *link) run(queue chan *raftpb.Message) {
+	defer l.n.wg.Done()
+	back := backMin
+	for {
+		var m *raftpb.Message
+		select {
+		case <-l.ctx.Done():
+			return
+		case m = <-queue:
+		}
+		c, err := l.dial()
+		if err == nil {
+			back = backMin
+			err = l.send(c, m, queue)
+			c.Close()
+			if errors.Is(err, errIdle) {
+				continue
+			}
+		} else {
+			l.took(m)
+			l.n.drop(m)
+		}
+		if l.ctx.Err() != nil {
+			return
+		}
+		l.n.log.Debug("no way to a peer of the store", "peer", l.name, "error", err)
+		// What waited is old by now; raft sends anew.
+		for more := true; more; {
+			select {
+			case m = <-queue:
+				l.took(m)
+				l.n.drop(m)
+			default:
+				more = false
+			}
+		}
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-time.After(back/2 + rand.N(back)):
+		}
+		back = min(2*back, backMost)
+	}
+}
+
+func (l *link) took(m *raftpb.Message) { l.bytes.Add(-int64(proto.Size(m))) }
+
+func (l *link) dial() (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(l.ctx, dialTime)
+	defer cancel()
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", l.address)
+	if err != nil {
+		return nil, err
+	}
+	if l.n.keys != nil {
+		conf, err := l.n.keys.Client(l.name)
+		if err != nil {
+			c.Close()
+			return nil, err
+		}
+		t := tls.Client(c, conf)
+		if err := t.HandshakeContext(ctx); err != nil {
+			l.n.Stats.Untaken.Add(1)
+			c.Close()
+			return nil, err
+		}
+		c = t
+	}
+	if err := l.greet(c); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (l *link) greet(c net.Conn) error {
+	c.SetDeadline(time.Now().Add(helloTime))
+	b, err := cbor.Marshal(&Hello{Protocol: Protocol, From: l.n.host.Hello(), Name: l.n.name, To: l.name, Member: l.member,
+		Address: l.n.address})
+	if err != nil {
+		return err
+	}
+	if _, err := c.Write(appendFrame(nil, kHello, b)); err != nil {
+		return err
+	}
+	k, b, err := readFrame(c, helloMost)
+	if err != nil {
+		return err
+	}
+	var v Verdict
+	if k != kVerdict {
+		return ErrFrame
+	}
+	if err := cbor.Unmarshal(b, &v); err != nil {
+		return err
+	}
+	if v.Refused != "" {
+		l.n.Stats.Refused.Add(1)
+		return fmt.Errorf("refused: %s", v.Refused)
+	}
+	if err := l.n.host.Admit(Hello{Protocol: Protocol, From: v.From, Name: v.Name}); err != nil {
+		l.n.Stats.Refused.Add(1)
+		l.n.log.Warn("a peer of the store was refused", "peer", v.Name, "reason", err)
+		return err
+	}
+	c.SetDeadline(time.Time{})
+	return nil
+}
+
+// send writes messages until it fails or, on the connection for snapshots, one is sent.
+func (l *link) send(c net.Conn, m *raftpb.Message, queue chan *raftpb.Message) error {
+	defer l.n.bound(c)()
+	defer context.AfterFunc(l.ctx, func() { c.Close() })()
+	w := bufio.NewWriterSize(c, 64<<10)
+	var buf []byte
+	for {
+		c.SetWriteDeadline(time.Now().Add(writeTime))
+		l.took(m)
+		var err error
+		if m.GetType() == raftpb.MsgSnap {
+			err = l.sendBulk(c, w, m)
+			l.n.host.Sent(l.member, err == nil)
+			if err != nil {
+				return err
+			}
+		} else {
+			var b []byte
+			if b, err = proto.Marshal(m); err == nil {
+				buf = appendFrame(buf[:0], kMessage, b)
+				_, err = w.Write(buf)
+			}
+		}
+		if err == nil && len(queue) == 0 {
+			err = w.Flush()
+		}
+		if err != nil {
+			l.n.host.Unreachable(l.member)
+			return err
+		}
+		l.n.Stats.Sent.Add(1)
+		select {
+		case <-l.ctx.Done():
+			return l.ctx.Err()
+		case <-time.After(idleTime / 2):
+			return errIdle // the other side would give up soon
+		case m = <-queue:
+		}
+	}
+}
+
+func (l *link) sendBulk(c net.Conn, w *bufio.Writer, m *raftpb.Message) error {
+	data := m.Snapshot.Data
+	bare := proto.Clone(&raftpb.Message{Type: m.Type, To: m.To, From: m.From, Term: m.Term, LogTerm: m.LogTerm, Index: m.Index,
+		Commit: m.Commit, Snapshot: &raftpb.Snapshot{Metadata: m.Snapshot.Metadata}}).(*raftpb.Message)
+	b, err := proto.Marshal(bare)
+	if err != nil {
+		return err
+	}
+	if _, err := w.Write(appendFrame(nil, kBulk, append(binary.BigEndian.AppendUint64(nil, uint64(len(data))), b...))); err != nil {
+		return err
+	}
+	var buf []byte
+	for at := 0; at < len(data); at += partBytes {
+		c.SetWriteDeadline(time.Now().Add(writeTime))
+		buf = appendFrame(buf[:0], kPart, data[at:min(len(data), at+partBytes)])
+		if _, err := w.Write(buf); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
--- a/internal/store/replica/replica.go
+++ b/internal/store/replica/replica.go
@@ -258,7 +258,12 @@
 		return nil, err
 	}
 	n.rest()
-	return n, nil
+	if v := n.conf.GetVoters(); len(v) == 1 && v[0] == n.self.Member && !slices.ContainsFunc(saved.Entries, func(e *raftpb.Entry) bool {
+		return e.GetIndex() > n.applied && e.GetType() != raftpb.EntryNormal
+	}) {
+		n.must(n.raw.Campaign) // there is nobody to wait for
+	}
+	return n, n.failed
 }
 
 // guard makes of a panic of raft, which finds its own invariants broken, an error: this replica is not to go on.
