Join the sidecar to the store: bans that all daemons obey, settings that all replicas check

Need: a ban is told to each process by hand, and settings lie in files that differ from host to host.

Change: internal/daemon carries words between sidecar and store: a ban binds here at once and elsewhere as soon as a copy applies it, is written until the store has it, and is lifted by the quorum alone. birchmoor config put, get, history and rollback: a candidate is checked by every replica, then committed as a version, and reaches sidecars as SIGHUP does. maintenance.Book asks what daemons agree on before it calls an endpoint back; without a store nothing changes.

Result: with three daemons a ban told to one binds at all; one alone goes on adding bans, lifts none, and what it added reaches the others when they are back. Settings that one replica turns down change nothing.

--- a/cmd/birchmoor/main.go
+++ b/cmd/birchmoor/main.go
@@ -27,6 +27,7 @@
 	Run     daemonCommand  `cmd:"" help:"Serve as the daemon: the sidecar and the replicated store, as an operator file says."`
 	Check   checkCommand   `cmd:"" help:"Name every fault of an operator file."`
 	Store   storeCommands  `cmd:"" help:"Ask a running daemon's store, and tell it."`
+	Config  configCommands `cmd:"" help:"The settings of the data path that the store holds."`
 	Keys    keysCommands   `cmd:"" help:"Make and rotate the keys by which replicas of the store know each other."`
 	Lab     labCommands    `cmd:"" help:"Play the booking system: the sidecar among servers, clients and faults of our own."`
 	Replay  replayCommand  `cmd:"" help:"Play a capture again: what the decision module was told, and whether it decides the same."`
--- a/cmd/birchmoor/run.go
+++ b/cmd/birchmoor/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -9,11 +10,14 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 
+	"birchmoor/internal/daemon"
 	"birchmoor/internal/keys"
 	"birchmoor/internal/operator"
+	"birchmoor/internal/sidecar"
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/admin"
 	"birchmoor/internal/store/engine"
@@ -33,42 +37,38 @@
 }
 
 func (k *daemonCommand) Run(ctx context.Context, c *console) error {
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP) // before anything else: unheard it ends the program
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP) // before anything else: unheard it ends the program
 	log := slog.New(slog.NewTextHandler(c.err, nil))
 	f, err := operator.Read(k.Config)
 	if err != nil {
 		return err
 	}
-	sidecar := os.Getenv("ROUTER_CONFIG") != ""
-	if f.Store == nil && !sidecar {
+	runs := os.Getenv("ROUTER_CONFIG") != ""
+	if f.Store == nil && !runs {
 		return fmt.Errorf("%s has no [store], and ROUTER_CONFIG names no sidecar: there is nothing to run", k.Config)
 	}
-	if f.Store != nil {
-		e, a, err := openStore(f.Store, log)
-		if err != nil {
-			return err
-		}
-		defer func() {
-			if err := errors.Join(a.Close(), e.Close()); err != nil {
-				log.Warn("the store did not close well", "error", err)
-			}
-		}()
+	if f.Store == nil {
+		return serve(ctx, f, &extras{reload: hup}, log)
+	}
+	x, end, err := openStore(f.Store, runs, hup, log)
+	if err != nil {
+		return err
 	}
-	if sidecar {
-		return serve(ctx, f, reload, log)
+	defer end()
+	if runs {
+		return serve(ctx, f, x, log)
 	}
 	<-ctx.Done()
 	return nil
 }
 
-// openStore starts a replica and its socket.
-func openStore(s *operator.Store, log *slog.Logger) (*engine.Engine, *admin.Server, error) {
+// openStore starts a replica, what joins it to a sidecar, and its socket. end stops them.
+func openStore(s *operator.Store, runs bool, hup chan os.Signal, log *slog.Logger) (x *extras, end func(), err error) {
 	limits := store.DefaultLimits
 	limits.Total = s.TotalMB << 20
 	cfg := engine.Config{Name: s.Name, Dir: s.Dir, Address: s.Address, Join: s.Join, Limits: limits, Tick: time.Duration(s.Tick),
 		Elect: s.Elect, Log: log}
-	var err error
 	if s.Keys != "" {
 		if cfg.Keys, err = keys.Open(s.Keys, s.Name); err != nil {
 			return nil, nil, err
@@ -79,6 +79,15 @@
 			return nil, nil, fmt.Errorf("store: %w", err)
 		}
 	}
+	var check daemon.Check
+	if runs {
+		check = func(settings json.RawMessage) error {
+			_, err := sidecar.ReadConfigWith(os.Getenv, settings)
+			return err
+		}
+	}
+	d := daemon.New(s.Name, check, log)
+	d.Hook(&cfg)
 	e, err := engine.Open(cfg)
 	if err != nil {
 		if cfg.Listen != nil {
@@ -86,15 +95,39 @@
 		}
 		return nil, nil, err
 	}
+	d.Attach(e)
 	if err := os.MkdirAll(filepath.Dir(s.Socket), 0o700); err != nil {
 		return nil, nil, errors.Join(err, e.Close())
 	}
-	a, err := admin.Listen(s.Socket, e)
+	a, err := admin.Listen(s.Socket, e, d)
 	if err != nil {
 		return nil, nil, errors.Join(err, e.Close())
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var working sync.WaitGroup
+	working.Go(func() { d.Run(ctx) })
+	working.Go(func() { // a signal of the system's counts as one of the store's
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hup:
+				select {
+				case d.Reload() <- syscall.SIGHUP:
+				default:
+				}
+			}
+		}
+	})
 	log.Info("the store runs", "replica", s.Name, "listen", s.Listen, "socket", s.Socket)
-	return e, a, nil
+	x = &extras{reload: d.Reload(), shared: d, settings: d.Settings}
+	return x, func() {
+		cancel()
+		working.Wait()
+		if err := errors.Join(a.Close(), e.Close()); err != nil {
+			log.Warn("the store did not close well", "error", err)
+		}
+	}, nil
 }
 
 type checkCommand struct {
--- a/cmd/birchmoor/sidecar.go
+++ b/cmd/birchmoor/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"os"
@@ -12,6 +13,7 @@
 
 	"birchmoor/balancer"
 	"birchmoor/internal/capture"
+	"birchmoor/internal/maintenance"
 	"birchmoor/internal/operator"
 	"birchmoor/internal/sidecar"
 	"birchmoor/internal/snapshot"
@@ -40,19 +42,34 @@
 			return err
 		}
 	}
-	return serve(ctx, f, reload, log)
+	return serve(ctx, f, &extras{reload: reload}, log)
+}
+
+// extras are what a sidecar has of a store.
+type extras struct {
+	reload   <-chan os.Signal
+	shared   maintenance.Shared
+	settings func() json.RawMessage // in the place of the file's, unless nil
+}
+
+func (x *extras) read() (*sidecar.Config, error) {
+	if x.settings == nil {
+		return sidecar.ReadConfig(os.Getenv)
+	}
+	return sidecar.ReadConfigWith(os.Getenv, x.settings())
 }
 
 // serve runs a sidecar until ctx ends.
-func serve(ctx context.Context, f *operator.File, reload <-chan os.Signal, log *slog.Logger) error {
-	config, err := sidecar.ReadConfig(os.Getenv)
+func serve(ctx context.Context, f *operator.File, x *extras, log *slog.Logger) error {
+	config, err := x.read()
 	if err != nil {
 		return err
 	}
-	h, err := sidecar.HostOf(config, os.Getenv, reload, log)
+	h, err := sidecar.HostOf(config, os.Getenv, x.reload, log)
 	if err != nil {
 		return err
 	}
+	h.Shared, h.Read = x.shared, x.read
 	if f.Keep != nil {
 		if err := os.MkdirAll(f.Keep.Dir, 0o755); err != nil {
 			return err
--- a/cmd/birchmoor/store.go
+++ b/cmd/birchmoor/store.go
@@ -28,6 +28,7 @@
 	Members  storeMembers  `cmd:"" help:"List the replicas."`
 	Add      storeAdd      `cmd:"" help:"Add a replica, which waits with an empty disk."`
 	Remove   storeRemove   `cmd:"" help:"Remove a replica for good."`
+	Out      storeOut      `cmd:"" help:"List the servers that are out, drained or banned."`
 	Handover storeHandover `cmd:"" help:"Give leadership away, before a planned stop."`
 	Get      storeGet      `cmd:"" help:"Read a key, or all keys with a prefix."`
 	Put      storePut      `cmd:"" help:"Write a key."`
@@ -199,6 +200,23 @@
 	})
 }
 
+type storeOut struct{ socketFlag }
+
+func (k *storeOut) Run(ctx context.Context, c *console) error {
+	return k.call(ctx, func(ctx context.Context, a *admin.Client) error {
+		all, err := a.Out(ctx)
+		if err != nil {
+			return err
+		}
+		return k.print(c, all, func(w *tabwriter.Writer) {
+			fmt.Fprintln(w, "SERVER\tWHY\tAGREED")
+			for _, o := range all {
+				fmt.Fprintf(w, "%s\t%s\t%v\n", o.Server, o.Kind, o.Agreed)
+			}
+		})
+	})
+}
+
 type storeHandover struct{ socketFlag }
 
 func (k *storeHandover) Run(ctx context.Context, c *console) error {
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,496 @@
+// Package daemon joins a sidecar to the replicated store: which servers are out, and the settings of the data path.
+//
+// What binds is decided by store/policy; here is how words travel. A word heard here binds at once and is written until
+// the store has it. A word from the store binds as soon as this copy applies it. Settings are checked by every replica
+// before they are committed, and reach a sidecar as SIGHUP does.
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"birchmoor/internal/store"
+	"birchmoor/internal/store/engine"
+	"birchmoor/internal/store/policy"
+)
+
+// Keys of the settings.
+const (
+	configPrefix  = "config/"
+	keyCurrent    = "config/current"
+	keyCandidate  = "config/candidate"
+	keyHistory    = "config/history/"
+	keyVerdict    = "config/verdict/"
+	verdictWait   = 5 * time.Second
+	writeWait     = 5 * time.Second
+	owedEvery     = time.Second
+	historyKept   = 100
+	candidateFor  = 30 * time.Second
+	verdictOfNone = "no sidecar here"
+)
+
+// Errors of a Daemon.
+var (
+	ErrUnsettled = errors.New("the store does not know yet that it is out: try again")
+	ErrMeanwhile = errors.New("it was taken out again meanwhile")
+	ErrVersion   = errors.New("no such version")
+)
+
+// Check says what is wrong with settings for the sidecar of this daemon.
+type Check func(settings json.RawMessage) error
+
+// Daemon is one replica's side. Its hooks are given to the engine, which is attached once it is open; then Run is called.
+type Daemon struct {
+	name  string
+	log   *slog.Logger
+	check Check // nil where no sidecar runs
+
+	mu      sync.Mutex
+	guard   *policy.Guard
+	dirty   map[string]bool // servers whose state is to be told to the sidecar
+	agree   func(ctx context.Context, id string, out bool) error
+	current json.RawMessage // settings in the store, or nil
+	version uint64          // and their revision
+	pending *candidate      // to be checked
+
+	wake    chan struct{}
+	writes  chan store.Op
+	reload  chan os.Signal
+	engine  *engine.Engine
+	working sync.WaitGroup
+}
+
+type candidate struct {
+	id   uint64 // its revision
+	text json.RawMessage
+}
+
+// New returns a daemon that runs nothing yet.
+func New(name string, check Check, log *slog.Logger) *Daemon {
+	return &Daemon{name: name, check: check, log: log, guard: policy.NewGuard(name), dirty: map[string]bool{},
+		wake: make(chan struct{}, 1), writes: make(chan store.Op, 1024), reload: make(chan os.Signal, 1)}
+}
+
+// Hook puts the daemon's hooks into the configuration of an engine.
+func (d *Daemon) Hook(c *engine.Config) {
+	c.Event, c.Reset, c.Unsettled = d.event, d.reset, d.unsettled
+}
+
+// Reload is told when settings have changed.
+func (d *Daemon) Reload() chan os.Signal { return d.reload }
+
+// Settings are those of the store, or nil.
+func (d *Daemon) Settings() json.RawMessage {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.current
+}
+
+func (d *Daemon) poke() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (d *Daemon) event(e store.Event) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if strings.HasPrefix(e.Item.Key, policy.Prefix) {
+		d.guard.Applied(e)
+		d.dirty[serverOf(e.Item.Key)] = true
+		d.poke()
+	} else if strings.HasPrefix(e.Item.Key, configPrefix) {
+		d.setting(e.Item, e.Deleted)
+	}
+}
+
+func serverOf(key string) string {
+	_, server, _ := strings.Cut(strings.TrimPrefix(key, policy.Prefix), "/")
+	return server
+}
+
+// setting takes a change of the settings' keys.
+func (d *Daemon) setting(i store.Item, deleted bool) {
+	switch i.Key {
+	case keyCurrent:
+		if i.Modified <= d.version && !deleted {
+			return
+		}
+		d.current, d.version = i.Value, i.Modified
+		if deleted {
+			d.current = nil
+		}
+		select {
+		case d.reload <- syscall.SIGHUP:
+		default: // one is owed already, and will read the newest
+		}
+	case keyCandidate:
+		if d.pending = nil; !deleted {
+			d.pending = &candidate{i.Modified, i.Value}
+			d.poke()
+		}
+	}
+}
+
+func (d *Daemon) reset(s *store.State) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, o := range d.guard.All() {
+		d.dirty[o.Server] = true
+	}
+	if err := d.guard.Reset(s); err != nil {
+		d.log.Error("the store's copy is not acted on", "error", err)
+		return
+	}
+	for _, o := range d.guard.All() {
+		d.dirty[o.Server] = true
+	}
+	for _, key := range []string{keyCurrent, keyCandidate} {
+		if i, ok := s.Get(key); ok {
+			d.setting(i, false)
+		}
+	}
+	d.poke()
+}
+
+func (d *Daemon) unsettled(c *store.Command) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.guard.Unsettled(c)
+	for _, o := range d.guard.All() {
+		d.dirty[o.Server] = true
+	}
+}
+
+// Attach gives the engine, once it is open and before anything else is called.
+func (d *Daemon) Attach(e *engine.Engine) { d.engine = e }
+
+// Run works until ctx ends.
+func (d *Daemon) Run(ctx context.Context) {
+	d.working.Go(func() { d.write(ctx) })
+	defer d.working.Wait()
+	t := time.NewTicker(owedEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.wake:
+			d.tell(ctx)
+			d.judge(ctx)
+		case <-t.C:
+			d.mu.Lock()
+			owed := d.guard.Owed()
+			d.mu.Unlock()
+			for _, op := range owed {
+				d.queue(op)
+			}
+		}
+	}
+}
+
+// queue leaves an operation to be written; if there is no room it stays owed.
+func (d *Daemon) queue(op store.Op) {
+	select {
+	case d.writes <- op:
+	default:
+		d.mu.Lock()
+		d.guard.Wrote(op.Key, false)
+		d.mu.Unlock()
+	}
+}
+
+func (d *Daemon) write(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case op := <-d.writes:
+			c, cancel := context.WithTimeout(ctx, writeWait)
+			_, err := d.engine.Do(c, store.Command{Txn: &store.Txn{Then: []store.Op{op}}})
+			cancel()
+			if err != nil && ctx.Err() == nil {
+				d.log.Warn("the store does not know yet that a server is out; it is out here", "key", op.Key, "error", err)
+			}
+			d.mu.Lock()
+			d.guard.Wrote(op.Key, err == nil)
+			d.mu.Unlock()
+		}
+	}
+}
+
+// tell makes bind in the sidecar what has changed.
+func (d *Daemon) tell(ctx context.Context) {
+	d.mu.Lock()
+	agree := d.agree
+	if agree == nil {
+		d.mu.Unlock()
+		return // they stay dirty until a sidecar begins
+	}
+	type word struct {
+		server string
+		out    bool
+	}
+	var words []word
+	for s := range d.dirty {
+		words = append(words, word{s, d.guard.Out(s)})
+	}
+	clear(d.dirty)
+	d.mu.Unlock()
+	slices.SortFunc(words, func(a, b word) int { return strings.Compare(a.server, b.server) })
+	for _, w := range words {
+		if err := agree(ctx, w.server, w.out); err != nil && ctx.Err() == nil {
+			d.log.Error("what daemons agreed on does not bind here", "id", w.server, "out", w.out, "error", err)
+			d.mu.Lock()
+			d.dirty[w.server] = true
+			d.mu.Unlock()
+		}
+	}
+}
+
+// Begin is of maintenance.Shared.
+func (d *Daemon) Begin(agree func(ctx context.Context, id string, out bool) error) {
+	d.mu.Lock()
+	d.agree = agree
+	d.mu.Unlock()
+	d.poke()
+}
+
+// TakenOut is of maintenance.Shared.
+func (d *Daemon) TakenOut(id string) {
+	d.mu.Lock()
+	op, err := d.guard.Hear(policy.Ban, id)
+	d.mu.Unlock()
+	if err != nil {
+		d.log.Error("other daemons are not told of a ban", "id", id, "error", err)
+	} else if op != nil {
+		d.queue(*op)
+	}
+}
+
+// Return is of maintenance.Shared.
+func (d *Daemon) Return(ctx context.Context, id string) (asked bool, err error) {
+	d.mu.Lock()
+	key := policy.Key(policy.Ban, id)
+	t, err := d.guard.Return(policy.Ban, id)
+	pending := d.guard.Pending(key)
+	agree := d.agree
+	d.mu.Unlock()
+	if err != nil {
+		if pending {
+			return true, fmt.Errorf("%s: %w", id, ErrUnsettled)
+		}
+		return false, nil // never told
+	}
+	r, err := d.engine.Do(ctx, store.Command{Txn: t})
+	if err != nil {
+		return true, fmt.Errorf("%s: %w", id, err)
+	}
+	d.mu.Lock()
+	out := d.guard.Out(id)
+	d.mu.Unlock()
+	if !r.Held || out {
+		return true, fmt.Errorf("%s: %w", id, ErrMeanwhile)
+	}
+	return true, agree(ctx, id, false)
+}
+
+// Outs lists the servers that are out.
+func (d *Daemon) Outs() []policy.Out {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.guard.All()
+}
+
+// verdict is what a replica says of a candidate.
+type verdict struct {
+	Candidate uint64 `json:"candidate"`
+	Error     string `json:"error,omitempty"`
+	Note      string `json:"note,omitempty"`
+}
+
+// judge checks the candidate, if there is one, and says so.
+func (d *Daemon) judge(ctx context.Context) {
+	d.mu.Lock()
+	c := d.pending
+	d.pending = nil
+	d.mu.Unlock()
+	if c == nil {
+		return
+	}
+	v := verdict{Candidate: c.id}
+	if d.check == nil {
+		v.Note = verdictOfNone
+	} else if err := d.check(c.text); err != nil {
+		v.Error = err.Error()
+	}
+	b, err := json.Marshal(v)
+	if err != nil {
+		return
+	}
+	wait, cancel := context.WithTimeout(ctx, writeWait)
+	defer cancel()
+	if _, err := d.engine.Do(wait, store.Command{Txn: &store.Txn{
+		If:   []store.Compare{{Key: keyCandidate, Modified: c.id}},
+		Then: []store.Op{{Key: keyVerdict + d.name, Value: b}}}}); err != nil {
+		d.log.Warn("a verdict on settings was not told", "error", err)
+	}
+}
+
+// Version is settings as they were put.
+type Version struct {
+	Version  uint64          `json:"version"`
+	Settings json.RawMessage `json:"settings,omitempty"`
+	By       string          `json:"by"`
+	Note     string          `json:"note,omitempty"`
+	At       time.Time       `json:"at"` // by the clock of the replica that took it; it decides nothing
+	Revision uint64          `json:"revision,omitempty"`
+}
+
+// Put has settings checked by every replica and, if all agree, commits them as the next version. It returns that.
+func (d *Daemon) Put(ctx context.Context, settings json.RawMessage, note string) (Version, error) {
+	if !json.Valid(settings) {
+		return Version{}, errors.New("settings: not JSON")
+	}
+	if d.check != nil {
+		if err := d.check(settings); err != nil {
+			return Version{}, err
+		}
+	}
+	// A candidate of another who went away is let go after a while: it is held by a lease.
+	lease, err := d.engine.Do(ctx, store.Command{Grant: &store.Grant{TTL: uint64(candidateFor.Milliseconds())}})
+	if err != nil {
+		return Version{}, err
+	}
+	r, err := d.engine.Do(ctx, store.Command{Txn: &store.Txn{If: []store.Compare{{Key: keyCandidate}},
+		Then: []store.Op{{Key: keyVerdict, Delete: true, End: store.PrefixEnd(keyVerdict)}, {Key: keyCandidate, Value: settings, Lease: lease.Lease}}}})
+	if err == nil && !r.Held {
+		err = errors.New("other settings are being put")
+	}
+	if err != nil {
+		return Version{}, err
+	}
+	id := r.Revision
+	if err := d.verdicts(ctx, id, r.Revision); err != nil {
+		_, end := d.engine.Do(ctx, store.Command{End: &store.End{Lease: lease.Lease}})
+		return Version{}, errors.Join(err, end)
+	}
+	var next uint64 = 1
+	var old store.Item
+	if _, err := d.engine.View(ctx, false, func(s *store.State) {
+		s.Range(keyHistory, store.PrefixEnd(keyHistory), func(i store.Item) bool {
+			n, _ := strconv.ParseUint(strings.TrimPrefix(i.Key, keyHistory), 10, 64)
+			next = max(next, n+1)
+			return true
+		})
+		old, _ = s.Get(keyCurrent)
+	}); err != nil {
+		return Version{}, err
+	}
+	v := Version{Version: next, Settings: settings, By: d.name, Note: note, At: time.Now().UTC().Truncate(time.Second)}
+	b, err := json.Marshal(v)
+	if err != nil {
+		return Version{}, err
+	}
+	ops := []store.Op{{Key: keyCurrent, Value: settings}, {Key: historyKey(next), Value: b},
+		{Key: keyCandidate, Delete: true}, {Key: keyVerdict, Delete: true, End: store.PrefixEnd(keyVerdict)}}
+	if next > historyKept {
+		ops = append(ops, store.Op{Key: historyKey(0), Delete: true, End: historyKey(next - historyKept + 1)})
+	}
+	r, err = d.engine.Do(ctx, store.Command{Txn: &store.Txn{If: []store.Compare{{Key: keyCandidate, Modified: id},
+		{Key: keyCurrent, Modified: old.Modified}}, Then: ops}})
+	if err == nil && !r.Held {
+		err = errors.New("the settings were changed meanwhile")
+	}
+	v.Revision = r.Revision
+	return v, err
+}
+
+func historyKey(n uint64) string { return fmt.Sprintf("%s%012d", keyHistory, n) }
+
+// verdicts waits for every member's word on a candidate.
+func (d *Daemon) verdicts(ctx context.Context, id, after uint64) error {
+	var members []store.Member
+	if _, err := d.engine.View(ctx, false, func(s *store.State) { members = s.Members() }); err != nil {
+		return err
+	}
+	wait, cancel := context.WithTimeout(ctx, verdictWait)
+	defer cancel()
+	missing := map[string]bool{}
+	for _, m := range members {
+		missing[m.Name] = true
+	}
+	var faults []error
+	for len(missing) > 0 {
+		events, to, err := d.engine.Next(wait, keyVerdict, after, 64)
+		if err != nil {
+			if wait.Err() != nil {
+				var names []string
+				for n := range missing {
+					names = append(names, n)
+				}
+				slices.Sort(names)
+				return errors.Join(append(faults, fmt.Errorf("no verdict from %s within %v: nothing was changed",
+					strings.Join(names, ", "), verdictWait))...)
+			}
+			return err
+		}
+		after = to
+		for _, e := range events {
+			var v verdict
+			name := strings.TrimPrefix(e.Item.Key, keyVerdict)
+			if e.Deleted || json.Unmarshal(e.Item.Value, &v) != nil || v.Candidate != id || !missing[name] {
+				continue
+			}
+			delete(missing, name)
+			if v.Error != "" {
+				faults = append(faults, fmt.Errorf("%s: %s", name, v.Error))
+			}
+		}
+	}
+	return errors.Join(faults...)
+}
+
+// History lists the versions, the newest first.
+func (d *Daemon) History(ctx context.Context) ([]Version, error) {
+	var all []Version
+	var bad error
+	_, err := d.engine.View(ctx, false, func(s *store.State) {
+		s.Range(keyHistory, store.PrefixEnd(keyHistory), func(i store.Item) bool {
+			var v Version
+			if err := json.Unmarshal(i.Value, &v); err != nil {
+				bad = fmt.Errorf("%s: %w", i.Key, err)
+			}
+			v.Revision = i.Modified
+			all = append(all, v)
+			return true
+		})
+	})
+	slices.Reverse(all)
+	return all, errors.Join(err, bad)
+}
+
+// Rollback puts the settings of an earlier version again, as a new one, checked like any.
+func (d *Daemon) Rollback(ctx context.Context, version uint64) (Version, error) {
+	all, err := d.History(ctx)
+	if err != nil {
+		return Version{}, err
+	}
+	for _, v := range all {
+		if v.Version == version {
+			return d.Put(ctx, v.Settings, fmt.Sprintf("rollback to version %d", version))
+		}
+	}
+	return Version{}, fmt.Errorf("%d: %w", version, ErrVersion)
+}
--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,192 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"birchmoor/internal/store"
+	"birchmoor/internal/store/disk"
+	"birchmoor/internal/store/engine"
+)
+
+// side is a daemon with a sidecar that notes what binds.
+type side struct {
+	d    *Daemon
+	e    *engine.Engine
+	addr string
+	stop context.CancelFunc
+
+	mu    sync.Mutex
+	out   map[string]bool
+	fresh chan struct{} // closed when something binds
+}
+
+func (s *side) agree(_ context.Context, id string, out bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.out[id] = out
+	close(s.fresh)
+	s.fresh = make(chan struct{})
+	return nil
+}
+
+// until waits for a server to be out, or not to be.
+func (s *side) until(t *testing.T, id string, out bool) {
+	t.Helper()
+	for {
+		s.mu.Lock()
+		is, fresh := s.out[id], s.fresh
+		s.mu.Unlock()
+		if is == out {
+			return
+		}
+		select {
+		case <-fresh:
+		case <-time.After(time.Minute):
+			t.Fatalf("%s: out %v", id, is)
+		}
+	}
+}
+
+func limitCheck(settings json.RawMessage) error {
+	if strings.Contains(string(settings), "bad") {
+		return errors.New("settings.x: is bad")
+	}
+	return nil
+}
+
+func start(t *testing.T, name, dir, addr string, join bool) *side {
+	t.Helper()
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &side{out: map[string]bool{}, fresh: make(chan struct{}), addr: ln.Addr().String()}
+	check := Check(limitCheck)
+	if name == "c" {
+		check = nil // as where no sidecar runs
+	}
+	s.d = New(name, check, slog.New(slog.DiscardHandler))
+	cfg := engine.Config{Name: name, Dir: dir, Join: join, Listen: ln, Tick: 10 * time.Millisecond, Elect: 20, Disk: disk.Options{NoSync: true}}
+	s.d.Hook(&cfg)
+	if s.e, err = engine.Open(cfg); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	s.d.Attach(s.e)
+	wg.Go(func() { s.d.Run(ctx) })
+	s.stop = sync.OnceFunc(func() { cancel(); s.e.Kill(); wg.Wait() })
+	s.d.Begin(s.agree)
+	t.Cleanup(s.stop)
+	return s
+}
+
+func deadline(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func three(t *testing.T) (all []*side, dirs []string) {
+	t.Helper()
+	ctx := deadline(t)
+	for i, name := range []string{"a", "b", "c"} {
+		dirs = append(dirs, t.TempDir())
+		all = append(all, start(t, name, dirs[i], "127.0.0.1:0", i > 0))
+		if i > 0 {
+			if _, err := all[0].e.Do(ctx, store.Command{Join: &store.Join{Name: name, Address: all[i].addr}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	for {
+		s, err := all[0].e.Status(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s.Settled && len(s.Peers) == 3 {
+			return all, dirs
+		}
+	}
+}
+
+func TestABanToldToOneBindsAtAllAndAReturnNeedsTheQuorum(t *testing.T) {
+	all, dirs := three(t)
+	ctx := deadline(t)
+	all[0].d.TakenOut("s1")
+	for _, s := range all {
+		s.until(t, "s1", true)
+	}
+	for {
+		if asked, err := all[1].d.Return(ctx, "s1"); err == nil && asked {
+			break
+		} else if !errors.Is(err, ErrUnsettled) && !errors.Is(err, ErrMeanwhile) {
+			t.Fatal(asked, err)
+		}
+	}
+	for _, s := range all {
+		s.until(t, "s1", false)
+	}
+	// Cut off from the others, one goes on adding words, and lets nothing return.
+	all[1].d.TakenOut("s2")
+	all[0].until(t, "s2", true)
+	all[1].stop()
+	all[2].stop()
+	all[0].d.TakenOut("s3")
+	short, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+	defer cancel()
+	if _, err := all[0].d.Return(short, "s2"); err == nil {
+		t.Fatal("a copy alone let a server return")
+	}
+	if _, err := all[0].d.Return(ctx, "s3"); !errors.Is(err, ErrUnsettled) {
+		t.Fatal(err)
+	}
+	if outs := fmt.Sprint(all[0].d.Outs()); !strings.Contains(outs, "s2 true") || !strings.Contains(outs, "s3 false") {
+		t.Fatal(outs)
+	}
+	// The others come back: the word that they missed reaches them, and one that was told before is still known.
+	b := start(t, "b", dirs[1], all[1].addr, true)
+	c := start(t, "c", dirs[2], all[2].addr, true)
+	for _, s := range []*side{b, c} {
+		s.until(t, "s2", true)
+		s.until(t, "s3", true)
+	}
+}
+
+func TestSettingsAreCheckedByAllAndCanBeRolledBack(t *testing.T) {
+	all, _ := three(t)
+	ctx := deadline(t)
+	for i, text := range []string{`{"x":1}`, `{"x":2}`} {
+		v, err := all[i].d.Put(ctx, json.RawMessage(text), "try")
+		if err != nil || v.Version != uint64(i+1) {
+			t.Fatal(v, err)
+		}
+	}
+	if _, err := all[2].d.Put(ctx, json.RawMessage(`{"bad":1}`), ""); err == nil || !strings.Contains(err.Error(), "a: settings.x: is bad") {
+		t.Fatal(err)
+	}
+	if v, err := all[1].d.Rollback(ctx, 1); err != nil || v.Version != 3 {
+		t.Fatal(v, err)
+	}
+	for _, s := range all {
+		if _, err := s.e.View(ctx, false, func(*store.State) {}); err != nil {
+			t.Fatal(err)
+		}
+		if got := string(s.d.Settings()); got != `{"x":1}` {
+			t.Fatal(got)
+		}
+		<-s.d.Reload()
+	}
+	if h, err := all[0].d.History(ctx); err != nil || len(h) != 3 || h[0].Note != "rollback to version 1" {
+		t.Fatal(h, err)
+	}
+}
--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -45,6 +45,8 @@
 	// process has not heard of yet; else that is ErrUnknown.
 	apply func(ctx context.Context, m Mark, force bool) error
 
+	shared Shared // nil for nothing
+
 	turn  chan struct{} // one call at a time
 	mu    sync.Mutex
 	marks map[string]Mark
@@ -83,12 +85,46 @@
 	return marks
 }
 
+// Shared is what all daemons agree on: that an endpoint is out binds at the first word, that it may serve again needs
+// their agreement.
+type Shared interface {
+	// Begin gives the way in which what others say binds here.
+	Begin(agree func(ctx context.Context, id string, out bool) error)
+	// TakenOut passes on that an endpoint is out here. It does not wait.
+	TakenOut(id string)
+	// Return asks for an endpoint to serve again, and returns once that is agreed on and binds here. It says no to
+	// asked if the others do not know that it is out: then it is for this process alone to say.
+	Return(ctx context.Context, id string) (asked bool, err error)
+}
+
+// Share has calls go through what daemons agree on.
+func (b *Book) Share(s Shared) {
+	b.shared = s
+	s.Begin(b.agree)
+}
+
+// agree makes bind here what was agreed on. It counts as later than all that was said here: clocks of hosts differ.
+func (b *Book) agree(ctx context.Context, id string, out bool) error {
+	b.mu.Lock()
+	at := max(b.now().UnixMicro(), b.marks[id].At+1)
+	b.mu.Unlock()
+	return b.Merge(ctx, Mark{ID: id, Out: out, At: at})
+}
+
 // Set takes an endpoint out or calls it back, and returns once that binds here and in the processes beside.
 func (b *Book) Set(ctx context.Context, id string, out bool) error {
+	if b.shared != nil && !out {
+		if asked, err := b.shared.Return(ctx, id); err != nil || asked {
+			return err
+		}
+	}
 	m := Mark{ID: id, Out: out, At: b.now().UnixMicro()}
 	if err := b.put(ctx, m, false); err != nil {
 		return err
 	}
+	if b.shared != nil && out {
+		b.shared.TakenOut(id)
+	}
 	b.mu.Lock()
 	tell := make([]func(context.Context, Mark) error, 0, len(b.tell))
 	for _, t := range b.tell {
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -84,7 +84,10 @@
 func (c *Config) heldBytes(part float64) int { return int(float64(c.MemoryMB<<20) * part / heldShare) }
 
 // ReadConfig reads the file named by ROUTER_CONFIG. The other ROUTER_ variables, where set, go before it.
-func ReadConfig(getenv func(string) string) (*Config, error) {
+func ReadConfig(getenv func(string) string) (*Config, error) { return ReadConfigWith(getenv, nil) }
+
+// ReadConfigWith does the same with other settings, if they are not nil, in the place of the file's.
+func ReadConfigWith(getenv func(string) string, settings json.RawMessage) (*Config, error) {
 	path := getenv("ROUTER_CONFIG")
 	if path == "" {
 		return nil, &ConfigError{"ROUTER_CONFIG", errors.New("is not set")}
@@ -93,6 +96,16 @@
 	if err != nil {
 		return nil, &ConfigError{"ROUTER_CONFIG", err}
 	}
+	if settings != nil {
+		var whole map[string]json.RawMessage
+		if err := json.Unmarshal(text, &whole); err != nil {
+			return nil, fmt.Errorf("%s: %w", path, &ConfigError{"file", err})
+		}
+		whole["settings"] = settings
+		if text, err = json.Marshal(whole); err != nil {
+			return nil, &ConfigError{"settings", err}
+		}
+	}
 	c, err := parseConfig(text, getenv)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -37,6 +37,7 @@
 	Socket   handover.Socket         // where clients connect
 	Mgmt     net.Listener            // where operators call; nil for nowhere
 	Bans     maintenance.Store       // what operators said, over the life of a process
+	Shared   maintenance.Shared      // what daemons agree on; nil for nothing
 	Kept     snapshot.File           // what a process knew, for the next one
 	Tap      Tap                     // between the loop and the decision module; nil for nothing
 	Handover string                  // where old and new processes find each other; empty for nowhere
@@ -83,6 +84,9 @@
 	l := n.loop
 	n.book = maintenance.NewBook(h.Bans, time.Duration(c.Settings.Contract.RampTime)*time.Microsecond, l.mark, h.Log)
 	l.marks = n.book.Marks()
+	if h.Shared != nil {
+		n.book.Share(h.Shared)
+	}
 	d.w = newWatcher(c.Discovery, c.Known.Generation, c.MemoryMB, l.told, h.Log)
 	d.watch, d.ended = (*watcher).keep, l.untold
 	if c.Settings.Subscribe {
--- a/internal/store/admin/admin.go
+++ b/internal/store/admin/admin.go
@@ -14,9 +14,11 @@
 	"strconv"
 	"time"
 
+	"birchmoor/internal/daemon"
 	"birchmoor/internal/keys"
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/engine"
+	"birchmoor/internal/store/policy"
 	"birchmoor/internal/store/replica"
 )
 
@@ -58,16 +60,24 @@
 	Del uint64          `json:"remove,omitempty"`
 }
 
+// Config asks for other settings, or for those of an earlier version.
+type Config struct {
+	Settings json.RawMessage `json:"settings,omitempty"`
+	Rollback uint64          `json:"rollback,omitempty"`
+	Note     string          `json:"note,omitempty"`
+}
+
 // Server answers operators.
 type Server struct {
 	e       *engine.Engine
+	d       *daemon.Daemon
 	http    *http.Server
 	ln      net.Listener
 	watches chan struct{}
 }
 
 // Listen makes the socket and serves it. A socket that a process that is gone left behind is replaced.
-func Listen(path string, e *engine.Engine) (*Server, error) {
+func Listen(path string, e *engine.Engine, d *daemon.Daemon) (*Server, error) {
 	if c, err := net.DialTimeout("unix", path, time.Second); err == nil {
 		c.Close()
 		return nil, fmt.Errorf("another process serves %s", path)
@@ -82,7 +92,7 @@
 	if err := os.Chmod(path, 0o600); err != nil {
 		return nil, errors.Join(err, ln.Close())
 	}
-	s := &Server{e: e, ln: ln, watches: make(chan struct{}, watchMost)}
+	s := &Server{e: e, d: d, ln: ln, watches: make(chan struct{}, watchMost)}
 	m := http.NewServeMux()
 	m.HandleFunc("GET /v1/status", s.status)
 	m.HandleFunc("GET /v1/range", s.read)
@@ -90,6 +100,9 @@
 	m.HandleFunc("GET /v1/snapshot", s.save)
 	m.HandleFunc("POST /v1/change", s.change)
 	m.HandleFunc("POST /v1/handover", s.handOver)
+	m.HandleFunc("GET /v1/config", s.history)
+	m.HandleFunc("POST /v1/config", s.configure)
+	m.HandleFunc("GET /v1/out", func(w http.ResponseWriter, r *http.Request) { answer(w, http.StatusOK, d.Outs()) })
 	s.http = &http.Server{Handler: m, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
 	go s.http.Serve(ln)
 	return s, nil
@@ -235,6 +248,42 @@
 	answer(w, http.StatusOK, struct{}{})
 }
 
+func (s *Server) history(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), waitMost)
+	defer cancel()
+	all, err := s.d.History(ctx)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, http.StatusOK, all)
+}
+
+func (s *Server) configure(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), waitMost)
+	defer cancel()
+	var q Config
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyMost))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&q); err != nil {
+		fail(w, fmt.Errorf("%w: byte %d: %w", errBad, d.InputOffset(), err))
+		return
+	}
+	var v daemon.Version
+	var err error
+	if q.Rollback != 0 {
+		v, err = s.d.Rollback(ctx, q.Rollback)
+	} else {
+		v, err = s.d.Put(ctx, q.Settings, q.Note)
+	}
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	v.Settings = nil
+	answer(w, http.StatusOK, v)
+}
+
 // watch sends events as lines of JSON for as long as the connection lasts.
 func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
 	select {
@@ -368,6 +417,21 @@
 	return x, c.call(ctx, "POST", "/v1/change", nil, r, &x)
 }
 
+// Configure puts settings, or those of an earlier version.
+func (c *Client) Configure(ctx context.Context, q Config) (v daemon.Version, err error) {
+	return v, c.call(ctx, "POST", "/v1/config", nil, q, &v)
+}
+
+// History lists the versions of the settings, the newest first.
+func (c *Client) History(ctx context.Context) (all []daemon.Version, err error) {
+	return all, c.call(ctx, "GET", "/v1/config", nil, nil, &all)
+}
+
+// Out lists the servers that are out.
+func (c *Client) Out(ctx context.Context) (all []policy.Out, err error) {
+	return all, c.call(ctx, "GET", "/v1/out", nil, nil, &all)
+}
+
 // HandOver gives leadership away, if the replica has it.
 func (c *Client) HandOver(ctx context.Context) error {
 	return c.call(ctx, "POST", "/v1/handover", nil, nil, &struct{}{})
--- a/internal/store/engine/engine.go
+++ b/internal/store/engine/engine.go
@@ -342,11 +342,25 @@
 	}
 }
 
-// do has the loop run f, and waits for it.
+// do has the loop run f, and waits for it. f does not run after do has returned.
 func (e *Engine) do(ctx context.Context, f func()) error {
 	ran := make(chan struct{})
+	var taken atomic.Bool // by the loop, or by the one who gave up
+	call := func() {
+		if taken.CompareAndSwap(false, true) {
+			f()
+			close(ran)
+		}
+	}
+	giveUp := func(err error) error {
+		if taken.CompareAndSwap(false, true) {
+			return err
+		}
+		<-ran // it is at it
+		return nil
+	}
 	select {
-	case e.calls <- func() { f(); close(ran) }:
+	case e.calls <- call:
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-e.done:
@@ -356,14 +370,9 @@
 	case <-ran:
 		return nil
 	case <-ctx.Done():
-		return ctx.Err()
+		return giveUp(ctx.Err())
 	case <-e.done:
-		select {
-		case <-ran:
-			return nil
-		default:
-			return ErrClosed
-		}
+		return giveUp(ErrClosed)
 	}
 }
 
