--- a/internal/lab/storesim/storesim.go
+++ b/internal/lab/storesim/storesim.go
@@ -423,6 +423,9 @@
 	if to == nil {
 		return
 	}
+	if m.GetType() == raftpb.MsgVote && !w.clean && w.rng.IntN(6) == 0 {
+		w.deafen(h, to) // one does not hear of an election
+	}
 	l := w.links[[2]int{h.number, to.number}]
 	if l != nil && l.cut || w.rng.Float64() < w.net.loss {
 		if m.GetType() == raftpb.MsgSnap {
@@ -435,8 +438,13 @@
 		panic(err)
 	}
 	if m.GetType() == raftpb.MsgVoteResp && !m.GetReject() && !w.clean && w.rng.IntN(4) == 0 {
-		// It dies right after it voted, and is back while that election goes on.
+		// It dies right after it voted, and is back while that election goes on; the one elected may not be heard.
 		boot := h.boot
+		if w.rng.IntN(2) == 0 {
+			for _, x := range w.hosts {
+				w.deafen(to, x)
+			}
+		}
 		w.q.After(milli, func() {
 			if h.boot == boot && h.node != nil && !h.retired && !h.joining {
 				h.crash()
@@ -461,6 +469,13 @@
 	}
 }
 
+// deafen cuts a link one way for a while.
+func (w *world) deafen(from, to *host) {
+	l := w.link(from, to)
+	l.cut = true
+	w.q.After(200*milli+w.rng.Int64N(200*milli), func() { l.cut = false })
+}
+
 func (h *host) later(f func()) {
 	boot := h.boot
 	h.w.q.After(5*milli, func() {
--- a/internal/lab/storesim/storesim_test.go
+++ b/internal/lab/storesim/storesim_test.go
@@ -26,16 +26,15 @@
 	}
 }
 
-// Each planted fault is found, beginning with a seed that is known to come near it.
+// Each planted fault is found; the rarest, a forgotten vote, by the seventeenth seed.
 func TestPlantedFaultsAreFound(t *testing.T) {
-	from := map[string]uint64{"ack-before-sync": 37, "vote-forgotten": 67, "results-forgotten": 1, "blind-lease": 11, "empty-disk-let-in": 75}
 	faults := Faults
 	if !thorough {
 		faults = faults[2:3]
 	}
 	for _, p := range faults {
-		found, seed := false, from[p.Name]
-		for ; seed < from[p.Name]+200 && !found; seed++ {
+		found := false
+		for seed := uint64(0); seed < 200 && !found; seed++ {
 			found = len(Run(seed, Options{Planted: p.Fault}).Broken) > 0
 		}
 		if !found {
