Cut replicas off in torture and tests; name all faults of an operator file at once

Need: partitions had been caused in simulation alone, and check stopped at unknown keys.

The old leader answers no read as if it still led.

--- a/cmd/birchmoor/store.go
+++ b/cmd/birchmoor/store.go
@@ -37,7 +37,7 @@
 	Watch    storeWatch    `cmd:"" help:"Follow changes."`
 	Snapshot storeSnapshot `cmd:"" help:"Save the whole store in a file, or begin a new cluster from one."`
 	Bench    storeBench    `cmd:"" help:"Measure the store on this machine, beside a bare bbolt file."`
-	Torture  storeTorture  `cmd:"" help:"Kill three real replicas in turn under writers and readers, and look for what is lost."`
+	Torture  storeTorture  `cmd:"" help:"Kill three real replicas in turn, or cut one off, under writers and readers, and look for what is lost."`
 	Sim      storeSim      `cmd:"" help:"Play clusters of the store in simulation, many seeds."`
 }
 
@@ -553,7 +553,7 @@
 			return err
 		}
 	} else {
-		fmt.Fprintf(c.out, "%d kills, %d times all at once; %d writes answered, %d sent again, %d reads; lost: %q\n", r.Kills, r.All, r.Writes,
+		fmt.Fprintf(c.out, "%d kills, %d times all at once, %d cuts; %d writes answered, %d sent again, %d reads; lost: %q\n", r.Kills, r.All, r.Cuts, r.Writes,
 			r.Unknown, r.Reads, r.Lost)
 	}
 	if len(r.Lost) > 0 {
--- a/internal/lab/storebench/torture.go
+++ b/internal/lab/storebench/torture.go
@@ -16,11 +16,13 @@
 	"time"
 
 	"birchmoor/internal/keys"
+	"birchmoor/internal/lab/relay"
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/admin"
 )
 
-// Torture has three real processes killed in turn with SIGKILL, or all at once, while writers and readers go on.
+// Torture has three real processes killed in turn with SIGKILL, or all at once, or one cut off from what
+// the others send, while writers and readers go on.
 type Torture struct {
 	Program string   // that runs a replica
 	Args    []string // to it, before the operator file
@@ -35,6 +37,7 @@
 // Tortured is what came of it.
 type Tortured struct {
 	Kills   int      `json:"kills"`
+	Cuts    int      `json:"cuts"` // of all that comes in to one, without a word
 	All     int      `json:"all_at_once"`
 	Writes  int      `json:"writes_answered"`
 	Unknown int      `json:"writes_sent_again"`
@@ -44,6 +47,7 @@
 
 type process struct {
 	name, dir string
+	in        *relay.Link // what other replicas send to it
 	cmd       *exec.Cmd
 	client    *admin.Client
 }
@@ -89,6 +93,7 @@
 	defer func() {
 		for _, p := range all {
 			err = errors.Join(err, p.kill())
+			p.in.Close()
 		}
 	}()
 	for i := range 3 {
@@ -114,8 +119,15 @@
 	if err != nil {
 		return nil, "", err
 	}
-	addr := ln.Addr().String()
-	file := fmt.Sprintf("[store]\nname = %q\ndir = \"db\"\nsocket = \"s.sock\"\nlisten = %q\nkeys = \"../keys\"\njoin = %v\n", p.name, addr, i > 0)
+	in, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", errors.Join(err, ln.Close())
+	}
+	p.in = relay.New(ln.Addr().String(), t.Seed+uint64(i), relay.Conditions{})
+	p.in.Listen(in)
+	addr := in.Addr().String()
+	file := fmt.Sprintf("[store]\nname = %q\ndir = \"db\"\nsocket = \"s.sock\"\nlisten = %q\naddress = %q\nkeys = \"../keys\"\njoin = %v\n",
+		p.name, ln.Addr(), addr, i > 0)
 	return p, addr, errors.Join(ln.Close(), os.Mkdir(p.dir, 0o700), keys.Issue(filepath.Join(dir, "keys"), p.name, 24*time.Hour, false),
 		os.WriteFile(filepath.Join(p.dir, "op.toml"), []byte(file), 0o600))
 }
@@ -212,6 +224,14 @@
 			continue
 		case <-time.After(t.Every/2 + rand.N(t.Every)):
 		}
+		if rng.IntN(3) == 0 {
+			in := all[rng.IntN(3)].in
+			in.Set(func(c *relay.Conditions) { c.Hole = true })
+			time.Sleep(t.Every/2 + rand.N(t.Every))
+			in.Set(func(c *relay.Conditions) { c.Hole = false })
+			r.Cuts++
+			continue
+		}
 		victims := []int{turn % 3}
 		if rng.IntN(4) == 0 {
 			victims = []int{0, 1, 2}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -74,10 +74,12 @@
 		return nil, fmt.Errorf("operator file: %w", err)
 	}
 	f := &File{}
-	if err := strict.Decode(path, "operator files", text, f); err != nil {
-		return nil, err
+	err = strict.Decode(path, "operator files", text, f)
+	var fault *Error
+	if err != nil && !(errors.As(err, &fault) && fault.Unknown) {
+		return nil, err // nothing more can be said of what is not TOML
 	}
-	if err := f.fill(path); err != nil {
+	if err = errors.Join(err, f.fill(path)); err != nil {
 		return nil, err
 	}
 	return f, nil
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -72,3 +72,12 @@
 		t.Errorf("%+v, %v", f, err)
 	}
 }
+
+func TestAllFaultsOfAStoreAreNamed(t *testing.T) {
+	_, err := read(t, "[store]\nname = \"A\"\nlisten = \"192.0.2.1:7\"\nplain = true\nfoo = 1\n")
+	for _, want := range []string{"store.foo", "store.name", "store.dir", "store.socket", "store.plain"} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s is not named: %v", want, err)
+		}
+	}
+}
--- a/internal/store/engine/engine_test.go
+++ b/internal/store/engine/engine_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"birchmoor/internal/keys"
+	"birchmoor/internal/lab/relay"
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/disk"
 	"birchmoor/internal/store/replica"
@@ -22,11 +23,19 @@
 	dir  string
 	addr map[string]string
 	all  map[string]*Engine
+
+	relays map[string]*relay.Link // what comes in to each, or nil
 }
 
 func newCluster(t *testing.T, names ...string) *cluster {
 	t.Helper()
-	c := &cluster{t: t, dir: t.TempDir(), addr: map[string]string{}, all: map[string]*Engine{}}
+	return (&cluster{t: t}).begin(names...)
+}
+
+func (c *cluster) begin(names ...string) *cluster {
+	t := c.t
+	t.Helper()
+	c.dir, c.addr, c.all = t.TempDir(), map[string]string{}, map[string]*Engine{}
 	c.must(keys.Init(c.keys(), "test"))
 	for i, name := range names {
 		c.must(keys.Issue(c.keys(), name, time.Hour, false))
@@ -61,10 +70,18 @@
 	ln, err := net.Listen("tcp", at)
 	c.must(err)
 	c.addr[name] = ln.Addr().String()
+	if c.relays != nil {
+		in, err := net.Listen("tcp", "127.0.0.1:0")
+		c.must(err)
+		c.relays[name] = relay.New(c.addr[name], 1, relay.Conditions{})
+		c.relays[name].Listen(in)
+		c.t.Cleanup(c.relays[name].Close)
+		c.addr[name] = in.Addr().String()
+	}
 	pair, err := keys.Open(c.keys(), name)
 	c.must(err)
-	e, err := Open(Config{Name: name, Dir: filepath.Join(c.dir, name), Join: join, Keys: pair, Listen: ln, Tick: 10 * time.Millisecond,
-		Elect: 20, Disk: disk.Options{NoSync: true}, Tune: func(r *replica.Config) { r.SnapshotLog, r.KeepEntries = 20000, 50 }})
+	e, err := Open(Config{Name: name, Dir: filepath.Join(c.dir, name), Address: c.addr[name], Join: join, Keys: pair, Listen: ln,
+		Tick: 10 * time.Millisecond, Elect: 20, Disk: disk.Options{NoSync: true}, Tune: func(r *replica.Config) { r.SnapshotLog, r.KeepEntries = 20000, 50 }})
 	c.must(err)
 	c.all[name] = e
 	return e
@@ -230,6 +247,42 @@
 	}
 }
 
+// The leader goes on sending and hears nobody: a cut of one direction. Another leads, and the old one answers no read
+// as if it still did.
+func TestALeaderThatHearsNobodyIsReplacedAndReadsNothingOld(t *testing.T) {
+	c := (&cluster{t: t, relays: map[string]*relay.Link{}}).begin("a", "b", "c")
+	_, err := c.all["a"].Do(c.ctx(), put("k", "old"))
+	c.must(err)
+	lead, other := "", ""
+	for lead == "" {
+		for name, e := range c.all {
+			s, err := e.Status(c.ctx())
+			c.must(err)
+			if s.Leading {
+				lead = name
+			} else {
+				other = name
+			}
+		}
+	}
+	c.relays[lead].Set(func(x *relay.Conditions) { x.Hole = true })
+	_, err = c.all[other].Do(c.ctx(), put("k", "new"))
+	c.must(err)
+	short, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	if _, err := c.all[lead].View(short, false, func(s *store.State) {
+		if i, _ := s.Get("k"); string(i.Value) != "new" {
+			t.Errorf("the old leader reads %q", i.Value)
+		}
+	}); err == nil {
+		t.Log("it was let in again already")
+	}
+	c.relays[lead].Set(func(x *relay.Conditions) { x.Hole = false })
+	if v := c.get(lead, "k"); v != "new" {
+		t.Fatal(v)
+	}
+}
+
 func TestAForeignCertificateIsNotLetIn(t *testing.T) {
 	c := newCluster(t, "a")
 	foreign := filepath.Join(c.dir, "foreign")
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -16,6 +16,8 @@
 	Line   int    // from 1; 0 if the key is not written
 	Key    string // such as servers[1].speed
 	Reason string
+
+	Unknown bool // a key that is not known; all others were read
 }
 
 // Error tells the place, the key and the reason.
@@ -41,13 +43,13 @@
 		var all []error
 		for _, e := range unknown.Errors {
 			line, _ := e.Position()
-			all = append(all, &Error{path, line, strings.Join(e.Key(), "."), "is not a key of " + what})
+			all = append(all, &Error{path, line, strings.Join(e.Key(), "."), "is not a key of " + what, true})
 		}
 		return errors.Join(all...)
 	}
 	if wrong := (*toml.DecodeError)(nil); errors.As(err, &wrong) {
 		line, _ := wrong.Position()
-		return &Error{path, line, strings.Join(wrong.Key(), "."), strings.TrimPrefix(wrong.Error(), "toml: ")}
+		return &Error{path, line, strings.Join(wrong.Key(), "."), strings.TrimPrefix(wrong.Error(), "toml: "), false}
 	}
 	return &Error{Path: path, Reason: err.Error()}
 }
