Say in status that a copy is stale; remove what nothing used in the store

Cause: a second reading found the rule for stale copies decided in policy and asked by nobody, a change that failed to bind in the sidecar and was not told again until the next one, bodies decoded twice in the same lines, and functions and a counter without a use.

--- a/cmd/birchmoor/store.go
+++ b/cmd/birchmoor/store.go
@@ -88,6 +88,9 @@
 			if s.Age.Proved {
 				copied = fmt.Sprintf("confirmed by a quorum %v ago", s.Age.Age.Round(time.Millisecond))
 			}
+			if s.Age.Stale {
+				copied = "STALE, " + copied
+			}
 			for _, x := range [][2]any{{"name", s.Name}, {"cluster", fmt.Sprintf("%x", s.Self.Cluster)}, {"member", s.Self.Member}, {"state", state}, {"copy", copied},
 				{"term", s.Term}, {"revision", s.Revision}, {"keys", s.Keys}, {"bytes", s.Bytes}, {"disk", s.Disk},
 				{"applied", fmt.Sprintf("%d of %d", s.Applied, s.Commit)}, {"members settled", s.Settled},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -196,6 +196,7 @@
 			for _, op := range owed {
 				d.queue(op)
 			}
+			d.tell(ctx) // what did not bind is told again
 		}
 	}
 }
--- a/internal/lab/storesim/storesim.go
+++ b/internal/lab/storesim/storesim.go
@@ -101,21 +101,20 @@
 
 // host is a place where a replica runs: its disk and, unless it crashed, the process.
 type host struct {
-	w        *world
-	number   int
-	disk     *disk
-	node     *replica.Node
-	boot     int // of the host, so that events of an earlier process find it gone
-	pace     float64
-	paused   bool
-	retired  bool // its member was removed
-	joining  bool
-	guard    *policy.Guard
-	index    uint64
-	waits    map[replica.Token]func(replica.Done)
-	token    replica.Token
-	mirror   map[string]uint64 // servers that are out, as the truth of what this process was told
-	inFlight int
+	w       *world
+	number  int
+	disk    *disk
+	node    *replica.Node
+	boot    int // of the host, so that events of an earlier process find it gone
+	pace    float64
+	paused  bool
+	retired bool // its member was removed
+	joining bool
+	guard   *policy.Guard
+	index   uint64
+	waits   map[replica.Token]func(replica.Done)
+	token   replica.Token
+	mirror  map[string]uint64 // servers that are out, as the truth of what this process was told
 }
 
 // Run plays a seed.
@@ -248,7 +247,7 @@
 	w := h.w
 	h.boot++
 	h.disk.begin()
-	h.waits, h.paused, h.inFlight = map[replica.Token]func(replica.Done){}, false, 0
+	h.waits, h.paused = map[replica.Token]func(replica.Done){}, false
 	n, err := replica.New(w.config(h), h.disk)
 	if err != nil {
 		w.broken("start", "host %d: %v", h.number, err)
@@ -357,7 +356,6 @@
 	for _, d := range out.Done {
 		if f := h.waits[d.Token]; f != nil {
 			delete(h.waits, d.Token)
-			h.inFlight--
 			f(d)
 		}
 	}
@@ -542,7 +540,6 @@
 func (h *host) call(do func(replica.Token), f func(replica.Done)) {
 	h.token++
 	t, boot, answered := h.token, h.boot, false
-	h.inFlight++
 	h.waits[t] = func(d replica.Done) { answered = true; f(d) }
 	if h.node == nil {
 		h.w.q.After(1, func() { f(replica.Done{Token: t, Err: replica.ErrNoLeader}) })
--- a/internal/store/admin/admin.go
+++ b/internal/store/admin/admin.go
@@ -140,6 +140,16 @@
 
 var errBad = errors.New("bad request")
 
+// decode reads a body of bounded length; an unknown key is an error.
+func decode(w http.ResponseWriter, r *http.Request, v any) error {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyMost))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return fmt.Errorf("%w: byte %d: %w", errBad, d.InputOffset(), err)
+	}
+	return nil
+}
+
 func number(q url.Values, key string) (uint64, error) {
 	if q.Get(key) == "" {
 		return 0, nil
@@ -202,10 +212,8 @@
 	ctx, cancel := context.WithTimeout(r.Context(), waitMost)
 	defer cancel()
 	var q Request
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyMost))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&q); err != nil {
-		fail(w, fmt.Errorf("%w: byte %d: %w", errBad, d.InputOffset(), err))
+	if err := decode(w, r, &q); err != nil {
+		fail(w, err)
 		return
 	}
 	c := store.Command{ID: q.ID, Txn: q.Txn, Join: q.Add}
@@ -263,10 +271,8 @@
 	ctx, cancel := context.WithTimeout(r.Context(), waitMost)
 	defer cancel()
 	var q Config
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyMost))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&q); err != nil {
-		fail(w, fmt.Errorf("%w: byte %d: %w", errBad, d.InputOffset(), err))
+	if err := decode(w, r, &q); err != nil {
+		fail(w, err)
 		return
 	}
 	var v daemon.Version
--- a/internal/store/engine/engine.go
+++ b/internal/store/engine/engine.go
@@ -24,6 +24,7 @@
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/disk"
 	"birchmoor/internal/store/peer"
+	"birchmoor/internal/store/policy"
 	"birchmoor/internal/store/replica"
 
 	"github.com/cespare/xxhash/v2"
@@ -58,6 +59,7 @@
 	retryMin  = 20 * time.Millisecond
 	retryMost = 500 * time.Millisecond
 	proveFor  = time.Second // how often a quorum is asked to confirm the copy
+	staleFor  = 3 * proveFor
 )
 
 // ErrClosed says that the store has ended.
@@ -458,6 +460,7 @@
 	Revision uint64        `json:"revision"`
 	Proved   bool          `json:"proved"` // a quorum confirmed the copy since the start,
 	Age      time.Duration `json:"age_ns"` // so long ago
+	Stale    bool          `json:"stale"`  // longer than a few questions to the quorum take
 }
 
 // View has f read the state. If stale is not set, it shows all that was answered to anyone before the call; else it is
@@ -494,16 +497,14 @@
 }
 
 func (e *Engine) age() Age {
-	p := e.proved.Load()
-	if p == 0 {
-		return Age{}
+	var a Age
+	if p := e.proved.Load(); p != 0 {
+		a.Proved, a.Age = true, time.Since(e.begun)-time.Duration(p)
 	}
-	return Age{Proved: true, Age: time.Since(e.begun) - time.Duration(p)}
+	a.Stale = policy.Staleness{Confirmed: a.Proved, Age: int64(a.Age), Allowed: int64(staleFor)}.Stale()
+	return a
 }
 
-// Proof says when a quorum last confirmed this copy.
-func (e *Engine) Proof() Age { return e.age() }
-
 // Next returns the changes of keys with a prefix after a revision, waiting for one, and the revision up to which they
 // go. The error is a *store.ErrCompacted if the history no longer reaches back. A reader that does not come costs nothing.
 func (e *Engine) Next(ctx context.Context, prefix string, after uint64, most int) ([]store.Event, uint64, error) {
--- a/internal/store/replica/members.go
+++ b/internal/store/replica/members.go
@@ -242,9 +242,6 @@
 // Leading says whether this replica leads, as far as it knows.
 func (n *Node) Leading() bool { return n.leading }
 
-// Lead is the member that leads, or 0.
-func (n *Node) Lead() uint64 { return n.lead }
-
 // Hello is how replicas greet each other, before anything else is heard of either.
 type Hello struct {
 	Identity
--- a/internal/store/replica/replica.go
+++ b/internal/store/replica/replica.go
@@ -414,23 +414,17 @@
 
 // ask puts the question of all waiting reads to the quorum, again if no answer came.
 func (n *Node) ask() {
-	again := false
-	for _, r := range n.asked {
-		again = again || n.now-r.asked > int64(n.cfg.ElectTicks)
-	}
-	if again {
-		var late []uint64
-		for ctx, r := range n.asked {
-			if n.now-r.asked > int64(n.cfg.ElectTicks) {
-				late = append(late, ctx)
-			}
-		}
-		slices.Sort(late)
-		for _, ctx := range late {
-			n.reads = append(n.reads, n.asked[ctx].waits...)
-			delete(n.asked, ctx)
+	var late []uint64
+	for ctx, r := range n.asked {
+		if n.now-r.asked > int64(n.cfg.ElectTicks) {
+			late = append(late, ctx)
 		}
 	}
+	slices.Sort(late)
+	for _, ctx := range late {
+		n.reads = append(n.reads, n.asked[ctx].waits...)
+		delete(n.asked, ctx)
+	}
 	n.reads = slices.DeleteFunc(n.reads, func(w *wait) bool { return w.done })
 	if len(n.reads) == 0 || n.lead == 0 || len(n.asked) >= 16 {
 		return
@@ -623,16 +617,16 @@
 			c.ID = store.RequestID{}
 			r := n.state.Apply(n.applied, c)
 			c.ID = id
-			n.applied1(c, r)
+			n.follow(c, r)
 			break
 		}
-		n.applied1(c, n.state.Apply(n.applied, c))
+		n.follow(c, n.state.Apply(n.applied, c))
 	}
 	return nil
 }
 
-// applied1 does what follows from a command.
-func (n *Node) applied1(c *store.Command, r store.Result) {
+// follow does what follows from a command.
+func (n *Node) follow(c *store.Command, r store.Result) {
 	if n.leading && r.Err == nil {
 		switch {
 		case c.Grant != nil, c.Renew != nil:
@@ -698,14 +692,6 @@
 		Learners: slices.Clone(n.conf.GetLearners())}, state: n.state.Clone(), disk: n.disk}
 }
 
-// TakeSnapshot asks for a snapshot now. It returns nil while one is being written.
-func (n *Node) TakeSnapshot() *SnapshotJob {
-	if n.saving || n.failed != nil || n.applied == 0 {
-		return nil
-	}
-	return n.snapshot()
-}
-
 // Saved says how a job ended. After a success the log is cut behind it.
 func (n *Node) Saved(j *SnapshotJob, err error) {
 	n.saving = false
