Let each balancer use an aperture of the servers, sized by the fleet that settings tell

Every fourth to second request opens a connection, 16 to 25 ms of a server's work.

Cause: pick, hold and probeSome drew from the whole list (balancer.go), so each of 80 sidecars knew and kept connected every one of 60 servers.

Change: draws, probes and the strength of warm servers are of an aperture, chosen by a lot of the seed's: 12 balancers for each server on average, and 8 servers at least. Small fleets use all, and decide as before. Who is out or ejected is replaced. Cold servers are for those who have them in their apertures, whose shares are reckoned accordingly.

--- /dev/null
+++ b/balancer/aperture_test.go
@@ -0,0 +1,103 @@
+package balancer
+
+import "testing"
+
+// fleetMember is one of a large fleet's balancers, as of its start.
+func fleetMember(t *testing.T, seed uint64, balancers, endpoints int) (*Balancer, *recorder) {
+	t.Helper()
+	s, r := testSettings(), &recorder{}
+	s.Balancers = balancers
+	b, err := New(s, seed, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Start(0)
+	b.Members(0, ListCached, ready(endpoints))
+	return b, r
+}
+
+// Connections to an endpoint are shared by all balancers: each uses a part of the endpoints, and together they
+// use all of them alike, without a word between them.
+func TestApertureIsAFairShare(t *testing.T) {
+	for _, c := range []struct{ balancers, endpoints, want int }{
+		{1, 5, 5}, {4, 9, 9}, {6, 13, 13}, {12, 60, 60}, {24, 60, 30}, {80, 60, 9}, {320, 60, 8}, {2000, 200, 8}, {80, 3, 3},
+	} {
+		users := map[uint32]int{}
+		for seed := range uint64(min(c.balancers, 80)) {
+			b, r := fleetMember(t, seed*0x9e37, c.balancers, c.endpoints)
+			near := b.aperture(0)
+			if len(near) != c.want {
+				t.Fatalf("%d balancers, %d endpoints: an aperture of %d, want %d", c.balancers, c.endpoints, len(near), c.want)
+			}
+			for _, e := range near {
+				users[e.ID]++
+			}
+			for id := range uint64(40) {
+				b.Request(Micros(id)*50_000, request0(id, 0, Micros(id)*50_000))
+			}
+			for _, at := range r.sends {
+				if !inAperture(b, at.endpoint) {
+					t.Fatalf("a send to %d outside the aperture", at.endpoint)
+				}
+			}
+			for _, id := range r.probes {
+				if !inAperture(b, id) {
+					t.Fatalf("a probe of %d outside the aperture", id)
+				}
+			}
+		}
+		if c.balancers == 80 && c.endpoints == 60 {
+			for id := uint32(1); id <= 60; id++ {
+				if n := users[id]; n < 3 || n > 22 {
+					t.Errorf("endpoint %d is used by %d of 80 balancers, want about 12", id, n)
+				}
+			}
+		}
+	}
+}
+
+func inAperture(b *Balancer, id uint32) bool {
+	for _, e := range b.near {
+		if e.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// What is ejected, drains or was taken out is replaced, and has its place again afterwards.
+func TestApertureReplacesWhatIsOut(t *testing.T) {
+	b, _ := fleetMember(t, 1, 80, 60)
+	was := append([]*endpoint(nil), b.aperture(0)...)
+	ejected, drains, banned := was[0], was[1], was[2]
+	ejected.whole.outTo = second
+	b.Members(1, ListDelta, []Endpoint{{ID: drains.ID, State: Draining}})
+	b.TakeOut(banned.ID, 1)
+	now := second / 2
+	near := b.aperture(now)
+	if len(near) != len(was) || inAperture(b, ejected.ID) || inAperture(b, drains.ID) || inAperture(b, banned.ID) {
+		t.Fatal("an endpoint that is out still has a place, or no other has taken it")
+	}
+	b.aperture(2 * second)
+	if !inAperture(b, ejected.ID) || inAperture(b, drains.ID) {
+		t.Error("who is let in again has no place, or who drains has one")
+	}
+}
+
+// The part of a cold endpoint's work that each may send is reckoned for those who use it: others send nothing.
+func TestNoColdEndpointOutsideTheAperture(t *testing.T) {
+	b, r := fleetMember(t, 1, 80, 60)
+	b.aperture(second)
+	for _, e := range b.list {
+		b.warmUp(second, e, second)
+		if e.room = 1e12; inAperture(b, e.ID) {
+			e.room = -1e12
+		}
+	}
+	for id := range uint64(30) {
+		b.Request(second, request0(id, 0, second))
+	}
+	if len(r.sends) != 0 || len(r.refused) != 30 {
+		t.Errorf("%d sends to cold endpoints outside the aperture, %d refused", len(r.sends), len(r.refused))
+	}
+}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -7,6 +7,7 @@
 package balancer
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strconv"
@@ -32,7 +33,7 @@
 		return nil, err
 	}
 	b := &Balancer{
-		out: out, rng: source(seed),
+		out: out, rng: source(seed), salt: seed,
 		requests: map[uint64]*request{}, byID: map[uint32]*endpoint{}, logged: map[string]Micros{},
 		banned: map[uint32]Micros{}, ours: 1,
 	}
@@ -161,7 +162,9 @@
 		len(r.attempts) >= r.Rules.s.Limits.MaxAttempts || !b.serves(e) {
 		return false
 	}
-	if r.out > 0 && !r.Rules.s.Limits.SecondCopies || e.cold(now, b) && !b.coldRoom(now, e, r.work) {
+	// Only those who have a cold endpoint in their apertures share what it may get.
+	if r.out > 0 && !r.Rules.s.Limits.SecondCopies ||
+		e.cold(now, b) && !(slices.Contains(b.aperture(now), e) && b.coldRoom(now, e, r.work)) {
 		return false
 	}
 	c, first := b.class(r), r.bound()
@@ -515,14 +518,14 @@
 // request of this work fits.
 func (b *Balancer) coldRoom(now Micros, e *endpoint, work float64) bool {
 	rate := b.sentWork.rate(now)
-	strength := b.strength(now)
 	if b.warm == 0 { // what is sent would only follow what cold ones are let have
 		rate = b.demand.rate(now) * work
 	}
-	each := rate / max(1, strength)
+	each := rate / max(1, b.strong)
 	// While requests are refused little is sent, and a part of that would keep cold endpoints idle and the
-	// refusals going. Then the guide is what its pace lets an endpoint of few cores do, shared by all balancers.
-	able := cores / (e.paceNow(now, b) * e.warmth(now, b)) * float64(second) / float64(b.s.Balancers)
+	// refusals going. Then the guide is what its pace lets an endpoint of few cores do, for all who use it.
+	users := float64(b.s.Balancers*len(b.aperture(now))) / float64(len(b.list))
+	able := cores / (e.paceNow(now, b) * e.warmth(now, b)) * float64(second) / max(1, users)
 	each = max(each, min(1, refusedGain*b.refused.v)*able)
 	fill := b.ours * min(coldMost, coldShare*b.s.Contract.FallMultiple) * e.warmth(now, b) * each
 	most := max(fill*float64(b.s.Contract.OverloadFor)/float64(second)/2, work*coldCharge)
@@ -531,19 +534,33 @@
 	return e.room >= work*coldCharge
 }
 
-// strength is what all ready endpoints can do, in warm ones. Were only the warm ones counted, a deploy that
-// leaves few of them would seem to leave a large part of the traffic for each cold one.
-func (b *Balancer) strength(now Micros) float64 {
-	if now >= b.strongAt {
-		b.strong, b.warm, b.strongAt = 0, 0, now+second/10
-		for _, e := range b.list {
-			if b.serves(e) {
-				b.strong += e.warmth(now, b)
-				b.warm += share(!e.isCold)
-			}
+// The aperture is the part of the list that a balancer uses, chosen by its own lot. All balancers share the
+// few connections that an endpoint accepts, and one that is met often is known well and stays connected.
+const (
+	apertureCover = 12 // balancers that use an endpoint, on average,
+	apertureLeast = 8  // and endpoints to choose from
+)
+
+// aperture returns those endpoints, others in place of what is out or ejected, and counts what they can do in
+// warm ones. Were only the warm ones counted, a deploy would seem to leave each cold one a large part.
+func (b *Balancer) aperture(now Micros) []*endpoint {
+	if now < b.strongAt {
+		return b.near
+	}
+	b.strong, b.warm, b.strongAt = 0, 0, now+second/10
+	b.near = append(b.near[:0], b.list...)
+	if most := max(apertureLeast, apertureCover*len(b.list)/b.s.Balancers); most < len(b.list) {
+		place := func(e *endpoint) float64 { return b.lot(e) + share(!b.serves(e) || now < e.whole.outTo) }
+		slices.SortFunc(b.near, func(x, y *endpoint) int { return cmp.Compare(place(x), place(y)) })
+		b.near = b.near[:most]
+	}
+	for _, e := range b.near {
+		if b.serves(e) {
+			b.strong += e.warmth(now, b)
+			b.warm += share(!e.isCold)
 		}
 	}
-	return b.strong
+	return b.near
 }
 
 func (b *Balancer) askIn(now, delay Micros) {
@@ -605,7 +622,7 @@
 
 // freshFor is how long a pooled answer may be used.
 func (b *Balancer) freshFor(now Micros) Micros {
-	turn := float64(min(poolMost, len(b.list))) / b.probeRate(now) * float64(second)
+	turn := float64(min(poolMost, len(b.aperture(now)))) / b.probeRate(now) * float64(second)
 	return min(max(poolAge, Micros(poolRounds*turn)), poolOldest)
 }
 
@@ -625,10 +642,11 @@
 	b.out.Timer(1+Micros(float64(n)/rate*float64(second)*(0.5+b.rng.float())), tokenProbe)
 }
 
-// probeSome probes n random ready endpoints; asked says that held requests wait for them.
+// probeSome probes n random endpoints of the aperture; asked says that held requests wait for them.
 func (b *Balancer) probeSome(now Micros, n int, asked bool) {
-	for try := 0; n > 0 && try < 4*probeBatch && len(b.list) > 0; try++ {
-		e := b.list[b.rng.index(len(b.list))]
+	near := b.aperture(now)
+	for try := 0; n > 0 && try < 4*probeBatch && len(near) > 0; try++ {
+		e := near[b.rng.index(len(near))]
 		if e.probing && now-e.probedAt > 5*second {
 			e.probing = false // its answer was lost
 		}
@@ -766,7 +784,7 @@
 // hold keeps a request until probes that it asks for have answered: the answers that a quiet balancer has
 // pooled are older than what they tell. It says no where enough recent ones are pooled or none can be had.
 func (b *Balancer) hold(now Micros, r *request) bool {
-	n := min(int(min(drawsMost, holdSpend/max(1e-9, b.s.Prices.Probe))+b.rng.float()), len(b.list))
+	n := min(int(min(drawsMost, holdSpend/max(1e-9, b.s.Prices.Probe))+b.rng.float()), len(b.aperture(now)))
 	// A busy balancer's answers are recent without that. Where reports are rarely made anew, all who ask are
 	// told the same and would all follow it.
 	span := max(recentLeast, recent*b.work.v)
@@ -799,38 +817,32 @@
 // pick returns the best pooled endpoint for r, leaving out those it must not
 // or should not go to; without fresh answers, the better of two random draws.
 func (b *Balancer) pick(now Micros, r *request, not *endpoint) *endpoint {
-	oldest := now - b.freshFor(now)
+	near, oldest := b.aperture(now), now-b.freshFor(now)
 	var best *endpoint
 	var least float64
 	for pass := 0; pass < 2 && best == nil; pass++ {
-		// Ejected endpoints serve only when nothing else is left.
-		fits := func(e *endpoint) bool {
-			return e != not && !r.tried(e) && (pass > 0 || !b.shuns(now, e, r)) && b.maySend(now, r, e)
+		// weigh counts an endpoint that fits. Ejected ones serve only when nothing else is left.
+		weigh := func(e *endpoint) int {
+			if e == not || r.tried(e) || pass == 0 && b.shuns(now, e, r) || !b.maySend(now, r, e) {
+				return 0
+			}
+			if c := b.cost(now, r, e); best == nil || c < least {
+				best, least = e, c
+			}
+			return 1
 		}
 		pooled := 0
 		for i := len(b.pool) - 1; i >= 0 && b.pool[i].answerAt >= oldest; i-- {
-			if e := b.pool[i]; fits(e) {
-				pooled++
-				if c := b.cost(now, r, e); best == nil || c < least {
-					best, least = e, c
-				}
-			}
+			pooled += weigh(b.pool[i])
 		}
 		// A pool of few would take all: while most endpoints are unanswered, draws compete.
-		n := 2 * share(pooled < 2 || 2*pooled < min(poolMost, len(b.list)))
-		for try := 0; n > 0 && try < 8 && len(b.list) > 0; try++ {
-			if e := b.list[b.rng.index(len(b.list))]; fits(e) {
-				n--
-				if c := b.cost(now, r, e); best == nil || c < least {
-					best, least = e, c
-				}
-			}
+		n := 2 * int(share(pooled < 2 || 2*pooled < min(poolMost, len(near))))
+		for try := 0; n > 0 && try < 8 && len(near) > 0; try++ {
+			n -= weigh(near[b.rng.index(len(near))])
 		}
 		// What few endpoints may serve, chance does not find.
 		for i, at := 0, b.rng.index(len(b.list)); best == nil && i < len(b.list); i++ {
-			if e := b.list[(at+i)%len(b.list)]; fits(e) {
-				best = e
-			}
+			weigh(b.list[(at+i)%len(b.list)])
 		}
 	}
 	return best
@@ -1021,29 +1033,25 @@
 
 // value ranks r's class, 0 to 1, by the goal's gain from a unit of its work: worth, and more if served worst.
 func (b *Balancer) value(now Micros, r *request) float64 {
-	var work, worth float64
+	var work, worth, top, own float64
 	worst := 1.0
+	counts := func(i int) bool { return b.classes[i].live || i == r.slot }
 	for i := range b.classes {
-		c := &b.classes[i]
-		if !c.live && i != r.slot {
-			continue
+		if c := &b.classes[i]; counts(i) {
+			rate := c.asked.rate(now)
+			work += rate * c.work.v
+			worth += rate * b.worth(i)
+			worst = min(worst, c.good.or(1))
 		}
-		rate := c.asked.rate(now)
-		work += rate * c.work.v
-		worth += rate * b.worth(i)
-		worst = min(worst, c.good.or(1))
 	}
-	var top, own float64
 	for i := range b.classes {
-		c := &b.classes[i]
-		if !c.live && i != r.slot {
-			continue
+		if c := &b.classes[i]; counts(i) {
+			part := c.asked.rate(now) * c.work.v / work
+			v := (b.s.Goal.Whole + windowGain*b.s.Goal.WorstWindow) * b.worth(i) / c.work.v * work / worth
+			v += b.s.Goal.WorstClass / max(0.05, part) * math.Exp((worst-c.good.or(1))/0.1)
+			top = max(top, v)
+			own += v * share(i == r.slot)
 		}
-		part := c.asked.rate(now) * c.work.v / work
-		v := (b.s.Goal.Whole + windowGain*b.s.Goal.WorstWindow) * b.worth(i) / c.work.v * work / worth
-		v += b.s.Goal.WorstClass / max(0.05, part) * math.Exp((worst-c.good.or(1))/0.1)
-		top = max(top, v)
-		own += v * share(i == r.slot)
 	}
 	if !(top > 0) {
 		return 1 // no worth was set
@@ -1196,11 +1204,7 @@
 // When it is let in again the first request is a trial: until its outcome no other follows.
 func (b *Balancer) fails(now Micros, e *endpoint, part int, i *ill) {
 	i.streak++
-	after := ejectAfter
-	if part >= 0 {
-		after++
-	}
-	if i.streak < after || now < i.outTo && !i.trial || !b.mayEject(now, e, part) {
+	if i.streak < ejectAfter+int(share(part >= 0)) || now < i.outTo && !i.trial || !b.mayEject(now, e, part) {
 		return
 	}
 	i.trial = false
@@ -1268,10 +1272,7 @@
 	e.pace = ewma{v: was * warmth, n: settled}
 	e.pace.add(x*warmth, paceWeight)
 	e.paceAt = now
-	if atLeast {
-		return
-	}
-	if e.isCold {
+	if atLeast || e.isCold {
 		return
 	}
 	if r.HasHint {
--- a/balancer/snapshot.go
+++ b/balancer/snapshot.go
@@ -57,6 +57,9 @@
 	Asked  int            `cbor:"37,keyasint,omitempty"`
 	Round  uint32         `cbor:"38,keyasint,omitempty"`
 	Logged []LoggedState  `cbor:"39,keyasint,omitempty"` // by topic
+
+	Salt uint64 `cbor:"40,keyasint,omitempty"` // of the lots that choose the aperture
+	Near []int  `cbor:"41,keyasint,omitempty"` // the aperture: places in Endpoints; none if it is all of them
 }
 
 // RulesState are settings and the slots of their classes.
@@ -215,7 +218,7 @@
 		}
 		return MeterState{m.sum, now - m.at, name}
 	}
-	s := &Snapshot{At: now, Random: uint64(b.rng), Listed: b.listed, Subscribed: b.subscribed, ReportsLate: b.reportsLate,
+	s := &Snapshot{At: now, Random: uint64(b.rng), Salt: b.salt, Listed: b.listed, Subscribed: b.subscribed, ReportsLate: b.reportsLate,
 		AskAt: now - b.askAt, AskWait: b.askWait, StrongAt: now - b.strongAt, Ours: b.ours, Strong: b.strong, Warm: b.warm,
 		Credit: b.credit, Watched: b.watched, Renewed: b.renewed, Trust: b.trust, Trend: b.trend,
 		Checks: b.checks, Checked: b.checked, Fleet: b.fleet.state(), Work: b.work.state(), Refused: b.refused.state(),
@@ -237,6 +240,11 @@
 	for _, e := range b.pool {
 		s.Pool = append(s.Pool, place[e])
 	}
+	for _, e := range b.near {
+		if at, listed := place[e]; listed && len(b.near) < len(b.list) {
+			s.Near = append(s.Near, at)
+		}
+	}
 	for id, at := range b.banned {
 		s.Bans = append(s.Bans, BanState{id, now - at})
 	}
@@ -326,7 +334,7 @@
 	if err := s.check(); err != nil {
 		return nil, err
 	}
-	b := &Balancer{s: s.Rules[0].Settings, out: out, rng: source(s.Random), requests: map[uint64]*request{},
+	b := &Balancer{s: s.Rules[0].Settings, out: out, rng: source(s.Random), salt: s.Salt, requests: map[uint64]*request{},
 		byID: map[uint32]*endpoint{}, logged: map[string]Micros{}, banned: map[uint32]Micros{}, ours: s.Ours,
 		strong: s.Strong, warm: s.Warm, credit: s.Credit, watched: s.Watched, renewed: s.Renewed, trust: s.Trust,
 		trend: s.Trend, checks: s.Checks, checked: s.Checked, listed: s.Listed, subscribed: s.Subscribed,
@@ -354,6 +362,12 @@
 	for _, at := range s.Pool {
 		b.pool = append(b.pool, b.list[at])
 	}
+	for _, at := range s.Near {
+		b.near = append(b.near, b.list[at])
+	}
+	if len(b.near) == 0 {
+		b.near = slices.Clone(b.list)
+	}
 	for _, x := range s.Bans {
 		b.banned[x.ID] = now - x.Age
 	}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -19,6 +19,8 @@
 
 	byID   map[uint32]*endpoint
 	list   []*endpoint       // known endpoints in the order first heard of
+	salt   uint64            // of the lots that choose the aperture
+	near   []*endpoint       // the aperture, as of the last count of strength
 	pool   []*endpoint       // those with a load answer, the latest last
 	held   []*request        // requests that wait for probes
 	asked  int               // probes that they wait for
@@ -293,6 +295,12 @@
 	k.current = (x + (currDivisor-1)*k.current) / currDivisor
 }
 
+// lot is e's place, in [0,1), in this balancer's order of endpoints: the same for as long as both live.
+func (b *Balancer) lot(e *endpoint) float64 {
+	s := source(b.salt + uint64(e.ID)*0xd1342543de82ef95)
+	return s.float()
+}
+
 // refresh is the mean time between two reports of an endpoint, as far as it is known.
 func (b *Balancer) refresh() float64 { return b.watched / max(1, b.renewed) }
 
