Hold a cold server to have its warmth's part of the usual load, not all of it

Seen on join+vast after six in ten servers were replaced: the old servers hold 5 to 8 requests each (p50 60 to 240 ms), the new ones 0.1 to 0.5 on two or three cores (p50 28 to 110 ms), while 20 to 30 of 100 requests are refused. Of those refusals 9 of 10 are for being too late, and 4 of the 5.4 cold servers in an aperture had room by their budgets.

Ruled out: ejections (0.2 of 9 servers), no server to be found (2 of 100), the trend (it falls to 0.7), late reports.

Cause: a sidecar of a large fleet probes each server every 7 s, so nearly always load() answers with the usual load of others, 2 to 3.5, which is that of warm, busy servers; times the slowness of a cold one, no aim was long enough.

Change: what others are held to have there is the usual load times the server's warmth.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -734,11 +734,12 @@
 // are held to send as we do: they hold that answer, too, and would all pile up where it is low. As it ages
 // it tells less and less of how e differs from others: an old low one would win over what is known now.
 func (b *Balancer) load(now Micros, e *endpoint) float64 {
+	usual := b.usual.v * e.warmth(now, b)
 	if b.reportsLate || !e.hasLoad {
-		return b.usual.v + float64(e.inflight)
+		return usual + float64(e.inflight)
 	}
 	told := math.Exp(-(float64(now-e.answerAt) + b.refresh()/2) / (memory * b.work.v))
-	return b.usual.v + (e.others-b.usual.v)*told + float64(e.inflight) +
+	return usual + (e.others-usual)*told + float64(e.inflight) +
 		min(crowdMost, float64(b.s.Balancers-1)/2)*float64(max(0, e.inflight-e.ownAt))
 }
 
