Learn from what cold servers serve how warm they are, and expect their latencies by that

Cause: warmth() is the least that the contract promises (0.13 of the capacity at the start, warm after 24 s). That is right for budgets. paceNow() expected latencies by it, too, and each endpoint's own pace follows by 0.03 an answer, which with a few answers a server is never.

Change: chill, one figure for all cold endpoints of a balancer, follows their latencies over those expected; heat, warmth over chill and 1 at most, is what latencies and the load of others are expected by. Budgets still go by warmth.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -80,7 +80,7 @@
 // Start begins the balancer's life.
 func (b *Balancer) Start(now Micros) {
 	b.lag.n, b.refused.n = settled, settled
-	b.trend, b.trust = 1, 0.5
+	b.trend, b.trust, b.chill = 1, 0.5, 1
 	b.credit, b.round = budgetBurst, 1
 	if b.s.Subscribe {
 		// All instances of a fleet may start at once: spread their first calls.
@@ -113,10 +113,15 @@
 		}
 	case token >= firstSlot:
 		slot := int(token&(1<<slotBits-1)) - firstSlot
-		if slot >= 0 && slot < len(b.slots) {
-			if r := b.slots[slot]; r.token == token && !r.ended && !r.stream {
-				b.wake(now, r)
-			}
+		if slot < 0 || slot >= len(b.slots) {
+			return
+		}
+		if r := b.slots[slot]; r.token != token || r.ended || r.stream {
+			return
+		} else if r.held {
+			b.release(now) // it was held long enough
+		} else if now >= r.Deadline {
+			b.refuse(now, r)
 		}
 	}
 }
@@ -525,7 +530,7 @@
 	// While requests are refused little is sent, and a part of that would keep cold endpoints idle and the
 	// refusals going. Then the guide is what its pace lets an endpoint of few cores do, for all who use it.
 	users := float64(b.s.Balancers*len(b.aperture(now))) / float64(len(b.list))
-	able := cores / (e.paceNow(now, b) * e.warmth(now, b)) * float64(second) / max(1, users)
+	able := cores / (e.paceNow(now, b) * e.heat(now, b)) * float64(second) / max(1, users)
 	each = max(each, min(1, refusedGain*b.refused.v)*able)
 	fill := b.ours * min(coldMost, coldShare*b.s.Contract.FallMultiple) * e.warmth(now, b) * each
 	most := max(fill*float64(b.s.Contract.OverloadFor)/float64(second)/2, work*coldCharge)
@@ -734,7 +739,7 @@
 // are held to send as we do: they hold that answer, too, and would all pile up where it is low. As it ages
 // it tells less and less of how e differs from others: an old low one would win over what is known now.
 func (b *Balancer) load(now Micros, e *endpoint) float64 {
-	usual := b.usual.v * e.warmth(now, b)
+	usual := b.usual.v * e.heat(now, b)
 	if b.reportsLate || !e.hasLoad {
 		return usual + float64(e.inflight)
 	}
@@ -762,7 +767,7 @@
 func (e *endpoint) paceNow(now Micros, b *Balancer) float64 {
 	usual := b.fleet.or(1)
 	trust := max(0, 1-float64(now-e.paceAt)/float64(paceLife)) * share(e.pace.n > 0)
-	return max(paceLeast, usual+(e.pace.v-usual)*trust) / e.warmth(now, b)
+	return max(paceLeast, usual+(e.pace.v-usual)*trust) / e.heat(now, b)
 }
 
 // predict is the latency expected of a request of this work sent to e now.
@@ -923,6 +928,8 @@
 	roomLeast   = 0.2  // and by any
 	mixLeast    = 0.05 // part of all allowances that a balancer must carry to judge of shares
 	tenantSlack = 1.25 // refusals below a fifth say nothing of shares
+	chillWeight = 0.05
+	chillStep   = 2.0  // as trendStep, for what is learned of cold endpoints
 	waitMost    = 6.0  // times what is expected,
 	waitLeast   = 5e4  // but no less than what a busy machine, a lost packet or a collector may take
 	workLeast   = 1.0  // of a request, so that nothing divides by none
@@ -1080,15 +1087,6 @@
 	return inside + (1-inside)*b.s.OverShareWorth
 }
 
-// wake looks at a request that was held long enough, or whose time is up.
-func (b *Balancer) wake(now Micros, r *request) {
-	if r.held {
-		b.release(now)
-	} else if now >= r.Deadline {
-		b.refuse(now, r)
-	}
-}
-
 // Headers handles the start of a streamed answer. From here on neither a
 // deadline nor another attempt concerns the request.
 func (b *Balancer) Headers(now Micros, id uint64, attempt int, latency Micros) {
@@ -1247,10 +1245,7 @@
 	for _, o := range b.list {
 		out += share(o != e && (now < o.whole.outTo || part >= 0 && now < o.ills[part].outTo))
 	}
-	if part >= 0 {
-		return 3*out <= 2*float64(len(b.list))
-	}
-	return 2*out <= float64(len(b.list))
+	return out <= (1.0/2+share(part >= 0)/6)*float64(len(b.list))
 }
 
 // learnPace learns from a latency; atLeast says that it is only a lower bound.
@@ -1269,7 +1264,10 @@
 		// Rough hints overstate the large and understate the small: learn how far they tell.
 		b.trust = min(1, max(0, b.trust+trustWeight*r.hint*math.Log(x/e.paceNow(now, b))))
 	}
-	warmth, was := e.warmth(now, b), e.paceNow(now, b) // what is kept is the pace once warm
+	warmth, was := e.heat(now, b), e.paceNow(now, b) // what is kept is the pace once warm
+	if e.isCold && !atLeast {
+		b.chill = min(1, max(b.s.Contract.ColdFrom, b.chill*(1+chillWeight*(min(x/was, chillStep)-1))))
+	}
 	e.pace = ewma{v: was * warmth, n: settled}
 	e.pace.add(x*warmth, paceWeight)
 	e.paceAt = now
--- a/balancer/snapshot.go
+++ b/balancer/snapshot.go
@@ -58,8 +58,9 @@
 	Round  uint32         `cbor:"38,keyasint,omitempty"`
 	Logged []LoggedState  `cbor:"39,keyasint,omitempty"` // by topic
 
-	Salt uint64 `cbor:"40,keyasint,omitempty"` // of the lots that choose the aperture
-	Near []int  `cbor:"41,keyasint,omitempty"` // the aperture: places in Endpoints; none if it is all of them
+	Salt  uint64  `cbor:"40,keyasint,omitempty"` // of the lots that choose the aperture
+	Chill float64 `cbor:"42,keyasint,omitempty"` // none in earlier ones: 1
+	Near  []int   `cbor:"41,keyasint,omitempty"` // the aperture: places in Endpoints; none if it is all of them
 }
 
 // RulesState are settings and the slots of their classes.
@@ -218,7 +219,7 @@
 		}
 		return MeterState{m.sum, now - m.at, name}
 	}
-	s := &Snapshot{At: now, Random: uint64(b.rng), Salt: b.salt, Listed: b.listed, Subscribed: b.subscribed, ReportsLate: b.reportsLate,
+	s := &Snapshot{At: now, Random: uint64(b.rng), Salt: b.salt, Chill: b.chill, Listed: b.listed, Subscribed: b.subscribed, ReportsLate: b.reportsLate,
 		AskAt: now - b.askAt, AskWait: b.askWait, StrongAt: now - b.strongAt, Ours: b.ours, Strong: b.strong, Warm: b.warm,
 		Credit: b.credit, Watched: b.watched, Renewed: b.renewed, Trust: b.trust, Trend: b.trend,
 		Checks: b.checks, Checked: b.checked, Fleet: b.fleet.state(), Work: b.work.state(), Refused: b.refused.state(),
@@ -334,7 +335,7 @@
 	if err := s.check(); err != nil {
 		return nil, err
 	}
-	b := &Balancer{s: s.Rules[0].Settings, out: out, rng: source(s.Random), salt: s.Salt, requests: map[uint64]*request{},
+	b := &Balancer{s: s.Rules[0].Settings, out: out, rng: source(s.Random), salt: s.Salt, chill: cmp.Or(s.Chill, 1), requests: map[uint64]*request{},
 		byID: map[uint32]*endpoint{}, logged: map[string]Micros{}, banned: map[uint32]Micros{}, ours: s.Ours,
 		strong: s.Strong, warm: s.Warm, credit: s.Credit, watched: s.Watched, renewed: s.Renewed, trust: s.Trust,
 		trend: s.Trend, checks: s.Checks, checked: s.Checked, listed: s.Listed, subscribed: s.Subscribed,
@@ -509,6 +510,8 @@
 	within(s.Pool, len(s.Endpoints), "Pool")
 	within(s.Free, len(s.Slots), "Free")
 	within(s.Held, len(s.Slots), "Held")
+	within(s.Near, len(s.Endpoints), "Near")
+	must(finite(s.Chill) && s.Chill <= 1, "Chill", "is not in 0..1")
 	must(len(s.Pool) <= poolMost && len(s.Called) <= backBound, "Pool", "is too long")
 	used := map[uint64]bool{}
 	for i := range s.Slots {
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -19,6 +19,7 @@
 
 	byID   map[uint32]*endpoint
 	list   []*endpoint       // known endpoints in the order first heard of
+	chill  float64           // the least warmth of cold endpoints over that which they show, 1 at most
 	salt   uint64            // of the lots that choose the aperture
 	near   []*endpoint       // the aperture, as of the last count of strength
 	pool   []*endpoint       // those with a load answer, the latest last
@@ -313,6 +314,10 @@
 	return from + (1-from)*float64(now-e.coldFrom)/float64(b.s.Contract.RampTime)
 }
 
+// heat is the share of its capacity that e is held to have by now: its warmth, and more if what cold endpoints
+// serve has shown that they are warmer than they must be. Budgets go by warmth, expectations by heat.
+func (e *endpoint) heat(now Micros, b *Balancer) float64 { return min(1, e.warmth(now, b)/b.chill) }
+
 func (e *endpoint) cold(now Micros, b *Balancer) bool {
 	if e.isCold && now-e.coldFrom >= b.s.Contract.RampTime {
 		e.isCold = false
--- a/balancer/warm_test.go
+++ b/balancer/warm_test.go
@@ -30,3 +30,38 @@
 		t.Errorf("load %v as told and %v long after, want 9 and 2.2", fresh, old)
 	}
 }
+
+// Settings tell the least that a cold endpoint can do. What cold ones show is learned, for all of them together.
+func TestColdEndpointsShowHowWarmTheyAre(t *testing.T) {
+	for _, c := range []struct {
+		slower   float64 // than warm, of what is to be expected of the least warmth
+		from, to float64 // of heat over warmth, after a few answers
+	}{{1, 0.99, 1.01}, {0.5, 1.5, 2.1}, {3, 0.99, 1.01}} {
+		s := testSettings()
+		s.Contract.RampTime = 1000 * second
+		b, r := start(t, s, ready(8))
+		b.fleet, b.work, b.classes[0].work = ewma{v: 1, n: settled}, ewma{v: 1000, n: settled}, ewma{v: 1000, n: settled}
+		for id := range uint64(200) {
+			now := second + Micros(id)*second/10
+			for _, e := range b.list {
+				e.isCold, e.coldFrom, e.room, e.whole, e.ills = true, now-100*second, 1e12, ill{}, b.newIlls()
+			}
+			b.Request(now, Request{ID: id, Deadline: now + 100*second, Hint: 1000, HasHint: true})
+			if len(r.sends) != int(id)+1 {
+				t.Fatal("not sent")
+			}
+			e := b.byID[r.sends[id].endpoint]
+			took := Micros(c.slower * 1000 / e.warmth(now, b))
+			b.Outcome(now+took, Outcome{ID: id, Endpoint: e.ID, Status: OK, Latency: took, Settled: true})
+		}
+		now := 30 * second
+		e := b.list[0]
+		e.isCold, e.coldFrom = true, now-100*second
+		if got := e.heat(now, b) / e.warmth(now, b); got < c.from || got > c.to {
+			t.Errorf("%v times as slow as may be: heat is %v of warmth, want %v to %v", c.slower, got, c.from, c.to)
+		}
+		if e.coldFrom = now - 900*second; e.heat(now, b) > 1 {
+			t.Errorf("heat %v", e.heat(now, b))
+		}
+	}
+}
