Learn the usual load of servers without counting a jammed one, or one asked again, as many

Cause: the first answer was taken whole, the second questions that learn the age of reports counted as seven more, and the weight was one part in 24 or in the whole list, although an aperture has 9 (answered() in balancer.go).

Change: an answer counts for as much as was not known before, moves the mean as if it were 2 above it at most, and weighs one part of the aperture.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -605,6 +605,7 @@
 	recent      = 2.0         // mean works that an answer is recent for,
 	recentLeast = 2e4         // and no shorter: a probe must not cost more time than it saves
 	checksMost  = 6           // endpoints asked twice to learn how old reports are
+	usualStep   = 2.0         // an answer moves the usual load as if it were no more than this above it
 	memory      = 10.0        // mean works in which loads differ from what they were
 	poolAge     = second      // an answer is fresh for this long,
 	poolRounds  = 3           // or for so many turns of the pool,
@@ -693,6 +694,7 @@
 	}
 	if ok {
 		b.judgeReports(now, e, load)
+		news := 1 - b.told(now, e)
 		e.hasLoad, e.answerAt = true, now
 		if at := slices.Index(b.pool, e); at >= 0 {
 			b.pool = slices.Delete(b.pool, at, at+1)
@@ -701,7 +703,8 @@
 		}
 		b.pool = append(b.pool, e)
 		e.others, e.ownAt = max(0, held-float64(e.inflight)), e.inflight
-		b.usual.add(e.others, 1/float64(min(poolMost, len(b.list))))
+		// One jammed endpoint, or one asked again, says little of the others.
+		b.usual.add(min(e.others, b.usual.v+usualStep), news/float64(min(poolMost, len(b.aperture(now)))))
 	}
 	// An answer that counts fewer than we alone have there is late, unless some are
 	// still on their way. If that happens often, the pool misleads: averages serve then.
@@ -743,8 +746,7 @@
 	if b.reportsLate || !e.hasLoad {
 		return usual + float64(e.inflight)
 	}
-	told := math.Exp(-(float64(now-e.answerAt) + b.refresh()/2) / (memory * b.work.v))
-	return usual + (e.others-usual)*told + float64(e.inflight) +
+	return usual + (e.others-usual)*b.told(now, e) + float64(e.inflight) +
 		min(crowdMost, float64(b.s.Balancers-1)/2)*float64(max(0, e.inflight-e.ownAt))
 }
 
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -305,6 +305,11 @@
 // refresh is the mean time between two reports of an endpoint, as far as it is known.
 func (b *Balancer) refresh() float64 { return b.watched / max(1, b.renewed) }
 
+// told is how much e's latest answer tells of its load yet: 1 for all, 0 for nothing.
+func (b *Balancer) told(now Micros, e *endpoint) float64 {
+	return share(e.hasLoad) * math.Exp(-(float64(now-e.answerAt)+b.refresh()/2)/(memory*b.work.v))
+}
+
 // warmth is the least share of its capacity that e has by now.
 func (e *endpoint) warmth(now Micros, b *Balancer) float64 {
 	if !e.cold(now, b) {
--- a/balancer/warm_test.go
+++ b/balancer/warm_test.go
@@ -65,3 +65,25 @@
 		}
 	}
 }
+
+// After a start the first endpoint that answers may be a jammed one, asked several times to learn how old reports
+// are. What is thought of all others must not be that for long: with few probes it would be for the whole day.
+func TestOneJammedEndpointIsNotTheUsualLoad(t *testing.T) {
+	s := testSettings()
+	b, _ := start(t, s, ready(10))
+	now := second
+	for range 7 {
+		now += second / 20
+		b.Probed(now, 1, OK, 500, []float32{30})
+	}
+	if b.usual.v > 2*usualStep {
+		t.Errorf("one endpoint that holds 30 makes the usual load %v", b.usual.v)
+	}
+	for id := range uint32(9) {
+		now += second
+		b.Probed(now, id+2, OK, 500, []float32{1})
+	}
+	if b.usual.v > 1.5 || b.usual.v < 0.9 {
+		t.Errorf("nine endpoints of ten hold 1, and the usual load is %v", b.usual.v)
+	}
+}
