--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -597,7 +597,7 @@
 	firstTries  = 0.3         // at least, of what is asked
 	probeMost   = 4.0         // probes a request, at most
 	probeLeast  = 0.1         // probes a second, at least
-	holdSpend   = 0.015       // of the result, at most, goes to probes that held requests wait for
+	holdSpend   = 0.03        // of the result, at most, goes to probes that held requests wait for
 	drawsMost   = 3.0         // probes for a held request, at most
 	holdPart    = 10          // a request is held for no more than such a part of its aim
 	poolMost    = 24          // answers in the pool
--- a/balancer/hold_test.go
+++ b/balancer/hold_test.go
@@ -256,3 +256,31 @@
 		t.Errorf("refresh %.0f after %.0f watched, limit %.0f", b.refresh(), b.watched, span)
 	}
 }
+
+// Where probes are dear, one request in a few is held for one: they cost the same part of the result at any price.
+func TestProbesOfHeldRequestsCostAPartOfTheResult(t *testing.T) {
+	for _, price := range []float64{0.04, 0.08, 0.3} {
+		s := testSettings()
+		s.Prices.Probe = price
+		b, r := start(t, s, ready(8))
+		const n = 4000
+		probes := 0
+		for id := range uint64(n) {
+			now := second + Micros(id)*3*second
+			b.Request(now, request0(id, 0, now))
+			for _, p := range r.probes {
+				probes++
+				b.Probed(now+1000, p, OK, 500, []float32{1})
+			}
+			r.probes = r.probes[:0]
+			if len(r.sends) != 1 {
+				t.Fatalf("sends %v", r.sends)
+			}
+			b.Outcome(now+50_000, Outcome{ID: id, Endpoint: r.sends[0].endpoint, Status: OK, Latency: 49_000, Settled: true})
+			r.sends = r.sends[:0]
+		}
+		if got, want := float64(probes)/n*price, 0.03; got < 0.85*want || got > 1.15*want {
+			t.Errorf("at a price of %v a request, probes cost %.4f of the result, want %v", price, got, want)
+		}
+	}
+}
