Make apertures smaller: 8 balancers for each server, 6 servers at least

With more, servers run out of connections again and a sidecar learns of each too late; with fewer it has no good one to go to. Fleets of up to eight sidecars use all servers, as before.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -542,8 +542,8 @@
 // The aperture is the part of the list that a balancer uses, chosen by its own lot. All balancers share the
 // few connections that an endpoint accepts, and one that is met often is known well and stays connected.
 const (
-	apertureCover = 12 // balancers that use an endpoint, on average,
-	apertureLeast = 8  // and endpoints to choose from
+	apertureCover = 8 // balancers that use an endpoint, on average,
+	apertureLeast = 6 // and endpoints to choose from
 )
 
 // aperture returns those endpoints, others in place of what is out or ejected, and counts what they can do in
