Wait for a connection for a quarter of the dial time-out, so that a request is in time elsewhere

Cause: newUpstream's dialer waited for all of the dial time-out. What never came up never ran, so any class may be sent on.

--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -102,14 +102,23 @@
 		// Well before the endpoint's own limit: a request that crosses its close is lost.
 		idleMost: c.KeepAlive * 2 / 3, connsMost: c.upstreamConns(1), idle: map[*target]struct{}{}}
 	u.adopt(c)
-	timeout := time.Duration(c.Settings.Limits.DialTimeout) * time.Microsecond
-	if timeout <= 0 {
-		timeout = probeTimeout
-	}
-	u.dial = (&net.Dialer{Timeout: timeout}).DialContext
+	u.dial = (&net.Dialer{Timeout: dialWait(time.Duration(c.Settings.Limits.DialTimeout) * time.Microsecond)}).DialContext
 	return u
 }
 
+// dialParts is the part of the dial time-out that a connection is waited for. One takes a round trip, under a
+// millisecond here; one that is not up in many times that belongs to a machine that is cut off or gone, and the
+// request, which never ran, may still be in time elsewhere.
+const dialParts = 4
+
+// dialWait is how long a connection is waited for, where the settings allow most; 0 for no word of theirs.
+func dialWait(most time.Duration) time.Duration {
+	if most <= 0 {
+		most = probeTimeout
+	}
+	return most / dialParts
+}
+
 // reports is what load reports hold, and where.
 type reports struct {
 	fields    []string
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -462,3 +462,13 @@
 		t.Error("more was written to a mute probe")
 	}
 }
+
+// An answer is wanted within a few hundred milliseconds: a machine that is gone must not cost all of them.
+func TestDialLeavesTimeForAnother(t *testing.T) {
+	for most, want := range map[time.Duration]time.Duration{200 * time.Millisecond: 50 * time.Millisecond,
+		time.Second: 250 * time.Millisecond, 0: probeTimeout / 4, -1: probeTimeout / 4} {
+		if got := dialWait(most); got != want {
+			t.Errorf("of %v, a connection is waited for for %v, want %v", most, got, want)
+		}
+	}
+}
