Let cold budgets follow what cold servers show, up to 0.6 of the multiple of the least

Cause: coldRoom() went by the least capacity that the contract promises alone, 0.45 of the multiple of that.

Change: a budget is 1.4 times what the endpoint can do by its heat, as learned, but no more than 0.6 of the multiple of the least (1.8 times it at a multiple of 3), so that what is learned wrongly cannot push one over.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -512,8 +512,8 @@
 // balancers doing so, their sum stays well under what it bears; none needs to know of the others. Each send
 // is charged a little more than its work, for the handshake that it may cost.
 const (
-	coldShare   = 0.45 // of the multiple at which it falls over,
-	coldMost    = 1.4  // and of what it can do, at most
+	coldShare   = 0.6 // of the multiple at which it falls over, by its warmth, the least that it can do,
+	coldMost    = 1.4 // and of what it can do by its heat, at most
 	coldCharge  = 1.15
 	refusedGain = 2.0  // a share of refusals above the half of which this is the inverse counts as whole
 	probeShare  = 0.01 // of a request's work, taken from a cold endpoint's room by a probe
@@ -532,7 +532,7 @@
 	users := float64(b.s.Balancers*len(b.aperture(now))) / float64(len(b.list))
 	able := cores / (e.paceNow(now, b) * e.heat(now, b)) * float64(second) / max(1, users)
 	each = max(each, min(1, refusedGain*b.refused.v)*able)
-	fill := b.ours * min(coldMost, coldShare*b.s.Contract.FallMultiple) * e.warmth(now, b) * each
+	fill := b.ours * each * min(coldMost*e.heat(now, b), coldShare*b.s.Contract.FallMultiple*e.warmth(now, b))
 	most := max(fill*float64(b.s.Contract.OverloadFor)/float64(second)/2, work*coldCharge)
 	e.room = min(most, e.room+fill*float64(now-e.roomAt)/float64(second))
 	e.roomAt = now
--- a/balancer/warm_test.go
+++ b/balancer/warm_test.go
@@ -87,3 +87,24 @@
 		t.Errorf("nine endpoints of ten hold 1, and the usual load is %v", b.usual.v)
 	}
 }
+
+// What a cold endpoint may get follows what cold ones show, but never the multiple of the least that it can do.
+func TestColdBudgetFollowsWhatIsShown(t *testing.T) {
+	for _, c := range []struct{ chill, want float64 }{{1, 1.4}, {0.9, 1.4 / 0.9}, {0.5, 1.8}, {0.2, 1.8}} {
+		s := testSettings()
+		s.Contract.FallMultiple = 3
+		s.Contract.RampTime = 1000 * second
+		b, _ := start(t, s, ready(4))
+		now := second
+		b.sentWork.add(now, 1000)
+		b.aperture(now)
+		e := b.list[0]
+		b.warmUp(now, e, now)
+		b.chill, e.room = c.chill, 0
+		each := b.sentWork.rate(now+1000) / b.strong
+		b.coldRoom(now+1000, e, 1e6)
+		if got := e.room / (each * 0.001 * e.warmth(now+1000, b)); math.Abs(got-c.want) > 0.01 {
+			t.Errorf("chill %v: a budget of %.3f times the least that it can do, want %.3f", c.chill, got, c.want)
+		}
+	}
+}
