Let a drain bind whatever address it is told with; one log line for a list's odd entries

Need: an entry of the list with an address or a state that cannot be read makes one clear line and never a crash. Cause of the fault found there: members() passed over every entry without an address that was not a removal, so that a drain told so was not heard; and each odd entry made a line of its own.

Change: only an entry that is up needs an address that can be read; what is odd in a list, entries told twice and unknown lifecycles too, makes one line with the number and the first.

--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -5,11 +5,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"birchmoor/balancer"
 	"birchmoor/internal/metrics"
 )
 
@@ -254,3 +257,51 @@
 		t.Errorf("read as %s", got)
 	}
 }
+
+// What can't be read of a list is passed over in one line for all of it, but a drain binds however it is told.
+func TestOddEntries(t *testing.T) {
+	var said strings.Builder
+	log := slog.New(slog.NewTextHandler(&said, nil))
+	cfg := configure(t, nowhere(t), nil)
+	clk := clock{time.Now()}
+	l, err := newLoop(cfg, clk, newUpstream(cfg, clk, new(metrics.Counter), log), func(bool) {}, metrics.New(), nil, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := clk.now()
+	l.balancer.Start(now)
+	in := func(id, addr, lifecycle string) Instance { return Instance{ID: id, Addr: addr, Lifecycle: lifecycle} }
+	for _, c := range []struct {
+		name  string
+		kind  balancer.ListKind
+		list  []Instance
+		ready string // who serves afterwards
+		lines int
+		says  string
+	}{
+		{"sound", balancer.ListFull, []Instance{in("a", "127.0.0.1:1", "up"), in("b", "127.0.0.1:2", "up")}, "a b", 0, ""},
+		{"many odd ones", balancer.ListDelta, []Instance{in("", "127.0.0.1:3", "up"), in("c", "", "up"), in("d", "no port", "up"),
+			in("e", "127.0.0.1:5", "up")}, "a b e", 1, "odd=3"},
+		{"told twice", balancer.ListDelta, []Instance{in("e", "127.0.0.1:5", "up"), in("e", "127.0.0.1:6", "up")}, "a b e", 1, "told twice"},
+		{"drains at no address", balancer.ListDelta, []Instance{in("a", "no port", "draining"), in("b", "", "draining")}, "e", 0, ""},
+		{"a word that is not known", balancer.ListDelta, []Instance{in("e", "127.0.0.1:6", "resting")}, "", 1, "resting"},
+		{"back", balancer.ListDelta, []Instance{in("a", "127.0.0.1:1", "up")}, "a", 0, ""},
+		{"empty", balancer.ListFull, nil, "", 0, ""},
+	} {
+		said.Reset()
+		l.members(now, c.kind, List{Generation: 7, Instances: c.list})
+		var ready []string
+		for name, e := range l.byName {
+			if e.state == balancer.Ready {
+				ready = append(ready, name)
+			}
+		}
+		slices.Sort(ready)
+		if got := strings.Join(ready, " "); got != c.ready {
+			t.Errorf("%s: %q serve, want %q", c.name, got, c.ready)
+		}
+		if n := strings.Count(said.String(), "list with odd entries"); n != c.lines || !strings.Contains(said.String(), c.says) {
+			t.Errorf("%s: %d lines, want %d with %q: %s", c.name, n, c.lines, c.says, said.String())
+		}
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -4,7 +4,9 @@
 	"container/heap"
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
+	"net"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -416,14 +418,20 @@
 func (l *loop) members(now balancer.Micros, kind balancer.ListKind, list List) {
 	entries := make([]balancer.Endpoint, 0, len(list.Instances))
 	named := map[string]bool{}
+	var odd []string // the faults of entries: one line for a list, however many they are
 	for _, in := range list.Instances {
 		state, known := states[in.Lifecycle]
-		if in.ID == "" || in.Addr == "" && state != balancer.Gone {
-			l.log.Warn("entry of the list passed over: no id or no address", "id", in.ID)
-			continue
-		}
 		if !known {
 			state = balancer.Draining
+			odd = append(odd, fmt.Sprintf("%q: no known lifecycle %q, nothing new goes there", in.ID, in.Lifecycle))
+		}
+		_, _, err := net.SplitHostPort(in.Addr)
+		if in.ID == "" || err != nil && state == balancer.Ready { // a drain binds, whatever the address
+			odd = append(odd, fmt.Sprintf("%q: passed over, no id or no address to be read in %q", in.ID, in.Addr))
+			continue
+		}
+		if named[in.ID] {
+			odd = append(odd, fmt.Sprintf("%q: told twice, the latter counts", in.ID))
 		}
 		named[in.ID] = true
 		e := l.byName[in.ID]
@@ -457,6 +465,9 @@
 			}
 		}
 	}
+	if len(odd) > 0 {
+		l.log.Warn("list with odd entries", "generation", list.Generation, "odd", len(odd), "first", odd[0])
+	}
 	l.balancer.Members(now, kind, entries)
 	l.figures.Listed.Set(int64(len(l.byName)))
 	l.figures.Unhealthy.Set(int64(l.balancer.Avoided(now)))
