--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -454,7 +454,7 @@
 	b.fleet, b.work, b.service, b.usual, b.lag = o.fleet, o.work, o.service, o.usual, o.lag
 	b.reportsLate = o.reportsLate
 	b.watched, b.renewed, b.checks, b.demand, b.sentWork = o.watched, o.renewed, o.checks, o.demand, o.sentWork
-	b.trust, b.trend, b.refused.v = o.trust, math.Pow(o.trend, fade), o.refused.v*fade
+	b.trust, b.chill, b.trend, b.refused.v = o.trust, o.chill, math.Pow(o.trend, fade), o.refused.v*fade
 	b.credit, b.strongAt = budgetBurst+(min(budgetBurst, o.credit)-budgetBurst)*fade, 0
 	for i := range b.classes {
 		c := &b.classes[i]
--- a/balancer/snapshot.go
+++ b/balancer/snapshot.go
@@ -59,8 +59,8 @@
 	Logged []LoggedState  `cbor:"39,keyasint,omitempty"` // by topic
 
 	Salt  uint64  `cbor:"40,keyasint,omitempty"` // of the lots that choose the aperture
-	Chill float64 `cbor:"42,keyasint,omitempty"` // none in earlier ones: 1
 	Near  []int   `cbor:"41,keyasint,omitempty"` // the aperture: places in Endpoints; none if it is all of them
+	Chill float64 `cbor:"42,keyasint,omitempty"` // none in earlier ones: 1
 }
 
 // RulesState are settings and the slots of their classes.
--- a/balancer/warm_test.go
+++ b/balancer/warm_test.go
@@ -63,6 +63,11 @@
 		if e.coldFrom = now - 900*second; e.heat(now, b) > 1 {
 			t.Errorf("heat %v", e.heat(now, b))
 		}
+		// A new process believes it, too: of cold servers it would meet as few.
+		next, _ := start(t, s, ready(8))
+		if _, err := next.Recall(now, b.Snapshot(now, false), second); err != nil || next.chill != b.chill {
+			t.Errorf("recalled %v of %v (%v)", next.chill, b.chill, err)
+		}
 	}
 }
 
