Let the loop meet its upstream side through an interface, as a second protocol will

Need: the loop called the HTTP upstream by name and held HTTP's messages and answers, so that no second protocol could be put beside it (issue: DNS on the same core).

An answer is content, which says whether it flows and gives back what it holds. No behaviour changes.

--- a/internal/sidecar/flow.go
+++ b/internal/sidecar/flow.go
@@ -137,15 +137,6 @@
 	done   func(how flowEnd)
 }
 
-// flowEnd is how passing an answer on ended.
-type flowEnd uint8
-
-const (
-	flowWhole flowEnd = iota
-	flowCut           // the endpoint's fault
-	flowLeft          // the client's, or nobody's
-)
-
 // copyTo passes the answer's body on, and says how that went.
 func (d *download) copyTo(w io.Writer, progress func()) flowEnd {
 	var out io.Writer = w
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -17,93 +17,6 @@
 	"birchmoor/internal/metrics"
 )
 
-// clock tells microseconds: Unix time at its start, monotonic from there.
-type clock struct{ start time.Time }
-
-func (c clock) now() balancer.Micros {
-	return c.start.UnixMicro() + time.Since(c.start).Microseconds()
-}
-
-// verdict is how a request ended for its client.
-type verdict uint8
-
-const (
-	served verdict = iota
-	refused
-	failed
-	failedLate // as failed, and the last attempt ran out of time
-	idOpen     // not taken: another request with its id is open
-)
-
-// answer is the final answer to a request.
-type answer struct {
-	verdict    verdict
-	retryAfter time.Duration // refused only; 0 is no advice
-	reply      *reply        // served only
-	flowed     func(flowEnd) // is told how an answer that flows ended; nil for one that is whole
-}
-
-// call is a client's request on its way through the loop.
-type call struct {
-	id     string // the client's
-	class  string
-	config *view
-	in     balancer.Request // but for the ID, which the loop gives
-	out    message
-	answer chan answer // holds the one final answer
-
-	// The loop's own.
-	attempts []*attempt
-	held     int             // bytes of the budget that its body takes
-	left     balancer.Micros // for a body that flows: the client's time, from its last byte on
-	open     int             // attempts without outcome
-	ended    bool
-	late     bool // the last outcome was a time-out
-}
-
-// attempt is one Send. Its goroutine reports to the loop once; the loop tells the balancer once.
-type attempt struct {
-	call     *call
-	number   int
-	endpoint *endpoint
-	sent     balancer.Micros
-	began    time.Time // the same
-	deadline balancer.Micros
-	gate     gate
-	cancel   context.CancelFunc
-	timeUp   *alarm
-	done     bool // the balancer knows the outcome
-
-	uploading bool // its body is under way
-}
-
-// gate decides once whether an attempt's first byte goes out.
-type gate struct{ state atomic.Int32 }
-
-const (
-	gateOpen int32 = iota
-	gatePassed
-	gateShut
-)
-
-func (g *gate) pass() bool { return g.state.CompareAndSwap(gateOpen, gatePassed) }
-
-// shut keeps the attempt in, and says whether that was in time: then it never runs.
-func (g *gate) shut() bool {
-	g.state.CompareAndSwap(gateOpen, gateShut)
-	return g.state.Load() == gateShut
-}
-
-// endpoint is one of discovery's entries. Attempts read stopAt.
-type endpoint struct {
-	number uint32
-	to     *target
-	state  balancer.State
-	told   Instance     // the latest entry
-	banned bool         // operators have taken it out
-	stopAt atomic.Int64 // nothing new goes out from this instant on; 0: no such instant
-}
-
 // graceMargin is kept from the grace for drains: the send's first byte must arrive within it.
 const graceMargin = 50_000
 
@@ -120,7 +33,7 @@
 	tell     atomic.Pointer[func([]handover.Ejection)] // the process beside this one; nil while there is none
 	over     chan struct{}                             // closed once the loop takes no more events
 	balancer balancer.Module
-	upstream *upstream
+	upstream transport
 	watch    func(on bool)
 	ready    atomic.Bool // an endpoint is known to serve
 
@@ -142,7 +55,7 @@
 type Tap func(out balancer.Actions, begin func(balancer.Actions) (*balancer.Balancer, error),
 	name func(id uint32) string) (balancer.Module, error)
 
-func newLoop(c *Config, clk clock, up *upstream, watch func(bool), figures *metrics.Registry, tap Tap,
+func newLoop(c *Config, clk clock, up transport, watch func(bool), figures *metrics.Registry, tap Tap,
 	log *slog.Logger) (*loop, error) {
 	l := &loop{clock: clk, config: c, log: log, upstream: up, watch: watch, figures: figures,
 		events: make(chan func(balancer.Micros), 256), urgent: make(chan func(balancer.Micros)),
@@ -184,7 +97,7 @@
 			return
 		}
 		l.config = c
-		l.upstream.adopt(c)
+		l.upstream.Adopt(c)
 		for _, name := range c.Classes {
 			l.figures.Class(name) // shown from now on
 		}
@@ -193,6 +106,18 @@
 	return errors.Join(err, failed)
 }
 
+// View is the configuration for what comes now.
+func (l *loop) View() *view { return l.view.Load() }
+
+// Ready says whether an endpoint is known to serve.
+func (l *loop) Ready() bool { return l.ready.Load() }
+
+// Now is the time on the loop's clock.
+func (l *loop) Now() balancer.Micros { return l.clock.now() }
+
+// Share sets this process's part of the limits: the module counts its open requests by it.
+func (l *loop) Share(part float64) { l.part.Store(&part) }
+
 // post hands an event to the loop. After its end there is nobody to tell, and nobody must wait for it.
 func (l *loop) post(event func(now balancer.Micros)) {
 	select {
@@ -323,7 +248,7 @@
 		select {
 		case a := <-c.answer: // that nobody wants any more
 			if a.reply != nil {
-				l.upstream.release(a.reply)
+				a.reply.release()
 			}
 			if a.flowed != nil {
 				a.flowed(flowLeft)
@@ -352,7 +277,7 @@
 func (l *loop) begins(now balancer.Micros, a *attempt, r reply) {
 	c := a.call
 	if a.done || c.ended {
-		l.upstream.release(&r)
+		r.release()
 		r.status = balancer.Cancelled
 		l.outcome(now, a, r)
 		return
@@ -374,7 +299,7 @@
 // outcome tells the balancer how an attempt ended. The first whole answer of an endpoint is the client's.
 func (l *loop) outcome(now balancer.Micros, a *attempt, r reply) {
 	if a.done {
-		l.upstream.release(&r)
+		r.release()
 		return // its time was up before this came
 	}
 	a.done = true
@@ -386,7 +311,7 @@
 	if r.status == balancer.OK && !c.ended {
 		l.finish(c, answer{verdict: served, reply: &r})
 	} else {
-		l.upstream.release(&r)
+		r.release()
 	}
 	settled := c.ended
 	l.forget(c)
@@ -406,12 +331,12 @@
 			status = balancer.ConnectFailed
 		}
 	} else {
-		l.upstream.flush(a.endpoint.to, a.began)
+		a.endpoint.to.Flush(a.began)
 		if a.uploading {
 			status = balancer.ConnectFailed // its last byte is not out
 		}
 	}
-	l.outcome(now, a, reply{status: status, at: now, spent: a.call.out.upload != nil})
+	l.outcome(now, a, reply{status: status, at: now, spent: a.call.flows})
 }
 
 // members passes discovery's news on, with names turned into numbers.
@@ -444,13 +369,13 @@
 				l.numbers++
 				number = l.numbers
 			}
-			e = &endpoint{number: number, banned: banned, to: &target{addr: in.Addr}}
+			e = &endpoint{number: number, banned: banned, addr: in.Addr, to: l.upstream.Target(in.Addr)}
 			l.byName[in.ID], l.byNumber[e.number] = e, e
 			l.met.add(in.ID)
 		}
-		if in.Addr != "" && in.Addr != e.to.addr {
-			l.upstream.drop(e.to)
-			e.to = &target{addr: in.Addr}
+		if in.Addr != "" && in.Addr != e.addr {
+			e.to.Drop()
+			e.addr, e.to = in.Addr, l.upstream.Target(in.Addr)
 		}
 		e.told = in
 		l.setState(now, in.ID, e, state)
@@ -492,7 +417,7 @@
 	}
 	e.state = state
 	if state == balancer.Gone {
-		l.upstream.drop(e.to)
+		e.to.Drop()
 		delete(l.byName, name)
 		delete(l.byNumber, e.number)
 	}
@@ -549,10 +474,10 @@
 		return
 	}
 	a.timeUp = l.at(a.deadline, func(now balancer.Micros) { l.timeUp(now, a) })
-	a.uploading = c.out.upload != nil && c.in.Flows
+	a.uploading = c.flows && c.in.Flows
 	to := e.to
 	go func() {
-		r := l.upstream.send(ctx, to, &c.out, a.deadline, func(now balancer.Micros) bool {
+		r := to.Send(ctx, c.out, a.deadline, func(now balancer.Micros) bool {
 			// The dial may have outlasted the grace of a drain or the time of the request.
 			stop := e.stopAt.Load()
 			return (stop == 0 || now < stop) && now < a.deadline && a.gate.pass()
@@ -560,7 +485,7 @@
 			l.post(func(now balancer.Micros) { l.uploaded(now, a) })
 		})
 		l.post(func(now balancer.Micros) {
-			if r.flow != nil {
+			if r.content != nil && r.content.Flows() {
 				l.begins(now, a, r)
 			} else {
 				l.outcome(now, a, r)
@@ -619,7 +544,7 @@
 	}
 	to := e.to
 	go func() {
-		r := l.upstream.probe(to)
+		r := to.Probe()
 		l.post(func(now balancer.Micros) {
 			l.balancer.Probed(now, number, r.status, max(0, r.at-sent), r.load)
 		})
--- a/internal/sidecar/maintenance.go
+++ b/internal/sidecar/maintenance.go
@@ -66,8 +66,8 @@
 			e.banned = true
 			e.stopAt.Store(1)
 			// Its idle connections will not be used, and whatever waits for a new one finds the target gone.
-			l.upstream.drop(e.to)
-			e.to = &target{addr: e.to.addr}
+			e.to.Drop()
+			e.to = l.upstream.Target(e.addr)
 		} else {
 			l.numbers++
 			number = l.numbers
--- a/internal/sidecar/recall.go
+++ b/internal/sidecar/recall.go
@@ -84,6 +84,13 @@
 	}
 }
 
+// Beside has the process beside this one told of ejections, until forget is called.
+func (l *loop) Beside(eject func(context.Context, []handover.Ejection) error) (forget func()) {
+	tell := teller(eject)
+	l.tell.Store(&tell)
+	return func() { l.tell.CompareAndSwap(&tell, nil) }
+}
+
 // ejections tells the process beside this one whom the module has ejected, if there is one to tell.
 func (l *loop) ejections(now balancer.Micros) {
 	tell := l.tell.Load()
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -81,7 +81,7 @@
 	}
 	if r.URL.Path == "/-/ready" && r.ContentLength == 0 && len(r.TransferEncoding) == 0 {
 		a := newResponse(http.StatusOK, "ready")
-		if s.closing.Load() || !s.loop.ready.Load() {
+		if s.closing.Load() || !s.loop.Ready() {
 			a = newResponse(http.StatusServiceUnavailable, "not ready")
 		}
 		last := r.Close || s.closing.Load()
@@ -103,7 +103,7 @@
 		return false
 	}
 	var gone, sent <-chan error
-	if up := k.out.upload; up != nil {
+	if up := k.out.(*message).upload; up != nil {
 		sent = up.ended
 	} else {
 		gone = s.whole(c)
@@ -172,8 +172,8 @@
 	}
 	s.figures.Current.Add(1)
 	s.ended(k, a.verdict)
-	c.write(a.response(), true)
-	up := k.out.upload
+	c.write(responseTo(a), true)
+	up := k.out.(*message).upload
 	up.halted.Store(true)
 	if up.taken.Load() {
 		c.SetReadDeadline(past)
@@ -199,7 +199,7 @@
 // drop gives back what an answer holds that nobody gets.
 func (s *server) drop(a answer) {
 	if a.reply != nil {
-		s.loop.upstream.release(a.reply)
+		a.reply.release()
 	}
 	if a.flowed != nil {
 		a.flowed(flowLeft)
@@ -240,13 +240,14 @@
 }
 
 // response returns the final answer as it goes to the client.
-func (a answer) response() *response {
+func responseTo(a answer) *response {
 	var r *response
 	switch a.verdict {
 	case served:
-		r = &response{code: http.StatusOK, header: http.Header{}, body: a.reply.body}
-		for k, v := range a.reply.header {
-			if !hopByHop(k, a.reply.header) && k != "Endpoint-Load-Metrics" {
+		g := a.reply.content.(*got)
+		r = &response{code: http.StatusOK, header: http.Header{}, body: g.body}
+		for k, v := range g.header {
+			if !hopByHop(k, g.header) && k != "Endpoint-Load-Metrics" {
 				r.header[k] = v
 			}
 		}
@@ -268,14 +269,14 @@
 // answer gives the final answer, and says whether the connection may serve another request.
 func (s *server) answer(c *client, k *call, a answer, last bool) bool {
 	last = last || s.closing.Load() || a.verdict == idOpen
-	r := a.response()
+	r := responseTo(a)
 	if a.flowed == nil {
 		s.ended(k, a.verdict)
 		whole := c.write(r, last)
 		s.drop(a)
 		return whole && s.clients.rest(c) && !last
 	}
-	flow := a.reply.flow
+	flow := a.reply.content.(*got).flow
 	how := flowLeft
 	c.SetWriteDeadline(time.Now().Add(flowStall))
 	if _, err := c.Write(r.head(flow.length, last)); err == nil {
@@ -305,7 +306,7 @@
 
 // parse reads the rest of a request and says what is wrong with it.
 func (s *server) parse(conn *client, r *http.Request, head []byte) (*call, error) {
-	config := s.loop.view.Load()
+	config := s.loop.View()
 	switch {
 	case !r.ProtoAtLeast(1, 1) || r.ProtoMajor != 1:
 		return nil, bad(http.StatusHTTPVersionNotSupported, "this version of HTTP is not spoken here")
@@ -362,24 +363,25 @@
 		}
 		left = min(left, int64(min(ms, math.MaxInt32))*1000)
 	}
-	c := &call{id: id, class: name, config: config, answer: make(chan answer, 1), in: balancer.Request{Class: uint8(class), Tenant: config.tenant(r), Rules: config.rules,
+	c := &call{id: id, class: name, config: config, answer: make(chan answer, 1), in: balancer.Request{Class: uint8(class), Tenant: tenant(config.Config, r), Rules: config.rules,
 		Key: key(r.Header.Get("X-Object")), Retry: r.Header.Get("X-Second-Try") == "1"},
 		left: left - answerMargin.Microseconds()}
 	if hint, err := strconv.ParseInt(r.Header.Get("X-Size-Hint"), 10, 64); err == nil && hint > 0 {
 		c.in.Hint, c.in.HasHint = hint, true
 	}
-	c.out = message{method: r.Method, uri: r.RequestURI, host: r.Host, header: http.Header{}}
+	out := &message{method: r.Method, uri: r.RequestURI, host: r.Host, header: http.Header{}}
+	c.out = out
 	if err := s.body(conn, r, c); err != nil {
 		return c, err
 	}
 	// The time of a request counts from its last byte.
-	c.in.Deadline = s.loop.clock.now() + c.left
-	if c.out.upload != nil {
-		c.in.Flows, c.in.Deadline = true, s.loop.clock.now()+uploadMost.Microseconds()
+	c.in.Deadline = s.loop.Now() + c.left
+	if c.flows = out.upload != nil; c.flows {
+		c.in.Flows, c.in.Deadline = true, s.loop.Now()+uploadMost.Microseconds()
 	}
 	for k, v := range r.Header {
 		if !hopByHop(k, r.Header) && k != "X-Expires-In-Ms" {
-			c.out.header[k] = v
+			out.header[k] = v
 		}
 	}
 	return c, nil
@@ -428,9 +430,10 @@
 			return bad(http.StatusBadRequest, "the body is not whole")
 		}
 	}
-	k.out.body = buf[:n]
+	out := k.out.(*message)
+	out.body = buf[:n]
 	if int64(n) != length {
-		k.out.upload = &upload{body: r.Body, length: length, left: k.left, begun: n, buf: buf,
+		out.upload = &upload{body: r.Body, length: length, left: k.left, begun: n, buf: buf,
 			ended: make(chan error, 1), idle: make(chan struct{})}
 		return nil
 	}
@@ -447,7 +450,7 @@
 }
 
 // tenant returns the tenant's place in the settings, or one past all places.
-func (c *Config) tenant(r *http.Request) uint16 {
+func tenant(c *Config, r *http.Request) uint16 {
 	if i := slices.Index(c.Tenants, r.Header.Get("X-Customer")); i >= 0 {
 		return uint16(i)
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -204,7 +204,7 @@
 	switch {
 	case n.server.closing.Load():
 		return errors.New("stopping")
-	case !n.loop.ready.Load():
+	case !n.loop.Ready():
 		return errors.New("no endpoint is known to serve")
 	case !n.serving.Load():
 		return errors.New("the old process still serves")
@@ -266,7 +266,7 @@
 func (n *node) takeOver(ctx context.Context, old *handover.Old) {
 	tick := time.NewTicker(readyEvery)
 	defer tick.Stop()
-	for !n.loop.ready.Load() {
+	for !n.loop.Ready() {
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
@@ -295,14 +295,13 @@
 	n.up.resize(n.config.upstreamConns(part))
 	n.up.answers.resize(n.config.heldBytes(part))
 	n.server.bodies.resize(n.config.heldBytes(part))
-	n.loop.part.Store(&part)
+	n.loop.Share(part)
 }
 
 // Beside begins a time in which another process serves beside this one.
 func (n *node) Beside(other handover.Peer) (leave func()) {
 	forget := n.book.Beside(other.Mark)
-	tell := teller(other.Eject)
-	n.loop.tell.Store(&tell)
+	hush := n.loop.Beside(other.Eject)
 	count := func(more int) {
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -312,7 +311,7 @@
 	count(1)
 	return func() {
 		forget()
-		n.loop.tell.CompareAndSwap(&tell, nil)
+		hush()
 		count(-1)
 	}
 }
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -40,18 +40,6 @@
 	upload            *upload     // nil if body is the whole
 }
 
-// reply is what came of an attempt or a probe.
-type reply struct {
-	status balancer.Status
-	at     balancer.Micros
-	load   []float32
-	header http.Header // of a 200
-	body   []byte
-	flow   *download // in place of body: the answer is under way
-	held   int       // bytes of the budget that body takes
-	spent  bool      // the request cannot be sent again
-}
-
 // upstream talks to endpoints over a small pool of connections. It is not an http.Transport since that
 // sends some requests again by itself when a kept connection breaks, and does not tell whether the last
 // byte was written. Here an attempt is written at most once, in one piece.
@@ -67,13 +55,13 @@
 
 	mu     sync.Mutex
 	conns  int                  // open or being opened
-	idle   map[*target]struct{} // those with idle connections
+	idle   map[*place]struct{} // those with idle connections
 	noRoom time.Time            // when a shortage of connections was last logged
 }
 
-// target is where one endpoint listens. Its connections are its own: a new endpoint may listen where one has
-// gone, and what was meant for the one must not reach the other.
-type target struct {
+// place is where one endpoint listens. Its connections are its own.
+type place struct {
+	up   *upstream
 	addr string
 
 	// Guarded by upstream.mu.
@@ -81,16 +69,34 @@
 	gone bool // nothing new goes there
 }
 
+// Target returns a place without connections.
+func (u *upstream) Target(addr string) target { return &place{up: u, addr: addr} }
+
+// Send makes one attempt.
+func (p *place) Send(ctx context.Context, request any, deadline balancer.Micros, mayGo func(now balancer.Micros) bool,
+	whole func(now balancer.Micros)) reply {
+	return p.up.send(ctx, p, request.(*message), deadline, mayGo, whole)
+}
+
+// Probe asks for the endpoint's load.
+func (p *place) Probe() reply { return p.up.probe(p) }
+
+// Drop closes what is idle.
+func (p *place) Drop() { p.up.drop(p) }
+
+// Flush closes what was last used before an instant.
+func (p *place) Flush(before time.Time) { p.up.flush(p, before) }
+
 type conn struct {
 	net.Conn
 	paced paced
 	limit io.LimitedReader // what an answer may still take, head and all
 	r     *bufio.Reader
-	to    *target
+	to    *place
 	idle  time.Time // since when
 }
 
-func newConn(nc net.Conn, to *target) *conn {
+func newConn(nc net.Conn, to *place) *conn {
 	c := &conn{Conn: nc, to: to, paced: paced{Conn: nc}}
 	c.limit.R = &c.paced
 	c.r = bufio.NewReaderSize(&c.limit, 4096)
@@ -100,8 +106,8 @@
 func newUpstream(c *Config, clk clock, sends *metrics.Counter, log *slog.Logger) *upstream {
 	u := &upstream{clock: clk, log: log, sends: sends, answers: newBudget(c.heldBytes(1)),
 		// Well before the endpoint's own limit: a request that crosses its close is lost.
-		idleMost: c.KeepAlive * 2 / 3, connsMost: c.upstreamConns(1), idle: map[*target]struct{}{}}
-	u.adopt(c)
+		idleMost: c.KeepAlive * 2 / 3, connsMost: c.upstreamConns(1), idle: map[*place]struct{}{}}
+	u.Adopt(c)
 	u.dial = (&net.Dialer{Timeout: dialWait(time.Duration(c.Settings.Limits.DialTimeout) * time.Microsecond)}).DialContext
 	return u
 }
@@ -125,13 +131,13 @@
 	onAnswers bool
 }
 
-// adopt takes what a configuration says of load reports.
-func (u *upstream) adopt(c *Config) { u.reports.Store(&reports{c.Fields, c.OnAnswers}) }
+// Adopt takes what a configuration says of load reports.
+func (u *upstream) Adopt(c *Config) { u.reports.Store(&reports{c.Fields, c.OnAnswers}) }
 
 // send makes one attempt. mayGo is asked last, right before the first byte; if it says no, nothing goes out.
 // Whole is called when a body that flows has gone out. When ctx ends, the connection is closed, unless the
 // answer has begun to flow: then it is the caller's.
-func (u *upstream) send(ctx context.Context, to *target, m *message, deadline balancer.Micros,
+func (u *upstream) send(ctx context.Context, to *place, m *message, deadline balancer.Micros,
 	mayGo func(now balancer.Micros) bool, whole func(now balancer.Micros)) reply {
 	c, err := u.get(ctx, to)
 	if err != nil {
@@ -154,7 +160,7 @@
 func millisLeft(left balancer.Micros) balancer.Micros { return (max(0, left) + 999) / 1000 }
 
 // probe asks an endpoint for its load, or for its health where there are no load reports.
-func (u *upstream) probe(to *target) reply {
+func (u *upstream) probe(to *place) reply {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	c, err := u.get(ctx, to)
@@ -167,9 +173,9 @@
 		m.uri = "/-/load"
 	}
 	r := u.exchange(ctx, c, m.bytes(0), nil, new(metrics.Counter), nil)
-	u.release(&r)
+	r.release()
 	if r.status == balancer.OK && len(fields) > 0 {
-		r.load = parseLoad(fields, string(r.body))
+		r.load = parseLoad(fields, string(r.content.(*got).body))
 	}
 	return r
 }
@@ -216,13 +222,13 @@
 	r := u.ended(balancer.Reset)
 	r.spent = rest != nil
 	if err == nil && a.flow != nil && a.code != http.StatusOK {
-		u.answers.give(a.held) // of an error nothing but the code is wanted
-		a.flow, a.held, a.last = nil, 0, true
+		a.release() // of an error nothing but the code is wanted
+		a.flow, a.last = nil, true
 	}
 	if err == nil && a.flow != nil && stop() {
-		r.status, r.header, r.flow = balancer.OK, a.header, a.flow
+		r.status, r.content = balancer.OK, a
 		a.flow.done = func(how flowEnd) {
-			u.answers.give(a.held)
+			a.release()
 			c.paced.wait = 0
 			c.SetReadDeadline(time.Time{})
 			if how != flowWhole || a.last || c.r.Buffered() > 0 {
@@ -238,7 +244,7 @@
 	}
 	if !stop() || err != nil || a.flow != nil || a.last || c.r.Buffered() > 0 {
 		if err == nil && a.flow != nil {
-			u.answers.give(a.held)
+			a.release()
 			err = context.Canceled
 		}
 		u.discard(c)
@@ -248,10 +254,10 @@
 	if err != nil {
 		return r
 	}
-	r.held = a.held
+	r.content = a
 	switch {
 	case a.code == http.StatusOK:
-		r.status, r.header, r.body = balancer.OK, a.header, a.body
+		r.status = balancer.OK
 	case (a.code == http.StatusServiceUnavailable || a.code == http.StatusGatewayTimeout) &&
 		a.header.Get("X-Never-Ran") == "1":
 		r.status = balancer.Full
@@ -275,14 +281,32 @@
 	errNoHTTP   = errors.New("the answer is no HTTP/1")
 )
 
-// got is a whole answer.
+// got is a whole answer, or one that flows.
 type got struct {
 	code   int
 	header http.Header
 	body   []byte
 	flow   *download // in place of body
-	held   int       // bytes of the budget
-	last   bool      // the endpoint closes the connection after it
+	budget *budget
+	held   int  // bytes of the budget
+	last   bool // the endpoint closes the connection after it
+}
+
+// Flows says whether there is more than what has been read.
+func (a *got) Flows() bool { return a.flow != nil }
+
+// Release gives back what is held, and the connection of what flows.
+func (a *got) Release() {
+	if flow := a.flow; flow != nil {
+		a.flow = nil
+		flow.done(flowLeft)
+	}
+	a.release()
+}
+
+func (a *got) release() {
+	a.budget.give(a.held)
+	a.held = 0
 }
 
 // read reads a whole answer, or the beginning of one that flows. One that ends early or whose end is told in
@@ -303,9 +327,9 @@
 		if a.code < 200 {
 			continue
 		}
+		a.budget = held
 		if err = c.body(ctx, a, held); err != nil {
-			held.give(a.held)
-			a.held = 0
+			a.release()
 		}
 		if a.flow == nil {
 			c.paced.wait = 0
@@ -435,16 +459,6 @@
 	return n, err
 }
 
-// release returns what a reply holds of the budget.
-func (u *upstream) release(r *reply) {
-	if r.flow != nil {
-		r.flow.done(flowLeft)
-		r.flow = nil
-	}
-	u.answers.give(r.held)
-	r.held = 0
-}
-
 // bytes writes the request in one piece, with the time that is left for it in milliseconds, if any.
 func (m *message) bytes(leftMs int64) []byte {
 	var b bytes.Buffer
@@ -528,7 +542,7 @@
 }
 
 // get returns the idle connection used last, since the others may then grow old, or a new one.
-func (u *upstream) get(ctx context.Context, to *target) (*conn, error) {
+func (u *upstream) get(ctx context.Context, to *place) (*conn, error) {
 	u.mu.Lock()
 	for !to.gone && len(to.idle) > 0 {
 		c := u.popLocked(to, len(to.idle)-1)
@@ -592,7 +606,7 @@
 }
 
 // popLocked takes an idle connection out.
-func (u *upstream) popLocked(to *target, i int) *conn {
+func (u *upstream) popLocked(to *place, i int) *conn {
 	c := to.idle[i]
 	if to.idle = slices.Delete(to.idle, i, i+1); len(to.idle) == 0 {
 		delete(u.idle, to)
@@ -602,7 +616,7 @@
 
 // evictLocked closes the connection that has been idle for longest.
 func (u *upstream) evictLocked() bool {
-	var oldest *target
+	var oldest *place
 	for to := range u.idle {
 		if oldest == nil || to.idle[0].idle.Before(oldest.idle[0].idle) {
 			oldest = to
@@ -616,7 +630,7 @@
 }
 
 // drop ends the use of a target. What is out there goes on.
-func (u *upstream) drop(to *target) {
+func (u *upstream) drop(to *place) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	to.gone = true
@@ -627,7 +641,7 @@
 
 // flush closes the idle connections to an endpoint that were last used before an instant: one that has been
 // silent since then may not be the only one.
-func (u *upstream) flush(to *target, before time.Time) {
+func (u *upstream) flush(to *place, before time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for i := len(to.idle) - 1; i >= 0; i-- {
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -36,14 +36,14 @@
 	}
 }
 
-func at(addr string) *target { return &target{addr: addr} }
+func at(addr string) *place { return &place{addr: addr} }
 
 func newTestUpstream(t *testing.T, edits ...string) *upstream {
 	return newUpstream(configure(t, "127.0.0.1:1", nil, edits...), clock{time.Now()}, new(metrics.Counter), quiet)
 }
 
 // try makes one attempt with a second of time.
-func (u *upstream) try(m *message, to *target) reply {
+func (u *upstream) try(m *message, to *place) reply {
 	ctx, cancel := context.WithTimeout(context.Background(), soon)
 	defer cancel()
 	return u.send(ctx, to, m, u.clock.now()+1_000_000, func(balancer.Micros) bool { return true }, nil)
@@ -185,8 +185,8 @@
 			if r.status != tc.want {
 				t.Errorf("status %v, want %v", r.status, tc.want)
 			}
-			if r.status == balancer.OK && string(r.body) != "ok" {
-				t.Errorf("body %q", r.body)
+			if r.status == balancer.OK && string(r.content.(*got).body) != "ok" {
+				t.Errorf("body %q", r.content.(*got).body)
 			}
 		})
 	}
@@ -246,8 +246,8 @@
 	for i := range 4 {
 		m := plainGet()
 		m.header.Set("X-Trace-Id", fmt.Sprint(i))
-		if r := u.try(m, to); r.status != balancer.OK || string(r.body) != fmt.Sprint(i) {
-			t.Errorf("request %d: status %v, answer %q", i, r.status, r.body)
+		if r := u.try(m, to); r.status != balancer.OK || string(r.content.(*got).body) != fmt.Sprint(i) {
+			t.Errorf("request %d: status %v, answer %q", i, r.status, r.content)
 		}
 	}
 }
