--- a/cmd/birchmoor/run.go
+++ b/cmd/birchmoor/run.go
@@ -14,10 +14,10 @@
 	"syscall"
 	"time"
 
+	"birchmoor/internal/config"
 	"birchmoor/internal/daemon"
 	"birchmoor/internal/keys"
 	"birchmoor/internal/operator"
-	"birchmoor/internal/sidecar"
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/admin"
 	"birchmoor/internal/store/engine"
@@ -82,7 +82,7 @@
 	var check daemon.Check
 	if runs {
 		check = func(settings json.RawMessage) error {
-			_, err := sidecar.ReadConfigWith(os.Getenv, settings)
+			_, err := config.ReadWith(os.Getenv, settings)
 			return err
 		}
 	}
--- a/cmd/birchmoor/sidecar.go
+++ b/cmd/birchmoor/sidecar.go
@@ -13,6 +13,8 @@
 
 	"birchmoor/balancer"
 	"birchmoor/internal/capture"
+	"birchmoor/internal/config"
+	"birchmoor/internal/core"
 	"birchmoor/internal/maintenance"
 	"birchmoor/internal/operator"
 	"birchmoor/internal/sidecar"
@@ -52,11 +54,11 @@
 	settings func() json.RawMessage // in the place of the file's, unless nil
 }
 
-func (x *extras) read() (*sidecar.Config, error) {
+func (x *extras) read() (*config.Config, error) {
 	if x.settings == nil {
-		return sidecar.ReadConfig(os.Getenv)
+		return config.Read(os.Getenv)
 	}
-	return sidecar.ReadConfigWith(os.Getenv, x.settings())
+	return config.ReadWith(os.Getenv, x.settings())
 }
 
 // serve runs a sidecar until ctx ends.
@@ -88,7 +90,7 @@
 }
 
 // captureTap records what the sidecar's module is told and answers. end is called when the loop is over.
-func captureTap(c *operator.Capture, name string, log *slog.Logger) (tap sidecar.Tap, end func(), err error) {
+func captureTap(c *operator.Capture, name string, log *slog.Logger) (tap core.Tap, end func(), err error) {
 	w, err := capture.Create(capture.Config{Dir: c.Dir, Name: name, Bytes: int64(c.BudgetMB) << 20,
 		FileBytes: int64(c.FileMB) << 20, FileAge: time.Duration(c.FileAge), Queue: c.Queue, Retry: time.Duration(c.Retry), Log: log})
 	if err != nil {
--- a/cmd/birchmoor/sidecar_test.go
+++ b/cmd/birchmoor/sidecar_test.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"birchmoor/internal/capture"
-	"birchmoor/internal/sidecar"
+	"birchmoor/internal/discovery"
 )
 
 const settingsOfOne = `{"peers-total":1,"areas":["a"],"skus":["m"],"discovery":"automatic",
@@ -40,7 +40,7 @@
 	}
 	defer file.Close()
 	config, err := json.Marshal(map[string]any{"name": "n0", "listen": addr, "discovery": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
-		"known": sidecar.List{Generation: 1, Reset: true, Instances: []sidecar.Instance{{ID: "s-1", Addr: server, Zone: "a", Kind: "m",
+		"known": discovery.List{Generation: 1, Reset: true, Instances: []discovery.Instance{{ID: "s-1", Addr: server, Zone: "a", Kind: "m",
 			Cell: 1, Lifecycle: "up", Weight: 1}}}, "settings": json.RawMessage(settingsOfOne)})
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/dunlinsail/main.go
+++ b/cmd/dunlinsail/main.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"syscall"
 
+	"birchmoor/internal/config"
 	"birchmoor/internal/sidecar"
 )
 
@@ -27,7 +28,7 @@
 
 // run serves until SIGTERM.
 func run(reload <-chan os.Signal, log *slog.Logger) error {
-	config, err := sidecar.ReadConfig(os.Getenv)
+	config, err := config.Read(os.Getenv)
 	if err != nil {
 		return err
 	}
--- a/cmd/dunlinsail/main_test.go
+++ b/cmd/dunlinsail/main_test.go
@@ -22,7 +22,7 @@
 	os.Exit(m.Run())
 }
 
-const config = `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f",
+const sound = `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f",
 	"known":{"generation":1,"reset":true,"instances":[{"instanceId":"s-1","hostPort":"127.0.0.1:1","lifecycle":"up"}]},
 	"settings":{"peers-total":1,"areas":["a"],"skus":["m1"],"discovery":"automatic",
 	"classes":[{"name":"look","repeat":"pure","target":500000,"give-up":1000000,"credit":1.0}],
@@ -40,7 +40,7 @@
 	}
 	addr := ln.Addr().String()
 	ln.Close()
-	if err := os.WriteFile(file, []byte(config), 0o600); err != nil {
+	if err := os.WriteFile(file, []byte(sound), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	cmd, log = exec.Command(os.Args[0]), &bytes.Buffer{}
@@ -69,7 +69,7 @@
 	file := filepath.Join(t.TempDir(), "config.json")
 	cmd, ready, _ := program(t, file, "")
 	ready()
-	for _, text := range []string{config, "{"} {
+	for _, text := range []string{sound, "{"} {
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/sidecar/budget.go
+++ b/internal/budget/budget.go
@@ -1,4 +1,5 @@
-package sidecar
+// Package budget bounds bytes that are held: whoever wants more than is left waits in turn.
+package budget
 
 import (
 	"container/list"
@@ -6,9 +7,9 @@
 	"sync"
 )
 
-// budget bounds the bytes that are held for bodies or answers. Whoever wants more than is left waits in turn,
+// Budget bounds the bytes that are held for bodies or answers. Whoever wants more than is left waits in turn,
 // and with it the peer whose bytes they are.
-type budget struct {
+type Budget struct {
 	mu    sync.Mutex
 	most  int
 	used  int
@@ -20,10 +21,11 @@
 	let   chan struct{}
 }
 
-func newBudget(most int) *budget { return &budget{most: most} }
+// New returns a budget of most bytes.
+func New(most int) *Budget { return &Budget{most: most} }
 
-// take waits for n bytes. What is larger than the whole budget goes when nothing else does.
-func (b *budget) take(ctx context.Context, n int) error {
+// Take waits for n bytes. What is larger than the whole budget goes when nothing else does.
+func (b *Budget) Take(ctx context.Context, n int) error {
 	b.mu.Lock()
 	if b.queue.Len() == 0 && b.fitsLocked(n) {
 		b.used += n
@@ -50,25 +52,25 @@
 	return ctx.Err()
 }
 
-func (b *budget) fitsLocked(n int) bool { return b.used == 0 || b.used+n <= b.most }
+func (b *Budget) fitsLocked(n int) bool { return b.used == 0 || b.used+n <= b.most }
 
-// give returns n bytes.
-func (b *budget) give(n int) {
+// Give returns n bytes.
+func (b *Budget) Give(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.used -= n
 	b.letLocked()
 }
 
-// resize changes the whole. What is out stays out.
-func (b *budget) resize(most int) {
+// Resize changes the whole. What is out stays out.
+func (b *Budget) Resize(most int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.most = most
 	b.letLocked()
 }
 
-func (b *budget) letLocked() {
+func (b *Budget) letLocked() {
 	for first := b.queue.Front(); first != nil; first = b.queue.Front() {
 		w := first.Value.(*waiter)
 		if !b.fitsLocked(w.bytes) {
--- a/internal/sidecar/config.go
+++ b/internal/config/config.go
@@ -1,9 +1,5 @@
-// Package sidecar runs the decisions of package balancer on real sockets.
-//
-// One goroutine (loop.go) owns the balancer. Clients come in through server.go, attempts and probes
-// go out through upstream.go, the list of endpoints comes from discovery.go, and sidecar.go starts
-// and stops them. No file but loop.go calls the balancer, and loop.go does no I/O.
-package sidecar
+// Package config reads what a sidecar is told at its start and at each reload.
+package config
 
 import (
 	"cmp"
@@ -16,6 +12,7 @@
 	"time"
 
 	"birchmoor/balancer"
+	"birchmoor/internal/discovery"
 	"birchmoor/internal/mgmt"
 	"birchmoor/internal/wire"
 )
@@ -29,7 +26,7 @@
 	Seed      uint64
 	MemoryMB  int
 	Sockets   int // file descriptors
-	Known     List
+	Known     discovery.List
 
 	Settings  balancer.Settings
 	Classes   []string // names as on the sockets, in the order of the settings
@@ -40,26 +37,26 @@
 	OnAnswers bool          // answers carry load reports, too
 	KeepAlive time.Duration // an endpoint closes a connection idle for so long
 
-	fileDiscovery string // as the file alone names it
+	FileDiscovery string // as the file alone names it
 	file          any    // all of it
 }
 
 // ConfigError names the part of the configuration that makes no sense.
-type ConfigError struct {
+type Error struct {
 	Key string
 	Err error
 }
 
 // Error names the key.
-func (e *ConfigError) Error() string { return "configuration: " + e.Key + ": " + e.Err.Error() }
+func (e *Error) Error() string { return "configuration: " + e.Key + ": " + e.Err.Error() }
 
 // Unwrap returns the reason.
-func (e *ConfigError) Unwrap() error { return e.Err }
+func (e *Error) Unwrap() error { return e.Err }
 
 const (
 	defaultMemoryMB  = 192
 	defaultSockets   = 1024
-	leastSockets     = 64
+	LeastSockets     = 64
 	defaultKeepAlive = 15 * time.Second
 )
 
@@ -67,53 +64,54 @@
 // runtime, calls of discovery, files, and operators' calls.
 const ownSockets = 20 + mgmt.MostConns
 
-// clientConns is how many connections of clients may be open. The other half is for connections to endpoints:
+// ClientConns is how many connections of clients may be open. The other half is for connections to endpoints:
 // an open request has one of each, and probes and second attempts want more. Part is this process's part of the
 // limits: two share them while one takes over from the other.
-func (c *Config) clientConns(part float64) int {
+func (c *Config) ClientConns(part float64) int {
 	return max(8, (int(float64(c.Sockets)*part)-ownSockets)/2)
 }
 
-// upstreamConns is how many connections to endpoints may be open.
-func (c *Config) upstreamConns(part float64) int { return c.clientConns(part) }
+// UpstreamConns is how many connections to endpoints may be open.
+func (c *Config) UpstreamConns(part float64) int { return c.ClientConns(part) }
 
 // heldShare is the part of the memory that bodies may take, and that answers may.
 const heldShare = 12
 
-// heldBytes is how much may be held of bodies, and how much of answers.
-func (c *Config) heldBytes(part float64) int { return int(float64(c.MemoryMB<<20) * part / heldShare) }
+// HeldBytes is how much may be held of bodies, and how much of answers.
+func (c *Config) HeldBytes(part float64) int { return int(float64(c.MemoryMB<<20) * part / heldShare) }
 
 // ReadConfig reads the file named by ROUTER_CONFIG. The other ROUTER_ variables, where set, go before it.
-func ReadConfig(getenv func(string) string) (*Config, error) { return ReadConfigWith(getenv, nil) }
+func Read(getenv func(string) string) (*Config, error) { return ReadWith(getenv, nil) }
 
 // ReadConfigWith does the same with other settings, if they are not nil, in the place of the file's.
-func ReadConfigWith(getenv func(string) string, settings json.RawMessage) (*Config, error) {
+func ReadWith(getenv func(string) string, settings json.RawMessage) (*Config, error) {
 	path := getenv("ROUTER_CONFIG")
 	if path == "" {
-		return nil, &ConfigError{"ROUTER_CONFIG", errors.New("is not set")}
+		return nil, &Error{"ROUTER_CONFIG", errors.New("is not set")}
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, &ConfigError{"ROUTER_CONFIG", err}
+		return nil, &Error{"ROUTER_CONFIG", err}
 	}
 	if settings != nil {
 		var whole map[string]json.RawMessage
 		if err := json.Unmarshal(text, &whole); err != nil {
-			return nil, fmt.Errorf("%s: %w", path, &ConfigError{"file", err})
+			return nil, fmt.Errorf("%s: %w", path, &Error{"file", err})
 		}
 		whole["settings"] = settings
 		if text, err = json.Marshal(whole); err != nil {
-			return nil, &ConfigError{"settings", err}
+			return nil, &Error{"settings", err}
 		}
 	}
-	c, err := parseConfig(text, getenv)
+	c, err := Parse(text, getenv)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return c, nil
 }
 
-func parseConfig(text []byte, getenv func(string) string) (*Config, error) {
+// Parse reads the text of a file. A fault is an *Error that names its key.
+func Parse(text []byte, getenv func(string) string) (*Config, error) {
 	var file struct {
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
@@ -124,7 +122,7 @@
 			MemoryMB *int `json:"memory_mb"`
 			Sockets  *int `json:"sockets"`
 		} `json:"limits"`
-		Known    *List           `json:"known"`
+		Known    *discovery.List `json:"known"`
 		Settings json.RawMessage `json:"settings"`
 	}
 	var whole any
@@ -137,9 +135,9 @@
 		if wrong := (*json.UnmarshalTypeError)(nil); errors.As(err, &wrong) && wrong.Field != "" {
 			key = wrong.Field
 		}
-		return nil, &ConfigError{key, err}
+		return nil, &Error{key, err}
 	}
-	c := &Config{file: whole, Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, fileDiscovery: file.Discovery,
+	c := &Config{file: whole, Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, FileDiscovery: file.Discovery,
 		Mgmt: file.Mgmt, MemoryMB: defaultMemoryMB, Sockets: defaultSockets}
 	for name, to := range map[string]*string{
 		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery,
@@ -149,34 +147,34 @@
 		}
 	}
 	for _, a := range []struct{ key, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery},
-		{"discovery", cmp.Or(c.fileDiscovery, c.Discovery)}} {
+		{"discovery", cmp.Or(c.FileDiscovery, c.Discovery)}} {
 		if _, _, err := net.SplitHostPort(a.addr); err != nil {
-			return nil, &ConfigError{a.key, err}
+			return nil, &Error{a.key, err}
 		}
 	}
 	if c.Mgmt != "" {
 		if _, _, err := net.SplitHostPort(c.Mgmt); err != nil {
-			return nil, &ConfigError{"mgmt", err}
+			return nil, &Error{"mgmt", err}
 		}
 	}
 	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
-		return nil, &ConfigError{"seed", err}
+		return nil, &Error{"seed", err}
 	}
 	if v := file.Limits.MemoryMB; v != nil {
 		if c.MemoryMB = *v; *v < 1 {
-			return nil, &ConfigError{"limits.memory_mb", fmt.Errorf("%d is not positive", *v)}
+			return nil, &Error{"limits.memory_mb", fmt.Errorf("%d is not positive", *v)}
 		}
 	}
 	if v := file.Limits.Sockets; v != nil {
-		if c.Sockets = *v; *v < leastSockets {
-			return nil, &ConfigError{"limits.sockets", fmt.Errorf("%d is under %d", *v, leastSockets)}
+		if c.Sockets = *v; *v < LeastSockets {
+			return nil, &Error{"limits.sockets", fmt.Errorf("%d is under %d", *v, LeastSockets)}
 		}
 	}
 	if file.Known != nil {
 		c.Known = *file.Known
 	}
 	if len(file.Settings) == 0 {
-		return nil, &ConfigError{"settings", errors.New("is missing")}
+		return nil, &Error{"settings", errors.New("is missing")}
 	}
 	return c, c.settings(file.Settings)
 }
@@ -206,22 +204,22 @@
 		if wrong := (*json.UnmarshalTypeError)(nil); errors.As(err, &wrong) && wrong.Field != "" {
 			key += "." + wrong.Field
 		}
-		return &ConfigError{key, err}
+		return &Error{key, err}
 	}
 	text, err := wire.SettingsText(raw)
 	if err != nil {
-		return &ConfigError{"settings", err}
+		return &Error{"settings", err}
 	}
 	if c.Settings, err = wire.ParseSettings(text); err == nil {
 		err = c.Settings.Validate()
 	}
 	if err != nil {
-		return &ConfigError{"settings", err} // its message names the key
+		return &Error{"settings", err} // its message names the key
 	}
 	c.Zones, c.Kinds = names.Areas, names.Skus
 	for i, class := range names.Classes {
 		if class.Name == "" {
-			return &ConfigError{fmt.Sprintf("settings.classes.%d.name", i), errors.New("is missing")}
+			return &Error{fmt.Sprintf("settings.classes.%d.name", i), errors.New("is missing")}
 		}
 		c.Classes = append(c.Classes, class.Name)
 	}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,60 @@
+package config_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"birchmoor/internal/config"
+	"birchmoor/internal/sidetest"
+)
+
+// A value that makes no sense stops the start with a message that names its key.
+func TestConfigErrors(t *testing.T) {
+	good := func() map[string]any {
+		return map[string]any{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1f",
+			"limits": map[string]any{}, "settings": json.RawMessage(sidetest.Settings)}
+	}
+	none := func(string) string { return "" }
+	for _, tc := range []struct {
+		key   string
+		value any
+		want  string
+	}{
+		{"listen", "nowhere", "listen"},
+		{"discovery", 7, "discovery"},
+		{"seed", "xyz", "seed"},
+		{"limits", map[string]any{"memory_mb": -1}, "limits.memory_mb"},
+		{"limits", map[string]any{"sockets": 3}, "limits.sockets"},
+		{"limits", map[string]any{"sockets": "many"}, "limits.sockets"},
+		{"known", map[string]any{"instances": 3}, "known.instances"},
+		{"settings", map[string]any{"classes": []any{}}, "settings"},
+		{"settings", map[string]any{"classes": []any{map[string]any{"name": "a", "target": "x", "give-up": 1,
+			"repeat": "pure"}}}, "classes.0.target"},
+		{"settings", map[string]any{"areas": "a"}, "settings.areas"},
+	} {
+		file := good()
+		file[tc.key] = tc.value
+		text, err := json.Marshal(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := config.Parse(text, none); err == nil || !strings.Contains(err.Error(), tc.want) {
+			t.Errorf("%s = %v: error %v, want one that names %s", tc.key, tc.value, err, tc.want)
+		}
+	}
+	text, err := json.Marshal(good())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := config.Parse(text, func(name string) string {
+		return map[string]string{"ROUTER_NAME": "n9", "ROUTER_LISTEN": "127.0.0.9:1"}[name]
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := fmt.Sprint(c.Name, c.Listen, c.Discovery, c.Seed, c.Classes, c.Settings.Contract.DrainGrace); got != "n9127.0.0.9:1127.0.0.1:131 [look book pay] 250000" {
+		t.Errorf("read as %s", got)
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/core/loop.go
@@ -1,4 +1,4 @@
-package sidecar
+package core
 
 import (
 	"container/heap"
@@ -12,6 +12,8 @@
 	"time"
 
 	"birchmoor/balancer"
+	"birchmoor/internal/config"
+	"birchmoor/internal/discovery"
 	"birchmoor/internal/handover"
 	"birchmoor/internal/maintenance"
 	"birchmoor/internal/metrics"
@@ -20,11 +22,11 @@
 // graceMargin is kept from the grace for drains: the send's first byte must arrive within it.
 const graceMargin = 50_000
 
-// loop owns the balancer. Its fields belong to the goroutine in run; others use post.
-type loop struct {
-	clock    clock
-	config   *Config
-	view     atomic.Pointer[view] // for the requests that come now
+// Loop owns the balancer. Its fields belong to the goroutine in run; others use post.
+type Loop struct {
+	clock    Clock
+	config   *config.Config
+	view     atomic.Pointer[View] // for the requests that come now
 	log      *slog.Logger
 	events   chan func(now balancer.Micros)
 	urgent   chan func(now balancer.Micros) // operators' calls: they do not wait behind requests
@@ -33,13 +35,13 @@
 	tell     atomic.Pointer[func([]handover.Ejection)] // the process beside this one; nil while there is none
 	over     chan struct{}                             // closed once the loop takes no more events
 	balancer balancer.Module
-	upstream transport
+	upstream Transport
 	watch    func(on bool)
 	ready    atomic.Bool // an endpoint is known to serve
 
 	lastID   uint64
-	calls    map[uint64]*call
-	ids      map[string]*call // the same by the clients' ids
+	calls    map[uint64]*Call
+	ids      map[string]*Call // the same by the clients' ids
 	byName   map[string]*endpoint
 	byNumber map[uint32]*endpoint
 	numbers  uint32
@@ -55,12 +57,14 @@
 type Tap func(out balancer.Actions, begin func(balancer.Actions) (*balancer.Balancer, error),
 	name func(id uint32) string) (balancer.Module, error)
 
-func newLoop(c *Config, clk clock, up transport, watch func(bool), figures *metrics.Registry, tap Tap,
-	log *slog.Logger) (*loop, error) {
-	l := &loop{clock: clk, config: c, log: log, upstream: up, watch: watch, figures: figures,
+// New returns a loop for a configuration that reaches endpoints by up. watch subscribes to discovery's changes, or ends
+// that; tap, if any, stands between the loop and the module. Settings that make no sense are the only error.
+func New(c *config.Config, clk Clock, up Transport, watch func(bool), figures *metrics.Registry, tap Tap,
+	log *slog.Logger) (*Loop, error) {
+	l := &Loop{clock: clk, config: c, log: log, upstream: up, watch: watch, figures: figures,
 		events: make(chan func(balancer.Micros), 256), urgent: make(chan func(balancer.Micros)),
 		over: make(chan struct{}), bans: map[string]uint32{}, met: recent{names: map[string]struct{}{}},
-		calls: map[uint64]*call{}, ids: map[string]*call{}, byName: map[string]*endpoint{}, byNumber: map[uint32]*endpoint{}}
+		calls: map[uint64]*Call{}, ids: map[string]*Call{}, byName: map[string]*endpoint{}, byNumber: map[uint32]*endpoint{}}
 	var err error
 	begin := func(out balancer.Actions) (*balancer.Balancer, error) { return balancer.New(c.Settings, c.Seed, out) }
 	if tap != nil {
@@ -78,18 +82,18 @@
 	if err != nil {
 		return nil, err
 	}
-	l.view.Store(&view{c, l.balancer.Rules()})
+	l.view.Store(&View{c, l.balancer.Rules()})
 	return l, nil
 }
 
-// view is a configuration as a request meets it; it never changes.
-type view struct {
-	*Config
-	rules *balancer.Rules
+// View is a configuration as a request meets it; it never changes.
+type View struct {
+	*config.Config
+	Rules *balancer.Rules
 }
 
-// reload takes a new configuration, or changes nothing. What is open keeps the snapshot it came with.
-func (l *loop) reload(ctx context.Context, c *Config) error {
+// Reload takes a new configuration, or changes nothing. What is open keeps the snapshot it came with.
+func (l *Loop) Reload(ctx context.Context, c *config.Config) error {
 	var failed error
 	err := l.call(ctx, func(now balancer.Micros) {
 		rules, err := l.balancer.Reload(now, c.Settings)
@@ -101,35 +105,43 @@
 		for _, name := range c.Classes {
 			l.figures.Class(name) // shown from now on
 		}
-		l.view.Store(&view{c, rules})
+		l.view.Store(&View{c, rules})
 	})
 	return errors.Join(err, failed)
 }
 
+// Marked gives what operators said before the start. It is called before run.
+func (l *Loop) Marked(marks []maintenance.Mark) { l.marks = marks }
+
+// Cached passes on a list that is newer than the one that the configuration brought.
+func (l *Loop) Cached(ctx context.Context, list discovery.List) error {
+	return l.call(ctx, func(now balancer.Micros) { l.members(now, balancer.ListCached, list) })
+}
+
 // View is the configuration for what comes now.
-func (l *loop) View() *view { return l.view.Load() }
+func (l *Loop) View() *View { return l.view.Load() }
 
 // Ready says whether an endpoint is known to serve.
-func (l *loop) Ready() bool { return l.ready.Load() }
+func (l *Loop) Ready() bool { return l.ready.Load() }
 
 // Now is the time on the loop's clock.
-func (l *loop) Now() balancer.Micros { return l.clock.now() }
+func (l *Loop) Now() balancer.Micros { return l.clock.Now() }
 
 // Share sets this process's part of the limits: the module counts its open requests by it.
-func (l *loop) Share(part float64) { l.part.Store(&part) }
+func (l *Loop) Share(part float64) { l.part.Store(&part) }
 
 // post hands an event to the loop. After its end there is nobody to tell, and nobody must wait for it.
-func (l *loop) post(event func(now balancer.Micros)) {
+func (l *Loop) post(event func(now balancer.Micros)) {
 	select {
 	case l.events <- event:
 	case <-l.over:
 	}
 }
 
-// run handles events and alarms until ctx ends. Nothing in it waits for anything else.
-func (l *loop) run(ctx context.Context) {
+// Run handles events and alarms until ctx ends. Nothing in it waits for anything else.
+func (l *Loop) Run(ctx context.Context) {
 	defer close(l.over)
-	now := l.clock.now()
+	now := l.clock.Now()
 	l.balancer.Start(now)
 	// What operators said before this process began binds before anything is sent. A ban is on an ID, listed or
 	// not; of one that was called back only that it is cold matters, if it is listed.
@@ -148,7 +160,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		now = l.clock.now()
+		now = l.clock.Now()
 		if part := l.part.Swap(nil); part != nil {
 			l.balancer.Share(now, *part)
 		}
@@ -160,15 +172,15 @@
 		}
 		select {
 		case event := <-l.urgent:
-			event(l.clock.now())
+			event(l.clock.Now())
 			continue
 		default:
 		}
 		select {
 		case event := <-l.urgent:
-			event(l.clock.now())
+			event(l.clock.Now())
 		case event := <-l.events:
-			event(l.clock.now())
+			event(l.clock.Now())
 		case <-timer.C:
 		case <-ctx.Done():
 			return
@@ -206,7 +218,7 @@
 	return x
 }
 
-func (l *loop) at(at balancer.Micros, ring func(now balancer.Micros)) *alarm {
+func (l *Loop) at(at balancer.Micros, ring func(now balancer.Micros)) *alarm {
 	l.order++
 	x := &alarm{at: at, order: l.order, ring: ring}
 	heap.Push(&l.alarms, x)
@@ -214,7 +226,7 @@
 }
 
 // callOff takes an alarm out, if it is still to ring: what it would look at need not be kept for it.
-func (l *loop) callOff(x *alarm) {
+func (l *Loop) callOff(x *alarm) {
 	if x != nil && x.place >= 0 {
 		heap.Remove(&l.alarms, x.place)
 	}
@@ -222,36 +234,36 @@
 
 // ---- Events ----------------------------------------------------------------
 
-// arrived takes a client's request; the one final answer comes on c.answer.
-func (l *loop) arrived(c *call) {
+// Arrived takes a client's request; the one final answer comes on c.answer.
+func (l *Loop) Arrived(c *Call) {
 	l.post(func(now balancer.Micros) {
-		if l.ids[c.id] != nil {
+		if l.ids[c.ID] != nil {
 			c.ended = true
-			c.answer <- answer{verdict: idOpen}
+			c.Answer <- Answer{Verdict: IDOpen}
 			return
 		}
 		l.lastID++
-		c.in.ID = l.lastID
-		l.calls[c.in.ID], l.ids[c.id] = c, c
-		l.balancer.Request(now, c.in)
+		c.In.ID = l.lastID
+		l.calls[c.In.ID], l.ids[c.ID] = c, c
+		l.balancer.Request(now, c.In)
 	})
 }
 
-// left tells that the client of a request has gone.
-func (l *loop) left(c *call) {
+// Left tells that the client of a request has gone.
+func (l *Loop) Left(c *Call) {
 	l.post(func(now balancer.Micros) {
 		if !c.ended {
 			l.end(c)
-			l.balancer.ClientGone(now, c.in.ID)
+			l.balancer.ClientGone(now, c.In.ID)
 			return
 		}
 		select {
-		case a := <-c.answer: // that nobody wants any more
-			if a.reply != nil {
-				a.reply.release()
+		case a := <-c.Answer: // that nobody wants any more
+			if a.Reply != nil {
+				a.Reply.Release()
 			}
-			if a.flowed != nil {
-				a.flowed(flowLeft)
+			if a.Flowed != nil {
+				a.Flowed(FlowLeft)
 			}
 		default:
 		}
@@ -259,47 +271,47 @@
 }
 
 // uploaded tells that a body that flows has gone out whole: the client's time counts from here.
-func (l *loop) uploaded(now balancer.Micros, a *attempt) {
+func (l *Loop) uploaded(now balancer.Micros, a *attempt) {
 	c := a.call
 	if a.done {
 		return
 	}
 	a.uploading = false
 	a.sent, a.began = now, time.Now()
-	c.in.Deadline = now + c.left
-	a.deadline = c.in.Deadline
+	c.In.Deadline = now + c.Left
+	a.deadline = c.In.Deadline
 	l.callOff(a.timeUp)
 	a.timeUp = l.at(a.deadline, func(now balancer.Micros) { l.timeUp(now, a) })
-	l.balancer.Uploaded(now, c.in.ID, c.in.Deadline)
+	l.balancer.Uploaded(now, c.In.ID, c.In.Deadline)
 }
 
 // begins gives the client an answer that flows. It is the final one; how it ends is told later.
-func (l *loop) begins(now balancer.Micros, a *attempt, r reply) {
+func (l *Loop) begins(now balancer.Micros, a *attempt, r Reply) {
 	c := a.call
 	if a.done || c.ended {
-		r.release()
-		r.status = balancer.Cancelled
+		r.Release()
+		r.Status = balancer.Cancelled
 		l.outcome(now, a, r)
 		return
 	}
 	l.callOff(a.timeUp)
-	l.finish(c, answer{verdict: served, reply: &r, flowed: func(how flowEnd) {
-		end := reply{status: balancer.OK, at: r.at, load: r.load}
+	l.finish(c, Answer{Verdict: Served, Reply: &r, Flowed: func(how FlowEnd) {
+		end := Reply{Status: balancer.OK, At: r.At, Load: r.Load}
 		switch how {
-		case flowCut:
-			end.status = balancer.Reset
-		case flowLeft:
-			end.status = balancer.Cancelled
+		case FlowCut:
+			end.Status = balancer.Reset
+		case FlowLeft:
+			end.Status = balancer.Cancelled
 		}
 		l.post(func(now balancer.Micros) { l.outcome(now, a, end) })
 	}})
-	l.balancer.Headers(now, c.in.ID, a.number, max(0, r.at-a.sent))
+	l.balancer.Headers(now, c.In.ID, a.number, max(0, r.At-a.sent))
 }
 
 // outcome tells the balancer how an attempt ended. The first whole answer of an endpoint is the client's.
-func (l *loop) outcome(now balancer.Micros, a *attempt, r reply) {
+func (l *Loop) outcome(now balancer.Micros, a *attempt, r Reply) {
 	if a.done {
-		r.release()
+		r.Release()
 		return // its time was up before this came
 	}
 	a.done = true
@@ -307,20 +319,20 @@
 	l.callOff(a.timeUp)
 	c := a.call
 	c.open--
-	c.late = r.status == balancer.Timeout
-	if r.status == balancer.OK && !c.ended {
-		l.finish(c, answer{verdict: served, reply: &r})
+	c.late = r.Status == balancer.Timeout
+	if r.Status == balancer.OK && !c.ended {
+		l.finish(c, Answer{Verdict: Served, Reply: &r})
 	} else {
-		r.release()
+		r.Release()
 	}
 	settled := c.ended
 	l.forget(c)
-	l.balancer.Outcome(now, balancer.Outcome{ID: c.in.ID, Attempt: a.number, Endpoint: a.endpoint.number,
-		Status: r.status, Latency: max(0, r.at-a.sent), Settled: settled, Spent: r.spent, Load: r.load})
+	l.balancer.Outcome(now, balancer.Outcome{ID: c.In.ID, Attempt: a.number, Endpoint: a.endpoint.number,
+		Status: r.Status, Latency: max(0, r.At-a.sent), Settled: settled, Spent: r.Spent, Load: r.Load})
 }
 
 // timeUp ends an attempt by our clock, whatever its connection does.
-func (l *loop) timeUp(now balancer.Micros, a *attempt) {
+func (l *Loop) timeUp(now balancer.Micros, a *attempt) {
 	if a.done {
 		return
 	}
@@ -336,16 +348,16 @@
 			status = balancer.ConnectFailed // its last byte is not out
 		}
 	}
-	l.outcome(now, a, reply{status: status, at: now, spent: a.call.flows})
+	l.outcome(now, a, Reply{Status: status, At: now, Spent: a.call.Flows})
 }
 
 // members passes discovery's news on, with names turned into numbers.
-func (l *loop) members(now balancer.Micros, kind balancer.ListKind, list List) {
+func (l *Loop) members(now balancer.Micros, kind balancer.ListKind, list discovery.List) {
 	entries := make([]balancer.Endpoint, 0, len(list.Instances))
 	named := map[string]bool{}
 	var odd []string // the faults of entries: one line for a list, however many they are
 	for _, in := range list.Instances {
-		state, known := states[in.Lifecycle]
+		state, known := discovery.States[in.Lifecycle]
 		if !known {
 			state = balancer.Draining
 			odd = append(odd, fmt.Sprintf("%q: no known lifecycle %q, nothing new goes there", in.ID, in.Lifecycle))
@@ -406,7 +418,7 @@
 
 // setState notes from when on nothing new may go to an endpoint. The balancer stops at once; this is for
 // attempts that are waiting for a connection.
-func (l *loop) setState(now balancer.Micros, name string, e *endpoint, state balancer.State) {
+func (l *Loop) setState(now balancer.Micros, name string, e *endpoint, state balancer.State) {
 	switch {
 	case e.banned:
 		e.stopAt.Store(1)
@@ -431,8 +443,8 @@
 	return 255
 }
 
-// told passes a list of the watch on, unless the watch has been ended by then.
-func (l *loop) told(watch context.Context, list List) {
+// Told passes a list of the watch on, unless the watch has been ended by then.
+func (l *Loop) Told(watch context.Context, list discovery.List) {
 	kind := balancer.ListDelta
 	if list.Reset {
 		kind = balancer.ListFull
@@ -444,21 +456,21 @@
 	})
 }
 
-// untold tells that a call of discovery failed.
-func (l *loop) untold() {
+// Untold tells that a call of discovery failed.
+func (l *Loop) Untold() {
 	l.post(func(now balancer.Micros) { l.balancer.Members(now, balancer.ListFailed, nil) })
 }
 
 // ---- The balancer's actions ------------------------------------------------
 
 // Send starts an attempt.
-func (l *loop) Send(id uint64, number uint32, timeout balancer.Micros) {
-	now := l.clock.now()
+func (l *Loop) Send(id uint64, number uint32, timeout balancer.Micros) {
+	now := l.clock.Now()
 	c, e := l.calls[id], l.byNumber[number]
 	if c == nil {
 		return
 	}
-	a := &attempt{call: c, number: len(c.attempts), endpoint: e, sent: now, began: time.Now(), deadline: c.in.Deadline}
+	a := &attempt{call: c, number: len(c.attempts), endpoint: e, sent: now, began: time.Now(), deadline: c.In.Deadline}
 	if timeout > 0 {
 		a.deadline = min(a.deadline, now+timeout)
 	}
@@ -466,18 +478,18 @@
 	a.cancel = cancel
 	c.attempts = append(c.attempts, a)
 	c.open++
-	if c.ended || e == nil || now >= a.deadline || len(c.attempts) > c.config.Settings.Limits.MaxAttempts {
+	if c.ended || e == nil || now >= a.deadline || len(c.attempts) > c.View.Settings.Limits.MaxAttempts {
 		if e == nil {
 			a.endpoint = &endpoint{number: number}
 		}
-		l.at(now, func(now balancer.Micros) { l.outcome(now, a, reply{status: balancer.Moot, at: now}) })
+		l.at(now, func(now balancer.Micros) { l.outcome(now, a, Reply{Status: balancer.Moot, At: now}) })
 		return
 	}
 	a.timeUp = l.at(a.deadline, func(now balancer.Micros) { l.timeUp(now, a) })
-	a.uploading = c.flows && c.in.Flows
+	a.uploading = c.Flows && c.In.Flows
 	to := e.to
 	go func() {
-		r := to.Send(ctx, c.out, a.deadline, func(now balancer.Micros) bool {
+		r := to.Send(ctx, c.Out, a.deadline, func(now balancer.Micros) bool {
 			// The dial may have outlasted the grace of a drain or the time of the request.
 			stop := e.stopAt.Load()
 			return (stop == 0 || now < stop) && now < a.deadline && a.gate.pass()
@@ -485,7 +497,7 @@
 			l.post(func(now balancer.Micros) { l.uploaded(now, a) })
 		})
 		l.post(func(now balancer.Micros) {
-			if r.content != nil && r.content.Flows() {
+			if r.Content != nil && r.Content.Flows() {
 				l.begins(now, a, r)
 			} else {
 				l.outcome(now, a, r)
@@ -495,27 +507,27 @@
 }
 
 // Refuse answers a client that trying again is harmless.
-func (l *loop) Refuse(id uint64, retryAfter balancer.Micros) {
+func (l *Loop) Refuse(id uint64, retryAfter balancer.Micros) {
 	if c := l.calls[id]; c != nil && !c.ended {
-		l.finish(c, answer{verdict: refused, retryAfter: time.Duration(retryAfter) * time.Microsecond})
+		l.finish(c, Answer{Verdict: Refused, RetryAfter: time.Duration(retryAfter) * time.Microsecond})
 		l.forget(c)
 	}
 }
 
 // Fail answers a client that its request failed.
-func (l *loop) Fail(id uint64) {
+func (l *Loop) Fail(id uint64) {
 	if c := l.calls[id]; c != nil && !c.ended {
-		v := failed
+		v := Failed
 		if c.late {
-			v = failedLate
+			v = FailedLate
 		}
-		l.finish(c, answer{verdict: v})
+		l.finish(c, Answer{Verdict: v})
 		l.forget(c)
 	}
 }
 
 // Cancel closes an attempt's connection. One that wrote nothing never ran.
-func (l *loop) Cancel(id uint64, number int) {
+func (l *Loop) Cancel(id uint64, number int) {
 	c := l.calls[id]
 	if c == nil || number < 0 || number >= len(c.attempts) || c.attempts[number].done {
 		return
@@ -526,18 +538,18 @@
 		status = balancer.Moot
 	}
 	a.cancel()
-	now := l.clock.now()
-	l.at(now, func(now balancer.Micros) { l.outcome(now, a, reply{status: status, at: now}) })
+	now := l.clock.Now()
+	l.at(now, func(now balancer.Micros) { l.outcome(now, a, Reply{Status: status, At: now}) })
 }
 
 // Timer asks for a Timer event.
-func (l *loop) Timer(delay balancer.Micros, token uint32) {
-	l.at(l.clock.now()+delay, func(now balancer.Micros) { l.balancer.Timer(now, token) })
+func (l *Loop) Timer(delay balancer.Micros, token uint32) {
+	l.at(l.clock.Now()+delay, func(now balancer.Micros) { l.balancer.Timer(now, token) })
 }
 
 // Probe asks an endpoint for its load.
-func (l *loop) Probe(number uint32) {
-	sent := l.clock.now()
+func (l *Loop) Probe(number uint32) {
+	sent := l.clock.Now()
 	e := l.byNumber[number]
 	if e == nil {
 		return
@@ -546,27 +558,27 @@
 	go func() {
 		r := to.Probe()
 		l.post(func(now balancer.Micros) {
-			l.balancer.Probed(now, number, r.status, max(0, r.at-sent), r.load)
+			l.balancer.Probed(now, number, r.Status, max(0, r.At-sent), r.Load)
 		})
 	}()
 }
 
 // Watch subscribes to discovery's changes, or ends that.
-func (l *loop) Watch(on bool) { l.watch(on) }
+func (l *Loop) Watch(on bool) { l.watch(on) }
 
 // Log records a line for on-call staff.
-func (l *loop) Log(line string) { l.log.Info(line) }
+func (l *Loop) Log(line string) { l.log.Info(line) }
 
 // ---- The table of requests -------------------------------------------------
 
 // finish gives a request its one final answer; nothing new goes out for it.
-func (l *loop) finish(c *call, a answer) {
-	c.answer <- a // room for one, and ended guards it
+func (l *Loop) finish(c *Call, a Answer) {
+	c.Answer <- a // room for one, and ended guards it
 	l.end(c)
 }
 
 // end marks a request as over and keeps in what has not gone out yet.
-func (l *loop) end(c *call) {
+func (l *Loop) end(c *Call) {
 	c.ended = true
 	for _, a := range c.attempts {
 		if !a.done {
@@ -577,9 +589,9 @@
 }
 
 // forget drops a request that is over once all its outcomes are in.
-func (l *loop) forget(c *call) {
+func (l *Loop) forget(c *Call) {
 	if c.ended && c.open == 0 {
-		delete(l.calls, c.in.ID)
-		delete(l.ids, c.id)
+		delete(l.calls, c.In.ID)
+		delete(l.ids, c.ID)
 	}
 }
--- a/internal/sidecar/maintenance.go
+++ b/internal/core/marks.go
@@ -1,15 +1,16 @@
-package sidecar
+package core
 
 import (
 	"context"
 	"time"
 
 	"birchmoor/balancer"
+	"birchmoor/internal/discovery"
 	"birchmoor/internal/maintenance"
 )
 
 // call runs a function of the loop's ahead of all that requests bring, and returns once it has run.
-func (l *loop) call(ctx context.Context, do func(now balancer.Micros)) error {
+func (l *Loop) call(ctx context.Context, do func(now balancer.Micros)) error {
 	done := make(chan struct{})
 	select {
 	case l.urgent <- func(now balancer.Micros) { do(now); close(done) }:
@@ -22,9 +23,9 @@
 	}
 }
 
-// list returns the list as it is held now.
-func (l *loop) list(ctx context.Context) (List, error) {
-	held := List{Reset: true}
+// List returns the list as it is held now.
+func (l *Loop) List(ctx context.Context) (discovery.List, error) {
+	held := discovery.List{Reset: true}
 	err := l.call(ctx, func(balancer.Micros) {
 		for _, e := range l.byName {
 			held.Instances = append(held.Instances, e.told)
@@ -37,15 +38,15 @@
 const gaugeEvery = 100 * time.Millisecond
 
 // gauge shows how many endpoints are avoided, again and again.
-func (l *loop) gauge(now balancer.Micros) {
+func (l *Loop) gauge(now balancer.Micros) {
 	l.figures.Unhealthy.Set(int64(l.balancer.Avoided(now)))
 	l.ejections(now)
 	l.at(now+gaugeEvery.Microseconds(), l.gauge)
 }
 
-// mark makes what operators said of an endpoint bind, and returns once it does. With force, an ID that was
+// Mark makes what operators said of an endpoint bind, and returns once it does. With force, an ID that was
 // never listed is taken, too.
-func (l *loop) mark(ctx context.Context, m maintenance.Mark, force bool) error {
+func (l *Loop) Mark(ctx context.Context, m maintenance.Mark, force bool) error {
 	var answer error
 	if err := l.call(ctx, func(now balancer.Micros) { answer = l.setMark(now, m, force) }); err != nil {
 		return err
@@ -54,7 +55,7 @@
 }
 
 // setMark bans an endpoint or ends that. The module holds the ban; here what waits for a connection is kept in.
-func (l *loop) setMark(now balancer.Micros, m maintenance.Mark, force bool) error {
+func (l *Loop) setMark(now balancer.Micros, m maintenance.Mark, force bool) error {
 	e := l.byName[m.ID]
 	number, banned := l.bans[m.ID]
 	switch {
--- /dev/null
+++ b/internal/core/members_test.go
@@ -0,0 +1,124 @@
+package core
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"birchmoor/balancer"
+	"birchmoor/internal/discovery"
+	"birchmoor/internal/metrics"
+	"birchmoor/internal/sidetest"
+)
+
+// What can't be read of a list is passed over in one line for all of it, but a drain binds however it is told.
+func TestOddEntries(t *testing.T) {
+	var said strings.Builder
+	log := slog.New(slog.NewTextHandler(&said, nil))
+	cfg := sidetest.Configure(t, sidetest.Nowhere(t), nil)
+	clk := NewClock()
+	l, err := New(cfg, clk, stub{}, func(bool) {}, metrics.New(), nil, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := clk.Now()
+	l.balancer.Start(now)
+	in := func(id, addr, lifecycle string) discovery.Instance {
+		return discovery.Instance{ID: id, Addr: addr, Lifecycle: lifecycle}
+	}
+	for _, c := range []struct {
+		name  string
+		kind  balancer.ListKind
+		list  []discovery.Instance
+		ready string // who serves afterwards
+		lines int
+		says  string
+	}{
+		{"sound", balancer.ListFull, []discovery.Instance{in("a", "127.0.0.1:1", "up"), in("b", "127.0.0.1:2", "up")}, "a b", 0, ""},
+		{"many odd ones", balancer.ListDelta, []discovery.Instance{in("", "127.0.0.1:3", "up"), in("c", "", "up"), in("d", "no port", "up"),
+			in("e", "127.0.0.1:5", "up")}, "a b e", 1, "odd=3"},
+		{"told twice", balancer.ListDelta, []discovery.Instance{in("e", "127.0.0.1:5", "up"), in("e", "127.0.0.1:6", "up")}, "a b e", 1, "told twice"},
+		{"drains at no address", balancer.ListDelta, []discovery.Instance{in("a", "no port", "draining"), in("b", "", "draining")}, "e", 0, ""},
+		{"a word that is not known", balancer.ListDelta, []discovery.Instance{in("e", "127.0.0.1:6", "resting")}, "", 1, "resting"},
+		{"back", balancer.ListDelta, []discovery.Instance{in("a", "127.0.0.1:1", "up")}, "a", 0, ""},
+		{"empty", balancer.ListFull, nil, "", 0, ""},
+	} {
+		said.Reset()
+		l.members(now, c.kind, discovery.List{Generation: 7, Instances: c.list})
+		var ready []string
+		for name, e := range l.byName {
+			if e.state == balancer.Ready {
+				ready = append(ready, name)
+			}
+		}
+		slices.Sort(ready)
+		if got := strings.Join(ready, " "); got != c.ready {
+			t.Errorf("%s: %q serve, want %q", c.name, got, c.ready)
+		}
+		if n := strings.Count(said.String(), "list with odd entries"); n != c.lines || !strings.Contains(said.String(), c.says) {
+			t.Errorf("%s: %d lines, want %d with %q: %s", c.name, n, c.lines, c.says, said.String())
+		}
+	}
+}
+
+// A dial can outlast the grace for a drain: then nothing may go out, and the request never ran.
+func TestDialOutlastsDrain(t *testing.T) {
+	drained := sidetest.Up("s-1", "127.0.0.1:1")
+	drained.Lifecycle = "draining"
+	for _, tc := range []struct {
+		name string
+		news discovery.List
+		wait time.Duration // until the connection is up
+		want Verdict
+	}{
+		{"within the grace", discovery.List{Instances: []discovery.Instance{drained}}, 0, Served},
+		{"past the grace", discovery.List{Instances: []discovery.Instance{drained}}, 250 * time.Millisecond, Refused},
+		{"left out of a whole list", discovery.List{Reset: true}, 250 * time.Millisecond, Refused},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			cfg := sidetest.Configure(t, "127.0.0.1:1", []discovery.Instance{sidetest.Up("s-1", "127.0.0.1:1")})
+			clk, dialing := NewClock(), make(chan struct{})
+			l, err := New(cfg, clk, stub{func(mayGo func(balancer.Micros) bool) Reply {
+				close(dialing)
+				time.Sleep(tc.wait + time.Millisecond) // the list is here by then
+				if now := clk.Now(); !mayGo(now) {
+					return Reply{Status: balancer.Moot, At: now}
+				}
+				return Reply{Status: balancer.OK, At: clk.Now()}
+			}}, func(bool) {}, metrics.New(), nil, sidetest.Quiet)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { l.Run(ctx); close(done) }()
+			c := &Call{ID: "1", Class: "pay", View: l.View(), Answer: make(chan Answer, 1),
+				In: balancer.Request{Class: 2, Deadline: l.Now() + 900_000, Rules: l.View().Rules}}
+			l.Arrived(c)
+			<-dialing
+			l.Told(t.Context(), tc.news)
+			if a := <-c.Answer; a.Verdict != tc.want {
+				t.Errorf("%s: verdict %v, want %v", tc.name, a.Verdict, tc.want)
+			}
+			cancel()
+			<-done
+		})
+	}
+}
+
+// Without any endpoint that serves a sidecar is not ready.
+func TestReadyWithAnEndpoint(t *testing.T) {
+	l := lone(t, sidetest.Configure(t, "127.0.0.1:1", nil), sidetest.Quiet)
+	l.call(t.Context(), func(balancer.Micros) {}) // it has begun
+	if l.Ready() {
+		t.Error("ready without an endpoint")
+	}
+	l.Cached(t.Context(), discovery.List{Generation: 8, Instances: []discovery.Instance{sidetest.Up("s-1", "127.0.0.1:1")}})
+	if !l.Ready() {
+		t.Error("not ready with an endpoint")
+	}
+}
--- a/internal/sidecar/recall.go
+++ b/internal/core/recall.go
@@ -1,4 +1,4 @@
-package sidecar
+package core
 
 import (
 	"context"
@@ -21,7 +21,7 @@
 )
 
 // picture is the module's state with the names of its endpoints. The loop's goroutine takes it.
-func (l *loop) picture(now balancer.Micros) *snapshot.Kept {
+func (l *Loop) picture(now balancer.Micros) *snapshot.Kept {
 	k := &snapshot.Kept{Sidecar: l.config.Name, State: l.balancer.Snapshot(now, false)}
 	k.Names = make([]string, 0, len(k.State.Endpoints))
 	known := k.State.Endpoints[:0]
@@ -45,8 +45,8 @@
 	return k
 }
 
-// pictured returns the picture as bytes. Only taking it holds the loop.
-func (l *loop) pictured(ctx context.Context) ([]byte, error) {
+// Pictured returns the picture as bytes. Only taking it holds the loop.
+func (l *Loop) Pictured(ctx context.Context) ([]byte, error) {
 	var k *snapshot.Kept
 	if err := l.call(ctx, func(now balancer.Micros) { k = l.picture(now) }); err != nil {
 		return nil, err
@@ -55,9 +55,9 @@
 	return snapshot.Encode(k)
 }
 
-// recall tells the module what an earlier process knew. What is not of this sidecar, or makes no sense, is passed
+// Recall tells the module what an earlier process knew. What is not of this sidecar, or makes no sense, is passed
 // over: a start without it is as good as any.
-func (l *loop) recall(ctx context.Context, k *snapshot.Kept, from string) {
+func (l *Loop) Recall(ctx context.Context, k *snapshot.Kept, from string) {
 	if k.Sidecar != l.config.Name {
 		l.log.Warn("snapshot of another sidecar passed over", "from", from, "its name", k.Sidecar)
 		return
@@ -85,14 +85,14 @@
 }
 
 // Beside has the process beside this one told of ejections, until forget is called.
-func (l *loop) Beside(eject func(context.Context, []handover.Ejection) error) (forget func()) {
+func (l *Loop) Beside(eject func(context.Context, []handover.Ejection) error) (forget func()) {
 	tell := teller(eject)
 	l.tell.Store(&tell)
 	return func() { l.tell.CompareAndSwap(&tell, nil) }
 }
 
 // ejections tells the process beside this one whom the module has ejected, if there is one to tell.
-func (l *loop) ejections(now balancer.Micros) {
+func (l *Loop) ejections(now balancer.Micros) {
 	tell := l.tell.Load()
 	if tell == nil {
 		return
@@ -108,8 +108,8 @@
 	}
 }
 
-// heard passes on whom the process beside this one has ejected.
-func (l *loop) heard(list []handover.Ejection) {
+// Heard passes on whom the process beside this one has ejected.
+func (l *Loop) Heard(list []handover.Ejection) {
 	l.post(func(now balancer.Micros) {
 		for _, x := range list[:min(len(list), tellMost)] {
 			if e := l.byName[x.ID]; e != nil && x.Left > 0 {
@@ -119,15 +119,15 @@
 	})
 }
 
-// keeper keeps the picture in a file.
-type keeper struct {
-	loop *loop
-	file snapshot.File
+// Keeper keeps the picture in a file.
+type Keeper struct {
+	Loop *Loop
+	File snapshot.File
 }
 
-// run keeps on until ctx ends. While paused says so another process is the one to keep it.
-func (k keeper) run(ctx context.Context, paused func() bool) {
-	if k.file.Path == "" {
+// Run keeps on until ctx ends. While paused says so another process is the one to keep it.
+func (k Keeper) Run(ctx context.Context, paused func() bool) {
+	if k.File.Path == "" {
 		return
 	}
 	wait := keepEvery
@@ -144,13 +144,13 @@
 			continue
 		}
 		began := time.Now()
-		data, err := k.loop.pictured(ctx)
+		data, err := k.Loop.Pictured(ctx)
 		if err == nil {
-			err = k.file.Save(data)
+			err = k.File.Save(data)
 		}
 		wait = keepWait(time.Since(began), len(data))
 		if err != nil && ctx.Err() == nil && !failing {
-			k.loop.log.Warn("what is known here is not kept", "error", err)
+			k.Loop.log.Warn("what is known here is not kept", "error", err)
 		}
 		failing = err != nil
 	}
--- a/internal/sidecar/recall_test.go
+++ b/internal/core/recall_test.go
@@ -1,10 +1,9 @@
-package sidecar
+package core
 
 import (
 	"bytes"
 	"context"
 	"log/slog"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -14,29 +13,45 @@
 	"time"
 
 	"birchmoor/balancer"
+	"birchmoor/internal/config"
+	"birchmoor/internal/discovery"
 	"birchmoor/internal/handover"
-	"birchmoor/internal/maintenance"
 	"birchmoor/internal/metrics"
+	"birchmoor/internal/sidetest"
 	"birchmoor/internal/snapshot"
 )
 
 // lone is a loop without sockets. It ends with the test.
-func lone(t *testing.T, c *Config, log *slog.Logger) *loop {
+func lone(t *testing.T, c *config.Config, log *slog.Logger) *Loop {
 	t.Helper()
-	clk, figures := clock{time.Now()}, metrics.New(c.Classes...)
-	l, err := newLoop(c, clk, newUpstream(c, clk, &figures.Sends, log), func(bool) {}, figures, nil, log)
+	clk, figures := NewClock(), metrics.New(c.Classes...)
+	l, err := New(c, clk, stub{}, func(bool) {}, figures, nil, log)
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
-	go func() { l.run(ctx); close(done) }()
+	go func() { l.Run(ctx); close(done) }()
 	t.Cleanup(func() { cancel(); <-done })
 	return l
 }
 
+// stub is a protocol without an upstream side: send, where there is one, is what an attempt does.
+type stub struct {
+	send func(mayGo func(now balancer.Micros) bool) Reply
+}
+
+func (s stub) Target(string) Target { return s }
+func (s stub) Adopt(*config.Config) {}
+func (s stub) Probe() Reply         { return Reply{Status: balancer.ConnectFailed} }
+func (s stub) Drop()                {}
+func (s stub) Flush(time.Time)      {}
+func (s stub) Send(_ context.Context, _ any, _ balancer.Micros, mayGo func(balancer.Micros) bool, _ func(balancer.Micros)) Reply {
+	return s.send(mayGo)
+}
+
 // answers has endpoints answer a probe after their own round trips.
-func answers(t *testing.T, l *loop, trips map[string]balancer.Micros) {
+func answers(t *testing.T, l *Loop, trips map[string]balancer.Micros) {
 	t.Helper()
 	l.call(t.Context(), func(now balancer.Micros) {
 		for name, trip := range trips {
@@ -45,7 +60,7 @@
 	})
 }
 
-func trips(t *testing.T, l *loop) map[string]float64 {
+func trips(t *testing.T, l *Loop) map[string]float64 {
 	t.Helper()
 	got := map[string]float64{}
 	l.call(t.Context(), func(now balancer.Micros) {
@@ -59,9 +74,9 @@
 
 // What one process learned of an endpoint the next one knows by its name, whatever its number there.
 func TestRecallGoesByName(t *testing.T) {
-	old := lone(t, configure(t, nowhere(t), []Instance{up("s-1", "127.0.0.1:1"), up("s-2", "127.0.0.1:2"), up("s-3", "127.0.0.1:3")}), quiet)
+	old := lone(t, sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-1", "127.0.0.1:1"), sidetest.Up("s-2", "127.0.0.1:2"), sidetest.Up("s-3", "127.0.0.1:3")}), sidetest.Quiet)
 	answers(t, old, map[string]balancer.Micros{"s-1": 1000, "s-2": 2000, "s-3": 3000})
-	data, err := old.pictured(t.Context())
+	data, err := old.Pictured(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -71,14 +86,14 @@
 	}
 	var said bytes.Buffer
 	log := slog.New(slog.NewTextHandler(&said, nil))
-	c := configure(t, nowhere(t), []Instance{up("s-9", "127.0.0.1:9"), up("s-3", "127.0.0.1:3"), up("s-2", "127.0.0.1:2")})
+	c := sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-9", "127.0.0.1:9"), sidetest.Up("s-3", "127.0.0.1:3"), sidetest.Up("s-2", "127.0.0.1:2")})
 	fresh := lone(t, c, log)
-	fresh.recall(t.Context(), k, "a file")
+	fresh.Recall(t.Context(), k, "a file")
 	if got := trips(t, fresh); got["s-2"] != 2000 || got["s-3"] != 3000 || got["s-9"] != 0 || len(got) != 3 {
 		t.Errorf("round trips %v", got)
 	}
 	k.Sidecar = "n7"
-	fresh.recall(t.Context(), k, "a file")
+	fresh.Recall(t.Context(), k, "a file")
 	if !strings.Contains(said.String(), "endpoints=2 of=3") || !strings.Contains(said.String(), "another sidecar") {
 		t.Error(said.String())
 	}
@@ -86,8 +101,8 @@
 
 // Two processes side by side tell each other whom they have ejected.
 func TestEjectionsReachTheOther(t *testing.T) {
-	known := []Instance{up("s-1", "127.0.0.1:1"), up("s-2", "127.0.0.1:2"), up("s-3", "127.0.0.1:3")}
-	a, b := lone(t, configure(t, nowhere(t), known), quiet), lone(t, configure(t, nowhere(t), known[1:]), quiet)
+	known := []discovery.Instance{sidetest.Up("s-1", "127.0.0.1:1"), sidetest.Up("s-2", "127.0.0.1:2"), sidetest.Up("s-3", "127.0.0.1:3")}
+	a, b := lone(t, sidetest.Configure(t, sidetest.Nowhere(t), known), sidetest.Quiet), lone(t, sidetest.Configure(t, sidetest.Nowhere(t), known[1:]), sidetest.Quiet)
 	told := make(chan []handover.Ejection, 1)
 	tell := teller(func(_ context.Context, list []handover.Ejection) error { told <- list; return nil })
 	a.tell.Store(&tell)
@@ -95,13 +110,13 @@
 		a.balancer.Heard(now, a.byName["s-2"].number, 3_000_000)
 		a.ejections(now)
 	})
-	list := within(t, told, "word of the ejection")
+	list := sidetest.Within(t, told, "word of the ejection")
 	if len(list) != 1 || list[0].ID != "s-2" || list[0].Left <= 0 {
 		t.Fatalf("told %+v", list)
 	}
-	b.heard(append(list, handover.Ejection{ID: "s-1", Left: 1_000_000}, handover.Ejection{ID: "s-3", Left: -1}))
+	b.Heard(append(list, handover.Ejection{ID: "s-1", Left: 1_000_000}, handover.Ejection{ID: "s-3", Left: -1}))
 	b.call(t.Context(), func(balancer.Micros) {}) // the loop takes what is urgent first:
-	for end := time.Now().Add(soon); ; {
+	for end := time.Now().Add(sidetest.Soon); ; {
 		var n int
 		b.call(t.Context(), func(now balancer.Micros) { n = b.balancer.Avoided(now) })
 		if n == 1 {
@@ -116,13 +131,13 @@
 func TestKeeperKeepsAtItsPace(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "known")
 	synctest.Test(t, func(t *testing.T) {
-		l := lone(t, configure(t, "127.0.0.1:1", []Instance{up("s-1", "127.0.0.1:1")}), quiet)
+		l := lone(t, sidetest.Configure(t, "127.0.0.1:1", []discovery.Instance{sidetest.Up("s-1", "127.0.0.1:1")}), sidetest.Quiet)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		var paused atomic.Bool
 		paused.Store(true)
 		go func() {
-			keeper{l, snapshot.File{Path: path}}.run(ctx, paused.Load)
+			Keeper{l, snapshot.File{Path: path}}.Run(ctx, paused.Load)
 			close(done)
 		}()
 		time.Sleep(keepEvery + 1)
@@ -144,60 +159,3 @@
 		t.Error("a file that takes long or is large is kept as often as a small one")
 	}
 }
-
-// runKept runs a sidecar with the given bytes kept for it, and returns what it logged once it was ready.
-func runKept(t *testing.T, c *Config, data []byte) string {
-	t.Helper()
-	path := filepath.Join(t.TempDir(), "known")
-	if err := os.WriteFile(path, data, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var said bytes.Buffer
-	ctx, stop := context.WithCancel(t.Context())
-	serving := make(chan struct{}, 1)
-	log := slog.New(slog.NewTextHandler(writer(func(p []byte) {
-		said.Write(p)
-		if bytes.Contains(p, []byte("msg=serving")) {
-			serving <- struct{}{}
-		}
-	}), nil))
-	ended := make(chan error, 1)
-	go func() {
-		ended <- Run(ctx, c, Host{Socket: only{ln}, Bans: maintenance.Nowhere{}, Kept: snapshot.File{Path: path}, Log: log})
-	}()
-	within(t, serving, "start")
-	stop()
-	if err := within(t, ended, "end"); err != nil {
-		t.Error(err)
-	}
-	return said.String()
-}
-
-type writer func(p []byte)
-
-func (w writer) Write(p []byte) (int, error) { w(p); return len(p), nil }
-
-// A start reads what was kept; whatever the file holds, it starts.
-func TestStartWithWhatWasKept(t *testing.T) {
-	c := configure(t, nowhere(t), []Instance{up("s-1", "127.0.0.1:1"), up("s-2", "127.0.0.1:2")})
-	old := lone(t, c, quiet)
-	answers(t, old, map[string]balancer.Micros{"s-1": 1000})
-	data, err := old.pictured(t.Context())
-	if err != nil {
-		t.Fatal(err)
-	}
-	newer := bytes.Clone(data)
-	newer[7]++
-	for _, x := range []struct {
-		data []byte
-		want string
-	}{{data, "endpoints=2 of=2"}, {data[:len(data)/2], "cut"}, {newer, "newer"}, {[]byte(strings.Repeat("x", 99)), "foreign"}} {
-		if said := runKept(t, c, x.data); !strings.Contains(said, x.want) {
-			t.Errorf("want %q in:\n%s", x.want, said)
-		}
-	}
-}
--- a/internal/sidecar/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,4 +1,5 @@
-package sidecar
+// Package discovery asks for the list of endpoints, and hears how it changes.
+package discovery
 
 import (
 	"bufio"
@@ -39,8 +40,8 @@
 	StartedMs int64   `json:"startedAtMs"`
 }
 
-// states gives the meaning of a lifecycle. What an unlisted word means is not known: nothing new goes there.
-var states = map[string]balancer.State{
+// States gives the meaning of a lifecycle. What an unlisted word means is not known: nothing new goes there.
+var States = map[string]balancer.State{
 	"up": balancer.Ready, "draining": balancer.Draining, "removed": balancer.Gone}
 
 const (
@@ -50,30 +51,32 @@
 	lineShare = 16 // of the memory, a line of discovery's may take one part in so many
 )
 
-// unlisted is the generation of a watcher that holds no list of its discovery yet.
-const unlisted = -1
+// Unlisted is the generation of a watcher that holds no list of its discovery yet.
+const Unlisted = -1
 
-// watcher holds a watch at one discovery and tells the loop of each line.
-type watcher struct {
+// Watcher holds a watch at one discovery and tells the loop of each line.
+type Watcher struct {
 	addr     string
 	client   *http.Client
 	after    int64 // generation of the latest list of this discovery, or unlisted
 	lineMost int
-	mute     time.Duration
+	Mute     time.Duration
 	tell     func(context.Context, List) // what is told when the context has ended comes too late
 	log      *slog.Logger
 }
 
-func newWatcher(addr string, after int64, memoryMB int, tell func(context.Context, List), log *slog.Logger) *watcher {
-	return &watcher{addr: addr, after: after, lineMost: memoryMB << 20 / lineShare, mute: muteAfter, tell: tell, log: log,
+// NewWatcher returns what watches the discovery at addr, from the list of generation after on. Lists may take a part of
+// memoryMB; tell gets each, and what it is told with an ended context comes too late.
+func NewWatcher(addr string, after int64, memoryMB int, tell func(context.Context, List), log *slog.Logger) *Watcher {
+	return &Watcher{addr: addr, after: after, lineMost: memoryMB << 20 / lineShare, Mute: muteAfter, tell: tell, log: log,
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: (&net.Dialer{Timeout: waitMost}).DialContext, DisableKeepAlives: true, DisableCompression: true,
 		}}}
 }
 
-// keep watches until ctx ends. A watch that breaks or falls mute is asked for again, from the latest
+// Keep watches until ctx ends. A watch that breaks or falls mute is asked for again, from the latest
 // generation on, later each time and never in step with other sidecars.
-func (w *watcher) keep(ctx context.Context) {
+func (w *Watcher) Keep(ctx context.Context) {
 	wait := waitLeast
 	for ctx.Err() == nil {
 		heard, err := w.watch(ctx)
@@ -94,26 +97,26 @@
 	}
 }
 
-// once holds one watch, for a balancer that asks for each.
-func (w *watcher) once(ctx context.Context) {
+// Once holds one watch, for a balancer that asks for each.
+func (w *Watcher) Once(ctx context.Context) {
 	if _, err := w.watch(ctx); ctx.Err() == nil {
 		w.log.Warn("discovery watch ended", "error", err)
 	}
 }
 
 // watch holds one watch until it ends, and says whether it brought a list.
-func (w *watcher) watch(ctx context.Context) (heard bool, err error) {
+func (w *Watcher) watch(ctx context.Context) (heard bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	// A machine that is cut off leaves the connection open and silent, so our own clock ends it.
-	mute := time.AfterFunc(w.mute, func() { cancel(errors.New("mute")) })
+	mute := time.AfterFunc(w.Mute, func() { cancel(errors.New("mute")) })
 	defer mute.Stop()
-	if w.after == unlisted {
+	if w.after == Unlisted {
 		// Only a whole list tells what the discovery before this one knew and this one does not.
 		if err := w.whole(ctx); err != nil {
 			return false, cmp.Or(context.Cause(ctx), err)
 		}
-		mute.Reset(w.mute)
+		mute.Reset(w.Mute)
 		heard = true
 	}
 	resp, err := w.get(ctx, "?watch=1&after="+strconv.FormatInt(w.after, 10))
@@ -124,7 +127,7 @@
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(nil, w.lineMost)
 	for lines.Scan() {
-		mute.Reset(w.mute)
+		mute.Reset(w.Mute)
 		line := bytes.TrimSpace(lines.Bytes())
 		if len(line) == 0 {
 			continue
@@ -149,7 +152,7 @@
 }
 
 // whole asks for the whole list.
-func (w *watcher) whole(ctx context.Context) error {
+func (w *Watcher) whole(ctx context.Context) error {
 	resp, err := w.get(ctx, "")
 	if err != nil {
 		return err
@@ -166,7 +169,7 @@
 }
 
 // get asks discovery for its list.
-func (w *watcher) get(ctx context.Context, query string) (*http.Response, error) {
+func (w *Watcher) get(ctx context.Context, query string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.addr+"/api/targets"+query, nil)
 	if err != nil {
 		return nil, err
@@ -183,17 +186,17 @@
 }
 
 // discovery is the present watcher and its watch: kept for good, or one each time the balancer asks.
-type discovery struct {
-	watch func(w *watcher, ctx context.Context)
-	ended func() // the watch ended by itself
+type Feed struct {
+	Watch func(w *Watcher, ctx context.Context)
+	Ended func() // the watch ended by itself
 
-	mu     sync.Mutex
-	w      *watcher
-	cancel context.CancelFunc // of the watch that is on or being asked for
+	mu      sync.Mutex
+	Watcher *Watcher
+	cancel  context.CancelFunc // of the watch that is on or being asked for
 }
 
-// set asks for the watch, unless it is on or being asked for, or ends it.
-func (d *discovery) set(on bool) {
+// Set asks for the watch, unless it is on or being asked for, or ends it.
+func (d *Feed) Set(on bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if on != (d.cancel != nil) {
@@ -201,19 +204,19 @@
 	}
 }
 
-// move ends the watch and asks another discovery at once, however long the balancer or a watch that broke
+// Move ends the watch and asks another discovery at once, however long the balancer or a watch that broke
 // would have waited. Nothing that the old one told is held against the new one: its generations are its own.
-func (d *discovery) move(w *watcher) {
+func (d *Feed) Move(w *Watcher) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.cancel != nil {
 		d.setLocked(false)
 	}
-	d.w = w
+	d.Watcher = w
 	d.setLocked(true)
 }
 
-func (d *discovery) setLocked(on bool) {
+func (d *Feed) setLocked(on bool) {
 	if !on {
 		d.cancel()
 		d.cancel = nil
@@ -221,9 +224,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	w := d.w
+	w := d.Watcher
 	go func() {
-		d.watch(w, ctx)
+		d.Watch(w, ctx)
 		d.mu.Lock()
 		off := ctx.Err() != nil
 		if !off {
@@ -232,7 +235,7 @@
 		}
 		d.mu.Unlock()
 		if !off {
-			d.ended()
+			d.Ended()
 		}
 	}()
 }
--- a/internal/sidecar/clients.go
+++ b/internal/httpfront/clients.go
@@ -1,4 +1,4 @@
-package sidecar
+package httpfront
 
 import (
 	"bufio"
--- a/internal/sidecar/clients_test.go
+++ b/internal/httpfront/clients_test.go
@@ -1,4 +1,4 @@
-package sidecar
+package httpfront
 
 import (
 	"fmt"
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"birchmoor/internal/sidetest"
 )
 
 // When there is no room, the connection goes that will be missed least, whichever came first.
@@ -23,7 +25,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				k := newClients(100, nil, quiet)
+				k := newClients(100, nil, sidetest.Quiet)
 				hold := make(chan struct{})
 				var all []*client
 				k.talk = func(c *client) { all = append(all, c); <-hold }
--- a/internal/sidecar/flow.go
+++ b/internal/httpfront/flow.go
@@ -1,4 +1,4 @@
-package sidecar
+package httpfront
 
 import (
 	"errors"
@@ -11,15 +11,16 @@
 	"time"
 
 	"birchmoor/balancer"
+	"birchmoor/internal/core"
 )
 
-// What is longer than bodyMost flows: it is passed on as it comes and never held whole.
+// What is longer than BodyMost flows: it is passed on as it comes and never held whole.
 const (
-	longMost    = 64 << 20         // and beyond this is turned away, or cut off
+	LongMost    = 64 << 20         // and beyond this is turned away, or cut off
 	bodyStall   = 2 * time.Second  // a body that says nothing for so long is given up
 	bodyStart   = 5 * time.Second  // and so is one that, after this,
 	bodyRate    = 16 << 10         // has come with fewer bytes a second
-	uploadMost  = 30 * time.Minute // that is, for longMost at that rate with some to spare
+	uploadMost  = 30 * time.Minute // that is, for LongMost at that rate with some to spare
 	answerStall = 250 * time.Millisecond
 	flowStall   = 10 * time.Second // for an answer that has begun to reach the client, either way
 	flowAfter   = 50 * time.Millisecond
@@ -96,7 +97,7 @@
 		n, err := u.body.Read(buf)
 		total += n
 		switch {
-		case total > longMost:
+		case total > LongMost:
 			err = errLongBody
 		case time.Since(begun) > bodyStart+time.Duration(total)*time.Second/bodyRate:
 			err = errSlowBody
@@ -134,11 +135,11 @@
 	more   io.Reader // what comes behind that
 	length int64     // of the whole; -1: not known
 	buf    []byte    // to pass it on through; begin is a part of it
-	done   func(how flowEnd)
+	done   func(how core.FlowEnd)
 }
 
 // copyTo passes the answer's body on, and says how that went.
-func (d *download) copyTo(w io.Writer, progress func()) flowEnd {
+func (d *download) copyTo(w io.Writer, progress func()) core.FlowEnd {
 	var out io.Writer = w
 	var chunks io.WriteCloser
 	if d.length < 0 {
@@ -150,32 +151,32 @@
 		if len(piece) > 0 {
 			progress()
 			if _, err := out.Write(piece); err != nil {
-				return flowLeft
+				return core.FlowLeft
 			}
 		}
 		n, err := d.more.Read(d.buf)
 		piece = d.buf[:n]
-		if total += int64(n); total > longMost {
-			return flowCut
+		if total += int64(n); total > LongMost {
+			return core.FlowCut
 		}
 		if err == io.EOF {
 			if n > 0 {
 				progress()
 				if _, err := out.Write(piece); err != nil {
-					return flowLeft
+					return core.FlowLeft
 				}
 			}
 			break
 		}
 		if err != nil {
-			return flowCut
+			return core.FlowCut
 		}
 	}
 	if chunks != nil {
 		progress()
 		if _, err := io.WriteString(w, "0\r\n\r\n"); err != nil {
-			return flowLeft
+			return core.FlowLeft
 		}
 	}
-	return flowWhole
+	return core.FlowWhole
 }
--- a/internal/sidecar/server.go
+++ b/internal/httpfront/server.go
@@ -1,4 +1,6 @@
-package sidecar
+// Package httpfront is HTTP/1.1 on both sides: Server takes clients' requests and gives their answers, Upstream makes
+// attempts and probes at endpoints. What is longer than BodyMost flows through, piece by piece (flow.go).
+package httpfront
 
 import (
 	"bufio"
@@ -21,6 +23,9 @@
 	"time"
 
 	"birchmoor/balancer"
+	"birchmoor/internal/budget"
+	"birchmoor/internal/config"
+	"birchmoor/internal/core"
 	"birchmoor/internal/metrics"
 )
 
@@ -28,30 +33,59 @@
 const answerMargin = 5 * time.Millisecond
 
 const (
-	headerMost  = 16 << 10
-	requestTime = 2700 * time.Millisecond // for a head, from its first byte or the connection's beginning
+	HeaderMost  = 16 << 10
+	RequestTime = 2700 * time.Millisecond // for a head, from its first byte or the connection's beginning
 	placeTime   = 2 * time.Second         // for room for a body
 	idleTime    = 15 * time.Second        // between requests
 )
 
-// server takes clients' requests and gives their answers.
-type server struct {
-	loop    *loop
+// Server takes clients' requests and gives their answers.
+type Server struct {
+	loop    *core.Loop
 	clients *clients
 	figures *metrics.Registry
-	bodies  *budget // bytes of bodies that are held
+	bodies  *budget.Budget // bytes of bodies that are held
 	closing atomic.Bool
 }
 
-func newServer(c *Config, l *loop, log *slog.Logger) *server {
-	s := &server{loop: l, figures: l.figures, bodies: newBudget(c.heldBytes(1))}
-	s.clients = newClients(c.clientConns(1), s.talk, log)
+// NewServer returns a server that brings its requests to l.
+func NewServer(c *config.Config, l *core.Loop, figures *metrics.Registry, log *slog.Logger) *Server {
+	s := &Server{loop: l, figures: figures, bodies: budget.New(c.HeldBytes(1))}
+	s.clients = newClients(c.ClientConns(1), s.talk, log)
 	return s
 }
 
+// Accept serves the connections that come to ln until it is closed.
+func (s *Server) Accept(ln net.Listener) error { return s.clients.accept(ln) }
+
+// Close says whether each answer is to close its connection. Clients are told that the server is not ready then.
+func (s *Server) Close(on bool) { s.closing.Store(on) }
+
+// Closing says whether it is so.
+func (s *Server) Closing() bool { return s.closing.Load() }
+
+// Share sets the part of the limits that is for this process.
+func (s *Server) Share(c *config.Config, part float64) {
+	s.clients.resize(c.ClientConns(part))
+	s.bodies.Resize(c.HeldBytes(part))
+}
+
+// Settle closes the connections that were used and have been idle for longer than age, and returns how many are open.
+func (s *Server) Settle(age time.Duration) int { return s.clients.settle(age) }
+
+// Hush closes idle connections that were used; others close once they have their answers.
+func (s *Server) Hush() { s.clients.hush() }
+
+// Dismiss closes the connections that have asked nothing, all or those that are not about to, and returns how many
+// of them are left.
+func (s *Server) Dismiss(all bool) int { return s.clients.dismiss(all) }
+
+// Wait returns once all connections have ended.
+func (s *Server) Wait() { s.clients.talks.Wait() }
+
 // talk serves a connection, one request at a time.
-func (s *server) talk(c *client) {
-	until := time.Now().Add(requestTime)
+func (s *Server) talk(c *client) {
+	until := time.Now().Add(RequestTime)
 	for s.exchange(c, until) {
 		until = time.Time{}
 	}
@@ -59,15 +93,15 @@
 
 // exchange takes one request, which must be whole by then or, if that is zero, soon after its first byte, and
 // gives its answer. It says whether the connection may serve another.
-func (s *server) exchange(c *client, until time.Time) bool {
-	c.limit.N = headerMost
+func (s *Server) exchange(c *client, until time.Time) bool {
+	c.limit.N = HeaderMost
 	c.paced.wait, c.paced.keep, c.paced.kept = 0, true, nil
 	if until.IsZero() {
 		c.SetReadDeadline(time.Now().Add(idleTime))
 		if _, err := c.r.Peek(1); err != nil {
 			return false
 		}
-		until = time.Now().Add(requestTime)
+		until = time.Now().Add(RequestTime)
 	}
 	c.SetReadDeadline(until)
 	r, err := http.ReadRequest(c.r)
@@ -89,7 +123,7 @@
 	}
 	k, err := s.parse(c, r, head)
 	if k != nil {
-		defer func() { s.bodies.give(k.held) }()
+		defer func() { s.bodies.Give(k.Held) }()
 	}
 	if err != nil {
 		code := http.StatusBadRequest
@@ -103,12 +137,12 @@
 		return false
 	}
 	var gone, sent <-chan error
-	if up := k.out.(*message).upload; up != nil {
+	if up := k.Out.(*message).upload; up != nil {
 		sent = up.ended
 	} else {
 		gone = s.whole(c)
 	}
-	s.loop.arrived(k)
+	s.loop.Arrived(k)
 	for {
 		select {
 		case err := <-sent:
@@ -116,14 +150,14 @@
 			if err != nil {
 				// The client's fault, or an endpoint's: then the answer tells.
 				if fault := (*clientError)(nil); errors.As(err, &fault) {
-					s.loop.left(k)
+					s.loop.Left(k)
 					s.halfBody(c, fault)
 					return false
 				}
-				return s.early(c, k, <-k.answer)
+				return s.early(c, k, <-k.Answer)
 			}
 			gone = s.whole(c)
-		case a := <-k.answer:
+		case a := <-k.Answer:
 			if gone == nil {
 				// The last byte may have gone out just before.
 				select {
@@ -140,14 +174,14 @@
 			c.SetReadDeadline(past)
 			if err := <-gone; err == nil {
 				s.drop(a)
-				s.ended(k, failed)
+				s.ended(k, core.Failed)
 				c.turnAway(http.StatusBadRequest, surplus)
 				return false
 			}
 			return s.answer(c, k, a, r.Close)
 		case err := <-gone:
-			s.loop.left(k)
-			s.ended(k, failed)
+			s.loop.Left(k)
+			s.ended(k, core.Failed)
 			if err == nil {
 				c.turnAway(http.StatusBadRequest, surplus)
 			}
@@ -157,7 +191,7 @@
 }
 
 // whole notes that a request has come whole, and watches its client.
-func (s *server) whole(c *client) <-chan error {
+func (s *Server) whole(c *client) <-chan error {
 	c.paced.wait = 0
 	s.figures.Current.Add(1)
 	return c.watch()
@@ -165,26 +199,26 @@
 
 // early gives an answer while the body still comes, and reads the rest for a little: closing on unread bytes
 // would take the answer away again.
-func (s *server) early(c *client, k *call, a answer) bool {
+func (s *Server) early(c *client, k *core.Call, a core.Answer) bool {
 	s.drop(a)
-	if a.verdict == served {
-		a.verdict = failed // to a part of a body, whatever it says
+	if a.Verdict == core.Served {
+		a.Verdict = core.Failed // to a part of a body, whatever it says
 	}
 	s.figures.Current.Add(1)
-	s.ended(k, a.verdict)
+	s.ended(k, a.Verdict)
 	c.write(responseTo(a), true)
-	up := k.out.(*message).upload
+	up := k.Out.(*message).upload
 	up.halted.Store(true)
 	if up.taken.Load() {
 		c.SetReadDeadline(past)
 		<-up.idle
 	}
-	c.linger(up.body, longMost, bodyStart)
+	c.linger(up.body, LongMost, bodyStart)
 	return false
 }
 
 // halfBody answers a body that did not come as announced.
-func (s *server) halfBody(c *client, fault *clientError) {
+func (s *Server) halfBody(c *client, fault *clientError) {
 	var timeout net.Error
 	switch {
 	case errors.Is(fault, errLongBody):
@@ -197,23 +231,23 @@
 }
 
 // drop gives back what an answer holds that nobody gets.
-func (s *server) drop(a answer) {
-	if a.reply != nil {
-		a.reply.release()
+func (s *Server) drop(a core.Answer) {
+	if a.Reply != nil {
+		a.Reply.Release()
 	}
-	if a.flowed != nil {
-		a.flowed(flowLeft)
+	if a.Flowed != nil {
+		a.Flowed(core.FlowLeft)
 	}
 }
 
 // ended counts the end of a request that was taken. It is the one place that does.
-func (s *server) ended(k *call, v verdict) {
+func (s *Server) ended(k *core.Call, v core.Verdict) {
 	s.figures.Current.Add(-1)
-	class := s.figures.Class(k.class)
+	class := s.figures.Class(k.Class)
 	switch v {
-	case served:
+	case core.Served:
 		class.Answered.Inc()
-	case refused:
+	case core.Refused:
 		class.Deferred.Inc()
 	default:
 		class.Errored.Inc()
@@ -223,11 +257,11 @@
 const surplus = "more was sent than the request's length tells"
 
 // unreadable returns the code for what is no request, 0 if the client has sent nothing or has gone.
-func (s *server) unreadable(c *client, err error) int {
+func (s *Server) unreadable(c *client, err error) int {
 	var timeout net.Error
 	switch {
 	case errors.As(err, &timeout) && timeout.Timeout():
-		if c.limit.N == headerMost {
+		if c.limit.N == HeaderMost {
 			return 0
 		}
 		return http.StatusRequestTimeout
@@ -240,25 +274,25 @@
 }
 
 // response returns the final answer as it goes to the client.
-func responseTo(a answer) *response {
+func responseTo(a core.Answer) *response {
 	var r *response
-	switch a.verdict {
-	case served:
-		g := a.reply.content.(*got)
+	switch a.Verdict {
+	case core.Served:
+		g := a.Reply.Content.(*got)
 		r = &response{code: http.StatusOK, header: http.Header{}, body: g.body}
 		for k, v := range g.header {
 			if !hopByHop(k, g.header) && k != "Endpoint-Load-Metrics" {
 				r.header[k] = v
 			}
 		}
-	case refused:
+	case core.Refused:
 		r = newResponse(http.StatusServiceUnavailable, "refused: try again later")
-		if a.retryAfter > 0 {
-			r.header.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
+		if a.RetryAfter > 0 {
+			r.header.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
 		}
-	case idOpen:
+	case core.IDOpen:
 		r = newResponse(http.StatusConflict, "a request with this X-Trace-Id is open")
-	case failedLate:
+	case core.FailedLate:
 		r = newResponse(http.StatusGatewayTimeout, "no answer in time")
 	default:
 		r = newResponse(http.StatusBadGateway, "failed")
@@ -267,28 +301,28 @@
 }
 
 // answer gives the final answer, and says whether the connection may serve another request.
-func (s *server) answer(c *client, k *call, a answer, last bool) bool {
-	last = last || s.closing.Load() || a.verdict == idOpen
+func (s *Server) answer(c *client, k *core.Call, a core.Answer, last bool) bool {
+	last = last || s.closing.Load() || a.Verdict == core.IDOpen
 	r := responseTo(a)
-	if a.flowed == nil {
-		s.ended(k, a.verdict)
+	if a.Flowed == nil {
+		s.ended(k, a.Verdict)
 		whole := c.write(r, last)
 		s.drop(a)
 		return whole && s.clients.rest(c) && !last
 	}
-	flow := a.reply.content.(*got).flow
-	how := flowLeft
+	flow := a.Reply.Content.(*got).flow
+	how := core.FlowLeft
 	c.SetWriteDeadline(time.Now().Add(flowStall))
 	if _, err := c.Write(r.head(flow.length, last)); err == nil {
 		how = flow.copyTo(c, func() { c.SetWriteDeadline(time.Now().Add(flowStall)) })
 	}
 	flow.done(how)
-	a.flowed(how)
-	if how != flowWhole {
-		s.ended(k, failed)
+	a.Flowed(how)
+	if how != core.FlowWhole {
+		s.ended(k, core.Failed)
 		return false // short of its end, so that the client can tell
 	}
-	s.ended(k, served)
+	s.ended(k, core.Served)
 	return s.clients.rest(c) && !last
 }
 
@@ -305,7 +339,7 @@
 }
 
 // parse reads the rest of a request and says what is wrong with it.
-func (s *server) parse(conn *client, r *http.Request, head []byte) (*call, error) {
+func (s *Server) parse(conn *client, r *http.Request, head []byte) (*core.Call, error) {
 	config := s.loop.View()
 	switch {
 	case !r.ProtoAtLeast(1, 1) || r.ProtoMajor != 1:
@@ -313,8 +347,8 @@
 	case len(r.TransferEncoding) > 0 && hasLength(head):
 		// A reader that goes by the one header may find a request in what is a body by the other.
 		return nil, bad(http.StatusBadRequest, "a Content-Length or chunks, not both")
-	case r.ContentLength > longMost:
-		return nil, bad(http.StatusRequestEntityTooLarge, "the body is over %d bytes", longMost)
+	case r.ContentLength > LongMost:
+		return nil, bad(http.StatusRequestEntityTooLarge, "the body is over %d bytes", LongMost)
 	case !strings.HasPrefix(r.RequestURI, "/"):
 		return nil, bad(http.StatusBadRequest, "the target must be a path")
 	case !visible(r.Host):
@@ -363,21 +397,21 @@
 		}
 		left = min(left, int64(min(ms, math.MaxInt32))*1000)
 	}
-	c := &call{id: id, class: name, config: config, answer: make(chan answer, 1), in: balancer.Request{Class: uint8(class), Tenant: tenant(config.Config, r), Rules: config.rules,
+	c := &core.Call{ID: id, Class: name, View: config, Answer: make(chan core.Answer, 1), In: balancer.Request{Class: uint8(class), Tenant: tenant(config.Config, r), Rules: config.Rules,
 		Key: key(r.Header.Get("X-Object")), Retry: r.Header.Get("X-Second-Try") == "1"},
-		left: left - answerMargin.Microseconds()}
+		Left: left - answerMargin.Microseconds()}
 	if hint, err := strconv.ParseInt(r.Header.Get("X-Size-Hint"), 10, 64); err == nil && hint > 0 {
-		c.in.Hint, c.in.HasHint = hint, true
+		c.In.Hint, c.In.HasHint = hint, true
 	}
 	out := &message{method: r.Method, uri: r.RequestURI, host: r.Host, header: http.Header{}}
-	c.out = out
+	c.Out = out
 	if err := s.body(conn, r, c); err != nil {
 		return c, err
 	}
 	// The time of a request counts from its last byte.
-	c.in.Deadline = s.loop.Now() + c.left
-	if c.flows = out.upload != nil; c.flows {
-		c.in.Flows, c.in.Deadline = true, s.loop.Now()+uploadMost.Microseconds()
+	c.In.Deadline = s.loop.Now() + c.Left
+	if c.Flows = out.upload != nil; c.Flows {
+		c.In.Flows, c.In.Deadline = true, s.loop.Now()+uploadMost.Microseconds()
 	}
 	for k, v := range r.Header {
 		if !hopByHop(k, r.Header) && k != "X-Expires-In-Ms" {
@@ -397,23 +431,23 @@
 // body reads the body, or the beginning of a long one. What follows it before the answer is no request: clients
 // send one at a time, so the length is wrong, and who sent it must not be served with what an endpoint makes of
 // a part.
-func (s *server) body(c *client, r *http.Request, k *call) error {
+func (s *Server) body(c *client, r *http.Request, k *core.Call) error {
 	length := r.ContentLength
 	if expect := r.Header.Get("Expect"); strings.EqualFold(expect, "100-continue") && length != 0 {
 		io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // that it failed shows when reading
 	} else if expect != "" {
 		return bad(http.StatusExpectationFailed, "Expect makes no sense")
 	}
-	want := int(min(uint64(length), bodyMost)) // all that may be for a length that is not known
+	want := int(min(uint64(length), BodyMost)) // all that may be for a length that is not known
 	if want > freeBytes {
 		ctx, cancel := context.WithTimeout(context.Background(), placeTime)
 		defer cancel()
-		if s.bodies.take(ctx, want) != nil {
+		if s.bodies.Take(ctx, want) != nil {
 			return bad(http.StatusServiceUnavailable, "no room for the body")
 		}
-		k.held = want
+		k.Held = want
 	}
-	if c.limit.N = 2 * longMost; length >= 0 {
+	if c.limit.N = 2 * LongMost; length >= 0 {
 		c.limit.N = max(0, length-int64(c.r.Buffered())) + 1
 	}
 	c.paced.wait = bodyStall
@@ -430,10 +464,10 @@
 			return bad(http.StatusBadRequest, "the body is not whole")
 		}
 	}
-	out := k.out.(*message)
+	out := k.Out.(*message)
 	out.body = buf[:n]
 	if int64(n) != length {
-		out.upload = &upload{body: r.Body, length: length, left: k.left, begun: n, buf: buf,
+		out.upload = &upload{body: r.Body, length: length, left: k.Left, begun: n, buf: buf,
 			ended: make(chan error, 1), idle: make(chan struct{})}
 		return nil
 	}
@@ -450,7 +484,7 @@
 }
 
 // tenant returns the tenant's place in the settings, or one past all places.
-func tenant(c *Config, r *http.Request) uint16 {
+func tenant(c *config.Config, r *http.Request) uint16 {
 	if i := slices.Index(c.Tenants, r.Header.Get("X-Customer")); i >= 0 {
 		return uint16(i)
 	}
--- a/internal/sidecar/upstream.go
+++ b/internal/httpfront/upstream.go
@@ -1,4 +1,4 @@
-package sidecar
+package httpfront
 
 import (
 	"bufio"
@@ -22,12 +22,15 @@
 	"time"
 
 	"birchmoor/balancer"
+	"birchmoor/internal/budget"
+	"birchmoor/internal/config"
+	"birchmoor/internal/core"
 	"birchmoor/internal/metrics"
 )
 
 const (
-	bodyMost     = 64 << 10
-	answerMost   = bodyMost + 64<<10 // with its head and framing
+	BodyMost     = 64 << 10
+	answerMost   = BodyMost + 64<<10 // with its head and framing
 	probeTimeout = 250 * time.Millisecond
 	sweepEvery   = time.Second
 )
@@ -40,28 +43,28 @@
 	upload            *upload     // nil if body is the whole
 }
 
-// upstream talks to endpoints over a small pool of connections. It is not an http.Transport since that
+// Upstream talks to endpoints over a small pool of connections. It is not an http.Transport since that
 // sends some requests again by itself when a kept connection breaks, and does not tell whether the last
 // byte was written. Here an attempt is written at most once, in one piece.
-type upstream struct {
-	clock     clock
+type Upstream struct {
+	clock     core.Clock
 	log       *slog.Logger
 	idleMost  time.Duration
 	connsMost int
 	dial      func(ctx context.Context, network, addr string) (net.Conn, error)
 	sends     *metrics.Counter // attempts written whole
 	reports   atomic.Pointer[reports]
-	answers   *budget // bytes of answers that are held
+	answers   *budget.Budget // bytes of answers that are held
 
 	mu     sync.Mutex
-	conns  int                  // open or being opened
+	conns  int                 // open or being opened
 	idle   map[*place]struct{} // those with idle connections
-	noRoom time.Time            // when a shortage of connections was last logged
+	noRoom time.Time           // when a shortage of connections was last logged
 }
 
 // place is where one endpoint listens. Its connections are its own.
 type place struct {
-	up   *upstream
+	up   *Upstream
 	addr string
 
 	// Guarded by upstream.mu.
@@ -70,16 +73,16 @@
 }
 
 // Target returns a place without connections.
-func (u *upstream) Target(addr string) target { return &place{up: u, addr: addr} }
+func (u *Upstream) Target(addr string) core.Target { return &place{up: u, addr: addr} }
 
 // Send makes one attempt.
 func (p *place) Send(ctx context.Context, request any, deadline balancer.Micros, mayGo func(now balancer.Micros) bool,
-	whole func(now balancer.Micros)) reply {
+	whole func(now balancer.Micros)) core.Reply {
 	return p.up.send(ctx, p, request.(*message), deadline, mayGo, whole)
 }
 
 // Probe asks for the endpoint's load.
-func (p *place) Probe() reply { return p.up.probe(p) }
+func (p *place) Probe() core.Reply { return p.up.probe(p) }
 
 // Drop closes what is idle.
 func (p *place) Drop() { p.up.drop(p) }
@@ -103,10 +106,11 @@
 	return c
 }
 
-func newUpstream(c *Config, clk clock, sends *metrics.Counter, log *slog.Logger) *upstream {
-	u := &upstream{clock: clk, log: log, sends: sends, answers: newBudget(c.heldBytes(1)),
+// NewUpstream returns an upstream side without connections. Sends counts the attempts that were written whole.
+func NewUpstream(c *config.Config, clk core.Clock, sends *metrics.Counter, log *slog.Logger) *Upstream {
+	u := &Upstream{clock: clk, log: log, sends: sends, answers: budget.New(c.HeldBytes(1)),
 		// Well before the endpoint's own limit: a request that crosses its close is lost.
-		idleMost: c.KeepAlive * 2 / 3, connsMost: c.upstreamConns(1), idle: map[*place]struct{}{}}
+		idleMost: c.KeepAlive * 2 / 3, connsMost: c.UpstreamConns(1), idle: map[*place]struct{}{}}
 	u.Adopt(c)
 	u.dial = (&net.Dialer{Timeout: dialWait(time.Duration(c.Settings.Limits.DialTimeout) * time.Microsecond)}).DialContext
 	return u
@@ -132,18 +136,18 @@
 }
 
 // Adopt takes what a configuration says of load reports.
-func (u *upstream) Adopt(c *Config) { u.reports.Store(&reports{c.Fields, c.OnAnswers}) }
+func (u *Upstream) Adopt(c *config.Config) { u.reports.Store(&reports{c.Fields, c.OnAnswers}) }
 
 // send makes one attempt. mayGo is asked last, right before the first byte; if it says no, nothing goes out.
 // Whole is called when a body that flows has gone out. When ctx ends, the connection is closed, unless the
 // answer has begun to flow: then it is the caller's.
-func (u *upstream) send(ctx context.Context, to *place, m *message, deadline balancer.Micros,
-	mayGo func(now balancer.Micros) bool, whole func(now balancer.Micros)) reply {
+func (u *Upstream) send(ctx context.Context, to *place, m *message, deadline balancer.Micros,
+	mayGo func(now balancer.Micros) bool, whole func(now balancer.Micros)) core.Reply {
 	c, err := u.get(ctx, to)
 	if err != nil {
 		return u.ended(u.noConn(ctx, err))
 	}
-	now := u.clock.now()
+	now := u.clock.Now()
 	left := millisLeft(deadline - now)
 	if m.upload != nil {
 		left = millisLeft(m.upload.left) // from its last byte on
@@ -160,7 +164,7 @@
 func millisLeft(left balancer.Micros) balancer.Micros { return (max(0, left) + 999) / 1000 }
 
 // probe asks an endpoint for its load, or for its health where there are no load reports.
-func (u *upstream) probe(to *place) reply {
+func (u *Upstream) probe(to *place) core.Reply {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	c, err := u.get(ctx, to)
@@ -173,21 +177,21 @@
 		m.uri = "/-/load"
 	}
 	r := u.exchange(ctx, c, m.bytes(0), nil, new(metrics.Counter), nil)
-	r.release()
-	if r.status == balancer.OK && len(fields) > 0 {
-		r.load = parseLoad(fields, string(r.content.(*got).body))
+	r.Release()
+	if r.Status == balancer.OK && len(fields) > 0 {
+		r.Load = parseLoad(fields, string(r.Content.(*got).body))
 	}
 	return r
 }
 
-func (u *upstream) ended(status balancer.Status) reply {
-	return reply{status: status, at: u.clock.now()}
+func (u *Upstream) ended(status balancer.Status) core.Reply {
+	return core.Reply{Status: status, At: u.clock.Now()}
 }
 
 // exchange writes a request, counts it once it is written whole, and reads its answer. The connection is kept
 // if both are whole.
-func (u *upstream) exchange(ctx context.Context, c *conn, text []byte, rest *upload, sends *metrics.Counter,
-	whole func(balancer.Micros)) reply {
+func (u *Upstream) exchange(ctx context.Context, c *conn, text []byte, rest *upload, sends *metrics.Counter,
+	whole func(balancer.Micros)) core.Reply {
 	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
 	c.limit.N = answerMost
 	n, err := c.Write(text)
@@ -203,42 +207,42 @@
 		if rest.taken.Swap(true) {
 			stop()
 			u.discard(c)
-			return reply{status: balancer.ConnectFailed, at: u.clock.now(), spent: true}
+			return core.Reply{Status: balancer.ConnectFailed, At: u.clock.Now(), Spent: true}
 		}
 		// What has gone out of the beginning is copied there, and its place serves for the rest.
 		if err := rest.copyTo(c, rest.begun, rest.buf); err != nil {
 			stop()
 			u.discard(c)
-			r := reply{status: balancer.ConnectFailed, at: u.clock.now(), spent: true}
+			r := core.Reply{Status: balancer.ConnectFailed, At: u.clock.Now(), Spent: true}
 			if fault := (*clientError)(nil); errors.As(err, &fault) {
-				r.status = balancer.Moot // the endpoint did nothing wrong
+				r.Status = balancer.Moot // the endpoint did nothing wrong
 			}
 			return r
 		}
-		whole(u.clock.now())
+		whole(u.clock.Now())
 	}
 	sends.Inc()
 	a, err := c.read(ctx, u.answers)
 	r := u.ended(balancer.Reset)
-	r.spent = rest != nil
+	r.Spent = rest != nil
 	if err == nil && a.flow != nil && a.code != http.StatusOK {
 		a.release() // of an error nothing but the code is wanted
 		a.flow, a.last = nil, true
 	}
 	if err == nil && a.flow != nil && stop() {
-		r.status, r.content = balancer.OK, a
-		a.flow.done = func(how flowEnd) {
+		r.Status, r.Content = balancer.OK, a
+		a.flow.done = func(how core.FlowEnd) {
 			a.release()
 			c.paced.wait = 0
 			c.SetReadDeadline(time.Time{})
-			if how != flowWhole || a.last || c.r.Buffered() > 0 {
+			if how != core.FlowWhole || a.last || c.r.Buffered() > 0 {
 				u.discard(c)
 			} else {
 				u.put(c)
 			}
 		}
 		if on := u.reports.Load(); on.onAnswers {
-			r.load = parseLoad(on.fields, a.header.Get("Endpoint-Load-Metrics"))
+			r.Load = parseLoad(on.fields, a.header.Get("Endpoint-Load-Metrics"))
 		}
 		return r
 	}
@@ -254,18 +258,18 @@
 	if err != nil {
 		return r
 	}
-	r.content = a
+	r.Content = a
 	switch {
 	case a.code == http.StatusOK:
-		r.status = balancer.OK
+		r.Status = balancer.OK
 	case (a.code == http.StatusServiceUnavailable || a.code == http.StatusGatewayTimeout) &&
 		a.header.Get("X-Never-Ran") == "1":
-		r.status = balancer.Full
+		r.Status = balancer.Full
 	default:
-		r.status = balancer.Error
+		r.Status = balancer.Error
 	}
 	if on := u.reports.Load(); on.onAnswers {
-		r.load = parseLoad(on.fields, a.header.Get("Endpoint-Load-Metrics"))
+		r.Load = parseLoad(on.fields, a.header.Get("Endpoint-Load-Metrics"))
 	}
 	return r
 }
@@ -287,7 +291,7 @@
 	header http.Header
 	body   []byte
 	flow   *download // in place of body
-	budget *budget
+	budget *budget.Budget
 	held   int  // bytes of the budget
 	last   bool // the endpoint closes the connection after it
 }
@@ -299,20 +303,20 @@
 func (a *got) Release() {
 	if flow := a.flow; flow != nil {
 		a.flow = nil
-		flow.done(flowLeft)
+		flow.done(core.FlowLeft)
 	}
 	a.release()
 }
 
 func (a *got) release() {
-	a.budget.give(a.held)
+	a.budget.Give(a.held)
 	a.held = 0
 }
 
 // read reads a whole answer, or the beginning of one that flows. One that ends early or whose end is told in
 // two ways is an error: nothing but what the endpoint made for the request may pass for its answer.
 // http.ReadResponse would hide that it had both a length and chunks.
-func (c *conn) read(ctx context.Context, held *budget) (*got, error) {
+func (c *conn) read(ctx context.Context, held *budget.Budget) (*got, error) {
 	for range interimMost {
 		c.paced.wait = 0
 		c.SetReadDeadline(time.Time{})
@@ -366,9 +370,9 @@
 	return a, nil
 }
 
-// body reads what the head announces, if that is no more than bodyMost; of more, and of what comes slowly and
+// body reads what the head announces, if that is no more than BodyMost; of more, and of what comes slowly and
 // whose length is not told, it reads the beginning.
-func (c *conn) body(ctx context.Context, a *got, held *budget) error {
+func (c *conn) body(ctx context.Context, a *got, held *budget.Budget) error {
 	lengths, encodings := a.header["Content-Length"], a.header["Transfer-Encoding"]
 	var length int64
 	var body io.Reader
@@ -380,7 +384,7 @@
 		if err != nil {
 			return err
 		}
-		if n > longMost {
+		if n > LongMost {
 			return errTooLarge
 		}
 		length = int64(n)
@@ -395,20 +399,20 @@
 	default:
 		return errNotWhole
 	}
-	a.held = int(min(uint64(length), bodyMost)) // all that may be for a length that is not known
+	a.held = int(min(uint64(length), BodyMost)) // all that may be for a length that is not known
 	if a.held <= freeBytes {
 		a.held = 0
-	} else if err := held.take(ctx, a.held); err != nil {
+	} else if err := held.Take(ctx, a.held); err != nil {
 		a.held = 0
 		return err
 	}
-	c.limit.N = 2*longMost + answerMost // chunks have some framing
-	if length >= 0 && length <= bodyMost {
+	c.limit.N = 2*LongMost + answerMost // chunks have some framing
+	if length >= 0 && length <= BodyMost {
 		a.body = make([]byte, length)
 		_, err := io.ReadFull(body, a.body)
 		return err
 	}
-	buf := make([]byte, bodyMost)
+	buf := make([]byte, BodyMost)
 	n, begun := 0, time.Now()
 	for n < len(buf) && (n == 0 || length < 0 && time.Since(begun) < flowAfter) {
 		more, err := body.Read(buf[n:])
@@ -521,7 +525,7 @@
 
 // noConn says what it means that there is no connection for an attempt, which never ran. What is our own doing
 // says nothing of the endpoint: blamed for it, a sound one would be ejected.
-func (u *upstream) noConn(ctx context.Context, err error) balancer.Status {
+func (u *Upstream) noConn(ctx context.Context, err error) balancer.Status {
 	shortage := errors.Is(err, errNoRoom) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
 		errors.Is(err, syscall.EADDRNOTAVAIL)
 	if shortage {
@@ -542,7 +546,7 @@
 }
 
 // get returns the idle connection used last, since the others may then grow old, or a new one.
-func (u *upstream) get(ctx context.Context, to *place) (*conn, error) {
+func (u *Upstream) get(ctx context.Context, to *place) (*conn, error) {
 	u.mu.Lock()
 	for !to.gone && len(to.idle) > 0 {
 		c := u.popLocked(to, len(to.idle)-1)
@@ -580,9 +584,9 @@
 	return c, nil
 }
 
-func (u *upstream) usable(c *conn) bool { return time.Since(c.idle) < u.idleMost && c.alive() }
+func (u *Upstream) usable(c *conn) bool { return time.Since(c.idle) < u.idleMost && c.alive() }
 
-func (u *upstream) put(c *conn) {
+func (u *Upstream) put(c *conn) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if c.to.gone {
@@ -594,19 +598,19 @@
 	u.idle[c.to] = struct{}{}
 }
 
-func (u *upstream) discard(c *conn) {
+func (u *Upstream) discard(c *conn) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.closeLocked(c)
 }
 
-func (u *upstream) closeLocked(c *conn) {
+func (u *Upstream) closeLocked(c *conn) {
 	c.Conn.Close()
 	u.conns--
 }
 
 // popLocked takes an idle connection out.
-func (u *upstream) popLocked(to *place, i int) *conn {
+func (u *Upstream) popLocked(to *place, i int) *conn {
 	c := to.idle[i]
 	if to.idle = slices.Delete(to.idle, i, i+1); len(to.idle) == 0 {
 		delete(u.idle, to)
@@ -615,7 +619,7 @@
 }
 
 // evictLocked closes the connection that has been idle for longest.
-func (u *upstream) evictLocked() bool {
+func (u *Upstream) evictLocked() bool {
 	var oldest *place
 	for to := range u.idle {
 		if oldest == nil || to.idle[0].idle.Before(oldest.idle[0].idle) {
@@ -630,7 +634,7 @@
 }
 
 // drop ends the use of a target. What is out there goes on.
-func (u *upstream) drop(to *place) {
+func (u *Upstream) drop(to *place) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	to.gone = true
@@ -641,7 +645,7 @@
 
 // flush closes the idle connections to an endpoint that were last used before an instant: one that has been
 // silent since then may not be the only one.
-func (u *upstream) flush(to *place, before time.Time) {
+func (u *Upstream) flush(to *place, before time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for i := len(to.idle) - 1; i >= 0; i-- {
@@ -651,8 +655,14 @@
 	}
 }
 
+// Share sets the part of the limits that is for this process.
+func (u *Upstream) Share(c *config.Config, part float64) {
+	u.resize(c.UpstreamConns(part))
+	u.answers.Resize(c.HeldBytes(part))
+}
+
 // resize changes how many connections may be open, and closes idle ones beyond that.
-func (u *upstream) resize(most int) {
+func (u *Upstream) resize(most int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.connsMost = most
@@ -661,7 +671,7 @@
 }
 
 // sweep closes connections that have been idle for too long or that the endpoint has closed.
-func (u *upstream) sweep() {
+func (u *Upstream) sweep() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for to := range u.idle {
@@ -673,8 +683,8 @@
 	}
 }
 
-// keep sweeps until ctx ends, and then closes what is idle.
-func (u *upstream) keep(ctx context.Context) {
+// Keep sweeps until ctx ends, and then closes what is idle.
+func (u *Upstream) Keep(ctx context.Context) {
 	tick := time.NewTicker(sweepEvery)
 	defer tick.Stop()
 	for {
--- a/internal/sidecar/upstream_test.go
+++ b/internal/httpfront/upstream_test.go
@@ -1,4 +1,4 @@
-package sidecar
+package httpfront
 
 import (
 	"bufio"
@@ -15,7 +15,9 @@
 	"time"
 
 	"birchmoor/balancer"
+	"birchmoor/internal/core"
 	"birchmoor/internal/metrics"
+	"birchmoor/internal/sidetest"
 )
 
 // A figure that is missing or makes no sense must not read as an idle endpoint.
@@ -38,15 +40,15 @@
 
 func at(addr string) *place { return &place{addr: addr} }
 
-func newTestUpstream(t *testing.T, edits ...string) *upstream {
-	return newUpstream(configure(t, "127.0.0.1:1", nil, edits...), clock{time.Now()}, new(metrics.Counter), quiet)
+func newTestUpstream(t *testing.T, edits ...string) *Upstream {
+	return NewUpstream(sidetest.Configure(t, "127.0.0.1:1", nil, edits...), core.NewClock(), new(metrics.Counter), sidetest.Quiet)
 }
 
 // try makes one attempt with a second of time.
-func (u *upstream) try(m *message, to *place) reply {
-	ctx, cancel := context.WithTimeout(context.Background(), soon)
+func (u *Upstream) try(m *message, to *place) core.Reply {
+	ctx, cancel := context.WithTimeout(context.Background(), sidetest.Soon)
 	defer cancel()
-	return u.send(ctx, to, m, u.clock.now()+1_000_000, func(balancer.Micros) bool { return true }, nil)
+	return u.send(ctx, to, m, u.clock.Now()+1_000_000, func(balancer.Micros) bool { return true }, nil)
 }
 
 func keyed(body string) *message {
@@ -58,30 +60,28 @@
 	return &message{method: "GET", uri: "/look", host: "origin.svc", header: http.Header{"X-Trace-Id": {"1"}}}
 }
 
-const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-
 // Each Send is at most one attempt on the wire, also for requests that an http.Transport would send again:
 // those of a kept connection that breaks after the request was read.
 func TestBrokenKeptConnectionIsNotResent(t *testing.T) {
 	for name, m := range map[string]*message{"get": plainGet(), "keyed": keyed("x")} {
 		t.Run(name, func(t *testing.T) {
 			var taken atomic.Int32
-			to := at(raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+			to := at(sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 				for i := 0; i < 2; i++ {
-					if _, err := take(r); err != nil {
+					if _, err := sidetest.Take(r); err != nil {
 						return
 					}
 					if taken.Add(1); i == 0 {
-						io.WriteString(c, okAnswer)
+						io.WriteString(c, sidetest.OKAnswer)
 					}
 				}
 			}))
 			u := newTestUpstream(t)
-			if r := u.try(m, to); r.status != balancer.OK {
-				t.Fatalf("first: status %v", r.status)
+			if r := u.try(m, to); r.Status != balancer.OK {
+				t.Fatalf("first: status %v", r.Status)
 			}
-			if r := u.try(m, to); r.status != balancer.Reset {
-				t.Errorf("second: status %v, want Reset", r.status)
+			if r := u.try(m, to); r.Status != balancer.Reset {
+				t.Errorf("second: status %v, want Reset", r.Status)
 			}
 			if n := taken.Load(); n != 2 {
 				t.Errorf("the endpoint took %d requests, want 2", n)
@@ -107,8 +107,8 @@
 
 // Whether a request may have run turns on its last byte.
 func TestLastByteDecides(t *testing.T) {
-	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		take(r)
+	addr := sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		sidetest.Take(r)
 		c.SetLinger(0) // breaks with a reset
 	})
 	m := keyed(strings.Repeat("x", 1000))
@@ -130,14 +130,14 @@
 				c, err := dial(ctx, network, addr)
 				return short{c, tc.lack, tc.after}, err
 			}
-			if r := u.try(m, at(addr)); r.status != tc.want {
-				t.Errorf("status %v, want %v", r.status, tc.want)
+			if r := u.try(m, at(addr)); r.Status != tc.want {
+				t.Errorf("status %v, want %v", r.Status, tc.want)
 			}
 		})
 	}
 	u := newTestUpstream(t)
-	if r := u.try(m, at(nowhere(t))); r.status != balancer.ConnectFailed {
-		t.Errorf("refused connection: status %v, want ConnectFailed", r.status)
+	if r := u.try(m, at(sidetest.Nowhere(t))); r.Status != balancer.ConnectFailed {
+		t.Errorf("refused connection: status %v, want ConnectFailed", r.Status)
 	}
 }
 
@@ -148,9 +148,9 @@
 		name, answer string
 		want         balancer.Status
 	}{
-		{"whole", okAnswer, balancer.OK},
+		{"whole", sidetest.OKAnswer, balancer.OK},
 		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", balancer.OK},
-		{"after a 100", "HTTP/1.1 100 Continue\r\n\r\n" + okAnswer, balancer.OK},
+		{"after a 100", "HTTP/1.1 100 Continue\r\n\r\n" + sidetest.OKAnswer, balancer.OK},
 		{"error", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", balancer.Error},
 		{"turned away", "HTTP/1.1 503 No\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", balancer.Full},
 		{"late", "HTTP/1.1 504 No\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", balancer.Full},
@@ -172,21 +172,21 @@
 		{"no status", "HTTP/1.1 OK\r\nContent-Length: 2\r\n\r\nok", balancer.Reset},
 		{"no HTTP", "\x00\x01noise\r\n\r\n", balancer.Reset},
 		{"only 1xx", strings.Repeat("HTTP/1.1 102 Wait\r\n\r\n", 2*interimMost), balancer.Reset},
-		{"unreadable report", strings.Replace(okAnswer, "\r\n", "\r\nEndpoint-Load-Metrics: \xff{{=,,=%\r\n", 1), balancer.OK},
-		{"too large", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nok", longMost+1), balancer.Reset},
+		{"unreadable report", strings.Replace(sidetest.OKAnswer, "\r\n", "\r\nEndpoint-Load-Metrics: \xff{{=,,=%\r\n", 1), balancer.OK},
+		{"too large", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nok", LongMost+1), balancer.Reset},
 		{"endless head", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", answerMost), balancer.Reset},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-				take(r)
+			addr := sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+				sidetest.Take(r)
 				io.WriteString(c, tc.answer)
 			})
 			r := newTestUpstream(t).try(keyed("x"), at(addr))
-			if r.status != tc.want {
-				t.Errorf("status %v, want %v", r.status, tc.want)
+			if r.Status != tc.want {
+				t.Errorf("status %v, want %v", r.Status, tc.want)
 			}
-			if r.status == balancer.OK && string(r.content.(*got).body) != "ok" {
-				t.Errorf("body %q", r.content.(*got).body)
+			if r.Status == balancer.OK && string(r.Content.(*got).body) != "ok" {
+				t.Errorf("body %q", r.Content.(*got).body)
 			}
 		})
 	}
@@ -201,14 +201,14 @@
 		"HTTP/1.1 200 OK\r\nContent-Le",
 		"HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\n",
 	} {
-		addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-			take(r)
+		addr := sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+			sidetest.Take(r)
 			io.WriteString(c, answer)
 			r.ReadByte()
 		})
 		u, begun := newTestUpstream(t), time.Now()
-		if r := u.try(keyed("x"), at(addr)); r.status != balancer.Reset || time.Since(begun) > 5*answerStall {
-			t.Errorf("%q: status %v after %v, want Reset at once", answer, r.status, time.Since(begun))
+		if r := u.try(keyed("x"), at(addr)); r.Status != balancer.Reset || time.Since(begun) > 5*answerStall {
+			t.Errorf("%q: status %v after %v, want Reset at once", answer, r.Status, time.Since(begun))
 		}
 		if u.conns != 0 {
 			t.Errorf("%q: its connection is kept", answer)
@@ -218,22 +218,22 @@
 
 // An answer may come long after a 1xx.
 func TestSlowAfterInterim(t *testing.T) {
-	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		take(r)
+	addr := sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		sidetest.Take(r)
 		io.WriteString(c, "HTTP/1.1 102 Wait\r\n\r\n")
 		time.Sleep(2 * answerStall) // the work, not a wait for another
-		io.WriteString(c, okAnswer)
+		io.WriteString(c, sidetest.OKAnswer)
 	})
-	if r := newTestUpstream(t).try(keyed("x"), at(addr)); r.status != balancer.OK {
-		t.Errorf("status %v, want OK", r.status)
+	if r := newTestUpstream(t).try(keyed("x"), at(addr)); r.Status != balancer.OK {
+		t.Errorf("status %v, want OK", r.Status)
 	}
 }
 
 // A good answer with more behind it is good, and what is behind it answers nothing.
 func TestMoreBehindAnswer(t *testing.T) {
-	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	addr := sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 		for {
-			req, err := take(r)
+			req, err := sidetest.Take(r)
 			if err != nil {
 				return
 			}
@@ -246,8 +246,8 @@
 	for i := range 4 {
 		m := plainGet()
 		m.header.Set("X-Trace-Id", fmt.Sprint(i))
-		if r := u.try(m, to); r.status != balancer.OK || string(r.content.(*got).body) != fmt.Sprint(i) {
-			t.Errorf("request %d: status %v, answer %q", i, r.status, r.content)
+		if r := u.try(m, to); r.Status != balancer.OK || string(r.Content.(*got).body) != fmt.Sprint(i) {
+			t.Errorf("request %d: status %v, answer %q", i, r.Status, r.Content)
 		}
 	}
 }
@@ -256,13 +256,13 @@
 // that is gone is kept.
 func TestGoneEndpointsConnections(t *testing.T) {
 	var dials atomic.Int32
-	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	addr := sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 		dials.Add(1)
 		for {
-			if _, err := take(r); err != nil {
+			if _, err := sidetest.Take(r); err != nil {
 				return
 			}
-			io.WriteString(c, okAnswer)
+			io.WriteString(c, sidetest.OKAnswer)
 		}
 	})
 	u, old, next := newTestUpstream(t), at(addr), at(addr)
@@ -280,8 +280,8 @@
 	if u.conns != 1 || len(old.idle) != 0 {
 		t.Errorf("%d connections open, %d idle to what is gone, want 1 and 0", u.conns, len(old.idle))
 	}
-	if r := u.try(plainGet(), old); r.status != balancer.Moot {
-		t.Errorf("status %v for what is gone, want Moot", r.status)
+	if r := u.try(plainGet(), old); r.Status != balancer.Moot {
+		t.Errorf("status %v for what is gone, want Moot", r.Status)
 	}
 	late := at(addr)
 	dial := u.dial
@@ -289,26 +289,26 @@
 		u.drop(late)
 		return dial(ctx, network, addr)
 	}
-	if r := u.try(plainGet(), late); r.status != balancer.Moot || u.conns != 1 {
-		t.Errorf("status %v for what went while dialled, want Moot; %d connections", r.status, u.conns)
+	if r := u.try(plainGet(), late); r.Status != balancer.Moot || u.conns != 1 {
+		t.Errorf("status %v for what went while dialled, want Moot; %d connections", r.Status, u.conns)
 	}
 }
 
 // Our own shortage is no fault of the endpoint's.
 func TestShortageIsNoFault(t *testing.T) {
-	to := at(raw(t, func(c *net.TCPConn, r *bufio.Reader) { take(r) }))
+	to := at(sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { sidetest.Take(r) }))
 	u := newTestUpstream(t)
 	u.connsMost = 0
-	if r := u.try(plainGet(), to); r.status != balancer.Moot {
-		t.Errorf("all connections in use: status %v, want Moot", r.status)
+	if r := u.try(plainGet(), to); r.Status != balancer.Moot {
+		t.Errorf("all connections in use: status %v, want Moot", r.Status)
 	}
 	u.connsMost = 1
 	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL} {
 		u.dial = func(context.Context, string, string) (net.Conn, error) {
 			return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", e)}
 		}
-		if r := u.try(plainGet(), to); r.status != balancer.Moot {
-			t.Errorf("%v: status %v, want Moot", e, r.status)
+		if r := u.try(plainGet(), to); r.Status != balancer.Moot {
+			t.Errorf("%v: status %v, want Moot", e, r.Status)
 		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -316,9 +316,9 @@
 		cancel()
 		return nil, ctx.Err()
 	}
-	r := u.send(ctx, to, plainGet(), u.clock.now()+1_000_000, func(balancer.Micros) bool { return true }, nil)
-	if r.status != balancer.Moot {
-		t.Errorf("a dial that we ended: status %v, want Moot", r.status)
+	r := u.send(ctx, to, plainGet(), u.clock.Now()+1_000_000, func(balancer.Micros) bool { return true }, nil)
+	if r.Status != balancer.Moot {
+		t.Errorf("a dial that we ended: status %v, want Moot", r.Status)
 	}
 }
 
@@ -326,31 +326,31 @@
 // whether it ran would not be known.
 func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
 	closed := make(chan struct{}, 1)
-	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		take(r)
-		io.WriteString(c, okAnswer)
+	addr := sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		sidetest.Take(r)
+		io.WriteString(c, sidetest.OKAnswer)
 		c.Close()
 		closed <- struct{}{}
 	})
 	u, to := newTestUpstream(t), at(addr)
 	for i := range 3 {
-		if r := u.try(plainGet(), to); r.status != balancer.OK {
-			t.Fatalf("request %d: status %v", i, r.status)
+		if r := u.try(plainGet(), to); r.Status != balancer.OK {
+			t.Fatalf("request %d: status %v", i, r.Status)
 		}
-		within(t, closed, "close")
+		sidetest.Within(t, closed, "close")
 	}
 }
 
 // An idle connection is retired well before the endpoint would close it, and the sweep closes it.
 func TestIdleConnectionIsRetired(t *testing.T) {
 	var dials atomic.Int32
-	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	addr := sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 		dials.Add(1)
 		for {
-			if _, err := take(r); err != nil {
+			if _, err := sidetest.Take(r); err != nil {
 				return
 			}
-			io.WriteString(c, okAnswer)
+			io.WriteString(c, sidetest.OKAnswer)
 		}
 	})
 	u, to := newTestUpstream(t), at(addr)
@@ -380,7 +380,7 @@
 
 // The connection used last is used next, so that those not needed grow old and are closed.
 func TestLatestConnectionFirst(t *testing.T) {
-	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) { take(r) })
+	addr := sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { sidetest.Take(r) })
 	u, to := newTestUpstream(t), at(addr)
 	ctx := context.Background()
 	first, err := u.get(ctx, to)
@@ -400,8 +400,8 @@
 
 // Connections are bounded, so that descriptors do not run out; one that is idle elsewhere makes room.
 func TestConnectionsAreBounded(t *testing.T) {
-	one := at(raw(t, func(c *net.TCPConn, r *bufio.Reader) { take(r) }))
-	two := at(raw(t, func(c *net.TCPConn, r *bufio.Reader) { take(r) }))
+	one := at(sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { sidetest.Take(r) }))
+	two := at(sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { sidetest.Take(r) }))
 	u := newTestUpstream(t)
 	u.connsMost = 2
 	ctx := context.Background()
@@ -424,7 +424,7 @@
 	}
 	// One that is refused gives its place back.
 	u.connsMost = 3
-	u.get(ctx, at(nowhere(t)))
+	u.get(ctx, at(sidetest.Nowhere(t)))
 	if u.conns != 2 {
 		t.Errorf("%d connections counted after one refused, want 2", u.conns)
 	}
@@ -432,7 +432,7 @@
 
 // A probe asks for the load where there are reports, for the health elsewhere, and waits only so long.
 func TestProbe(t *testing.T) {
-	addr := web(t, func(w http.ResponseWriter, r *http.Request) {
+	addr := sidetest.Web(t, func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/-/load":
 			io.WriteString(w, "TEXT cpu_share=0.61, busy_reqs=7, served_ps=2")
@@ -442,23 +442,23 @@
 		}
 	})
 	r := newTestUpstream(t).probe(at(addr))
-	if got := fmt.Sprint(r.status, r.load); got != "0 [7 2 0.61]" {
+	if got := fmt.Sprint(r.Status, r.Load); got != "0 [7 2 0.61]" {
 		t.Errorf("probe: status and load %s, want 0 [7 2 0.61]", got)
 	}
 	r = newTestUpstream(t, `"how":"probe"`, `"how":"none"`).probe(at(addr))
-	if r.status != balancer.OK || r.load != nil {
-		t.Errorf("probe without reports: status %v, load %v", r.status, r.load)
+	if r.Status != balancer.OK || r.Load != nil {
+		t.Errorf("probe without reports: status %v, load %v", r.Status, r.Load)
 	}
 	ended := make(chan error, 1)
-	mute := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		take(r)
+	mute := sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		sidetest.Take(r)
 		_, err := r.ReadByte()
 		ended <- err
 	})
-	if r := newTestUpstream(t).probe(at(mute)); r.status == balancer.OK {
+	if r := newTestUpstream(t).probe(at(mute)); r.Status == balancer.OK {
 		t.Error("a probe that nobody answered is ok")
 	}
-	if err := within(t, ended, "end of a mute probe"); err == nil {
+	if err := sidetest.Within(t, ended, "end of a mute probe"); err == nil {
 		t.Error("more was written to a mute probe")
 	}
 }
@@ -472,3 +472,11 @@
 		}
 	}
 }
+
+func TestMillisLeft(t *testing.T) {
+	for left, want := range map[balancer.Micros]balancer.Micros{-5: 0, 0: 0, 1: 1, 999: 1, 1000: 1, 1001: 2} {
+		if got := millisLeft(left); got != want {
+			t.Errorf("%d µs left are told as %d ms, want %d", left, got, want)
+		}
+	}
+}
--- a/internal/lab/bench/peer.go
+++ b/internal/lab/bench/peer.go
@@ -18,6 +18,7 @@
 	"strings"
 	"sync/atomic"
 
+	"birchmoor/internal/config"
 	"birchmoor/internal/handover"
 	"birchmoor/internal/maintenance"
 	"birchmoor/internal/sidecar"
@@ -163,8 +164,8 @@
 
 // runSidecar runs ours, as the platform's command does.
 func runSidecar(ctx context.Context, path string) ([]string, error) {
-	read := func() (*sidecar.Config, error) {
-		return sidecar.ReadConfig(func(name string) string {
+	read := func() (*config.Config, error) {
+		return config.Read(func(name string) string {
 			if name == "ROUTER_CONFIG" {
 				return path
 			}
--- a/internal/sidecar/flow_test.go
+++ b/internal/sidecar/flow_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -11,12 +10,15 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"birchmoor/internal/discovery"
+	"birchmoor/internal/httpfront"
+	"birchmoor/internal/sidetest"
 )
 
 // long is a text that is never held whole.
-var long = strings.Repeat("0123456789abcdef", 20*bodyMost/16) + "end"
+var long = strings.Repeat("0123456789abcdef", 20*httpfront.BodyMost/16) + "end"
 
 // unsized hides a text's length, so that it goes in chunks.
 type unsized struct{ io.Reader }
@@ -24,7 +26,7 @@
 // Long bodies and answers go through unchanged, in every form that HTTP/1.1 has for them.
 func TestLong(t *testing.T) {
 	got := make(chan string, 1)
-	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	addr := sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
@@ -43,20 +45,20 @@
 		case "end":
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+long)
 		default:
-			io.WriteString(c, okAnswer)
+			io.WriteString(c, sidetest.OKAnswer)
 		}
 	})
-	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}))
+	s := start(t, sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-1", addr)}))
 	for _, tc := range []struct {
 		as      string
 		body    string
 		chunked bool
 	}{
-		{"short", long, false}, {"short", long, true}, {"short", "short", true}, {"short", long[:bodyMost], true},
+		{"short", long, false}, {"short", long, true}, {"short", "short", true}, {"short", long[:httpfront.BodyMost], true},
 		{"length", "x", false}, {"chunks", "x", false}, {"end", "x", false}, {"chunks", long, true},
 	} {
 		t.Run(fmt.Sprint(tc.as, len(tc.body), tc.chunked), func(t *testing.T) {
-			r := request("POST", "/pay?as="+tc.as, "pay", 900, tc.body)
+			r := sidetest.Request("POST", "/pay?as="+tc.as, "pay", 900, tc.body)
 			if tc.chunked {
 				r.ContentLength, r.Body = -1, io.NopCloser(unsized{strings.NewReader(tc.body)})
 			}
@@ -67,7 +69,7 @@
 			if resp, text := s.ask(t, r); resp.StatusCode != 200 || text != want {
 				t.Errorf("%s, %d bytes", resp.Status, len(text))
 			}
-			if body := within(t, got, "body"); body != tc.body {
+			if body := sidetest.Within(t, got, "body"); body != tc.body {
 				t.Errorf("the endpoint got %d bytes, want %d", len(body), len(tc.body))
 			}
 		})
@@ -85,20 +87,20 @@
 		fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", 2*len(long)),
 	} {
 		var sent atomic.Int32
-		addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-			if _, err := take(r); err == nil {
+		addr := sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+			if _, err := sidetest.Take(r); err == nil {
 				sent.Add(1)
 				io.WriteString(c, head+long)
 			}
 		})
-		s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr), up("s-2", addr)}))
+		s := start(t, sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-1", addr), sidetest.Up("s-2", addr)}))
 		c, err := net.Dial("tcp", s.addr)
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer c.Close()
-		look(900).Write(c)
-		c.SetReadDeadline(time.Now().Add(soon))
+		sidetest.Look(900).Write(c)
+		c.SetReadDeadline(time.Now().Add(sidetest.Soon))
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 		if err != nil {
 			t.Fatal(err)
@@ -110,31 +112,31 @@
 			t.Errorf("%d attempts", n)
 		}
 		s.stop()
-		within(t, s.ended, "end")
+		sidetest.Within(t, s.ended, "end")
 	}
 }
 
 // A body of which a part went by is not sent again, though it never ran.
 func TestCutBody(t *testing.T) {
 	var sent atomic.Int32
-	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+	addr := sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 		if _, err := http.ReadRequest(r); err == nil {
 			sent.Add(1)
-			io.CopyN(io.Discard, r, 2*bodyMost)
+			io.CopyN(io.Discard, r, 2*httpfront.BodyMost)
 			c.SetLinger(0)
 		}
 	})
-	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr), up("s-2", addr)}))
+	s := start(t, sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-1", addr), sidetest.Up("s-2", addr)}))
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer c.Close()
 	// Far more than what sockets hold, or the whole may have gone out before the end shows.
-	r := request("POST", "/pay", "pay", 900, "x")
-	r.ContentLength, r.Body = longMost, io.NopCloser(io.LimitReader(zeros{}, longMost))
+	r := sidetest.Request("POST", "/pay", "pay", 900, "x")
+	r.ContentLength, r.Body = httpfront.LongMost, io.NopCloser(io.LimitReader(zeros{}, httpfront.LongMost))
 	go r.Write(c)
-	c.SetReadDeadline(time.Now().Add(soon))
+	c.SetReadDeadline(time.Now().Add(sidetest.Soon))
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		t.Fatal(err)
@@ -156,26 +158,26 @@
 // A client that stops in the middle of a long body is told, and no endpoint gets a whole request.
 func TestHalfLongBody(t *testing.T) {
 	whole := make(chan bool, 1)
-	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		_, err := take(r)
+	addr := sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		_, err := sidetest.Take(r)
 		whole <- err == nil
 	})
-	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}))
+	s := start(t, sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-1", addr)}))
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer c.Close()
 	var text strings.Builder
-	request("POST", "/pay", "pay", 900, long).Write(&text)
-	io.WriteString(c, text.String()[:text.Len()-bodyMost])
+	sidetest.Request("POST", "/pay", "pay", 900, long).Write(&text)
+	io.WriteString(c, text.String()[:text.Len()-httpfront.BodyMost])
 	c.(*net.TCPConn).CloseWrite()
-	c.SetReadDeadline(time.Now().Add(soon))
+	c.SetReadDeadline(time.Now().Add(sidetest.Soon))
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil || resp.StatusCode != 400 {
 		t.Errorf("%v, %v", resp, err)
 	}
-	if within(t, whole, "request") {
+	if sidetest.Within(t, whole, "request") {
 		t.Error("the endpoint took a part for the whole")
 	}
 	s.figureIs(t, "current", 0)
@@ -185,22 +187,22 @@
 func TestFlowOutlastsDeadline(t *testing.T) {
 	const ms = 100
 	release := make(chan struct{})
-	addr := web(t, func(w http.ResponseWriter, _ *http.Request) {
+	addr := sidetest.Web(t, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", fmt.Sprint(len(long)))
 		io.WriteString(w, long[:10])
 		http.NewResponseController(w).Flush()
 		<-release
 		io.WriteString(w, long[10:])
 	})
-	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}))
+	s := start(t, sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-1", addr)}))
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer c.Close()
 	begun := time.Now()
-	look(ms).Write(c)
-	c.SetReadDeadline(time.Now().Add(soon))
+	sidetest.Look(ms).Write(c)
+	c.SetReadDeadline(time.Now().Add(sidetest.Soon))
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil || resp.StatusCode != 200 {
 		t.Fatalf("%v, %v", resp, err)
@@ -215,37 +217,3 @@
 		t.Errorf("%d bytes, %v", len(rest), err)
 	}
 }
-
-// The budget lets in turn, and takes back what was given up.
-func TestBudget(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newBudget(10)
-		if err := b.take(t.Context(), 50); err != nil { // more than the whole, alone
-			t.Fatal(err)
-		}
-		ctx, cancel := context.WithCancel(t.Context())
-		gaveUp, let := make(chan error, 1), make(chan error, 1)
-		go func() { gaveUp <- b.take(ctx, 8) }()
-		synctest.Wait()
-		go func() { let <- b.take(t.Context(), 4) }()
-		synctest.Wait()
-		cancel()
-		if err := <-gaveUp; err == nil {
-			t.Error("what did not fit was let in")
-		}
-		select {
-		case <-let:
-			t.Error("let in beyond the budget")
-		default:
-		}
-		b.give(50)
-		if err := <-let; err != nil || b.used != 4 {
-			t.Errorf("%v, %d used", err, b.used)
-		}
-		b.resize(3)
-		b.give(4)
-		if b.used != 0 {
-			t.Errorf("%d used", b.used)
-		}
-	})
-}
--- a/internal/sidecar/handover_test.go
+++ b/internal/sidecar/handover_test.go
@@ -11,8 +11,11 @@
 	"testing"
 	"time"
 
+	"birchmoor/internal/config"
+	"birchmoor/internal/discovery"
 	"birchmoor/internal/handover"
 	"birchmoor/internal/maintenance"
+	"birchmoor/internal/sidetest"
 )
 
 // held is a listening socket that the platform holds: whoever closes a listener on it leaves the socket alone.
@@ -28,7 +31,7 @@
 }
 
 // process is a sidecar that shares a socket and a folder with others.
-func process(t *testing.T, c *Config, socket handover.Socket, dir string) *running {
+func process(t *testing.T, c *config.Config, socket handover.Socket, dir string) *running {
 	t.Helper()
 	desk, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -36,14 +39,14 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	s := &running{addr: socket.(held).ln.Addr().String(), mgmt: desk, stop: stop, ended: make(chan error, 1),
-		reload: make(chan os.Signal, 1), config: make(chan *Config, 1)}
+		reload: make(chan os.Signal, 1), config: make(chan *config.Config, 1)}
 	go func() {
 		s.ended <- Run(ctx, c, Host{Socket: socket, Mgmt: desk, Bans: maintenance.File{Path: filepath.Join(dir, "b")},
-			Handover: filepath.Join(dir, "s"), Reload: s.reload, Read: s.read, Log: quiet})
+			Handover: filepath.Join(dir, "s"), Reload: s.reload, Read: s.read, Log: sidetest.Quiet})
 		close(s.ended)
 	}()
 	t.Cleanup(func() { stop(); <-s.ended })
-	for end := time.Now().Add(soon); s.call(t, "status") != "YES\n"; {
+	for end := time.Now().Add(sidetest.Soon); s.call(t, "status") != "YES\n"; {
 		if time.Now().After(end) {
 			t.Fatal("it does not say yes: " + s.call(t, "status"))
 		}
@@ -67,13 +70,13 @@
 	taken, release := make(chan struct{}, 1), make(chan struct{})
 	let := sync.OnceFunc(func() { close(release) })
 	t.Cleanup(let)
-	addr := web(t, func(w http.ResponseWriter, r *http.Request) {
+	addr := sidetest.Web(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/pay" {
 			taken <- struct{}{}
 			<-release
 		}
 	})
-	c := configure(t, nowhere(t), []Instance{up("s-1", addr), up("s-2", addr), up("s-3", addr)},
+	c := sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-1", addr), sidetest.Up("s-2", addr), sidetest.Up("s-3", addr)},
 		`"ramp-time":10000000`, `"ramp-time":1`, `"give-up":1000000`, `"give-up":5000000`)
 	socket := held{ln.(*net.TCPListener)}
 	old := process(t, c, socket, dir)
@@ -83,15 +86,15 @@
 		t.Fatal(err)
 	}
 	defer kept.Close()
-	if resp, _ := old.askOn(t, kept, look(900)); resp.Close {
+	if resp, _ := old.askOn(t, kept, sidetest.Look(900)); resp.Close {
 		t.Error("a connection was not kept")
 	}
 	open := make(chan *http.Response, 1)
 	go func() {
-		resp, _ := old.ask(t, request("POST", "/pay", "pay", 5000, "x"))
+		resp, _ := old.ask(t, sidetest.Request("POST", "/pay", "pay", 5000, "x"))
 		open <- resp
 	}()
-	within(t, taken, "attempt")
+	sidetest.Within(t, taken, "attempt")
 
 	fresh := process(t, c, socket, dir)
 	fresh.figureIs(t, "cluster_unhealthy", 1)
@@ -100,19 +103,19 @@
 	fresh.figureIs(t, "cluster_unhealthy", 2)
 	fresh.says(t, "maint-off s-1", "YES")
 	old.figureIs(t, "cluster_unhealthy", 1)
-	if resp, _ := old.askOn(t, kept, look(900)); !resp.Close {
+	if resp, _ := old.askOn(t, kept, sidetest.Look(900)); !resp.Close {
 		t.Error("the old process keeps a connection")
 	}
 	before := fresh.figure(t, `answered_total{group="look"}`)
-	if resp, _ := fresh.ask(t, look(900)); resp.StatusCode != 200 {
+	if resp, _ := fresh.ask(t, sidetest.Look(900)); resp.StatusCode != 200 {
 		t.Error("after the handover:", resp.Status)
 	}
 	fresh.figureIs(t, `answered_total{group="look"}`, before+1)
 	let()
-	if resp := within(t, open, "answer"); resp.StatusCode != 200 || !resp.Close {
+	if resp := sidetest.Within(t, open, "answer"); resp.StatusCode != 200 || !resp.Close {
 		t.Errorf("taken before: %s, close %v", resp.Status, resp.Close)
 	}
-	if err := within(t, old.ended, "end of the old process"); err != nil {
+	if err := sidetest.Within(t, old.ended, "end of the old process"); err != nil {
 		t.Error(err)
 	}
 	fresh.says(t, "status", "YES")
@@ -125,20 +128,20 @@
 
 // A new process that fails to begin leaves the old one serving.
 func TestNewFails(t *testing.T) {
-	addr := web(t, func(http.ResponseWriter, *http.Request) {})
-	c := configure(t, nowhere(t), []Instance{up("s-1", addr)})
+	addr := sidetest.Web(t, func(http.ResponseWriter, *http.Request) {})
+	c := sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-1", addr)})
 	dir, err := os.MkdirTemp("", "h")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer os.RemoveAll(dir)
 	old := startIn(t, c, dir)
-	err = Run(t.Context(), c, Host{Socket: noSocket{}, Bans: maintenance.Nowhere{}, Handover: dir + "/sock", Log: quiet})
+	err = Run(t.Context(), c, Host{Socket: noSocket{}, Bans: maintenance.Nowhere{}, Handover: dir + "/sock", Log: sidetest.Quiet})
 	if err == nil {
 		t.Error("it began without a socket")
 	}
 	old.says(t, "status", "YES")
-	if resp, _ := old.ask(t, look(900)); resp.StatusCode != 200 || resp.Close {
+	if resp, _ := old.ask(t, sidetest.Look(900)); resp.StatusCode != 200 || resp.Close {
 		t.Errorf("%s, close %v", resp.Status, resp.Close)
 	}
 }
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -7,15 +7,16 @@
 	"os"
 	"path/filepath"
 
+	"birchmoor/internal/config"
 	"birchmoor/internal/handover"
 	"birchmoor/internal/maintenance"
 	"birchmoor/internal/snapshot"
 )
 
 // HostOf makes of the environment what a program gives a sidecar: the sockets, and files in TMPDIR if that is set.
-func HostOf(c *Config, getenv func(string) string, reload <-chan os.Signal, log *slog.Logger) (Host, error) {
+func HostOf(c *config.Config, getenv func(string) string, reload <-chan os.Signal, log *slog.Logger) (Host, error) {
 	h := Host{Bans: maintenance.Nowhere{}, Reload: reload, Log: log,
-		Read: func() (*Config, error) { return ReadConfig(getenv) }}
+		Read: func() (*config.Config, error) { return config.Read(getenv) }}
 	if dir := getenv("TMPDIR"); dir != "" {
 		h.Bans = maintenance.File{Path: filepath.Join(dir, "bans.json")}
 		h.Kept = snapshot.File{Path: filepath.Join(dir, "known.snapshot")}
--- /dev/null
+++ b/internal/sidecar/kept_test.go
@@ -0,0 +1,84 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"birchmoor/internal/config"
+	"birchmoor/internal/core"
+	"birchmoor/internal/discovery"
+	"birchmoor/internal/httpfront"
+	"birchmoor/internal/maintenance"
+	"birchmoor/internal/metrics"
+	"birchmoor/internal/sidetest"
+	"birchmoor/internal/snapshot"
+)
+
+// runKept runs a sidecar with the given bytes kept for it, and returns what it logged once it was ready.
+func runKept(t *testing.T, c *config.Config, data []byte) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "known")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var said bytes.Buffer
+	ctx, stop := context.WithCancel(t.Context())
+	serving := make(chan struct{}, 1)
+	log := slog.New(slog.NewTextHandler(writer(func(p []byte) {
+		said.Write(p)
+		if bytes.Contains(p, []byte("msg=serving")) {
+			serving <- struct{}{}
+		}
+	}), nil))
+	ended := make(chan error, 1)
+	go func() {
+		ended <- Run(ctx, c, Host{Socket: only{ln}, Bans: maintenance.Nowhere{}, Kept: snapshot.File{Path: path}, Log: log})
+	}()
+	sidetest.Within(t, serving, "start")
+	stop()
+	if err := sidetest.Within(t, ended, "end"); err != nil {
+		t.Error(err)
+	}
+	return said.String()
+}
+
+type writer func(p []byte)
+
+func (w writer) Write(p []byte) (int, error) { w(p); return len(p), nil }
+
+// A start reads what was kept; whatever the file holds, it starts.
+func TestStartWithWhatWasKept(t *testing.T) {
+	c := sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-1", "127.0.0.1:1"), sidetest.Up("s-2", "127.0.0.1:2")})
+	clk, figures := core.NewClock(), metrics.New()
+	old, err := core.New(c, clk, httpfront.NewUpstream(c, clk, &figures.Sends, sidetest.Quiet), func(bool) {}, figures, nil, sidetest.Quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go old.Run(ctx)
+	data, err := old.Pictured(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	newer := bytes.Clone(data)
+	newer[7]++
+	for _, x := range []struct {
+		data []byte
+		want string
+	}{{data, "endpoints=2 of=2"}, {data[:len(data)/2], "cut"}, {newer, "newer"}, {[]byte(strings.Repeat("x", 99)), "foreign"}} {
+		if said := runKept(t, c, x.data); !strings.Contains(said, x.want) {
+			t.Errorf("want %q in:\n%s", x.want, said)
+		}
+	}
+}
--- a/internal/sidecar/reload_test.go
+++ b/internal/sidecar/reload_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -12,7 +11,10 @@
 	"testing"
 	"time"
 
+	"birchmoor/internal/config"
+	"birchmoor/internal/discovery"
 	"birchmoor/internal/metrics"
+	"birchmoor/internal/sidetest"
 )
 
 // A new configuration moves the watch to the discovery that its file names, at once and with nothing held
@@ -21,23 +23,23 @@
 	for _, mode := range []string{"automatic", "subscribe"} {
 		t.Run(mode, func(t *testing.T) {
 			endpoint := func(name string) string {
-				return web(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, name) })
+				return sidetest.Web(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, name) })
 			}
-			one, two, three := up("s-1", endpoint("one")), up("s-2", endpoint("two")), up("s-3", endpoint("three"))
-			for _, in := range []*Instance{&one, &two, &three} {
+			one, two, three := sidetest.Up("s-1", endpoint("one")), sidetest.Up("s-2", endpoint("two")), sidetest.Up("s-3", endpoint("three"))
+			for _, in := range []*discovery.Instance{&one, &two, &three} {
 				in.StartedMs = 1 // long ago: a cold endpoint may be spared
 			}
-			configured := func(discovery string) *Config {
-				return configure(t, discovery, []Instance{one}, `"discovery":"automatic"`, `"discovery":"`+mode+`"`)
+			configured := func(at string) *config.Config {
+				return sidetest.Configure(t, at, []discovery.Instance{one}, `"discovery":"automatic"`, `"discovery":"`+mode+`"`)
 			}
-			old, next := newBoard(t), newBoard(t)
+			old, next := sidetest.NewBoard(t), sidetest.NewBoard(t)
 			// As with ROUTER_DISCOVERY: the start goes by it, a file that changes goes before it.
-			c := configured(nowhere(t))
-			c.Discovery = old.addr
+			c := configured(sidetest.Nowhere(t))
+			c.Discovery = old.Addr
 			s := start(t, c)
-			expect := func(b *board, want string) {
+			expect := func(b *sidetest.Board, want string) {
 				t.Helper()
-				if got := within(t, b.after, "call of discovery"); got != want {
+				if got := sidetest.Within(t, b.Asked, "call of discovery"); got != want {
 					t.Errorf("asked with %q, want %q", got, want)
 				}
 			}
@@ -45,20 +47,20 @@
 
 			// What makes no sense and what names nothing new leave the watch alone.
 			same := *c
-			for _, c := range []*Config{nil, &same} {
+			for _, c := range []*config.Config{nil, &same} {
 				s.reload <- syscall.SIGHUP
 				s.config <- c
 			}
-			old.lines <- line(9, true, one, two)
+			old.Lines <- sidetest.Line(9, true, one, two)
 
 			s.reload <- syscall.SIGHUP
-			s.config <- configured(next.addr)
+			s.config <- configured(next.Addr)
 			expect(next, " ")
-			next.lines <- line(3, false, two)
-			next.lines <- ""
+			next.Lines <- sidetest.Line(3, false, two)
+			next.Lines <- ""
 			expect(next, "1 3")
 			s.serves(t, "two")
-			next.lines <- line(4, true, three)
+			next.Lines <- sidetest.Line(4, true, three)
 			s.serves(t, "three")
 		})
 	}
@@ -67,8 +69,8 @@
 // serves waits until only the endpoint of this name answers.
 func (s *running) serves(t *testing.T, want string) {
 	t.Helper()
-	for end, times := time.Now().Add(soon), 0; times < 5; {
-		_, got := s.ask(t, look(900))
+	for end, times := time.Now().Add(sidetest.Soon), 0; times < 5; {
+		_, got := s.ask(t, sidetest.Look(900))
 		if times++; got != want {
 			times = 0
 		}
@@ -80,15 +82,15 @@
 
 // Configurations may come while the sidecar stops.
 func TestReloadWhileStopping(t *testing.T) {
-	b := newBoard(t)
-	addr := web(t, func(http.ResponseWriter, *http.Request) {})
-	c := configure(t, nowhere(t), []Instance{up("s-1", addr)})
+	b := sidetest.NewBoard(t)
+	addr := sidetest.Web(t, func(http.ResponseWriter, *http.Request) {})
+	c := sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-1", addr)})
 	s := start(t, c)
 	s.stop()
 	s.reload <- syscall.SIGHUP
-	s.config <- configure(t, b.addr, nil)
-	within(t, b.after, "call of discovery")
-	if err := within(t, s.ended, "end"); err != nil {
+	s.config <- sidetest.Configure(t, b.Addr, nil)
+	sidetest.Within(t, b.Asked, "call of discovery")
+	if err := sidetest.Within(t, s.ended, "end"); err != nil {
 		t.Error(err)
 	}
 }
@@ -97,7 +99,7 @@
 func TestRetune(t *testing.T) {
 	taken, release := make(chan struct{}, 8), make(chan struct{})
 	let := sync.OnceFunc(func() { close(release) })
-	addr := web(t, func(w http.ResponseWriter, r *http.Request) {
+	addr := sidetest.Web(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/pay" {
 			taken <- struct{}{}
 			<-release
@@ -105,13 +107,13 @@
 		io.WriteString(w, "ok")
 	})
 	t.Cleanup(let)
-	known := []Instance{up("s-1", addr)}
-	s := start(t, configure(t, nowhere(t), known))
-	reload := func(c *Config, figure string, want int) {
+	known := []discovery.Instance{sidetest.Up("s-1", addr)}
+	s := start(t, sidetest.Configure(t, sidetest.Nowhere(t), known))
+	reload := func(c *config.Config, figure string, want int) {
 		t.Helper()
 		s.reload <- syscall.SIGHUP
 		s.config <- c
-		for end := time.Now().Add(soon); s.figure(t, figure) != want; {
+		for end := time.Now().Add(sidetest.Soon); s.figure(t, figure) != want; {
 			if time.Now().After(end) {
 				t.Fatalf("%s does not become %d", figure, want)
 			}
@@ -119,41 +121,38 @@
 	}
 	open := make(chan int, 1)
 	go func() {
-		resp, _ := s.ask(t, request("POST", "/pay", "pay", 1000, "x"))
+		resp, _ := s.ask(t, sidetest.Request("POST", "/pay", "pay", 1000, "x"))
 		open <- resp.StatusCode
 	}()
-	within(t, taken, "attempt")
+	sidetest.Within(t, taken, "attempt")
 	const pay = `{"name":"pay","repeat":"side_effect"`
-	reload(configure(t, nowhere(t), known, pay, `{"name":"sell","repeat":"pure"`, `"most-tries":3`, `"most-tries":2`),
+	reload(sidetest.Configure(t, sidetest.Nowhere(t), known, pay, `{"name":"sell","repeat":"pure"`, `"most-tries":3`, `"most-tries":2`),
 		"conf_loaded_total", 1)
-	if resp, text := s.ask(t, request("GET", "/sell", "sell", 900, "")); resp.StatusCode != 200 || text != "ok" {
+	if resp, text := s.ask(t, sidetest.Request("GET", "/sell", "sell", 900, "")); resp.StatusCode != 200 || text != "ok" {
 		t.Errorf("the new class: %s", resp.Status)
 	}
-	if resp, _ := s.ask(t, request("POST", "/pay", "pay", 900, "x")); resp.StatusCode != 404 {
+	if resp, _ := s.ask(t, sidetest.Request("POST", "/pay", "pay", 900, "x")); resp.StatusCode != 404 {
 		t.Errorf("the dropped class: %s", resp.Status)
 	}
 	let()
-	if code := within(t, open, "answer"); code != 200 {
+	if code := sidetest.Within(t, open, "answer"); code != 200 {
 		t.Errorf("what was open: %d", code)
 	}
 	s.figureIs(t, `answered_total{group="pay"}`, 1)
 	s.figureIs(t, `answered_total{group="sell"}`, 1)
 	reload(nil, "conf_invalid_total", 1)
-	if resp, _ := s.ask(t, request("GET", "/sell", "sell", 900, "")); resp.StatusCode != 200 {
+	if resp, _ := s.ask(t, sidetest.Request("GET", "/sell", "sell", 900, "")); resp.StatusCode != 200 {
 		t.Errorf("after a bad file: %s", resp.Status)
 	}
 }
 
 // Every way in which a file may be wrong is found before any of it is taken, and named.
 func TestTurnedDown(t *testing.T) {
-	c := configure(t, "127.0.0.1:1", []Instance{up("s-1", "127.0.0.1:2")})
-	good, err := json.Marshal(c.file)
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := sidetest.Configure(t, "127.0.0.1:1", []discovery.Instance{sidetest.Up("s-1", "127.0.0.1:2")})
+	good := sidetest.ConfigText(t, "127.0.0.1:1", []discovery.Instance{sidetest.Up("s-1", "127.0.0.1:2")})
 	figures, took := metrics.New(), 0
-	r := &reloader{config: c, figures: figures, log: quiet,
-		take: func(context.Context, *Config) error { took++; return nil }}
+	r := &reloader{config: c, figures: figures, log: sidetest.Quiet,
+		take: func(context.Context, *config.Config) error { took++; return nil }}
 	for _, tc := range []struct{ key, old, new string }{
 		{"file", string(good), ""},
 		{"file", string(good), "{}"[:1]},
@@ -179,16 +178,16 @@
 		if text == string(good) {
 			t.Fatalf("%s: %q is not in the file", tc.key, tc.old)
 		}
-		r.read = func() (*Config, error) { return parseConfig([]byte(text), func(string) string { return "" }) }
+		r.read = func() (*config.Config, error) { return config.Parse([]byte(text), func(string) string { return "" }) }
 		err := r.reload(t.Context())
-		if bad := (*ConfigError)(nil); !errors.As(err, &bad) || bad.Key != tc.key {
+		if bad := (*config.Error)(nil); !errors.As(err, &bad) || bad.Key != tc.key {
 			t.Errorf("%q: got %v, want an error for %s", tc.new, err, tc.key)
 		}
 	}
 	if took > 0 {
 		t.Errorf("%d bad files were taken", took)
 	}
-	r.read = func() (*Config, error) { return parseConfig(good, func(string) string { return "" }) }
+	r.read = func() (*config.Config, error) { return config.Parse(good, func(string) string { return "" }) }
 	if err := r.reload(t.Context()); err != nil || took != 1 {
 		t.Errorf("the good file: %v", err)
 	}
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -14,8 +13,10 @@
 	"testing"
 	"time"
 
-	"birchmoor/balancer"
-	"birchmoor/internal/metrics"
+	"birchmoor/internal/config"
+	"birchmoor/internal/discovery"
+	"birchmoor/internal/httpfront"
+	"birchmoor/internal/sidetest"
 )
 
 // What the client sent and what the endpoint answered go through unchanged.
@@ -25,7 +26,7 @@
 		body string
 	}
 	got := make(chan seen, 64)
-	addr := web(t, func(w http.ResponseWriter, r *http.Request) {
+	addr := sidetest.Web(t, func(w http.ResponseWriter, r *http.Request) {
 		b, _ := io.ReadAll(r.Body)
 		got <- seen{r, string(b)}
 		if w.Header()["Content-Type"] = nil; r.Method == "GET" {
@@ -34,12 +35,12 @@
 		w.Header().Set("Endpoint-Load-Metrics", "TEXT busy_reqs=1")
 		io.WriteString(w, "\x00card "+string(b))
 	})
-	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}))
+	s := start(t, sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-1", addr)}))
 	for _, r := range []*http.Request{
-		look(480),
-		request("GET", "/look/a%2Fb?x=%20y&z", "look", 480, ""),
-		request("POST", "/book", "book", 480, strings.Repeat("b", bodyMost-6)), // the answer is as large as one may be
-		request("POST", "/pay?p=1", "pay", 480, ""),
+		sidetest.Look(480),
+		sidetest.Request("GET", "/look/a%2Fb?x=%20y&z", "look", 480, ""),
+		sidetest.Request("POST", "/book", "book", 480, strings.Repeat("b", httpfront.BodyMost-6)), // the answer is as large as one may be
+		sidetest.Request("POST", "/pay?p=1", "pay", 480, ""),
 	} {
 		body, _ := io.ReadAll(r.Body)
 		if len(body) > 0 {
@@ -76,8 +77,8 @@
 // What makes no sense gets a plain 4xx, and no endpoint hears of it.
 func TestBadRequests(t *testing.T) {
 	var sent atomic.Int32
-	addr := web(t, func(http.ResponseWriter, *http.Request) { sent.Add(1) })
-	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}))
+	addr := sidetest.Web(t, func(http.ResponseWriter, *http.Request) { sent.Add(1) })
+	s := start(t, sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-1", addr)}))
 	without := func(r *http.Request, header string) *http.Request {
 		r.Header.Del(header)
 		return r
@@ -91,15 +92,15 @@
 		r    *http.Request
 		want int
 	}{
-		{"unknown class", request("GET", "/sell", "sell", 400, ""), 404},
-		{"no class", without(request("GET", "/", "look", 400, ""), "X-Qos"), 404},
-		{"two classes", request("GET", "/look", "pay", 400, ""), 400},
-		{"no id", without(look(400), "X-Trace-Id"), 400},
-		{"keyed without key", without(request("POST", "/book", "book", 400, "x"), "Idempotency-Key"), 400},
-		{"wrong method", request("POST", "/look", "look", 400, "x"), 405},
-		{"time in words", with(look(400), "X-Expires-In-Ms", "soon"), 400},
-		{"negative time", look(-1), 400},
-		{"large head", with(look(400), "X-Props", strings.Repeat("x", 2*headerMost)), 431},
+		{"unknown class", sidetest.Request("GET", "/sell", "sell", 400, ""), 404},
+		{"no class", without(sidetest.Request("GET", "/", "look", 400, ""), "X-Qos"), 404},
+		{"two classes", sidetest.Request("GET", "/look", "pay", 400, ""), 400},
+		{"no id", without(sidetest.Look(400), "X-Trace-Id"), 400},
+		{"keyed without key", without(sidetest.Request("POST", "/book", "book", 400, "x"), "Idempotency-Key"), 400},
+		{"wrong method", sidetest.Request("POST", "/look", "look", 400, "x"), 405},
+		{"time in words", with(sidetest.Look(400), "X-Expires-In-Ms", "soon"), 400},
+		{"negative time", sidetest.Look(-1), 400},
+		{"large head", with(sidetest.Look(400), "X-Props", strings.Repeat("x", 2*httpfront.HeaderMost)), 431},
 	} {
 		if resp, _ := s.ask(t, tc.r); resp.StatusCode != tc.want {
 			t.Errorf("%s: %s, want %d", tc.name, resp.Status, tc.want)
@@ -114,11 +115,11 @@
 	for _, tc := range []struct{ name, text, want string }{
 		{"no HTTP", "LOOK\r\n\r\n", "400"},
 		{"old HTTP", "GET /look HTTP/1.0\r\nX-Trace-Id: 1\r\n\r\n", "505"},
-		{"endless head", "GET /look HTTP/1.1\r\nX: " + strings.Repeat("x", headerMost), "431"},
+		{"endless head", "GET /look HTTP/1.1\r\nX: " + strings.Repeat("x", httpfront.HeaderMost), "431"},
 		{"hidden request", head("Content-Length: 5", "Transfer-Encoding: chunked") + "0\r\n\r\n" + hidden, "400"},
 		{"cut chunks", head("Transfer-Encoding: chunked") + "zz\r\n", "400"},
 		{"more behind chunks", head("Transfer-Encoding: chunked") + "0\r\n\r\n" + hidden, "400"},
-		{"long body", head(fmt.Sprintf("Content-Length: %d", longMost+1)), "413"},
+		{"long body", head(fmt.Sprintf("Content-Length: %d", httpfront.LongMost+1)), "413"},
 		{"old chunks", strings.Replace(head("Content-Length: 5", "Transfer-Encoding: chunked"), "1.1", "1.0", 1) + chunked, "505"},
 		{"unknown encoding", head("Content-Length: 5", "Transfer-Encoding: xchunked") + chunked, "400"},
 		{"two lengths", head("Content-Length: 5", "Content-Length: 6") + "123456", "400"},
@@ -147,7 +148,7 @@
 			t.Fatal(err)
 		}
 		io.WriteString(c, tc.text)
-		c.SetReadDeadline(time.Now().Add(requestTime / 2))
+		c.SetReadDeadline(time.Now().Add(httpfront.RequestTime / 2))
 		if got, err := io.ReadAll(c); err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 "+tc.want+" ") ||
 			strings.Count(string(got), "HTTP/1.1") != 1 {
 			t.Errorf("%s: answered %q, %v, want one %s and the end", tc.name, got, err, tc.want)
@@ -189,17 +190,17 @@
 		{"no connection, unsafe", nil, "pay", true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			addr := nowhere(t)
+			addr := sidetest.Nowhere(t)
 			if tc.h != nil {
-				addr = web(t, tc.h)
+				addr = sidetest.Web(t, tc.h)
 			}
-			s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}))
+			s := start(t, sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-1", addr)}))
 			method := "POST"
 			if tc.class == "look" {
 				method = "GET"
 			}
 			begun := time.Now()
-			resp, _ := s.ask(t, request(method, "/"+tc.class, tc.class, 900, ""))
+			resp, _ := s.ask(t, sidetest.Request(method, "/"+tc.class, tc.class, 900, ""))
 			if got := resp.StatusCode == 503; got != tc.refused || resp.StatusCode < 500 {
 				t.Errorf("%s, refused should be %v", resp.Status, tc.refused)
 			}
@@ -231,16 +232,16 @@
 			var copies atomic.Int32
 			// The first to be asked breaks its connection after reading the request.
 			endpoint := func() string {
-				return raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-					if _, err := take(r); err == nil && copies.Add(1) > 1 {
-						io.WriteString(c, okAnswer)
+				return sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+					if _, err := sidetest.Take(r); err == nil && copies.Add(1) > 1 {
+						io.WriteString(c, sidetest.OKAnswer)
 					}
 				})
 			}
-			other := up("s-2", endpoint())
+			other := sidetest.Up("s-2", endpoint())
 			other.Cell = tc.cell
-			s := start(t, configure(t, nowhere(t), []Instance{up("s-1", endpoint()), other}))
-			resp, _ := s.ask(t, request("POST", "/"+tc.class, tc.class, 900, "x"))
+			s := start(t, sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-1", endpoint()), other}))
+			resp, _ := s.ask(t, sidetest.Request("POST", "/"+tc.class, tc.class, 900, "x"))
 			if n := copies.Load(); n > tc.mostCopies {
 				t.Errorf("%d copies, %d at most", n, tc.mostCopies)
 			}
@@ -254,29 +255,29 @@
 // An endpoint that is mute must not keep the client waiting past its time, nor the connection open.
 func TestDeadline(t *testing.T) {
 	ended := make(chan error, 3)
-	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		if _, err := take(r); err != nil {
+	addr := sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		if _, err := sidetest.Take(r); err != nil {
 			return
 		}
 		_, err := r.ReadByte()
 		ended <- err
 	})
-	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}))
+	s := start(t, sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-1", addr)}))
 	for _, tc := range []struct {
 		class string
 		want  int
 	}{{"pay", 504}, {"book", 504}} {
 		begun := time.Now()
-		resp, _ := s.ask(t, request("POST", "/"+tc.class, tc.class, 200, "x"))
+		resp, _ := s.ask(t, sidetest.Request("POST", "/"+tc.class, tc.class, 200, "x"))
 		if took := time.Since(begun); took > 200*time.Millisecond || resp.StatusCode != tc.want {
 			t.Errorf("%s: %s after %v, want %d within 200 ms", tc.class, resp.Status, took, tc.want)
 		}
-		if err := within(t, ended, "end of the attempt"); err != io.EOF {
+		if err := sidetest.Within(t, ended, "end of the attempt"); err != io.EOF {
 			t.Errorf("%s: the endpoint read on: %v", tc.class, err)
 		}
 	}
 	// One whose time is up when it comes never ran.
-	if resp, _ := s.ask(t, request("POST", "/pay", "pay", 0, "x")); resp.StatusCode != 503 {
+	if resp, _ := s.ask(t, sidetest.Request("POST", "/pay", "pay", 0, "x")); resp.StatusCode != 503 {
 		t.Errorf("no time: %s, want 503", resp.Status)
 	}
 }
@@ -284,24 +285,24 @@
 // A client that goes takes its attempt with it.
 func TestClientGone(t *testing.T) {
 	taken, ended := make(chan struct{}), make(chan error, 1)
-	addr := raw(t, func(c *net.TCPConn, r *bufio.Reader) {
-		take(r)
+	addr := sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		sidetest.Take(r)
 		close(taken)
 		_, err := r.ReadByte()
 		ended <- err
 	})
-	cfg := configure(t, nowhere(t), []Instance{up("s-1", addr)}, `"give-up":1000000`, `"give-up":60000000`)
+	cfg := sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-1", addr)}, `"give-up":1000000`, `"give-up":60000000`)
 	s := start(t, cfg)
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := request("POST", "/pay", "pay", 60000, "x").Write(c); err != nil {
+	if err := sidetest.Request("POST", "/pay", "pay", 60000, "x").Write(c); err != nil {
 		t.Fatal(err)
 	}
-	within(t, taken, "attempt")
+	sidetest.Within(t, taken, "attempt")
 	c.Close()
-	if err := within(t, ended, "end of the attempt"); err != io.EOF {
+	if err := sidetest.Within(t, ended, "end of the attempt"); err != io.EOF {
 		t.Errorf("the endpoint read on: %v", err)
 	}
 }
@@ -309,11 +310,11 @@
 // Requests over the settings' limit never ran.
 func TestMostOpen(t *testing.T) {
 	taken, release := make(chan struct{}, 2), make(chan struct{})
-	addr := web(t, func(http.ResponseWriter, *http.Request) {
+	addr := sidetest.Web(t, func(http.ResponseWriter, *http.Request) {
 		taken <- struct{}{}
 		<-release
 	})
-	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}, `"most-held":1000`, `"most-held":1`))
+	s := start(t, sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-1", addr)}, `"most-held":1000`, `"most-held":1`))
 	first := make(chan int)
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
@@ -321,15 +322,15 @@
 	}
 	defer c.Close()
 	go func() {
-		resp, _ := s.askOn(t, c, request("POST", "/pay", "pay", 900, "x"))
+		resp, _ := s.askOn(t, c, sidetest.Request("POST", "/pay", "pay", 900, "x"))
 		first <- resp.StatusCode
 	}()
-	within(t, taken, "first attempt")
-	if resp, _ := s.ask(t, request("POST", "/pay", "pay", 900, "x")); resp.StatusCode != 503 {
+	sidetest.Within(t, taken, "first attempt")
+	if resp, _ := s.ask(t, sidetest.Request("POST", "/pay", "pay", 900, "x")); resp.StatusCode != 503 {
 		t.Errorf("second: %s, want 503", resp.Status)
 	}
 	close(release)
-	if code := within(t, first, "first answer"); code != 200 {
+	if code := sidetest.Within(t, first, "first answer"); code != 200 {
 		t.Errorf("first: %d, want 200", code)
 	}
 	if len(taken) != 0 {
@@ -341,14 +342,14 @@
 // sidecar a descriptor that it needs.
 func TestMostConnections(t *testing.T) {
 	taken, release := make(chan struct{}, 1), make(chan struct{})
-	addr := web(t, func(_ http.ResponseWriter, r *http.Request) {
+	addr := sidetest.Web(t, func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/pay" {
 			taken <- struct{}{}
 			<-release
 		}
 	})
-	cfg := configure(t, nowhere(t), []Instance{up("s-1", addr)})
-	cfg.Sockets = leastSockets
+	cfg := sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-1", addr)})
+	cfg.Sockets = config.LeastSockets
 	s := start(t, cfg)
 	dial := func() net.Conn {
 		c, err := net.Dial("tcp", s.addr)
@@ -361,31 +362,31 @@
 	waiting := make(chan int, 1)
 	c := dial()
 	go func() {
-		resp, _ := s.askOn(t, c, request("POST", "/pay", "pay", 1000, "x"))
+		resp, _ := s.askOn(t, c, sidetest.Request("POST", "/pay", "pay", 1000, "x"))
 		waiting <- resp.StatusCode
 	}()
-	within(t, taken, "attempt")
+	sidetest.Within(t, taken, "attempt")
 	var silent []net.Conn
-	for range 2 * cfg.clientConns(1) {
+	for range 2 * cfg.ClientConns(1) {
 		silent = append(silent, dial())
 	}
 	kept := dial()
 	for range 3 {
-		if resp, _ := s.askOn(t, kept, look(900)); resp.StatusCode != 200 || resp.Close {
+		if resp, _ := s.askOn(t, kept, sidetest.Look(900)); resp.StatusCode != 200 || resp.Close {
 			t.Fatalf("beside silent connections: %s, close %v", resp.Status, resp.Close)
 		}
 	}
 	first := silent[0]
-	first.SetReadDeadline(time.Now().Add(requestTime / 2))
+	first.SetReadDeadline(time.Now().Add(httpfront.RequestTime / 2))
 	if _, err := first.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("the connection silent for longest: %v, want it closed", err)
 	}
 	last := silent[len(silent)-1]
-	if resp, _ := s.askOn(t, last, look(900)); resp.StatusCode != 200 {
+	if resp, _ := s.askOn(t, last, sidetest.Look(900)); resp.StatusCode != 200 {
 		t.Errorf("a connection silent for a moment: %s", resp.Status)
 	}
 	close(release)
-	if code := within(t, waiting, "answer"); code != 200 {
+	if code := sidetest.Within(t, waiting, "answer"); code != 200 {
 		t.Errorf("the request that waited meanwhile: %d", code)
 	}
 }
@@ -393,8 +394,8 @@
 // Whoever sends no whole request is told so or cut off within 3 s, before another reading and before the
 // sidecar is made to wait when it stops.
 func TestHalfRequests(t *testing.T) {
-	addr := web(t, func(http.ResponseWriter, *http.Request) { t.Error("an attempt was made") })
-	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}))
+	addr := sidetest.Web(t, func(http.ResponseWriter, *http.Request) { t.Error("an attempt was made") })
+	s := start(t, sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-1", addr)}))
 	for _, text := range []string{
 		"",
 		"GET /look/1 HT",
@@ -421,30 +422,30 @@
 // Two requests of one id would be one and the same to an endpoint.
 func TestOpenID(t *testing.T) {
 	taken, release := make(chan struct{}, 2), make(chan struct{})
-	addr := web(t, func(http.ResponseWriter, *http.Request) {
+	addr := sidetest.Web(t, func(http.ResponseWriter, *http.Request) {
 		taken <- struct{}{}
 		<-release
 	})
-	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}))
+	s := start(t, sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-1", addr)}))
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer c.Close()
 	first := make(chan int, 1)
-	r := look(900)
+	r := sidetest.Look(900)
 	go func() {
 		resp, _ := s.askOn(t, c, r)
 		first <- resp.StatusCode
 	}()
-	within(t, taken, "attempt")
-	again := look(900)
+	sidetest.Within(t, taken, "attempt")
+	again := sidetest.Look(900)
 	again.Header.Set("X-Trace-Id", r.Header.Get("X-Trace-Id"))
 	if resp, _ := s.ask(t, again); resp.StatusCode != 409 {
 		t.Errorf("an open id: %s, want 409", resp.Status)
 	}
 	close(release)
-	if code := within(t, first, "answer"); code != 200 {
+	if code := sidetest.Within(t, first, "answer"); code != 200 {
 		t.Errorf("its owner: %d, want 200", code)
 	}
 	if resp, _ := s.ask(t, again); resp.StatusCode != 200 {
@@ -463,17 +464,17 @@
 	}{
 		{"class", func(r *http.Request) bool { return r.URL.Path == "/look/1" },
 			func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
-			func() *http.Request { return request("POST", "/pay", "pay", 900, "x") }},
+			func() *http.Request { return sidetest.Request("POST", "/pay", "pay", 900, "x") }},
 		{"tenant", func(r *http.Request) bool { return r.Header.Get("X-Customer") == "zeta" },
 			func(w http.ResponseWriter, r *http.Request) {
 				w.Header().Set("X-Never-Ran", "1")
 				w.WriteHeader(503)
 			},
-			func() *http.Request { return look(900) }}, // of the same class
+			func() *http.Request { return sidetest.Look(900) }}, // of the same class
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var failed, served atomic.Int32
-			half := web(t, func(w http.ResponseWriter, r *http.Request) {
+			half := sidetest.Web(t, func(w http.ResponseWriter, r *http.Request) {
 				if tc.bad(r) {
 					failed.Add(1)
 					tc.handle(w, r)
@@ -481,12 +482,12 @@
 				}
 				served.Add(1)
 			})
-			whole := web(t, func(http.ResponseWriter, *http.Request) {})
-			s := start(t, configure(t, nowhere(t), []Instance{up("s-1", half), up("s-2", whole)},
+			whole := sidetest.Web(t, func(http.ResponseWriter, *http.Request) {})
+			s := start(t, sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-1", half), sidetest.Up("s-2", whole)},
 				`"tenants":[`, `"tenants":[{"name":"zeta","allowance-per-s":100.0,"share":1.0},`))
 			const rounds = 40
 			for range rounds {
-				r := look(60)
+				r := sidetest.Look(60)
 				r.Header.Set("X-Customer", "zeta")
 				s.ask(t, r)
 				for range 5 {
@@ -509,32 +510,32 @@
 	var silent atomic.Bool
 	var lost atomic.Int32
 	endpoint := func(falls bool) string {
-		return raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		return sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
 			old := falls && !silent.Load()
 			for {
-				if _, err := take(r); err != nil {
+				if _, err := sidetest.Take(r); err != nil {
 					return
 				}
 				if old && silent.Load() {
 					lost.Add(1)
 					continue
 				}
-				io.WriteString(c, okAnswer)
+				io.WriteString(c, sidetest.OKAnswer)
 			}
 		})
 	}
-	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", endpoint(true)), up("s-2", endpoint(false))}))
+	s := start(t, sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-1", endpoint(true)), sidetest.Up("s-2", endpoint(false))}))
 	for range 40 { // the sidecar learns how long requests take, over some connections at once
 		var several sync.WaitGroup
 		for range 8 {
-			several.Go(func() { s.ask(t, look(900)) })
+			several.Go(func() { s.ask(t, sidetest.Look(900)) })
 		}
 		several.Wait()
 	}
 	silent.Store(true)
 	for i := range 60 {
 		// The breaker may refuse a few: latencies without any network vary by far more than its factor.
-		if resp, _ := s.ask(t, look(900)); resp.StatusCode != 200 && resp.Header.Get("Retry-After") == "" {
+		if resp, _ := s.ask(t, sidetest.Look(900)); resp.StatusCode != 200 && resp.Header.Get("Retry-After") == "" {
 			t.Errorf("request %d: %s", i, resp.Status)
 		}
 	}
@@ -549,46 +550,46 @@
 	taken, release := make(chan struct{}, 1), make(chan struct{})
 	let := sync.OnceFunc(func() { close(release) })
 	t.Cleanup(let)
-	addr := web(t, func(w http.ResponseWriter, r *http.Request) {
+	addr := sidetest.Web(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/pay" {
 			taken <- struct{}{}
 			<-release
 		}
 	})
-	s := start(t, configure(t, nowhere(t), []Instance{up("s-1", addr)}))
+	s := start(t, sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-1", addr)}))
 	idle, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer idle.Close()
-	if resp, _ := s.askOn(t, idle, look(900)); resp.Close {
+	if resp, _ := s.askOn(t, idle, sidetest.Look(900)); resp.Close {
 		t.Error("a connection was not kept")
 	}
 	var before sync.WaitGroup
 	defer before.Wait()
 	defer let()
 	before.Go(func() {
-		if resp, _ := s.ask(t, request("POST", "/pay", "pay", 1000, "x")); resp.StatusCode != 200 || !resp.Close {
+		if resp, _ := s.ask(t, sidetest.Request("POST", "/pay", "pay", 1000, "x")); resp.StatusCode != 200 || !resp.Close {
 			t.Errorf("taken before: %s, close %v", resp.Status, resp.Close)
 		}
 	})
-	within(t, taken, "attempt")
+	sidetest.Within(t, taken, "attempt")
 	begun := time.Now()
 	s.stop()
-	idle.SetReadDeadline(time.Now().Add(soon))
+	idle.SetReadDeadline(time.Now().Add(sidetest.Soon))
 	if _, err := idle.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("idle connection: %v, want it closed", err)
 	}
 	for time.Since(begun) < 450*time.Millisecond {
-		if resp, _ := s.ask(t, look(900)); resp.StatusCode != 200 && resp.Header.Get("Retry-After") == "" || !resp.Close {
+		if resp, _ := s.ask(t, sidetest.Look(900)); resp.StatusCode != 200 && resp.Header.Get("Retry-After") == "" || !resp.Close {
 			t.Fatalf("after the order: %s, close %v", resp.Status, resp.Close)
 		}
 	}
-	if resp, _ := s.ask(t, request("GET", "/-/ready", "", 900, "")); resp.StatusCode != 503 {
+	if resp, _ := s.ask(t, sidetest.Request("GET", "/-/ready", "", 900, "")); resp.StatusCode != 503 {
 		t.Errorf("ready: %s after the order to stop", resp.Status)
 	}
 	let()
-	if err := within(t, s.ended, "end"); err != nil {
+	if err := sidetest.Within(t, s.ended, "end"); err != nil {
 		t.Errorf("ended with %v", err)
 	}
 	if took := time.Since(begun); took < 500*time.Millisecond {
@@ -596,83 +597,13 @@
 	}
 }
 
-// A dial can outlast the grace for a drain: then nothing may go out, and the request never ran.
-func TestDialOutlastsDrain(t *testing.T) {
-	var sent atomic.Int32
-	addr := web(t, func(http.ResponseWriter, *http.Request) { sent.Add(1) })
-	drained := up("s-1", addr)
-	drained.Lifecycle = "draining"
-	for _, tc := range []struct {
-		name string
-		news List
-		wait bool // the grace goes by before the connection is up
-		want int
-	}{
-		{"within the grace", List{Instances: []Instance{drained}}, false, 200},
-		{"past the grace", List{Instances: []Instance{drained}}, true, 503},
-		{"left out of a whole list", List{Reset: true}, true, 503},
-	} {
-		t.Run(tc.name, func(t *testing.T) {
-			sent.Store(0)
-			cfg := configure(t, nowhere(t), []Instance{up("s-1", addr)})
-			clk := clock{time.Now()}
-			u := newUpstream(cfg, clk, new(metrics.Counter), quiet)
-			dialing, release := make(chan struct{}), make(chan struct{})
-			dial := u.dial
-			u.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
-				close(dialing)
-				<-release
-				return dial(ctx, network, addr)
-			}
-			l, err := newLoop(cfg, clk, u, func(bool) {}, metrics.New(), nil, quiet)
-			if err != nil {
-				t.Fatal(err)
-			}
-			ctx, cancel := context.WithCancel(context.Background())
-			defer func() { cancel(); <-l.over }()
-			go l.run(ctx)
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer ln.Close()
-			go newServer(cfg, l, quiet).clients.accept(ln)
-			s := &running{addr: ln.Addr().String()}
-			answer := make(chan int, 1)
-			c, err := net.Dial("tcp", s.addr)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer c.Close()
-			go func() {
-				resp, _ := s.askOn(t, c, request("POST", "/pay", "pay", 900, "x"))
-				answer <- resp.StatusCode
-			}()
-			within(t, dialing, "dial")
-			l.told(context.Background(), tc.news)
-			if tc.wait {
-				passed := make(chan struct{})
-				l.post(func(now int64) { l.at(now+cfg.Settings.Contract.DrainGrace, func(int64) { close(passed) }) })
-				within(t, passed, "end of the grace")
-			}
-			close(release)
-			if code := within(t, answer, "answer"); code != tc.want {
-				t.Errorf("answered %d, want %d", code, tc.want)
-			}
-			if got := sent.Load(); (got > 0) != (tc.want == 200) {
-				t.Errorf("the endpoint got %d requests", got)
-			}
-		})
-	}
-}
-
 // A service that answers in microseconds leaves attempts little time; none may be given up unsent for that.
 func TestInstantServiceIsServed(t *testing.T) {
-	var list []Instance
+	var list []discovery.Instance
 	for _, id := range []string{"s1", "s2", "s3", "s4"} {
-		list = append(list, up(id, web(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "found") })))
+		list = append(list, sidetest.Up(id, sidetest.Web(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "found") })))
 	}
-	s := start(t, configure(t, nowhere(t), list, `"probes":false`, `"probes":true`))
+	s := start(t, sidetest.Configure(t, sidetest.Nowhere(t), list, `"probes":false`, `"probes":true`))
 	c, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
@@ -680,7 +611,7 @@
 	defer c.Close()
 	refused := 0
 	for range 1000 {
-		if resp, _ := s.askOn(t, c, look(1000)); resp.StatusCode != 200 {
+		if resp, _ := s.askOn(t, c, sidetest.Look(1000)); resp.StatusCode != 200 {
 			refused++
 		}
 	}
@@ -688,11 +619,3 @@
 		t.Errorf("%d of 1000 requests to healthy endpoints were not served", refused)
 	}
 }
-
-func TestMillisLeft(t *testing.T) {
-	for left, want := range map[balancer.Micros]balancer.Micros{-5: 0, 0: 0, 1: 1, 999: 1, 1000: 1, 1001: 2} {
-		if got := millisLeft(left); got != want {
-			t.Errorf("%d µs left are told as %d ms, want %d", left, got, want)
-		}
-	}
-}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -1,3 +1,5 @@
+// Package sidecar puts a sidecar together and starts and stops it: the core (internal/core), the HTTP front
+// (internal/httpfront), discovery, operators' calls, handovers and reloads.
 package sidecar
 
 import (
@@ -14,8 +16,11 @@
 	"sync/atomic"
 	"time"
 
-	"birchmoor/balancer"
+	"birchmoor/internal/config"
+	"birchmoor/internal/core"
+	"birchmoor/internal/discovery"
 	"birchmoor/internal/handover"
+	"birchmoor/internal/httpfront"
 	"birchmoor/internal/maintenance"
 	"birchmoor/internal/metrics"
 	"birchmoor/internal/mgmt"
@@ -34,26 +39,27 @@
 
 // Host is what the program gives a sidecar besides its configuration.
 type Host struct {
-	Socket   handover.Socket         // where clients connect
-	Mgmt     net.Listener            // where operators call; nil for nowhere
-	Bans     maintenance.Store       // what operators said, over the life of a process
-	Shared   maintenance.Shared      // what daemons agree on; nil for nothing
-	Kept     snapshot.File           // what a process knew, for the next one
-	Tap      Tap                     // between the loop and the decision module; nil for nothing
-	Handover string                  // where old and new processes find each other; empty for nowhere
-	Reload   <-chan os.Signal        // at each the configuration is read again
-	Read     func() (*Config, error) // that
+	Socket   handover.Socket                // where clients connect
+	Mgmt     net.Listener                   // where operators call; nil for nowhere
+	Bans     maintenance.Store              // what operators said, over the life of a process
+	Shared   maintenance.Shared             // what daemons agree on; nil for nothing
+	Kept     snapshot.File                  // what a process knew, for the next one
+	Tap      core.Tap                       // between the loop and the decision module; nil for nothing
+	Handover string                         // where old and new processes find each other; empty for nowhere
+	Reload   <-chan os.Signal               // at each the configuration is read again
+	Read     func() (*config.Config, error) // that
 	Log      *slog.Logger
 }
 
 // node is a running sidecar.
 type node struct {
-	config  *Config
+	config  *config.Config
 	host    Host
 	log     *slog.Logger
-	loop    *loop
-	up      *upstream
-	server  *server
+	figures *metrics.Registry
+	loop    *core.Loop
+	up      *httpfront.Upstream
+	server  *httpfront.Server
 	book    *maintenance.Book
 	yields  atomic.Bool // a new process accepts in place of this one
 	serving atomic.Bool // this process can serve, and an old one has handed over
@@ -71,28 +77,28 @@
 
 // Run serves until stop ends, or until a new process has taken over, then finishes what it has taken and
 // returns.
-func Run(stop context.Context, c *Config, h Host) error {
-	clk := clock{time.Now()}
+func Run(stop context.Context, c *config.Config, h Host) error {
+	clk := core.NewClock()
 	figures := metrics.New(c.Classes...)
-	n := &node{config: c, host: h, log: h.Log, broken: make(chan error, 1), left: make(chan struct{}, 1)}
-	n.up = newUpstream(c, clk, &figures.Sends, h.Log)
-	d := &discovery{}
+	n := &node{config: c, host: h, log: h.Log, figures: figures, broken: make(chan error, 1), left: make(chan struct{}, 1)}
+	n.up = httpfront.NewUpstream(c, clk, &figures.Sends, h.Log)
+	d := &discovery.Feed{}
 	var err error
-	if n.loop, err = newLoop(c, clk, n.up, d.set, figures, h.Tap, h.Log); err != nil {
+	if n.loop, err = core.New(c, clk, n.up, d.Set, figures, h.Tap, h.Log); err != nil {
 		return err
 	}
 	l := n.loop
-	n.book = maintenance.NewBook(h.Bans, time.Duration(c.Settings.Contract.RampTime)*time.Microsecond, l.mark, h.Log)
-	l.marks = n.book.Marks()
+	n.book = maintenance.NewBook(h.Bans, time.Duration(c.Settings.Contract.RampTime)*time.Microsecond, l.Mark, h.Log)
+	l.Marked(n.book.Marks())
 	if h.Shared != nil {
 		n.book.Share(h.Shared)
 	}
-	d.w = newWatcher(c.Discovery, c.Known.Generation, c.MemoryMB, l.told, h.Log)
-	d.watch, d.ended = (*watcher).keep, l.untold
+	d.Watcher = discovery.NewWatcher(c.Discovery, c.Known.Generation, c.MemoryMB, l.Told, h.Log)
+	d.Watch, d.Ended = (*discovery.Watcher).Keep, l.Untold
 	if c.Settings.Subscribe {
-		d.watch = (*watcher).once
+		d.Watch = (*discovery.Watcher).Once
 	}
-	n.server = newServer(c, l, h.Log)
+	n.server = httpfront.NewServer(c, l, figures, h.Log)
 	n.share(1)
 
 	// What runs beside the server ends after it, so that all that it has taken is answered first.
@@ -100,8 +106,8 @@
 	var beside sync.WaitGroup
 	defer beside.Wait()
 	defer cancel()
-	beside.Go(func() { l.run(ctx) })
-	beside.Go(func() { n.up.keep(ctx) })
+	beside.Go(func() { l.Run(ctx) })
+	beside.Go(func() { n.up.Keep(ctx) })
 	if h.Mgmt != nil {
 		beside.Go(func() {
 			if err := mgmt.New(n, h.Log).Serve(ctx, h.Mgmt); err != nil {
@@ -111,15 +117,15 @@
 	}
 	old := n.join(ctx)
 	if !c.Settings.Subscribe {
-		d.set(true)
+		d.Set(true)
 	}
 	beside.Go(func() {
-		r := reloader{config: c, read: h.Read, figures: figures, log: h.Log, take: l.reload, move: func(addr string) {
-			d.move(newWatcher(addr, unlisted, c.MemoryMB, l.told, h.Log))
+		r := reloader{config: c, read: h.Read, figures: figures, log: h.Log, take: l.Reload, move: func(addr string) {
+			d.Move(discovery.NewWatcher(addr, discovery.Unlisted, c.MemoryMB, l.Told, h.Log))
 		}}
 		r.run(ctx, h.Reload)
 	})
-	defer d.set(false)
+	defer d.Set(false)
 
 	if old != nil {
 		defer old.Close()
@@ -128,7 +134,9 @@
 		return err
 	}
 	beside.Go(func() { n.takeOver(ctx, old) })
-	beside.Go(func() { keeper{l, h.Kept}.run(ctx, func() bool { return !n.serving.Load() || n.yields.Load() }) })
+	beside.Go(func() {
+		core.Keeper{Loop: l, File: h.Kept}.Run(ctx, func() bool { return !n.serving.Load() || n.yields.Load() })
+	})
 	h.Log.Info("serving", "name", c.Name, "listen", c.Listen)
 	select {
 	case err := <-n.broken:
@@ -155,7 +163,7 @@
 	ended := make(chan error, 1)
 	n.ln, n.ended = ln, ended
 	go func() {
-		err := n.server.clients.accept(ln)
+		err := n.server.Accept(ln)
 		ended <- err
 		if err != nil {
 			n.broken <- err
@@ -184,17 +192,17 @@
 	n.stopping = true
 	n.mu.Unlock()
 	s := n.server
-	s.closing.Store(true)
-	s.clients.hush()
+	s.Close(true)
+	s.Hush()
 	begun := time.Now()
 	time.Sleep(acceptFor)
 	n.refrain()
 	// Whoever is still writing is waited for, but not for long: what is open is due.
-	for s.clients.dismiss(time.Since(begun) > writeFor) > 0 {
+	for s.Dismiss(time.Since(begun) > writeFor) > 0 {
 		time.Sleep(settleEvery)
 	}
-	s.clients.hush()
-	s.clients.talks.Wait()
+	s.Hush()
+	s.Wait()
 }
 
 // ---- Operators' calls ------------------------------------------------------
@@ -202,7 +210,7 @@
 // Status says whether this process serves.
 func (n *node) Status() error {
 	switch {
-	case n.server.closing.Load():
+	case n.server.Closing():
 		return errors.New("stopping")
 	case !n.loop.Ready():
 		return errors.New("no endpoint is known to serve")
@@ -213,7 +221,7 @@
 }
 
 // Stats writes the figures.
-func (n *node) Stats(w io.Writer) error { return n.server.figures.WriteText(w) }
+func (n *node) Stats(w io.Writer) error { return n.figures.WriteText(w) }
 
 // Maintain takes an endpoint out or calls it back.
 func (n *node) Maintain(ctx context.Context, id string, out bool) error {
@@ -230,12 +238,12 @@
 		old, state = handover.Join(ctx, n.host.Handover, n, n.log)
 	}
 	if len(state.List) > 0 {
-		var held List
+		var held discovery.List
 		if err := json.Unmarshal(state.List, &held); err != nil {
 			n.log.Error("the old process's list is not readable", "error", err)
 		} else if len(held.Instances) > 0 {
 			// It is newer than the one that the configuration brought.
-			n.loop.call(ctx, func(now balancer.Micros) { n.loop.members(now, balancer.ListCached, held) })
+			n.loop.Cached(ctx, held) // fails only where the loop has ended
 		}
 	}
 	n.recall(ctx, state.Snapshot)
@@ -257,7 +265,7 @@
 	case err != nil:
 		n.log.Warn("snapshot passed over", "from", from, "error", err)
 	case was != nil:
-		n.loop.recall(ctx, was, from)
+		n.loop.Recall(ctx, was, from)
 	}
 }
 
@@ -291,10 +299,8 @@
 // share sets this process's part of the limits.
 func (n *node) share(part float64) {
 	debug.SetMemoryLimit(max(memoryLeast, int64(float64(n.config.MemoryMB<<20)*part/memoryPart)))
-	n.server.clients.resize(n.config.clientConns(part))
-	n.up.resize(n.config.upstreamConns(part))
-	n.up.answers.resize(n.config.heldBytes(part))
-	n.server.bodies.resize(n.config.heldBytes(part))
+	n.server.Share(n.config, part)
+	n.up.Share(n.config, part)
 	n.loop.Share(part)
 }
 
@@ -318,7 +324,7 @@
 
 // State returns what a new process must know.
 func (n *node) State(ctx context.Context) (handover.State, error) {
-	held, err := n.loop.list(ctx)
+	held, err := n.loop.List(ctx)
 	if err != nil {
 		return handover.State{}, err
 	}
@@ -326,7 +332,7 @@
 	if err != nil {
 		return handover.State{}, err
 	}
-	known, err := n.loop.pictured(ctx)
+	known, err := n.loop.Pictured(ctx)
 	if err != nil {
 		n.log.Warn("the new process will not know what is known here", "error", err)
 	}
@@ -339,14 +345,14 @@
 }
 
 // Ejected takes the other process's word on endpoints that fail.
-func (n *node) Ejected(list []handover.Ejection) { n.loop.heard(list) }
+func (n *node) Ejected(list []handover.Ejection) { n.loop.Heard(list) }
 
 // Yield stops accepting. What has been taken is answered, and so is what open connections still bring; each
 // answer closes its connection, and those that bring nothing are closed one by one.
 func (n *node) Yield() {
 	n.refrain()
 	n.yields.Store(true)
-	n.server.closing.Store(true)
+	n.server.Close(true)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.mu.Lock()
 	n.yielded = cancel
@@ -354,7 +360,7 @@
 	go func() {
 		tick := time.NewTicker(settleEvery)
 		defer tick.Stop()
-		for n.server.clients.settle(settleFor) > 0 {
+		for n.server.Settle(settleFor) > 0 {
 			select {
 			case <-tick.C:
 			case <-ctx.Done():
@@ -374,7 +380,7 @@
 	if stopping {
 		return // the platform's socket keeps what comes for the next process
 	}
-	n.server.closing.Store(false)
+	n.server.Close(false)
 	n.yields.Store(false)
 	if err := n.accept(); err != nil {
 		n.broken <- err
