Run several protocols in one sidecar, each with a core of its own; keep late answers

Need: DNS is to be carried by the same core under the same rules, beside HTTP.

A target gets an Order, which also says whether anything more may begin (a server may have been told to drain meanwhile). Where a protocol keeps attempts beyond their time, as DNS over UDP does at no cost, an answer that comes late is still the client's one answer, and what else is out is withdrawn. HTTP does not, as before. A call may have fewer attempts than the settings allow.

--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -84,15 +84,16 @@
 	Target(addr string) Target
 	// Adopt takes a new configuration.
 	Adopt(c *config.Config)
+	// KeepsLate says whether an attempt goes on when its time is up, at no cost, until its request has an answer: then
+	// an answer that comes late is still the client's. The module hears of a time-out all the same.
+	KeepsLate() bool
 }
 
 // Target is where an endpoint listens. Its methods may be called from any goroutine.
 type Target interface {
-	// Send makes one attempt with a call's request, and returns how it ended. mayGo is asked last, right before the
-	// first byte; if it says no, nothing goes out. Whole is called when a body that flows has gone out. When ctx
-	// ends the attempt does, unless its answer has begun to flow.
-	Send(ctx context.Context, request any, deadline balancer.Micros, mayGo func(now balancer.Micros) bool,
-		whole func(now balancer.Micros)) Reply
+	// Send makes one attempt and returns how it ended. When ctx ends the attempt does, unless its answer has begun to
+	// flow.
+	Send(ctx context.Context, o Order) Reply
 	// Probe asks for the endpoint's load.
 	Probe() Reply
 	// Drop ends the use of the target. What is out there goes on.
@@ -101,6 +102,19 @@
 	Flush(before time.Time)
 }
 
+// Order is an attempt as its target gets it.
+type Order struct {
+	Request  any             // the call's
+	Deadline balancer.Micros // after it the attempt counts as timed out
+	// Go is asked last, right before the first byte; if it says no, nothing goes out.
+	Go func(now balancer.Micros) bool
+	// More is asked before anything else that begins anew, such as the same on another connection: the server may
+	// have been told to drain meanwhile.
+	More func(now balancer.Micros) bool
+	// Whole is called when a body that flows has gone out.
+	Whole func(now balancer.Micros)
+}
+
 // Call is a client's request on its way through the loop.
 type Call struct {
 	ID     string // the client's
@@ -112,6 +126,7 @@
 	Answer chan Answer      // holds the one final answer
 	Held   int              // bytes of the front's budget that its body takes
 	Left   balancer.Micros  // for a body that flows: the client's time, from its last byte on
+	Most   int              // attempts, where the protocol allows fewer than the settings; 0 for those
 
 	// The loop's own.
 	attempts []*attempt
@@ -132,6 +147,7 @@
 	cancel   context.CancelFunc
 	timeUp   *alarm
 	done     bool // the balancer knows the outcome
+	late     bool // and it was a time-out, while the attempt goes on
 
 	uploading bool // its body is under way
 }
--- /dev/null
+++ b/internal/core/front.go
@@ -0,0 +1,38 @@
+package core
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"birchmoor/internal/config"
+	"birchmoor/internal/metrics"
+)
+
+// Front is the client side of a protocol. Its methods may be called from any goroutine, Open and Refrain by one at a time.
+type Front interface {
+	Open(broken func(error)) error // takes what comes; is told once if that ends unasked
+	Refrain()                      // takes no more; it may have been stopped before
+	Close(on bool)                 // whether connections are to end with their answers
+	Hush()                         // closes what is idle
+	Dismiss(all bool) int          // closes what has asked nothing, all or what is not about to, and counts the rest
+	Settle(age time.Duration) int  // closes what has been idle for longer, and counts what is open
+	Share(c *config.Config, part float64)
+	Wait() // until all that was taken has its answer
+}
+
+// Upstream is the other side.
+type Upstream interface {
+	Transport
+	Keep(ctx context.Context) // looks after what is open, until ctx ends
+	Share(c *config.Config, part float64)
+}
+
+// Protocol is one that a host adds beside HTTP. It has a core of its own.
+type Protocol interface {
+	Name() string                                    // as discovery's entries have it
+	Descriptors() int                                // that it may hold
+	Config(c *config.Config) (*config.Config, error) // of its core
+	Upstream(c *config.Config, clk Clock, figures *metrics.Registry, log *slog.Logger) Upstream
+	Front(l *Loop, figures *metrics.Registry, log *slog.Logger) Front
+}
--- /dev/null
+++ b/internal/core/late_test.go
@@ -0,0 +1,91 @@
+package core
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"birchmoor/balancer"
+	"birchmoor/internal/discovery"
+	"birchmoor/internal/metrics"
+	"birchmoor/internal/sidetest"
+)
+
+// An answer that comes after its attempt's time, while another attempt is out, is the client's one answer where the
+// protocol keeps it: the other attempt is withdrawn, and its answer is nobody's.
+func TestLateAnswer(t *testing.T) {
+	for _, late := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			answersAfter := []time.Duration{70 * time.Millisecond, 40 * time.Millisecond}
+			sent := make(chan int, 8)
+			attempts, withdrawn, warm := 0, 0, true
+			s := stub{late: late, send: func(ctx context.Context, o Order) Reply {
+				o.Go(0)
+				if warm {
+					time.Sleep(time.Millisecond)
+					return Reply{Status: balancer.OK, At: o.Request.(balancer.Micros) + 1000}
+				}
+				n := attempts // the loop sends one after the other
+				attempts++
+				sent <- n
+				select {
+				case <-time.After(answersAfter[n]):
+					return Reply{Status: balancer.OK, At: balancer.Micros(n)}
+				case <-ctx.Done():
+					withdrawn++
+					return Reply{Status: balancer.Cancelled}
+				}
+			}}
+			c := sidetest.Configure(t, "127.0.0.1:1", []discovery.Instance{sidetest.Up("s-1", "127.0.0.1:1"), sidetest.Up("s-2", "127.0.0.1:2")})
+			l, err := New(c, NewClock(), s, func(bool) {}, metrics.New(), nil, sidetest.Quiet)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { l.Run(ctx); close(done) }()
+			// Quick answers teach the module what to expect of both, so that its patience is its least.
+			for range 100 {
+				var two [2]*Call
+				for i := range two {
+					two[i] = &Call{ID: strconv.Itoa(i), Class: "look", View: l.View(), Answer: make(chan Answer, 1), Out: l.Now(),
+						In: balancer.Request{Deadline: l.Now() + 900_000, Rules: l.View().Rules}}
+					l.Arrived(two[i])
+				}
+				<-two[0].Answer
+				<-two[1].Answer
+			}
+			warm = false
+			k := &Call{ID: "1", Class: "look", View: l.View(), Answer: make(chan Answer, 1),
+				In: balancer.Request{Deadline: l.Now() + 900_000, Rules: l.View().Rules}}
+			begun := time.Now()
+			l.Arrived(k)
+			a := <-k.Answer
+			took := time.Since(begun)
+			if len(sent) != 2 {
+				t.Fatalf("%d attempts, answered after %v", len(sent), took)
+			}
+			if a.Verdict != Served {
+				t.Fatalf("late %v: verdict %v", late, a.Verdict)
+			}
+			want := 0 // the first attempt's
+			if !late {
+				want = 1
+			}
+			if int(a.Reply.At) != want {
+				t.Errorf("late %v: the answer of attempt %d, after %v", late, a.Reply.At, took)
+			}
+			if late && took != answersAfter[0] {
+				t.Errorf("answered after %v", took)
+			}
+			synctest.Wait()
+			if withdrawn != 1 || len(l.calls) != 0 || len(k.Answer) != 0 {
+				t.Errorf("late %v: %d withdrawn, %d calls kept", late, withdrawn, len(l.calls))
+			}
+			cancel()
+			<-done
+		})
+	}
+}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -310,14 +310,21 @@
 
 // outcome tells the balancer how an attempt ended. The first whole answer of an endpoint is the client's.
 func (l *Loop) outcome(now balancer.Micros, a *attempt, r Reply) {
+	c := a.call
 	if a.done {
-		r.Release()
-		return // its time was up before this came
+		// Its time was up before this came. The client may still want it.
+		if a.late && !c.ended && r.Status == balancer.OK {
+			l.lateAnswer(now, c, r)
+		} else {
+			r.Release()
+		}
+		return
 	}
 	a.done = true
-	a.cancel()
+	if a.late = r.Status == balancer.Timeout && l.upstream.KeepsLate(); !a.late {
+		a.cancel()
+	}
 	l.callOff(a.timeUp)
-	c := a.call
 	c.open--
 	c.late = r.Status == balancer.Timeout
 	if r.Status == balancer.OK && !c.ended {
@@ -331,6 +338,22 @@
 		Status: r.Status, Latency: max(0, r.At-a.sent), Settled: settled, Spent: r.Spent, Load: r.Load})
 }
 
+// lateAnswer gives a request the answer of an attempt that the module holds to have timed out. What is still out for it
+// is withdrawn, by which the module learns that the request has its answer.
+func (l *Loop) lateAnswer(now balancer.Micros, c *Call, r Reply) {
+	l.finish(c, Answer{Verdict: Served, Reply: &r})
+	withdrawn := false
+	for _, a := range c.attempts {
+		if !a.done {
+			l.outcome(now, a, Reply{Status: balancer.Cancelled, At: now})
+			withdrawn = true
+		}
+	}
+	if !withdrawn { // the module holds the request back
+		l.balancer.ClientGone(now, c.In.ID)
+	}
+}
+
 // timeUp ends an attempt by our clock, whatever its connection does.
 func (l *Loop) timeUp(now balancer.Micros, a *attempt) {
 	if a.done {
@@ -478,7 +501,7 @@
 	a.cancel = cancel
 	c.attempts = append(c.attempts, a)
 	c.open++
-	if c.ended || e == nil || now >= a.deadline || len(c.attempts) > c.View.Settings.Limits.MaxAttempts {
+	if c.ended || e == nil || now >= a.deadline || len(c.attempts) > c.most() {
 		if e == nil {
 			a.endpoint = &endpoint{number: number}
 		}
@@ -489,13 +512,14 @@
 	a.uploading = c.Flows && c.In.Flows
 	to := e.to
 	go func() {
-		r := to.Send(ctx, c.Out, a.deadline, func(now balancer.Micros) bool {
-			// The dial may have outlasted the grace of a drain or the time of the request.
+		// The dial may have outlasted the grace of a drain or the time of the request.
+		more := func(now balancer.Micros) bool {
 			stop := e.stopAt.Load()
-			return (stop == 0 || now < stop) && now < a.deadline && a.gate.pass()
-		}, func(balancer.Micros) {
-			l.post(func(now balancer.Micros) { l.uploaded(now, a) })
-		})
+			return (stop == 0 || now < stop) && now < a.deadline
+		}
+		r := to.Send(ctx, Order{Request: c.Out, Deadline: a.deadline, More: more,
+			Go:    func(now balancer.Micros) bool { return more(now) && a.gate.pass() },
+			Whole: func(balancer.Micros) { l.post(func(now balancer.Micros) { l.uploaded(now, a) }) }})
 		l.post(func(now balancer.Micros) {
 			if r.Content != nil && r.Content.Flows() {
 				l.begins(now, a, r)
@@ -569,6 +593,14 @@
 // Log records a line for on-call staff.
 func (l *Loop) Log(line string) { l.log.Info(line) }
 
+// most is how many attempts a call may have.
+func (c *Call) most() int {
+	if most := c.View.Settings.Limits.MaxAttempts; c.Most <= 0 || most < c.Most {
+		return most
+	}
+	return c.Most
+}
+
 // ---- The table of requests -------------------------------------------------
 
 // finish gives a request its one final answer; nothing new goes out for it.
@@ -583,6 +615,8 @@
 	for _, a := range c.attempts {
 		if !a.done {
 			a.gate.shut()
+		} else if a.late {
+			a.cancel() // nobody waits for it any more
 		}
 	}
 	l.forget(c)
--- a/internal/core/members_test.go
+++ b/internal/core/members_test.go
@@ -82,10 +82,10 @@
 		synctest.Test(t, func(t *testing.T) {
 			cfg := sidetest.Configure(t, "127.0.0.1:1", []discovery.Instance{sidetest.Up("s-1", "127.0.0.1:1")})
 			clk, dialing := NewClock(), make(chan struct{})
-			l, err := New(cfg, clk, stub{func(mayGo func(balancer.Micros) bool) Reply {
+			l, err := New(cfg, clk, stub{send: func(_ context.Context, o Order) Reply {
 				close(dialing)
 				time.Sleep(tc.wait + time.Millisecond) // the list is here by then
-				if now := clk.Now(); !mayGo(now) {
+				if now := clk.Now(); !o.Go(now) {
 					return Reply{Status: balancer.Moot, At: now}
 				}
 				return Reply{Status: balancer.OK, At: clk.Now()}
--- a/internal/core/recall_test.go
+++ b/internal/core/recall_test.go
@@ -38,17 +38,17 @@
 
 // stub is a protocol without an upstream side: send, where there is one, is what an attempt does.
 type stub struct {
-	send func(mayGo func(now balancer.Micros) bool) Reply
+	send func(ctx context.Context, o Order) Reply
+	late bool
 }
 
-func (s stub) Target(string) Target { return s }
-func (s stub) Adopt(*config.Config) {}
-func (s stub) Probe() Reply         { return Reply{Status: balancer.ConnectFailed} }
-func (s stub) Drop()                {}
-func (s stub) Flush(time.Time)      {}
-func (s stub) Send(_ context.Context, _ any, _ balancer.Micros, mayGo func(balancer.Micros) bool, _ func(balancer.Micros)) Reply {
-	return s.send(mayGo)
-}
+func (s stub) Target(string) Target                    { return s }
+func (s stub) Adopt(*config.Config)                    {}
+func (s stub) Probe() Reply                            { return Reply{Status: balancer.ConnectFailed} }
+func (s stub) Drop()                                   {}
+func (s stub) Flush(time.Time)                         {}
+func (s stub) KeepsLate() bool                         { return s.late }
+func (s stub) Send(ctx context.Context, o Order) Reply { return s.send(ctx, o) }
 
 // answers has endpoints answer a probe after their own round trips.
 func answers(t *testing.T, l *Loop, trips map[string]balancer.Micros) {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -38,6 +39,27 @@
 	Lifecycle string  `json:"lifecycle"`
 	Weight    float32 `json:"weight"`
 	StartedMs int64   `json:"startedAtMs"`
+	Protocol  string  `json:"protocol,omitempty"` // empty: HTTP
+}
+
+// For returns the list as it concerns one protocol. An entry of another one tells that the endpoint, if it was known,
+// is not there any more.
+func (l List) For(protocol string) List {
+	foreign := func(in Instance) bool { return in.Protocol != protocol }
+	if !slices.ContainsFunc(l.Instances, foreign) {
+		return l
+	}
+	mine := make([]Instance, 0, len(l.Instances))
+	for _, in := range l.Instances {
+		switch {
+		case !foreign(in):
+			mine = append(mine, in)
+		case !l.Reset:
+			mine = append(mine, Instance{ID: in.ID, Lifecycle: "removed"})
+		}
+	}
+	l.Instances = mine
+	return l
 }
 
 // States gives the meaning of a lifecycle. What an unlisted word means is not known: nothing new goes there.
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -30,7 +30,8 @@
 	Marks []maintenance.Mark `json:"marks"`
 	List  json.RawMessage    `json:"list"` // of endpoints, in discovery's form
 
-	Snapshot []byte `json:"snapshot,omitempty"` // of the decision module, in package snapshot's form
+	Snapshot []byte            `json:"snapshot,omitempty"` // of the decision module, in package snapshot's form
+	Others   map[string][]byte `json:"others,omitempty"`   // of those of protocols besides HTTP
 }
 
 // Ejection is an endpoint that a process sends nothing for a while, since it failed.
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -18,6 +18,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -26,6 +27,7 @@
 	"birchmoor/internal/budget"
 	"birchmoor/internal/config"
 	"birchmoor/internal/core"
+	"birchmoor/internal/handover"
 	"birchmoor/internal/metrics"
 )
 
@@ -46,24 +48,55 @@
 	figures *metrics.Registry
 	bodies  *budget.Budget // bytes of bodies that are held
 	closing atomic.Bool
+	socket  handover.Socket
+
+	mu       sync.Mutex
+	ln       net.Listener
+	accepted chan struct{} // closed once that ended
 }
 
 // NewServer returns a server that brings its requests to l.
-func NewServer(c *config.Config, l *core.Loop, figures *metrics.Registry, log *slog.Logger) *Server {
-	s := &Server{loop: l, figures: figures, bodies: budget.New(c.HeldBytes(1))}
+func NewServer(c *config.Config, l *core.Loop, socket handover.Socket, figures *metrics.Registry, log *slog.Logger) *Server {
+	s := &Server{loop: l, socket: socket, figures: figures, bodies: budget.New(c.HeldBytes(1))}
 	s.clients = newClients(c.ClientConns(1), s.talk, log)
 	return s
 }
 
-// Accept serves the connections that come to ln until it is closed.
-func (s *Server) Accept(ln net.Listener) error { return s.clients.accept(ln) }
+// Open begins to accept connections. It is told if that ends unasked.
+func (s *Server) Open(broken func(error)) error {
+	ln, err := s.socket.Listen()
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ended := make(chan struct{})
+	s.ln, s.accepted = ln, ended
+	go func() {
+		err := s.clients.accept(ln)
+		close(ended)
+		if err != nil {
+			broken(err)
+		}
+	}()
+	return nil
+}
+
+// Refrain stops accepting; it may have been stopped before.
+func (s *Server) Refrain() {
+	s.mu.Lock()
+	ln, ended := s.ln, s.accepted
+	s.ln = nil
+	s.mu.Unlock()
+	if ln != nil {
+		ln.Close()
+		<-ended
+	}
+}
 
 // Close says whether each answer is to close its connection. Clients are told that the server is not ready then.
 func (s *Server) Close(on bool) { s.closing.Store(on) }
 
-// Closing says whether it is so.
-func (s *Server) Closing() bool { return s.closing.Load() }
-
 // Share sets the part of the limits that is for this process.
 func (s *Server) Share(c *config.Config, part float64) {
 	s.clients.resize(c.ClientConns(part))
--- a/internal/httpfront/upstream.go
+++ b/internal/httpfront/upstream.go
@@ -76,9 +76,8 @@
 func (u *Upstream) Target(addr string) core.Target { return &place{up: u, addr: addr} }
 
 // Send makes one attempt.
-func (p *place) Send(ctx context.Context, request any, deadline balancer.Micros, mayGo func(now balancer.Micros) bool,
-	whole func(now balancer.Micros)) core.Reply {
-	return p.up.send(ctx, p, request.(*message), deadline, mayGo, whole)
+func (p *place) Send(ctx context.Context, o core.Order) core.Reply {
+	return p.up.send(ctx, p, o.Request.(*message), o.Deadline, o.Go, o.Whole)
 }
 
 // Probe asks for the endpoint's load.
@@ -135,6 +134,9 @@
 	onAnswers bool
 }
 
+// KeepsLate says no: an attempt that goes on holds a connection.
+func (u *Upstream) KeepsLate() bool { return false }
+
 // Adopt takes what a configuration says of load reports.
 func (u *Upstream) Adopt(c *config.Config) { u.reports.Store(&reports{c.Fields, c.OnAnswers}) }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -48,14 +48,29 @@
 	Loaded    Counter // configurations taken at a reload
 	Invalid   Counter // and turned down
 
+	prefix string // begins the name of every figure
+
 	mu      sync.RWMutex
 	classes map[string]*Class
 	order   []string // as first named
+	more    []named
+}
+
+// named is a counter that only one protocol has.
+type named struct {
+	name  string
+	count *Counter
 }
 
 // New returns a registry that shows the named classes from the beginning.
-func New(classes ...string) *Registry {
-	r := &Registry{classes: map[string]*Class{}}
+func New(classes ...string) *Registry { return NewFor("", classes...) }
+
+// NewFor returns one for a protocol beside HTTP, whose figures bear its name.
+func NewFor(protocol string, classes ...string) *Registry {
+	r := &Registry{classes: map[string]*Class{}, prefix: prefix}
+	if protocol != "" {
+		r.prefix += protocol + "_"
+	}
 	for _, name := range classes {
 		r.Class(name)
 	}
@@ -80,7 +95,15 @@
 	return c
 }
 
-// prefix begins the name of every figure.
+// Counter returns a new counter that is shown under a name.
+func (r *Registry) Counter(name string) *Counter {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := &Counter{}
+	r.more = append(r.more, named{name, c})
+	return c
+}
+
 const prefix = "app_"
 
 // escape writes a label's value as the exposition format wants it.
@@ -96,9 +119,10 @@
 			name  string
 			count *Counter
 		}{{"answered_total", &c.Answered}, {"deferred_total", &c.Deferred}, {"errored_total", &c.Errored}} {
-			fmt.Fprintf(b, "%s%s{group=\"%s\"} %d\n", prefix, f.name, escape.Replace(name), f.count.Value())
+			fmt.Fprintf(b, "%s%s{group=\"%s\"} %d\n", r.prefix, f.name, escape.Replace(name), f.count.Value())
 		}
 	}
+	more := r.more
 	r.mu.RUnlock()
 	for _, f := range [...]struct {
 		name  string
@@ -111,7 +135,10 @@
 		{"conf_loaded_total", int64(r.Loaded.Value())},
 		{"conf_invalid_total", int64(r.Invalid.Value())},
 	} {
-		fmt.Fprintf(b, "%s%s %d\n", prefix, f.name, f.value)
+		fmt.Fprintf(b, "%s%s %d\n", r.prefix, f.name, f.value)
+	}
+	for _, f := range more {
+		fmt.Fprintf(b, "%s%s %d\n", r.prefix, f.name, f.count.Value())
 	}
 	if err := b.Flush(); err != nil {
 		return fmt.Errorf("write figures: %w", err)
--- /dev/null
+++ b/internal/sidecar/lane.go
@@ -0,0 +1,144 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"birchmoor/internal/config"
+	"birchmoor/internal/core"
+	"birchmoor/internal/discovery"
+	"birchmoor/internal/httpfront"
+	"birchmoor/internal/maintenance"
+	"birchmoor/internal/metrics"
+	"birchmoor/internal/snapshot"
+)
+
+// lane is a protocol as this process runs it.
+type lane struct {
+	name    string // "" is HTTP
+	config  *config.Config
+	derive  func(*config.Config) (*config.Config, error)
+	figures *metrics.Registry
+	loop    *core.Loop
+	up      core.Upstream
+	front   core.Front
+	kept    snapshot.File
+}
+
+// httpLane is the lane that every sidecar has.
+func httpLane(c *config.Config, h *Host, clk core.Clock, watch func(bool)) (*lane, error) {
+	n := &lane{derive: func(c *config.Config) (*config.Config, error) {
+		d := *c
+		d.Known = c.Known.For("")
+		return &d, nil
+	}, figures: metrics.New(c.Classes...), kept: h.Kept}
+	n.config, _ = n.derive(c)
+	up := httpfront.NewUpstream(n.config, clk, &n.figures.Sends, h.Log)
+	n.up = up
+	var err error
+	if n.loop, err = core.New(n.config, clk, up, watch, n.figures, h.Tap, h.Log); err != nil {
+		return nil, err
+	}
+	n.front = httpfront.NewServer(n.config, n.loop, h.Socket, n.figures, h.Log)
+	return n, nil
+}
+
+// laneOf is the lane of a protocol beside HTTP.
+func laneOf(p core.Protocol, c *config.Config, h *Host, clk core.Clock) (*lane, error) {
+	log := h.Log.With("protocol", p.Name())
+	n := &lane{name: p.Name(), derive: p.Config, kept: h.Kept}
+	var err error
+	if n.config, err = n.derive(c); err != nil {
+		return nil, err
+	}
+	if n.kept.Path != "" {
+		n.kept.Path += "." + n.name
+	}
+	n.figures = metrics.NewFor(n.name, n.config.Classes...)
+	n.up = p.Upstream(n.config, clk, n.figures, log)
+	if n.loop, err = core.New(n.config, clk, n.up, func(bool) {}, n.figures, nil, log); err != nil {
+		return nil, err
+	}
+	n.front = p.Front(n.loop, n.figures, log)
+	return n, nil
+}
+
+// share sets this process's part of the limits.
+func (n *lane) share(part float64) {
+	n.front.Share(n.config, part)
+	n.up.Share(n.config, part)
+	n.loop.Share(part)
+}
+
+// lanes are all protocols of a process, HTTP first.
+type lanes []*lane
+
+// told passes on a list.
+func (ls lanes) told(watch context.Context, list discovery.List) {
+	for _, n := range ls {
+		n.loop.Told(watch, list.For(n.name))
+	}
+}
+
+// cached passes on a list of an old process.
+func (ls lanes) cached(ctx context.Context, list discovery.List) {
+	for _, n := range ls {
+		n.loop.Cached(ctx, list.For(n.name)) // fails only where the loop has ended
+	}
+}
+
+// list is what all hold.
+func (ls lanes) list(ctx context.Context) (discovery.List, error) {
+	whole := discovery.List{Reset: true}
+	for _, n := range ls {
+		l, err := n.loop.List(ctx)
+		if err != nil {
+			return discovery.List{}, err
+		}
+		whole.Instances = append(whole.Instances, l.Instances...)
+	}
+	return whole, nil
+}
+
+// mark makes an operator's call bind in all. An ID that one of them knows is known; the others keep a ban for the case
+// that it comes to them.
+func (ls lanes) mark(ctx context.Context, m maintenance.Mark, force bool) error {
+	unknown := 0
+	for _, n := range ls {
+		err := n.loop.Mark(ctx, m, force)
+		if errors.Is(err, maintenance.ErrUnknown) {
+			unknown++
+		} else if err != nil {
+			return err
+		}
+	}
+	if unknown == len(ls) {
+		return maintenance.ErrUnknown
+	}
+	if unknown > 0 && m.Out {
+		for _, n := range ls { // those that have it change nothing
+			if err := n.loop.Mark(ctx, m, true); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// reload takes a new configuration, in all or in none.
+func (ls lanes) reload(ctx context.Context, c *config.Config) error {
+	next := make([]*config.Config, len(ls))
+	for i, n := range ls {
+		var err error
+		if next[i], err = n.derive(c); err != nil {
+			return fmt.Errorf("%s: %w", n.name, err)
+		}
+	}
+	for i, n := range ls {
+		if err := n.loop.Reload(ctx, next[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -20,9 +20,7 @@
 	"birchmoor/internal/core"
 	"birchmoor/internal/discovery"
 	"birchmoor/internal/handover"
-	"birchmoor/internal/httpfront"
 	"birchmoor/internal/maintenance"
-	"birchmoor/internal/metrics"
 	"birchmoor/internal/mgmt"
 	"birchmoor/internal/snapshot"
 )
@@ -44,6 +42,7 @@
 	Bans     maintenance.Store              // what operators said, over the life of a process
 	Shared   maintenance.Shared             // what daemons agree on; nil for nothing
 	Kept     snapshot.File                  // what a process knew, for the next one
+	Beside   []core.Protocol                // protocols besides HTTP
 	Tap      core.Tap                       // between the loop and the decision module; nil for nothing
 	Handover string                         // where old and new processes find each other; empty for nowhere
 	Reload   <-chan os.Signal               // at each the configuration is read again
@@ -56,19 +55,16 @@
 	config  *config.Config
 	host    Host
 	log     *slog.Logger
-	figures *metrics.Registry
-	loop    *core.Loop
-	up      *httpfront.Upstream
-	server  *httpfront.Server
+	lanes   lanes
 	book    *maintenance.Book
+	closing atomic.Bool // connections end with their answers
 	yields  atomic.Bool // a new process accepts in place of this one
 	serving atomic.Bool // this process can serve, and an old one has handed over
 
+	broken chan error    // why taking requests ended unasked
+	left   chan struct{} // closed once a new process accepts and no connection is left here
+
 	mu      sync.Mutex
-	ln      net.Listener
-	ended   chan error    // of accepting on ln
-	broken  chan error    // why accepting ended unasked
-	left    chan struct{} // closed once a new process accepts and no connection is left here
 	yielded context.CancelFunc
 	beside  int // processes
 
@@ -79,26 +75,40 @@
 // returns.
 func Run(stop context.Context, c *config.Config, h Host) error {
 	clk := core.NewClock()
-	figures := metrics.New(c.Classes...)
-	n := &node{config: c, host: h, log: h.Log, figures: figures, broken: make(chan error, 1), left: make(chan struct{}, 1)}
-	n.up = httpfront.NewUpstream(c, clk, &figures.Sends, h.Log)
+	own := *c
+	for _, p := range h.Beside {
+		own.Sockets -= p.Descriptors()
+	}
+	if own.Sockets < config.LeastSockets {
+		return fmt.Errorf("the protocols besides HTTP leave %d of %d descriptors: %d are needed", own.Sockets, c.Sockets, config.LeastSockets)
+	}
+	c = &own
+	n := &node{config: c, host: h, log: h.Log, broken: make(chan error, 1), left: make(chan struct{}, 1)}
 	d := &discovery.Feed{}
-	var err error
-	if n.loop, err = core.New(c, clk, n.up, d.Set, figures, h.Tap, h.Log); err != nil {
+	first, err := httpLane(c, &h, clk, d.Set)
+	if err != nil {
 		return err
 	}
-	l := n.loop
-	n.book = maintenance.NewBook(h.Bans, time.Duration(c.Settings.Contract.RampTime)*time.Microsecond, l.Mark, h.Log)
-	l.Marked(n.book.Marks())
+	n.lanes = lanes{first}
+	for _, p := range h.Beside {
+		more, err := laneOf(p, c, &h, clk)
+		if err != nil {
+			return err
+		}
+		n.lanes = append(n.lanes, more)
+	}
+	n.book = maintenance.NewBook(h.Bans, time.Duration(c.Settings.Contract.RampTime)*time.Microsecond, n.lanes.mark, h.Log)
+	for _, l := range n.lanes {
+		l.loop.Marked(n.book.Marks())
+	}
 	if h.Shared != nil {
 		n.book.Share(h.Shared)
 	}
-	d.Watcher = discovery.NewWatcher(c.Discovery, c.Known.Generation, c.MemoryMB, l.Told, h.Log)
-	d.Watch, d.Ended = (*discovery.Watcher).Keep, l.Untold
+	d.Watcher = discovery.NewWatcher(c.Discovery, c.Known.Generation, c.MemoryMB, n.lanes.told, h.Log)
+	d.Watch, d.Ended = (*discovery.Watcher).Keep, first.loop.Untold
 	if c.Settings.Subscribe {
 		d.Watch = (*discovery.Watcher).Once
 	}
-	n.server = httpfront.NewServer(c, l, figures, h.Log)
 	n.share(1)
 
 	// What runs beside the server ends after it, so that all that it has taken is answered first.
@@ -106,8 +116,10 @@
 	var beside sync.WaitGroup
 	defer beside.Wait()
 	defer cancel()
-	beside.Go(func() { l.Run(ctx) })
-	beside.Go(func() { n.up.Keep(ctx) })
+	for _, l := range n.lanes {
+		beside.Go(func() { l.loop.Run(ctx) })
+		beside.Go(func() { l.up.Keep(ctx) })
+	}
 	if h.Mgmt != nil {
 		beside.Go(func() {
 			if err := mgmt.New(n, h.Log).Serve(ctx, h.Mgmt); err != nil {
@@ -120,8 +132,8 @@
 		d.Set(true)
 	}
 	beside.Go(func() {
-		r := reloader{config: c, read: h.Read, figures: figures, log: h.Log, take: l.Reload, move: func(addr string) {
-			d.Move(discovery.NewWatcher(addr, discovery.Unlisted, c.MemoryMB, l.Told, h.Log))
+		r := reloader{config: c, read: h.Read, figures: first.figures, log: h.Log, take: n.lanes.reload, move: func(addr string) {
+			d.Move(discovery.NewWatcher(addr, discovery.Unlisted, c.MemoryMB, n.lanes.told, h.Log))
 		}}
 		r.run(ctx, h.Reload)
 	})
@@ -130,13 +142,15 @@
 	if old != nil {
 		defer old.Close()
 	}
-	if err := n.accept(); err != nil {
+	if err := n.open(); err != nil {
 		return err
 	}
 	beside.Go(func() { n.takeOver(ctx, old) })
-	beside.Go(func() {
-		core.Keeper{Loop: l, File: h.Kept}.Run(ctx, func() bool { return !n.serving.Load() || n.yields.Load() })
-	})
+	for _, l := range n.lanes {
+		beside.Go(func() {
+			core.Keeper{Loop: l.loop, File: l.kept}.Run(ctx, func() bool { return !n.serving.Load() || n.yields.Load() })
+		})
+	}
 	h.Log.Info("serving", "name", c.Name, "listen", c.Listen)
 	select {
 	case err := <-n.broken:
@@ -152,36 +166,43 @@
 
 // ---- Accepting -------------------------------------------------------------
 
-// accept begins to accept connections.
-func (n *node) accept() error {
-	ln, err := n.host.Socket.Listen()
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	ended := make(chan error, 1)
-	n.ln, n.ended = ln, ended
-	go func() {
-		err := n.server.Accept(ln)
-		ended <- err
+// open begins to take requests.
+func (n *node) open() error {
+	for _, l := range n.lanes {
+		err := l.front.Open(func(err error) {
+			select {
+			case n.broken <- err:
+			default: // one is enough to end with
+			}
+		})
 		if err != nil {
-			n.broken <- err
+			return err
 		}
-	}()
+	}
 	return nil
 }
 
-// refrain stops accepting; it may have been stopped before.
+// refrain takes no more; it may have been stopped before.
 func (n *node) refrain() {
-	n.mu.Lock()
-	ln, ended := n.ln, n.ended
-	n.ln = nil
-	n.mu.Unlock()
-	if ln != nil {
-		ln.Close()
-		<-ended
+	for _, l := range n.lanes {
+		l.front.Refrain()
+	}
+}
+
+// close says whether connections end with their answers.
+func (n *node) close(on bool) {
+	n.closing.Store(on)
+	for _, l := range n.lanes {
+		l.front.Close(on)
+	}
+}
+
+// count adds up what each protocol still has.
+func (n *node) count(of func(core.Front) int) (left int) {
+	for _, l := range n.lanes {
+		left += of(l.front)
 	}
+	return left
 }
 
 // drain goes on serving while clients may still connect, with each answer closing its connection, and then
@@ -191,18 +212,24 @@
 	n.mu.Lock()
 	n.stopping = true
 	n.mu.Unlock()
-	s := n.server
-	s.Close(true)
-	s.Hush()
+	n.close(true)
+	hush := func() {
+		for _, l := range n.lanes {
+			l.front.Hush()
+		}
+	}
+	hush()
 	begun := time.Now()
 	time.Sleep(acceptFor)
 	n.refrain()
 	// Whoever is still writing is waited for, but not for long: what is open is due.
-	for s.Dismiss(time.Since(begun) > writeFor) > 0 {
+	for n.count(func(f core.Front) int { return f.Dismiss(time.Since(begun) > writeFor) }) > 0 {
 		time.Sleep(settleEvery)
 	}
-	s.Hush()
-	s.Wait()
+	hush()
+	for _, l := range n.lanes {
+		l.front.Wait()
+	}
 }
 
 // ---- Operators' calls ------------------------------------------------------
@@ -210,9 +237,9 @@
 // Status says whether this process serves.
 func (n *node) Status() error {
 	switch {
-	case n.server.Closing():
+	case n.closing.Load():
 		return errors.New("stopping")
-	case !n.loop.Ready():
+	case !n.lanes[0].loop.Ready():
 		return errors.New("no endpoint is known to serve")
 	case !n.serving.Load():
 		return errors.New("the old process still serves")
@@ -221,7 +248,14 @@
 }
 
 // Stats writes the figures.
-func (n *node) Stats(w io.Writer) error { return n.figures.WriteText(w) }
+func (n *node) Stats(w io.Writer) error {
+	for _, l := range n.lanes {
+		if err := l.figures.WriteText(w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
 
 // Maintain takes an endpoint out or calls it back.
 func (n *node) Maintain(ctx context.Context, id string, out bool) error {
@@ -243,10 +277,16 @@
 			n.log.Error("the old process's list is not readable", "error", err)
 		} else if len(held.Instances) > 0 {
 			// It is newer than the one that the configuration brought.
-			n.loop.Cached(ctx, held) // fails only where the loop has ended
+			n.lanes.cached(ctx, held)
+		}
+	}
+	for _, l := range n.lanes {
+		if l.name == "" {
+			n.recall(ctx, l, state.Snapshot)
+		} else {
+			n.recall(ctx, l, state.Others[l.name])
 		}
 	}
-	n.recall(ctx, state.Snapshot)
 	if err := n.book.Merge(ctx, state.Marks...); err != nil {
 		n.log.Error("the old process's bans do not bind", "error", err)
 	}
@@ -254,18 +294,18 @@
 }
 
 // recall tells the module what an earlier process knew: the old one's word, else what was kept in the file.
-func (n *node) recall(ctx context.Context, told []byte) {
+func (n *node) recall(ctx context.Context, l *lane, told []byte) {
 	from := "the old process"
 	was, err := snapshot.Decode(told)
 	if len(told) == 0 {
-		from = n.host.Kept.Path
-		was, err = n.host.Kept.Load()
+		from = l.kept.Path
+		was, err = l.kept.Load()
 	}
 	switch {
 	case err != nil:
 		n.log.Warn("snapshot passed over", "from", from, "error", err)
 	case was != nil:
-		n.loop.Recall(ctx, was, from)
+		l.loop.Recall(ctx, was, from)
 	}
 }
 
@@ -274,7 +314,7 @@
 func (n *node) takeOver(ctx context.Context, old *handover.Old) {
 	tick := time.NewTicker(readyEvery)
 	defer tick.Stop()
-	for !n.loop.Ready() {
+	for !n.lanes[0].loop.Ready() {
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
@@ -299,15 +339,18 @@
 // share sets this process's part of the limits.
 func (n *node) share(part float64) {
 	debug.SetMemoryLimit(max(memoryLeast, int64(float64(n.config.MemoryMB<<20)*part/memoryPart)))
-	n.server.Share(n.config, part)
-	n.up.Share(n.config, part)
-	n.loop.Share(part)
+	for _, l := range n.lanes {
+		l.share(part)
+	}
 }
 
 // Beside begins a time in which another process serves beside this one.
 func (n *node) Beside(other handover.Peer) (leave func()) {
 	forget := n.book.Beside(other.Mark)
-	hush := n.loop.Beside(other.Eject)
+	var hush []func()
+	for _, l := range n.lanes {
+		hush = append(hush, l.loop.Beside(other.Eject))
+	}
 	count := func(more int) {
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -317,14 +360,16 @@
 	count(1)
 	return func() {
 		forget()
-		hush()
+		for _, h := range hush {
+			h()
+		}
 		count(-1)
 	}
 }
 
 // State returns what a new process must know.
 func (n *node) State(ctx context.Context) (handover.State, error) {
-	held, err := n.loop.List(ctx)
+	held, err := n.lanes.list(ctx)
 	if err != nil {
 		return handover.State{}, err
 	}
@@ -332,11 +377,19 @@
 	if err != nil {
 		return handover.State{}, err
 	}
-	known, err := n.loop.Pictured(ctx)
-	if err != nil {
-		n.log.Warn("the new process will not know what is known here", "error", err)
+	s := handover.State{Marks: n.book.Marks(), List: list, Others: map[string][]byte{}}
+	for _, l := range n.lanes {
+		known, err := l.loop.Pictured(ctx)
+		switch {
+		case err != nil:
+			n.log.Warn("the new process will not know what is known here", "protocol", l.name, "error", err)
+		case l.name == "":
+			s.Snapshot = known
+		default:
+			s.Others[l.name] = known
+		}
 	}
-	return handover.State{Marks: n.book.Marks(), List: list, Snapshot: known}, nil
+	return s, nil
 }
 
 // Merge makes calls to the other process bind here.
@@ -345,14 +398,18 @@
 }
 
 // Ejected takes the other process's word on endpoints that fail.
-func (n *node) Ejected(list []handover.Ejection) { n.loop.Heard(list) }
+func (n *node) Ejected(list []handover.Ejection) {
+	for _, l := range n.lanes {
+		l.loop.Heard(list)
+	}
+}
 
 // Yield stops accepting. What has been taken is answered, and so is what open connections still bring; each
 // answer closes its connection, and those that bring nothing are closed one by one.
 func (n *node) Yield() {
 	n.refrain()
 	n.yields.Store(true)
-	n.server.Close(true)
+	n.close(true)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.mu.Lock()
 	n.yielded = cancel
@@ -360,7 +417,7 @@
 	go func() {
 		tick := time.NewTicker(settleEvery)
 		defer tick.Stop()
-		for n.server.Settle(settleFor) > 0 {
+		for n.count(func(f core.Front) int { return f.Settle(settleFor) }) > 0 {
 			select {
 			case <-tick.C:
 			case <-ctx.Done():
@@ -380,9 +437,9 @@
 	if stopping {
 		return // the platform's socket keeps what comes for the next process
 	}
-	n.server.Close(false)
+	n.close(false)
 	n.yields.Store(false)
-	if err := n.accept(); err != nil {
+	if err := n.open(); err != nil {
 		n.broken <- err
 	}
 }
