Carry DNS over UDP and TCP on the same core: front, upstream side, lab, commands

Need: the users' name look-ups rise with bookings, and one program is to carry both under the same decisions and rules.

Change: internal/dnsfront is DNS on both sides, with a core of its own beside HTTP's. Server: UDP and TCP with pipelining and answers in any order; a client's repetition joins its open query; classes that share have one query asked once; extended errors; cookies; limits by network of clients with slip. Upstream: a random id and a port of its own for each query while there are sockets, checks of id and question, cookies, truncated answers continued over TCP at the same server as one attempt, unless it drains meanwhile. What may not run twice goes over TCP and is asked once. Package route chooses the class, package limit what is taken; both without I/O or clock. [dns] in the operator file turns it on; the platform's program links none of it. birchmoor dns query, and lab dns with six scenarios: scripted resolvers behind lossy, reordering and doubling links, and the lab's referee over every query, as for HTTP.

--- a/cmd/birchmoor/lab.go
+++ b/cmd/birchmoor/lab.go
@@ -22,6 +22,7 @@
 	Sim       simCommand       `cmd:"" help:"Play a scenario in virtual time, with the decision module of each sidecar."`
 	Compare   compareCommand   `cmd:"" help:"Play two binaries, settings files or scenarios over the same seeds, in turn."`
 	Bench     benchCommand     `cmd:"" help:"Measure no proxy, Go's reverse proxy and the sidecar side by side."`
+	DNS       labDNSCommand    `cmd:"" help:"Play name look-ups through the sidecar's DNS front, among stand-in resolvers."`
 	Report    reportCommand    `cmd:"" help:"Draw a run as one HTML file."`
 	BenchPeer benchPeerCommand `cmd:"" hidden:""`
 }
--- /dev/null
+++ b/cmd/birchmoor/labdns.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"birchmoor/internal/lab/dnslab"
+)
+
+type labDNSCommand struct {
+	Scenario []string `arg:"" type:"existingfile" help:"Files such as lab/dns/dns-loss.toml."`
+	Through  []string `default:"sidecar" enum:"sidecar,plain,direct" help:"Also through a plain forwarder, or with clients at the first resolver: sidecar, plain, direct." placeholder:"WHAT"`
+	Seeds    int      `default:"1" help:"Plays with so many seeds."`
+	Seed     uint64   `default:"1" help:"The first of them."`
+	JSON     string   `help:"File for the results as JSON; - for standard output." placeholder:"FILE"`
+}
+
+func (k *labDNSCommand) Help() string {
+	return `Plays name look-ups in real time: the sidecar with its DNS front among stand-in resolvers. Exit code 1 says that a
+rule was broken or a figure missed.
+
+Examples:
+  birchmoor lab dns lab/dns/*.toml
+  birchmoor lab dns lab/dns/dns-loss.toml --through sidecar,plain --seeds 3`
+}
+
+func (k *labDNSCommand) Run(ctx context.Context, c *console) error {
+	var all []*dnslab.Result
+	if k.Seeds < 1 || k.Seeds > 1000 {
+		return fmt.Errorf("--seeds: %d is not within 1 and 1000", k.Seeds)
+	}
+	var scenarios []*dnslab.Scenario
+	for _, path := range k.Scenario {
+		s, err := dnslab.Read(path)
+		if err != nil {
+			return err
+		}
+		scenarios = append(scenarios, s)
+	}
+	show := c.count("lab dns")
+	total, missed := len(scenarios)*k.Seeds*len(k.Through), false
+	if k.JSON != "-" {
+		fmt.Fprintf(c.out, "%-14s %-8s %5s %7s %8s %7s %8s %7s %8s %8s  %s\n", "scenario", "through", "seed", "asked", "in time", "served",
+			"attempts", "p50 ms", "p99 ms", "p999 ms", "")
+	}
+	for _, s := range scenarios {
+		for i := range k.Seeds {
+			for _, through := range k.Through {
+				seed := k.Seed + uint64(i)
+				r, err := dnslab.Run(ctx, s, dnslab.Options{Seed: seed, Through: dnslab.Through(through)})
+				if err != nil {
+					return err
+				}
+				all = append(all, r)
+				show(len(all), total)
+				c.clear()
+				verdict := ""
+				if r.Through == dnslab.Sidecar {
+					verdict = r.Verdict.String()
+				}
+				if r.LastSent > 0 {
+					verdict += fmt.Sprintf("; last query %.0f ms after it was told out", r.LastSent)
+				}
+				if r.Bookings > 0 {
+					verdict += fmt.Sprintf("; bookings %.3f", r.Bookings)
+				}
+				if len(r.Missed) > 0 {
+					missed = true
+					verdict += "; MISSED: " + strings.Join(r.Missed, "; ")
+				}
+				if k.JSON != "-" {
+					fmt.Fprintf(c.out, "%-14s %-8s %5d %7d %8.3f %7.3f %8.2f %7.1f %8.1f %8.1f  %s\n", s.Name, through, seed, r.Asked, r.Service,
+						r.Served, r.Attempts, r.P50, r.P99, r.P999, verdict)
+				}
+			}
+		}
+	}
+	if k.JSON != "" {
+		if err := writeJSON(k.JSON, all, c.out); err != nil {
+			return err
+		}
+	}
+	if missed {
+		return errMissed
+	}
+	return nil
+}
--- a/cmd/birchmoor/main.go
+++ b/cmd/birchmoor/main.go
@@ -28,6 +28,7 @@
 	Check   checkCommand   `cmd:"" help:"Name every fault of an operator file."`
 	Store   storeCommands  `cmd:"" help:"Ask a running daemon's store, and tell it."`
 	Config  configCommands `cmd:"" help:"The settings of the data path that the store holds."`
+	DNS     dnsCommands    `cmd:"" help:"Ask a name server, or the DNS front of a sidecar."`
 	Keys    keysCommands   `cmd:"" help:"Make and rotate the keys by which replicas of the store know each other."`
 	Lab     labCommands    `cmd:"" help:"Play the booking system: the sidecar among servers, clients and faults of our own."`
 	Replay  replayCommand  `cmd:"" help:"Play a capture again: what the decision module was told, and whether it decides the same."`
--- a/cmd/birchmoor/run.go
+++ b/cmd/birchmoor/run.go
@@ -135,9 +135,15 @@
 }
 
 func (k *checkCommand) Run(c *console) error {
-	if _, err := operator.Read(k.File); err != nil {
+	f, err := operator.Read(k.File)
+	if err != nil {
 		return err
 	}
+	if f.DNS != nil {
+		if _, err := dnsSettings(f.DNS); err != nil {
+			return fmt.Errorf("%s: %w", k.File, err)
+		}
+	}
 	fmt.Fprintf(c.out, "%s: no faults\n", k.File)
 	return nil
 }
--- a/cmd/birchmoor/sidecar.go
+++ b/cmd/birchmoor/sidecar.go
@@ -27,7 +27,7 @@
 
 func (k *sidecarCommand) Help() string {
 	return `Serves as dunlinsail does, and is told where by the same ROUTER_ variables; the operator
-file turns on what the platform does not give: a state that outlives the process, captures.
+file turns on what the platform does not give: a state that outlives the process, captures, DNS.
 
 Example:
   ROUTER_CONFIG=config.json birchmoor sidecar --operator deploy/operator.toml`
@@ -86,6 +86,13 @@
 		defer end()
 		h.Tap = tap
 	}
+	if f.DNS != nil {
+		p, err := dnsProtocol(f.DNS, os.Getenv)
+		if err != nil {
+			return err
+		}
+		h.Beside = append(h.Beside, p)
+	}
 	return sidecar.Run(ctx, config, h)
 }
 
--- /dev/null
+++ b/internal/dnsfront/protocol.go
@@ -0,0 +1,38 @@
+package dnsfront
+
+import (
+	"log/slog"
+
+	"birchmoor/internal/config"
+	"birchmoor/internal/core"
+	"birchmoor/internal/metrics"
+)
+
+// Front is DNS as a sidecar runs it beside HTTP.
+type Front struct {
+	Settings Settings
+	Sockets  Sockets
+	counts   *Counts
+}
+
+var _ core.Protocol = (*Front)(nil)
+
+// Name is how discovery's entries name it.
+func (f *Front) Name() string { return Protocol }
+
+// Descriptors is how many it may hold.
+func (f *Front) Descriptors() int { return f.Settings.Descriptors() }
+
+// Config is the configuration of its core.
+func (f *Front) Config(c *config.Config) (*config.Config, error) { return f.Settings.Config(c) }
+
+// Upstream makes the side of servers.
+func (f *Front) Upstream(c *config.Config, clk core.Clock, figures *metrics.Registry, log *slog.Logger) core.Upstream {
+	f.counts = newCounts(figures)
+	return newUpstream(c, &f.Settings, clk, f.counts, &figures.Sends, log)
+}
+
+// Front makes the side of clients.
+func (f *Front) Front(l *core.Loop, figures *metrics.Registry, log *slog.Logger) core.Front {
+	return NewServer(&f.Settings, l, f.Sockets, f.counts, figures, log)
+}
--- /dev/null
+++ b/internal/dnsfront/sockets.go
@@ -0,0 +1,151 @@
+package dnsfront
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"os"
+	"slices"
+	"syscall"
+	"time"
+
+	"birchmoor/balancer"
+)
+
+const (
+	restTime   = time.Second // a socket stays open after its last query, so that late answers are seen and counted
+	socketMost = 4096        // queries on one socket, far under the number of ids
+)
+
+// socket is a UDP socket connected to one server: the kernel lets nothing through from elsewhere.
+type socket struct {
+	to   *resolver
+	conn net.Conn
+	table
+	load  int  // queries that have it; guarded by up.mu
+	rests bool // and it is in up.resting
+}
+
+// datagram asks over UDP, once. may is asked right before the query goes out.
+func (r *resolver) datagram(ctx context.Context, q *question, may func(balancer.Micros) bool) ([]byte, balancer.Status) {
+	s, err := r.socket()
+	if err != nil {
+		return nil, r.up.unsent(ctx, err)
+	}
+	defer r.up.rest(s)
+	p := newPending(q)
+	id, err := s.add(p)
+	if err != nil {
+		return nil, r.up.unsent(ctx, err)
+	}
+	defer s.drop(id)
+	raw, err := q.onward(r.cookieNow())
+	if err != nil || !may(r.up.clock.Now()) {
+		return nil, balancer.Moot
+	}
+	raw[0], raw[1] = byte(id>>8), byte(id)
+	if _, err := s.conn.Write(raw); err != nil {
+		return nil, balancer.ConnectFailed // a datagram goes whole or not at all
+	}
+	r.up.sends.Inc()
+	return p.wait(ctx)
+}
+
+// socket returns a socket of its own for a query or, where there are no more, one that others of this server share.
+func (r *resolver) socket() (*socket, error) {
+	u := r.up
+	u.mu.Lock()
+	switch {
+	case r.gone:
+		u.mu.Unlock()
+		return nil, errGone
+	case u.sockets < u.socketsMost:
+	case len(u.resting) > 0:
+		u.closeLocked(u.resting[0])
+	default:
+		shared := (*socket)(nil)
+		n := len(r.sockets)
+		from := rand.IntN(max(1, n))
+		for i := range n { // from a place drawn at random on
+			if s := r.sockets[(from+i)%n]; s.load < socketMost {
+				shared = s
+				break
+			}
+		}
+		if shared != nil {
+			shared.load++
+			u.counts.Shared.Inc()
+		}
+		u.mu.Unlock()
+		if shared == nil {
+			return nil, errNoRoom
+		}
+		return shared, nil
+	}
+	u.sockets++
+	u.mu.Unlock()
+	conn, err := u.dial(context.Background(), "udp", r.addr)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if err != nil {
+		u.sockets--
+		return nil, err
+	}
+	s := &socket{to: r, conn: conn, table: table{open: map[uint16]*pending{}}, load: 1}
+	r.sockets = append(r.sockets, s)
+	go s.read()
+	return s, nil
+}
+
+// rest takes a query off its socket. The last one leaves it open for a while, unless sockets are short.
+func (u *Upstream) rest(s *socket) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if s.load--; s.load > 0 {
+		return
+	}
+	if s.to.gone || len(u.resting) >= u.socketsMost/2 || u.sockets > u.socketsMost {
+		u.closeLocked(s)
+		return
+	}
+	s.rests = true
+	u.resting = append(u.resting, s)
+	s.conn.SetReadDeadline(time.Now().Add(restTime))
+}
+
+// closeLocked closes a socket that has no query. It may have been closed before.
+func (u *Upstream) closeLocked(s *socket) {
+	i := slices.Index(s.to.sockets, s)
+	if i < 0 {
+		return
+	}
+	s.to.sockets = slices.Delete(s.to.sockets, i, i+1)
+	if s.rests {
+		u.resting = slices.DeleteFunc(u.resting, func(o *socket) bool { return o == s })
+	}
+	u.sockets--
+	s.conn.Close()
+}
+
+// read passes on what comes until the socket is closed.
+func (s *socket) read() {
+	buf := make([]byte, udpMost+1) // what is longer is not what we asked for, and is cut and passed over as malformed
+	for {
+		n, err := s.conn.Read(buf)
+		switch {
+		case err == nil:
+			s.take(buf[:n], s.to.up.counts)
+		case errors.Is(err, syscall.ECONNREFUSED):
+			s.end(err, false)
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			s.to.up.mu.Lock()
+			s.to.up.closeLocked(s) // a deadline is set only once it rests, and for good
+			s.to.up.mu.Unlock()
+			return
+		default:
+			s.end(err, true)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/dnslab/dnslab_test.go
@@ -0,0 +1,34 @@
+package dnslab
+
+import (
+	"encoding/json"
+	"path/filepath"
+	"testing"
+)
+
+// Every scenario, shorter, keeps the rules. Its figures are for lab dns: time is real here.
+func TestScenariosKeepTheRules(t *testing.T) {
+	files, err := filepath.Glob("../../../lab/dns/*.toml")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no scenarios", err)
+	}
+	for _, path := range files {
+		s, err := Read(path)
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		t.Run(s.Name, func(t *testing.T) {
+			t.Parallel()
+			r, err := Run(t.Context(), s, Options{Seed: 7})
+			if err != nil {
+				t.Fatal(err)
+			}
+			text, _ := json.Marshal(r)
+			t.Logf("%s", text)
+			if !r.Verdict.Kept() || r.Stray > 0 {
+				t.Errorf("%s, %d stray", r.Verdict, r.Stray)
+			}
+		})
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -7,9 +7,11 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"birchmoor/internal/keys"
@@ -21,6 +23,40 @@
 	Keep    *Keep    `toml:"keep"`
 	Capture *Capture `toml:"capture"`
 	Store   *Store   `toml:"store"`
+	DNS     *DNS     `toml:"dns"`
+}
+
+// DNS is the front for name look-ups. All counts are of one process.
+type DNS struct {
+	Listen     string   `toml:"listen"`      // host and port, for UDP and TCP
+	Open       int      `toml:"open"`        // queries open at once
+	PerClient  int      `toml:"per_client"`  // of them, of one network of clients (/24, /56)
+	Unproven   int      `toml:"unproven"`    // percent of them, of addresses that showed no cookie and came over UDP
+	Rate       int      `toml:"rate"`        // answers a second to such a network
+	Burst      int      `toml:"burst"`       // and at once
+	Slip       *int     `toml:"slip"`        // of so many over the rate one is answered truncated; 0: none
+	Prefixes   int      `toml:"prefixes"`    // networks remembered
+	Sockets    int      `toml:"sockets"`     // UDP sockets to servers
+	TCPServer  int      `toml:"tcp_server"`  // connections to one server
+	TCPClients int      `toml:"tcp_clients"` // connections of clients
+	PerConn    int      `toml:"per_conn"`    // queries open on one of them
+	Idle       Duration `toml:"idle"`        // after which one without queries is closed
+
+	Class map[string]*DNSClass `toml:"class"`
+}
+
+// DNSClass is a class of queries.
+type DNSClass struct {
+	Suffixes   []string `toml:"suffixes"`   // names at or under them; none: all
+	Types      []string `toml:"types"`      // none: all
+	Transports []string `toml:"transports"` // udp, tcp; none: both
+	Ops        []string `toml:"ops"`        // query, update, notify; none: query
+	Aim        Duration `toml:"aim"`
+	GiveUp     Duration `toml:"give_up"`
+	Worth      float64  `toml:"worth"`
+	LateWorth  *float64 `toml:"late_worth"` // part of the worth of an answer after the aim
+	Attempts   int      `toml:"attempts"`
+	Share      bool     `toml:"share"` // queries that ask the same while one is open share its answer
 }
 
 // Store is a replica of the store.
@@ -153,5 +189,62 @@
 			bad("store.keys", "one of keys and plain = true is needed, and not both")
 		}
 	}
+	if d := f.DNS; d != nil {
+		bad := func(key, format string, args ...any) {
+			faults = append(faults, &Error{Path: path, Key: key, Reason: fmt.Sprintf(format, args...)})
+		}
+		host, _, err := net.SplitHostPort(d.Listen)
+		switch ip := net.ParseIP(host); {
+		case d.Listen == "":
+			bad("dns.listen", "is missing")
+		case err != nil:
+			bad("dns.listen", "%v", err)
+		case ip == nil || ip.IsUnspecified():
+			bad("dns.listen", "%q is not the address of one interface: answers over UDP must leave by the one that was asked", host)
+		}
+		number("dns.open", &d.Open, 1000, 1, 60000)
+		number("dns.per_client", &d.PerClient, d.Open, 1, 60000)
+		number("dns.unproven", &d.Unproven, 75, 1, 100)
+		number("dns.rate", &d.Rate, 1000, 1, 1_000_000)
+		number("dns.burst", &d.Burst, 2*d.Rate, 1, 2_000_000)
+		if d.Slip == nil {
+			two := 2
+			d.Slip = &two
+		}
+		if *d.Slip < 0 || *d.Slip > 100 {
+			bad("dns.slip", "%d is not within 0 and 100", *d.Slip)
+		}
+		number("dns.prefixes", &d.Prefixes, 10000, 1, 1_000_000)
+		number("dns.sockets", &d.Sockets, 256, 1, 60000)
+		number("dns.tcp_server", &d.TCPServer, 2, 1, 64)
+		number("dns.tcp_clients", &d.TCPClients, 64, 1, 60000)
+		number("dns.per_conn", &d.PerConn, 64, 1, 4096)
+		span("dns.idle", &d.Idle, 10*time.Second, 100*time.Millisecond, time.Hour)
+		if len(d.Class) == 0 {
+			bad("dns.class", "at least one class is needed")
+		}
+		for _, name := range slices.Sorted(maps.Keys(d.Class)) {
+			c, at := d.Class[name], "dns.class."+name
+			span(at+".aim", &c.Aim, 250*time.Millisecond, time.Millisecond, time.Minute)
+			span(at+".give_up", &c.GiveUp, 2*time.Second, 10*time.Millisecond, time.Minute)
+			number(at+".attempts", &c.Attempts, 3, 1, 10)
+			if c.Aim > c.GiveUp {
+				bad(at+".aim", "is over give_up")
+			}
+			if c.Worth == 0 {
+				c.Worth = 1
+			}
+			if c.Worth < 0 {
+				bad(at+".worth", "%g is negative", c.Worth)
+			}
+			if c.LateWorth == nil {
+				half := 0.5
+				c.LateWorth = &half
+			}
+			if *c.LateWorth < 0 || *c.LateWorth > 1 {
+				bad(at+".late_worth", "%g is not within 0 and 1", *c.LateWorth)
+			}
+		}
+	}
 	return errors.Join(faults...)
 }
