--- a/internal/core/late_test.go
+++ b/internal/core/late_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,21 +21,21 @@
 		synctest.Test(t, func(t *testing.T) {
 			answersAfter := []time.Duration{70 * time.Millisecond, 40 * time.Millisecond}
 			sent := make(chan int, 8)
-			attempts, withdrawn, warm := 0, 0, true
+			var attempts, withdrawn atomic.Int32
+			var hot atomic.Bool // the module has been taught
 			s := stub{late: late, send: func(ctx context.Context, o Order) Reply {
 				o.Go(0)
-				if warm {
+				if !hot.Load() {
 					time.Sleep(time.Millisecond)
 					return Reply{Status: balancer.OK, At: o.Request.(balancer.Micros) + 1000}
 				}
-				n := attempts // the loop sends one after the other
-				attempts++
-				sent <- n
+				n := attempts.Add(1) - 1 // the loop sends one after the other
+				sent <- int(n)
 				select {
 				case <-time.After(answersAfter[n]):
 					return Reply{Status: balancer.OK, At: balancer.Micros(n)}
 				case <-ctx.Done():
-					withdrawn++
+					withdrawn.Add(1)
 					return Reply{Status: balancer.Cancelled}
 				}
 			}}
@@ -57,7 +58,7 @@
 				<-two[0].Answer
 				<-two[1].Answer
 			}
-			warm = false
+			hot.Store(true)
 			k := &Call{ID: "1", Class: "look", View: l.View(), Answer: make(chan Answer, 1),
 				In: balancer.Request{Deadline: l.Now() + 900_000, Rules: l.View().Rules}}
 			begun := time.Now()
@@ -81,8 +82,8 @@
 				t.Errorf("answered after %v", took)
 			}
 			synctest.Wait()
-			if withdrawn != 1 || len(l.calls) != 0 || len(k.Answer) != 0 {
-				t.Errorf("late %v: %d withdrawn, %d calls kept", late, withdrawn, len(l.calls))
+			if withdrawn.Load() != 1 || len(l.calls) != 0 || len(k.Answer) != 0 {
+				t.Errorf("late %v: %d withdrawn, %d calls kept", late, withdrawn.Load(), len(l.calls))
 			}
 			cancel()
 			<-done
