--- /dev/null
+++ b/internal/dnsfront/front_test.go
@@ -0,0 +1,434 @@
+package dnsfront
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/miekg/dns"
+
+	"birchmoor/internal/config"
+	"birchmoor/internal/core"
+	"birchmoor/internal/discovery"
+	"birchmoor/internal/dnsfront/limit"
+	"birchmoor/internal/dnsfront/route"
+	"birchmoor/internal/handover"
+	"birchmoor/internal/maintenance"
+	"birchmoor/internal/sidecar"
+	"birchmoor/internal/sidetest"
+)
+
+// both is a UDP and a TCP socket at one free address.
+func both(t *testing.T) (*net.UDPConn, *net.TCPListener) {
+	t.Helper()
+	for range 50 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		at, _ := net.ResolveUDPAddr("udp", ln.Addr().String())
+		udp, err := net.ListenUDP("udp", at)
+		if err == nil {
+			t.Cleanup(func() { ln.Close(); udp.Close() })
+			return udp, ln.(*net.TCPListener)
+		}
+		ln.Close()
+	}
+	t.Fatal("no port is free for both transports")
+	return nil, nil
+}
+
+// names is a stand-in server; it answers A queries with 192.0.2.1 unless it is given something else to do.
+func names(t *testing.T, handle dns.HandlerFunc) string {
+	t.Helper()
+	if handle == nil {
+		handle = func(w dns.ResponseWriter, m *dns.Msg) { w.WriteMsg(reached(m, 1)) }
+	}
+	udp, tcp := both(t)
+	for _, s := range []*dns.Server{{PacketConn: udp, Handler: handle, MsgAcceptFunc: func(dns.Header) dns.MsgAcceptAction { return dns.MsgAccept }},
+		{Listener: tcp, Handler: handle, MsgAcceptFunc: func(dns.Header) dns.MsgAcceptAction { return dns.MsgAccept }}} {
+		go s.ActivateAndServe()
+		t.Cleanup(func() { s.Shutdown() })
+	}
+	return udp.LocalAddr().String()
+}
+
+// reached is an answer with n addresses.
+func reached(m *dns.Msg, n int) *dns.Msg {
+	a := new(dns.Msg)
+	a.SetReply(m)
+	a.Compress = true
+	for i := range n {
+		a.Answer = append(a.Answer, &dns.A{Hdr: dns.RR_Header{Name: m.Question[0].Name, Rrtype: dns.TypeA, Class: dns.ClassINET, Ttl: 9},
+			A: net.IPv4(192, 0, 2, byte(i+1))})
+	}
+	return a
+}
+
+func testSettings() Settings {
+	class := func(name string, share bool, ops ...int) Class {
+		return Class{Name: name, Aim: 500 * time.Millisecond, GiveUp: 1500 * time.Millisecond, Worth: 1, LateWorth: 0.5, Attempts: 3,
+			Share: share, Route: route.Class{Suffixes: []string{name + ".test"}, Opcodes: ops}}
+	}
+	return Settings{Sockets: 64, TCPServer: 2, TCPClients: 8, PerConn: 32, Idle: 2 * time.Second,
+		Limit:   limit.Settings{Open: 1000, PerClient: 1000, Unproven: 1, Rate: 1e6, Burst: 1e6, Slip: 2, Prefixes: 100},
+		Classes: []Class{class("look", false), class("same", true), class("change", false, dns.OpcodeUpdate)}}
+}
+
+// held is sockets that outlive those who listen on them, as the platform's do.
+type held struct {
+	udp *net.UDPConn
+	tcp *net.TCPListener
+}
+
+func (h held) ListenPacket() (*net.UDPConn, error) {
+	f, err := h.udp.File()
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	c, err := net.FilePacketConn(f)
+	if err != nil {
+		return nil, err
+	}
+	return c.(*net.UDPConn), nil
+}
+
+func (h held) Listen() (net.Listener, error) {
+	f, err := h.tcp.File()
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return net.FileListener(f)
+}
+
+type only struct{ net.Listener }
+
+func (o only) Listen() (net.Listener, error) { return o.Listener, nil }
+
+// running is a sidecar with the front, over servers at addrs.
+type running struct {
+	addr  string
+	front *Front
+	stop  context.CancelFunc
+	ended chan error
+}
+
+func start(t *testing.T, s Settings, h held, dir string, addrs ...string) *running {
+	t.Helper()
+	var known []discovery.Instance
+	for i, a := range addrs {
+		in := sidetest.Up(fmt.Sprintf("d-%d", i), a)
+		in.Protocol, in.StartedMs = Protocol, 1
+		known = append(known, in)
+	}
+	known = append(known, sidetest.Up("web", sidetest.Web(t, func(http.ResponseWriter, *http.Request) {})))
+	c := sidetest.Configure(t, sidetest.Nowhere(t), known)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &running{addr: h.udp.LocalAddr().String(), ended: make(chan error, 1),
+		front: &Front{Settings: s, Sockets: Sockets{UDP: h, TCP: h}}}
+	var ctx context.Context
+	ctx, r.stop = context.WithCancel(context.Background())
+	host := sidecar.Host{Socket: only{ln}, Bans: maintenance.Nowhere{}, Beside: []core.Protocol{r.front},
+		Reload: make(chan os.Signal), Read: func() (*config.Config, error) { return c, nil }, Log: sidetest.Quiet}
+	if dir != "" {
+		host.Handover = filepath.Join(dir, "sock")
+	}
+	go func() { r.ended <- sidecar.Run(ctx, c, host); close(r.ended) }()
+	t.Cleanup(func() { r.stop(); <-r.ended })
+	for end := time.Now().Add(sidetest.Soon); ; {
+		m, err := dns.Exchange(new(dns.Msg).SetQuestion("a.look.test.", dns.TypeA), r.addr)
+		if err == nil && m.Rcode == dns.RcodeSuccess || len(addrs) == 0 {
+			return r
+		}
+		if time.Now().After(end) {
+			t.Fatalf("the front does not answer: %v %v", m, err)
+		}
+	}
+}
+
+func startOver(t *testing.T, addrs ...string) *running {
+	udp, tcp := both(t)
+	return start(t, testSettings(), held{udp, tcp}, "", addrs...)
+}
+
+// Programs that nobody here wrote are content: the standard library's resolver, and miekg's client over both transports.
+func TestOthersClients(t *testing.T) {
+	r := startOver(t, names(t, func(w dns.ResponseWriter, m *dns.Msg) {
+		if m.Question[0].Qtype == dns.TypeAAAA {
+			w.WriteMsg(reached(m, 0))
+			return
+		}
+		n := 2
+		if strings.HasPrefix(m.Question[0].Name, "many.") {
+			n = 200
+		}
+		a := reached(m, n)
+		if _, tcp := w.RemoteAddr().(*net.TCPAddr); !tcp {
+			a.Truncate(512)
+		}
+		if strings.HasPrefix(m.Question[0].Name, "none.") {
+			a = new(dns.Msg).SetRcode(m, dns.RcodeNameError)
+		}
+		w.WriteMsg(a)
+	}))
+	std := &net.Resolver{PreferGo: true, Dial: func(ctx context.Context, network, _ string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, network, r.addr)
+	}}
+	for name, want := range map[string]int{"two.look.test.": 2, "many.look.test.": 200} { // the latter over TCP in the end
+		if got, err := std.LookupHost(t.Context(), name); err != nil || len(got) != want {
+			t.Errorf("%s: %d addresses, %v", name, len(got), err)
+		}
+	}
+	var missing *net.DNSError
+	if _, err := std.LookupHost(t.Context(), "none.look.test."); err == nil || !asDNS(err, &missing) || !missing.IsNotFound {
+		t.Errorf("a name that does not exist: %v", err)
+	}
+	for _, network := range []string{"udp", "tcp"} {
+		m, _, err := (&dns.Client{Net: network, Timeout: sidetest.Soon}).Exchange(new(dns.Msg).SetQuestion("many.look.test.", dns.TypeA), r.addr)
+		if err != nil || m.Truncated != (network == "udp") || network == "tcp" && len(m.Answer) != 200 {
+			t.Errorf("%s: %v", network, err)
+		}
+		if m.Compress = true; network == "udp" && m.Len() > udpPlain {
+			t.Errorf("%d bytes to a client without EDNS", m.Len())
+		}
+	}
+}
+
+func asDNS(err error, to **net.DNSError) bool {
+	e, ok := err.(*net.DNSError)
+	*to = e
+	return ok
+}
+
+// What is no query of a class has an answer that says why, or none.
+func TestTurnedAway(t *testing.T) {
+	r := startOver(t, names(t, nil))
+	ask := func(m *dns.Msg) *dns.Msg {
+		t.Helper()
+		m.SetEdns0(1232, false)
+		a, err := dns.Exchange(m, r.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return a
+	}
+	chaos := new(dns.Msg).SetQuestion("a.look.test.", dns.TypeTXT)
+	chaos.Question[0].Qclass = dns.ClassCHAOS
+	two := new(dns.Msg).SetQuestion("a.look.test.", dns.TypeA)
+	two.Question = append(two.Question, two.Question[0])
+	notify := new(dns.Msg).SetNotify("a.look.test.")
+	status := new(dns.Msg).SetQuestion("a.look.test.", dns.TypeA)
+	status.Opcode = dns.OpcodeStatus
+	for name, c := range map[string]struct {
+		m    *dns.Msg
+		want int
+	}{
+		"no class":     {new(dns.Msg).SetQuestion("a.other.test.", dns.TypeA), dns.RcodeRefused},
+		"a transfer":   {new(dns.Msg).SetAxfr("a.look.test."), dns.RcodeRefused},
+		"class CHAOS":  {chaos, dns.RcodeRefused},
+		"two":          {two, dns.RcodeFormatError},
+		"notify":       {notify, dns.RcodeRefused},
+		"opcode":       {status, dns.RcodeNotImplemented},
+		"update, look": {new(dns.Msg).SetUpdate("a.look.test."), dns.RcodeRefused},
+	} {
+		if a := ask(c.m); a.Rcode != c.want {
+			t.Errorf("%s: %s, want %s", name, dns.RcodeToString[a.Rcode], dns.RcodeToString[c.want])
+		}
+	}
+	c, err := net.Dial("udp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	answer, _ := reached(new(dns.Msg).SetQuestion("a.look.test.", dns.TypeA), 1).Pack()
+	for _, raw := range [][]byte{{1}, make([]byte, 12), answer} { // short, no question, and an answer: talk to no server
+		c.Write(raw)
+	}
+	c.SetReadDeadline(time.Now().Add(sidetest.Soon))
+	buf := make([]byte, 512)
+	n, err := c.Read(buf) // of the second alone
+	if err != nil || n < 12 || buf[3]&0xf != dns.RcodeFormatError {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+	if got := r.front.counts.Malformed.Value(); got < 4 {
+		t.Errorf("%d counted as malformed", got)
+	}
+}
+
+// A client that repeats its open query gets one answer, and one query goes out; in a class that shares, queries of others
+// that ask the same have its answer, each with its own id.
+func TestJoinAndShare(t *testing.T) {
+	var asked atomic.Int32
+	release := make(chan struct{})
+	r := startOver(t, names(t, func(w dns.ResponseWriter, m *dns.Msg) {
+		if strings.HasPrefix(m.Question[0].Name, "slow.") {
+			asked.Add(1)
+			<-release
+		}
+		w.WriteMsg(reached(m, 1))
+	}))
+	var conns []net.Conn
+	ask := func(c net.Conn, id uint16, name string) {
+		m := new(dns.Msg).SetQuestion(name, dns.TypeA)
+		m.Id = id
+		raw, _ := m.Pack()
+		c.Write(raw)
+	}
+	for range 3 {
+		c, err := net.Dial("udp", r.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		conns = append(conns, c)
+	}
+	ask(conns[0], 1, "slow.look.test.")
+	ask(conns[0], 1, "slow.look.test.")
+	ask(conns[0], 1, "SLOW.look.test.")
+	for i, c := range conns {
+		ask(c, uint16(10+i), "slow.same.test.")
+	}
+	for end := time.Now().Add(sidetest.Soon); r.front.counts.Joined.Value() < 2 || r.front.counts.Followed.Value() < 2; {
+		if time.Now().After(end) {
+			t.Fatalf("%d joined, %d followed", r.front.counts.Joined.Value(), r.front.counts.Followed.Value())
+		}
+	}
+	close(release)
+	buf := make([]byte, 512)
+	for i, c := range conns {
+		want := map[uint16]bool{uint16(10 + i): true}
+		if i == 0 {
+			want[1] = true
+		}
+		for len(want) > 0 {
+			c.SetReadDeadline(time.Now().Add(sidetest.Soon))
+			if _, err := c.Read(buf); err != nil {
+				t.Fatalf("client %d lacks %v: %v", i, want, err)
+			}
+			id := binary.BigEndian.Uint16(buf)
+			if !want[id] {
+				t.Errorf("client %d has a second answer, or another's: %d", i, id)
+			}
+			delete(want, id)
+		}
+		c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		if _, err := c.Read(buf); err == nil {
+			t.Errorf("client %d has a second answer", i)
+		}
+	}
+	if n := asked.Load(); n != 2 { // one for each name, unless the module asked again, for which there was no time
+		t.Errorf("servers were asked %d times", n)
+	}
+}
+
+// A client that sends a thousand queries and reads nothing has no more than its share open, loses its connection, and
+// costs others nothing.
+func TestClientThatReadsNothing(t *testing.T) {
+	r := startOver(t, names(t, func(w dns.ResponseWriter, m *dns.Msg) {
+		n := 1
+		if strings.HasPrefix(m.Question[0].Name, "big.") {
+			n = 250
+		}
+		a := reached(m, n)
+		if _, tcp := w.RemoteAddr().(*net.TCPAddr); !tcp {
+			a.Truncate(1232)
+		}
+		w.WriteMsg(a)
+	}))
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.(*net.TCPConn).SetReadBuffer(4096)
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		for i := 0; ; i++ { // until it is given up
+			m := new(dns.Msg).SetQuestion("big.look.test.", dns.TypeA)
+			m.Id = uint16(i)
+			raw, _ := m.Pack()
+			if _, err := c.Write(append(binary.BigEndian.AppendUint16(nil, uint16(len(raw))), raw...)); err != nil {
+				return
+			}
+		}
+	}()
+	asked, served := 0, 0
+	for stuck := false; !stuck; asked++ {
+		select {
+		case <-closed:
+			stuck = true
+		default:
+		}
+		m, err := dns.Exchange(new(dns.Msg).SetQuestion("a.look.test.", dns.TypeA), r.addr)
+		if err != nil {
+			t.Fatalf("another client: %v", err)
+		}
+		if m.Rcode == dns.RcodeSuccess {
+			served++
+		}
+	}
+	if asked < 10 || served < asked/2 { // the module may refuse some: the one server has much to do
+		t.Errorf("%d of %d of another client's queries were served", served, asked)
+	}
+	if r.front.counts.Unsent.Value() == 0 {
+		t.Error("no answer was found not to be taken")
+	}
+}
+
+// A new process takes over both listeners under load: each query has one answer, whichever process had it.
+func TestHandoverUnderLoad(t *testing.T) {
+	udp, tcp := both(t)
+	dir, server := t.TempDir(), names(t, nil)
+	old := start(t, testSettings(), held{udp, tcp}, dir, server)
+	var clients sync.WaitGroup
+	stop := make(chan struct{})
+	var asked, failed atomic.Int32
+	for i := range 4 {
+		clients.Go(func() {
+			network := []string{"udp", "tcp"}[i%2]
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				m, _, err := (&dns.Client{Net: network, Timeout: sidetest.Soon}).Exchange(new(dns.Msg).SetQuestion("a.look.test.", dns.TypeA), old.addr)
+				if asked.Add(1); err != nil || m.Rcode != dns.RcodeSuccess {
+					failed.Add(1)
+					t.Errorf("%s: %v %v", network, m, err)
+				}
+			}
+		})
+	}
+	next := start(t, testSettings(), held{udp, tcp}, dir, server)
+	if err := sidetest.Within(t, old.ended, "the old process's end"); err != nil {
+		t.Error(err)
+	}
+	before := asked.Load()
+	for end := time.Now().Add(sidetest.Soon); asked.Load() < before+100 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	close(stop)
+	clients.Wait()
+	if asked.Load() < before+100 || failed.Load() > 0 {
+		t.Errorf("%d of %d failed, %d before", failed.Load(), asked.Load(), before)
+	}
+	next.stop()
+}
+
+var _ handover.PacketSocket = held{}
--- /dev/null
+++ b/internal/dnsfront/limit/limit_test.go
@@ -0,0 +1,87 @@
+package limit
+
+import (
+	"net/netip"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// A flood of one network is cut down to its rate, some of it answered truncated, and costs another nothing.
+func TestFlood(t *testing.T) {
+	g := New(Settings{Open: 100, PerClient: 100, Unproven: 0.5, Rate: 10, Burst: 20, Slip: 3, Prefixes: 10})
+	bad, good := Client(netip.MustParseAddr("198.51.100.7")), Client(netip.MustParseAddr("192.0.2.1"))
+	if bad != Client(netip.MustParseAddr("198.51.100.250")) {
+		t.Error("addresses of one network count apart")
+	}
+	var got [4]int
+	for i := range 1000 { // in one second
+		v := g.Ask(int64(i)*1000, bad, false)
+		if got[v]++; v == Take {
+			g.Done(bad, false)
+		}
+		if i%200 == 0 {
+			if v := g.Ask(int64(i)*1000, good, false); v != Take {
+				t.Errorf("another network's: %v", v)
+			} else {
+				g.Done(good, false)
+			}
+		}
+	}
+	if got[Take] != 29 || got[Slip] != (1000-29)/3 || got[Shed] != 0 {
+		t.Errorf("taken, shed, slipped, dropped: %v", got)
+	}
+	for i := range 60 { // those who proved themselves have room that the others cannot take
+		v := g.Ask(2_000_000, netip.PrefixFrom(netip.AddrFrom4([4]byte{10, 0, byte(i), 0}), 24), false)
+		if want := i < 50; (v == Take) != want {
+			t.Fatalf("unproven query %d: %v", i, v)
+		}
+	}
+	if v := g.Ask(2_000_000, bad, true); v != Take {
+		t.Errorf("a proven one: %v", v)
+	}
+}
+
+// Whatever comes, the counts agree with a plain model, and what is remembered is bounded.
+func TestBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := Settings{Open: 8, PerClient: 3, Unproven: 0.6, Rate: 2, Burst: 3, Slip: 2, Prefixes: 4}
+		g := New(s)
+		type query struct {
+			client netip.Prefix
+			proven bool
+		}
+		var open []query
+		now := int64(0)
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now += rapid.Int64Range(0, 400_000).Draw(t, "wait")
+			if len(open) > 0 && rapid.Bool().Draw(t, "end") {
+				i := rapid.IntRange(0, len(open)-1).Draw(t, "which")
+				g.Done(open[i].client, open[i].proven)
+				open = append(open[:i], open[i+1:]...)
+				continue
+			}
+			q := query{netip.PrefixFrom(netip.AddrFrom4([4]byte{10, 0, byte(rapid.IntRange(0, 30).Draw(t, "client")), 0}), 24), rapid.Bool().Draw(t, "proven")}
+			mine, unproven := 0, 0
+			for _, o := range open {
+				if o.client == q.client {
+					mine++
+				}
+				if !o.proven {
+					unproven++
+				}
+			}
+			room := len(open) < s.Open && mine < s.PerClient && (q.proven || float64(unproven) < s.Unproven*float64(s.Open))
+			v := g.Ask(now, q.client, q.proven)
+			if v == Take {
+				open = append(open, q)
+			}
+			if v == Take && !room || q.proven && (v == Take) != room || v == Shed && room {
+				t.Fatalf("%v with %d open, %d of the client, %d unproven", v, len(open), mine, unproven)
+			}
+			if g.Open() != len(open) || len(g.seen) > s.Open+1 || len(g.seen) != g.order.Len() {
+				t.Fatalf("%d open, counted %d; %d remembered", len(open), g.Open(), len(g.seen))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/dnsfront/message_test.go
@@ -0,0 +1,91 @@
+package dnsfront
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/miekg/dns"
+)
+
+// FuzzFront takes a client's message and a server's, of any kind: nothing panics, what is passed on asks the same, and an
+// answer has the client's id and fits into what it may get.
+func FuzzFront(f *testing.F) {
+	add := func(q, a *dns.Msg) {
+		x, err := q.Pack()
+		if err != nil {
+			f.Fatal(err)
+		}
+		y, err := a.Pack()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(x, y)
+	}
+	plain := new(dns.Msg).SetQuestion("a.look.test.", dns.TypeA)
+	add(plain, reached(plain, 1))
+	add(plain, reached(plain, 150))
+	edns := new(dns.Msg).SetQuestion("b.look.test.", dns.TypeTXT)
+	edns.SetEdns0(4096, true)
+	edns.IsEdns0().Option = []dns.EDNS0{&dns.EDNS0_COOKIE{Code: dns.EDNS0COOKIE, Cookie: "0011223344556677"}, &dns.EDNS0_TCP_KEEPALIVE{Code: dns.EDNS0TCPKEEPALIVE}}
+	bad := new(dns.Msg).SetRcode(edns, dns.RcodeBadCookie)
+	bad.SetEdns0(1232, false)
+	add(edns, bad)
+	add(new(dns.Msg).SetUpdate("look.test."), new(dns.Msg).SetRcode(plain, dns.RcodeNotImplemented))
+	f.Fuzz(func(t *testing.T, client, server []byte) {
+		q, err := parse(client)
+		if err != nil {
+			if _, ok := err.(*fault); ok {
+				q.refusal(dns.RcodeFormatError, 0, "x", reply{})
+			}
+			return
+		}
+		sent, err := q.onward("00112233445566770011223344556677")
+		if err != nil {
+			return // it can be read, and not be written
+		}
+		again, err := parse(sent)
+		if err != nil || again.opcode != q.opcode || !q.asIs() && again.msg.Question[0] != q.msg.Question[0] {
+			t.Fatalf("passed on as %x: %v", sent, err)
+		}
+		q.short(nil, reply{cookie: "x"})
+		if len(server) > 0xffff || !q.answers(server) {
+			return
+		}
+		a, _, err := q.read(server)
+		if err != nil {
+			return
+		}
+		for _, tcp := range []bool{false, true} {
+			raw, err := q.pack(a, reply{tcp: tcp, cookie: "00112233445566770011223344556677", keep: time.Second})
+			if err != nil {
+				continue
+			}
+			if raw == nil || raw[0] != client[0] || raw[1] != client[1] || raw[2]&0x80 == 0 || !tcp && len(raw) > q.size {
+				t.Fatalf("to %x, over TCP %v: %d bytes, %x", client, tcp, len(raw), raw)
+			}
+		}
+	})
+}
+
+// A cookie proves the address that it was given to, for a time, to who gave it.
+func TestClientsCookies(t *testing.T) {
+	now, a := time.Unix(1_800_000_000, 0), netip.MustParseAddr("192.0.2.7")
+	s, other := &secret{1}, &secret{2}
+	const part = "0011223344556677"
+	c := s.forClient(now, a, part)
+	for name, ok := range map[string]bool{
+		"it":                 s.proves(now.Add(time.Minute), a, part, c),
+		"mapped":             s.proves(now, netip.MustParseAddr("::ffff:192.0.2.7"), part, c),
+		"not old":            !s.proves(now.Add(2*time.Hour), a, part, c),
+		"not from ahead":     !s.proves(now.Add(-time.Hour), a, part, c),
+		"not another's":      !s.proves(now, netip.MustParseAddr("192.0.2.8"), part, c),
+		"not another key":    !other.proves(now, a, part, c),
+		"not another's part": !s.proves(now, a, "1011223344556677", c),
+		"not cut":            !s.proves(now, a, part, c[:10]) && !s.proves(now, a, part, ""),
+	} {
+		if !ok {
+			t.Error(name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/dnsfront/upstream_test.go
@@ -0,0 +1,302 @@
+package dnsfront
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/miekg/dns"
+
+	"birchmoor/balancer"
+	"birchmoor/internal/core"
+	"birchmoor/internal/metrics"
+	"birchmoor/internal/sidetest"
+)
+
+func testUpstream(t *testing.T, sockets int) *Upstream {
+	s := testSettings()
+	s.Sockets = sockets
+	r := metrics.New()
+	u := newUpstream(sidetest.Configure(t, "127.0.0.1:1", nil), &s, core.NewClock(), newCounts(r), &r.Sends, sidetest.Quiet)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { u.Keep(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return u
+}
+
+func yes(balancer.Micros) bool { return true }
+
+// try makes one attempt. It is given up after some time, as the loop would.
+func try(t *testing.T, to core.Target, m *dns.Msg, tcp bool, more func(balancer.Micros) bool) core.Reply {
+	t.Helper()
+	raw, err := m.Pack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	q, err := parse(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return to.Send(ctx, core.Order{Request: &request{q: q, tcp: tcp}, Go: yes, More: more})
+}
+
+func look() *dns.Msg { return new(dns.Msg).SetQuestion("a.look.test.", dns.TypeA) }
+
+// A truncated answer is continued over TCP at the same server as a part of the attempt, unless the server drains by then
+// or its TCP port is dead.
+func TestTruncatedGoesOn(t *testing.T) {
+	var connections atomic.Int32
+	big := func(w dns.ResponseWriter, m *dns.Msg) {
+		a := reached(m, 200)
+		if _, tcp := w.RemoteAddr().(*net.TCPAddr); !tcp {
+			a.Truncate(1232)
+		} else {
+			connections.Add(1)
+		}
+		w.WriteMsg(a)
+	}
+	u := testUpstream(t, 8)
+	to := u.Target(names(t, big))
+	r := try(t, to, look(), false, func(balancer.Micros) bool { return false })
+	if r.Status != balancer.Moot || connections.Load() != 0 {
+		t.Errorf("at a server that drains: status %v, %d asked over TCP", r.Status, connections.Load())
+	}
+	if r = try(t, to, look(), false, yes); r.Status != balancer.OK || len(r.Content.(*answer).msg.Answer) != 200 || connections.Load() != 1 {
+		t.Errorf("status %v, %d asked over TCP", r.Status, connections.Load())
+	}
+	pc, err := net.ListenPacket("udp", "127.0.0.1:0") // and nobody listens for TCP there
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &dns.Server{PacketConn: pc, Handler: dns.HandlerFunc(big)}
+	go s.ActivateAndServe()
+	t.Cleanup(func() { s.Shutdown() })
+	if r = try(t, u.Target(pc.LocalAddr().String()), look(), false, yes); r.Status != balancer.ConnectFailed {
+		t.Errorf("with a dead TCP port: status %v, want one that blames the server", r.Status)
+	}
+	if r = try(t, u.Target(sidetest.Nowhere(t)), look(), false, yes); r.Status != balancer.ConnectFailed {
+		t.Errorf("where nobody listens: status %v", r.Status)
+	}
+}
+
+// What a server says counts for it, or does not, by what it means.
+func TestOutcomes(t *testing.T) {
+	u := testUpstream(t, 8)
+	for rcode, want := range map[int]balancer.Status{dns.RcodeSuccess: balancer.OK, dns.RcodeNameError: balancer.OK,
+		dns.RcodeServerFailure: balancer.Error, dns.RcodeRefused: balancer.Full, dns.RcodeNotImplemented: balancer.OK} {
+		to := u.Target(names(t, func(w dns.ResponseWriter, m *dns.Msg) { w.WriteMsg(new(dns.Msg).SetRcode(m, rcode)) }))
+		if r := try(t, to, look(), false, yes); r.Status != want {
+			t.Errorf("%s: status %v, want %v", dns.RcodeToString[rcode], r.Status, want)
+		}
+	}
+}
+
+// Messages that are not the answer are nobody's outcome; the true one behind them counts.
+func TestForgedAnswers(t *testing.T) {
+	other := func(m *dns.Msg, change func(*dns.Msg)) *dns.Msg {
+		a := reached(m, 1)
+		a.Answer[0].(*dns.A).A = net.IPv4(203, 0, 113, 9)
+		change(a)
+		return a
+	}
+	u := testUpstream(t, 8)
+	to := u.Target(names(t, func(w dns.ResponseWriter, m *dns.Msg) {
+		w.WriteMsg(other(m, func(a *dns.Msg) { a.Id++ }))
+		w.WriteMsg(other(m, func(a *dns.Msg) { a.Question[0].Name = "b.look.test." }))
+		w.WriteMsg(other(m, func(a *dns.Msg) { a.Question[0].Qtype = dns.TypeTXT }))
+		w.WriteMsg(other(m, func(a *dns.Msg) { a.Response = false }))
+		w.WriteMsg(other(m, func(a *dns.Msg) { a.Question = nil }))
+		w.Write([]byte{1, 2, 3})
+		w.WriteMsg(reached(m, 1))
+		w.WriteMsg(reached(m, 1))
+	}))
+	r := try(t, to, look(), false, yes)
+	if r.Status != balancer.OK || !r.Content.(*answer).msg.Answer[0].(*dns.A).A.Equal(net.IPv4(192, 0, 2, 1)) {
+		t.Fatalf("status %v, %v", r.Status, r.Content)
+	}
+	count := func() uint64 {
+		return u.counts.Unasked.Value() + u.counts.Mismatched.Value() + u.counts.Doubled.Value()
+	}
+	for end := time.Now().Add(sidetest.Soon); count() < 7; {
+		if time.Now().After(end) {
+			t.Fatalf("%d of 7 were counted", count())
+		}
+	}
+}
+
+// A server's cookie goes along from then on; an answer with another cookie of ours is not the server's.
+func TestServersCookies(t *testing.T) {
+	var spoil atomic.Bool
+	var seen atomic.Pointer[string]
+	u := testUpstream(t, 8)
+	to := u.Target(names(t, func(w dns.ResponseWriter, m *dns.Msg) {
+		a := reached(m, 1)
+		opt := m.IsEdns0()
+		if opt == nil || opt.UDPSize() != udpMost || len(opt.Option) != 1 {
+			t.Errorf("asked with %v", opt)
+			return
+		}
+		c := opt.Option[0].(*dns.EDNS0_COOKIE).Cookie
+		seen.Store(&c)
+		a.SetEdns0(1232, false)
+		mine := c[:clientsCookie]
+		if spoil.Load() {
+			mine = strings.Repeat("0", clientsCookie)
+		}
+		a.IsEdns0().Option = []dns.EDNS0{&dns.EDNS0_COOKIE{Code: dns.EDNS0COOKIE, Cookie: mine + "0123456789abcdef"}}
+		if len(c) == clientsCookie { // it does not know us yet
+			a.Rcode, a.Answer = dns.RcodeBadCookie, nil
+		}
+		w.WriteMsg(a)
+	}))
+	if r := try(t, to, look(), false, yes); r.Status != balancer.OK || !strings.HasSuffix(*seen.Load(), "0123456789abcdef") {
+		t.Errorf("status %v, cookie %s", r.Status, *seen.Load())
+	}
+	spoil.Store(true)
+	if r := try(t, to, look(), false, yes); r.Status != balancer.Error {
+		t.Errorf("with another's cookie: status %v", r.Status)
+	}
+}
+
+// Ten thousand queries open at once on four sockets never share an id on one, and each has its own answer, in any order.
+func TestTenThousandOpen(t *testing.T) {
+	const open = 10_000
+	udp, _ := both(t)
+	udp.SetReadBuffer(8 << 20)
+	type from struct {
+		raw []byte
+		at  *net.UDPAddr
+	}
+	all := make(chan from, open)
+	go func() {
+		for {
+			buf := make([]byte, 512)
+			n, at, err := udp.ReadFromUDP(buf)
+			if err != nil {
+				return
+			}
+			all <- from{buf[:n], at}
+		}
+	}()
+	u := testUpstream(t, 4)
+	to := u.Target(udp.LocalAddr().String())
+	var wrong, answered atomic.Int32
+	var wait sync.WaitGroup
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	room := make(chan struct{}, 200) // sent and not seen by the server yet, or its buffer overflows
+	for i := range open {
+		wait.Go(func() {
+			raw, _ := new(dns.Msg).SetQuestion(fmt.Sprintf("q%d.look.test.", i), dns.TypeA).Pack()
+			q, _ := parse(raw)
+			room <- struct{}{}
+			r := to.Send(ctx, core.Order{Request: &request{q: q}, Go: yes, More: yes})
+			if r.Status != balancer.OK {
+				wrong.Add(1)
+				return
+			}
+			answered.Add(1)
+			if r.Content.(*answer).msg.Question[0].Name != fmt.Sprintf("q%d.look.test.", i) {
+				wrong.Add(1)
+			}
+		})
+	}
+	held := make([]from, 0, open)
+	seen := map[string]bool{}
+	for len(held) < open {
+		select {
+		case f := <-all:
+			key := f.at.String() + string(f.raw[:2])
+			if seen[key] {
+				t.Fatal("two open queries of one socket have the same id")
+			}
+			seen[key] = true
+			held = append(held, f)
+			<-room
+		case <-ctx.Done():
+			t.Fatalf("%d of %d came", len(held), open)
+		}
+	}
+	for i := range held { // the last first
+		f := held[len(held)-1-i]
+		m := new(dns.Msg)
+		if err := m.Unpack(f.raw); err != nil {
+			t.Fatal(err)
+		}
+		raw, _ := reached(m, 1).Pack()
+		udp.WriteToUDP(raw, f.at)
+		for i >= int(answered.Load()+wrong.Load())+100 && ctx.Err() == nil { // or the sockets' buffers overflow
+			time.Sleep(50 * time.Microsecond)
+		}
+	}
+	wait.Wait()
+	if answered.Load() != open || wrong.Load() > 0 {
+		t.Errorf("%d answered, %d wrong", answered.Load(), wrong.Load())
+	}
+}
+
+// A connection that closes with queries in flight tells each of them once; the next opens another.
+func TestConnectionClosesInFlight(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	var conns atomic.Int32
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			first := conns.Add(1) == 1
+			go func() {
+				defer c.Close()
+				for n := 1; ; n++ {
+					raw, err := readFrame(c, nil)
+					if err != nil || first && n == 10 {
+						return
+					}
+					if first {
+						continue
+					}
+					m := new(dns.Msg)
+					m.Unpack(raw)
+					text, _ := reached(m, 1).Pack()
+					c.Write(append(binary.BigEndian.AppendUint16(nil, uint16(len(text))), text...))
+				}
+			}()
+		}
+	}()
+	u := testUpstream(t, 1)
+	to := u.Target(ln.Addr().String())
+	var wait sync.WaitGroup
+	var reset atomic.Int32
+	for range 10 {
+		wait.Go(func() {
+			if try(t, to, look(), true, yes).Status == balancer.Reset {
+				reset.Add(1)
+			}
+		})
+	}
+	wait.Wait()
+	if reset.Load() != 10 || conns.Load() != 1 {
+		t.Errorf("%d of 10 in flight were told, over %d connections", reset.Load(), conns.Load())
+	}
+	if r := try(t, to, look(), true, yes); r.Status != balancer.OK || conns.Load() != 2 {
+		t.Errorf("afterwards: status %v, %d connections", r.Status, conns.Load())
+	}
+	to.Drop()
+	if r := try(t, to, look(), true, yes); r.Status != balancer.Moot {
+		t.Errorf("of what is gone: status %v", r.Status)
+	}
+}
