Measure the DNS front beside a plain forwarder and asking directly

Need: what the front costs for each query must be known beside what a plain forwarder costs.

A UDP socket is opened without the dialer, for an address that needs no looking up.

--- a/cmd/birchmoor/lab.go
+++ b/cmd/birchmoor/lab.go
@@ -23,6 +23,8 @@
 	Compare   compareCommand   `cmd:"" help:"Play two binaries, settings files or scenarios over the same seeds, in turn."`
 	Bench     benchCommand     `cmd:"" help:"Measure no proxy, Go's reverse proxy and the sidecar side by side."`
 	DNS       labDNSCommand    `cmd:"" help:"Play name look-ups through the sidecar's DNS front, among stand-in resolvers."`
+	DNSBench  dnsBenchCommand  `cmd:"" help:"Measure asking directly, a plain forwarder and the sidecar side by side."`
+	DNSPeer   dnsPeerCommand   `cmd:"" hidden:""`
 	Report    reportCommand    `cmd:"" help:"Draw a run as one HTML file."`
 	BenchPeer benchPeerCommand `cmd:"" hidden:""`
 }
--- a/internal/dnsfront/sockets.go
+++ b/internal/dnsfront/sockets.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"os"
 	"slices"
 	"syscall"
@@ -85,7 +86,7 @@
 	}
 	u.sockets++
 	u.mu.Unlock()
-	conn, err := u.dial(context.Background(), "udp", r.addr)
+	conn, err := r.dialUDP()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if err != nil {
@@ -98,6 +99,14 @@
 	return s, nil
 }
 
+// dialUDP opens a socket to the server, at once where its address needs no looking up.
+func (r *resolver) dialUDP() (net.Conn, error) {
+	if at, err := netip.ParseAddrPort(r.addr); err == nil {
+		return net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(at))
+	}
+	return r.up.dial(context.Background(), "udp", r.addr)
+}
+
 // rest takes a query off its socket. The last one leaves it open for a while, unless sockets are short.
 func (u *Upstream) rest(s *socket) {
 	u.mu.Lock()
