--- a/internal/dnsfront/front_test.go
+++ b/internal/dnsfront/front_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -120,10 +121,28 @@
 type running struct {
 	addr  string
 	front *Front
+	desk  net.Listener // operators'
 	stop  context.CancelFunc
 	ended chan error
 }
 
+// call makes an operator's call.
+func (r *running) call(t *testing.T, line string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", r.desk.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(sidetest.Soon))
+	io.WriteString(c, line+"\n")
+	answer, err := io.ReadAll(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(answer)
+}
+
 func start(t *testing.T, s Settings, h held, dir string, addrs ...string) *running {
 	t.Helper()
 	var known []discovery.Instance
@@ -142,7 +161,10 @@
 		front: &Front{Settings: s, Sockets: Sockets{UDP: h, TCP: h}}}
 	var ctx context.Context
 	ctx, r.stop = context.WithCancel(context.Background())
-	host := sidecar.Host{Socket: only{ln}, Bans: maintenance.Nowhere{}, Beside: []core.Protocol{r.front},
+	if r.desk, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	host := sidecar.Host{Socket: only{ln}, Mgmt: r.desk, Bans: maintenance.Nowhere{}, Beside: []core.Protocol{r.front},
 		Reload: make(chan os.Signal), Read: func() (*config.Config, error) { return c, nil }, Log: sidetest.Quiet}
 	if dir != "" {
 		host.Handover = filepath.Join(dir, "sock")
@@ -214,6 +236,33 @@
 	return ok
 }
 
+// An operator's ban binds for servers of this front as for those of HTTP, and its figures stand beside.
+func TestBan(t *testing.T) {
+	var asked [2]atomic.Int32
+	server := func(i int) string {
+		return names(t, func(w dns.ResponseWriter, m *dns.Msg) { asked[i].Add(1); w.WriteMsg(reached(m, 1)) })
+	}
+	r := startOver(t, server(0), server(1))
+	if got := r.call(t, "maint-on d-0"); got != "YES\n" {
+		t.Fatal(got)
+	}
+	before := asked[0].Load()
+	for range 50 {
+		if m, err := dns.Exchange(new(dns.Msg).SetQuestion("a.look.test.", dns.TypeA), r.addr); err != nil || m.Rcode != dns.RcodeSuccess {
+			t.Errorf("%v %v", m, err)
+		}
+	}
+	if asked[0].Load() != before || asked[1].Load() < 50 {
+		t.Errorf("the banned server was asked %d times", asked[0].Load()-before)
+	}
+	if got := r.call(t, "maint-on d-9"); !strings.Contains(got, "unknown id") {
+		t.Error(got)
+	}
+	if got := r.call(t, "stats"); !strings.Contains(got, `app_dns_answered_total{group="dns.look"} `) || !strings.Contains(got, `app_answered_total{group="look"} 0`) {
+		t.Error(got)
+	}
+}
+
 // What is no query of a class has an answer that says why, or none.
 func TestTurnedAway(t *testing.T) {
 	r := startOver(t, names(t, nil))
--- a/internal/dnsfront/server.go
+++ b/internal/dnsfront/server.go
@@ -278,7 +278,7 @@
 	s.figures.Current.Add(1)
 	share := ""
 	if class.Share && class.safe() && !w.q.asIs() {
-		share = strconv.Itoa(place) + w.key.key
+		share = strconv.Itoa(place) + "/" + w.key.key
 	}
 	f := &flight{key: share, waiters: []*waiter{w}, left: make(chan struct{})}
 	s.mu.Lock()
--- a/internal/dnsfront/settings.go
+++ b/internal/dnsfront/settings.go
@@ -57,7 +57,10 @@
 }
 
 // Descriptors is how many the front may hold.
-func (s *Settings) Descriptors() int { return s.Sockets + s.TCPClients + 8*s.TCPServer + 4 }
+func (s *Settings) Descriptors() int { return s.Sockets + s.TCPClients + s.streams() + 4 }
+
+// streams is how many connections to servers may be open in all: those with queries are few at a time.
+func (s *Settings) streams() int { return 8 * s.TCPServer }
 
 // Config makes the configuration of the front's core from the sidecar's: the contract, the limits and the prices are the
 // site's, the classes the front's. Servers are judged by their answers alone.
--- a/internal/dnsfront/streams.go
+++ b/internal/dnsfront/streams.go
@@ -35,7 +35,7 @@
 	// Guarded by up.mu.
 	load    int
 	heard   time.Time // when it was opened, or something last came
-	retired bool      // nothing new goes on it
+	retired bool      // nothing new goes on it, and it is closed once it has no query
 }
 
 // stream asks over TCP, once. may is asked right before the query goes out.
@@ -93,18 +93,38 @@
 			least = s
 		}
 	}
-	if least == nil || least.load >= pipelined && len(r.streams) < u.streamsMost {
+	if (least == nil || least.load >= pipelined && len(r.streams) < u.s.TCPServer) && u.roomLocked() {
 		least = &stream{to: r, ready: make(chan struct{}), table: table{open: map[uint16]*pending{}}, heard: time.Now()}
 		r.streams = append(r.streams, least)
+		u.streams[least] = struct{}{}
 		go least.run()
 	}
-	if least.load >= streamMost {
+	if least == nil || least.load >= streamMost {
 		return nil, errNoRoom
 	}
 	least.load++
 	return least, nil
 }
 
+// roomLocked says whether another connection may be opened. The one without queries that was silent for longest makes
+// room.
+func (u *Upstream) roomLocked() bool {
+	if len(u.streams) < u.s.streams() {
+		return true
+	}
+	var idle *stream
+	for s := range u.streams {
+		if s.load == 0 && !s.retired && (idle == nil || s.heard.Before(idle.heard)) {
+			idle = s
+		}
+	}
+	if idle != nil {
+		idle.retireLocked()
+		delete(u.streams, idle)
+	}
+	return idle != nil
+}
+
 // leave takes a query off its connection. One that is retired goes with the last.
 func (u *Upstream) leave(s *stream) {
 	u.mu.Lock()
@@ -131,6 +151,7 @@
 	s.conn, s.err, s.heard = conn, err, time.Now()
 	if err != nil {
 		s.retireLocked()
+		delete(u.streams, s)
 	}
 	idle := s.retired && s.load == 0
 	u.mu.Unlock()
@@ -144,6 +165,7 @@
 	err = s.read()
 	u.mu.Lock()
 	s.retireLocked()
+	delete(u.streams, s)
 	u.mu.Unlock()
 	s.end(err, true)
 	conn.Close()
--- a/internal/dnsfront/upstream.go
+++ b/internal/dnsfront/upstream.go
@@ -49,10 +49,10 @@
 
 	mu          sync.Mutex
 	socketsMost int
-	sockets     int       // open or being opened
-	resting     []*socket // without a query, the oldest first
-	streamsMost int       // connections to one server
-	noRoom      time.Time // when a shortage was last logged
+	sockets     int                  // open or being opened
+	resting     []*socket            // without a query, the oldest first
+	streams     map[*stream]struct{} // being opened or open
+	noRoom      time.Time            // when a shortage was last logged
 }
 
 // resolver is where one server listens. What it has open is its own.
@@ -159,7 +159,7 @@
 
 func newUpstream(c *config.Config, s *Settings, clk core.Clock, counts *Counts, sends *metrics.Counter, log *slog.Logger) *Upstream {
 	u := &Upstream{clock: clk, log: log, counts: counts, sends: sends, secret: new(secret), s: s, socketsMost: s.Sockets,
-		streamsMost: s.TCPServer}
+		streams: map[*stream]struct{}{}}
 	rand.Read(u.secret[:])
 	most := time.Duration(c.Settings.Limits.DialTimeout) * time.Microsecond
 	if most <= 0 {
@@ -190,6 +190,9 @@
 	for len(u.resting) > 0 {
 		u.closeLocked(u.resting[0])
 	}
+	for s := range u.streams {
+		s.retireLocked()
+	}
 }
 
 // Share sets the part of the limits that is for this process.
--- a/internal/dnsfront/upstream_test.go
+++ b/internal/dnsfront/upstream_test.go
@@ -300,3 +300,19 @@
 		t.Errorf("of what is gone: status %v", r.Status)
 	}
 }
+
+// Connections to many servers stay within the descriptors that the front counts on: idle ones make room.
+func TestConnectionsInAllAreBounded(t *testing.T) {
+	u := testUpstream(t, 4)
+	for i := range 2 * u.s.streams() {
+		if r := try(t, u.Target(names(t, nil)), look(), true, yes); r.Status != balancer.OK {
+			t.Fatalf("server %d: status %v", i, r.Status)
+		}
+		u.mu.Lock()
+		n := len(u.streams)
+		u.mu.Unlock()
+		if n > u.s.streams() {
+			t.Fatalf("%d connections are open, %d may be", n, u.s.streams())
+		}
+	}
+}
