--- a/cmd/birchmoor/config.go
+++ b/cmd/birchmoor/config.go
@@ -39,10 +39,10 @@
 }
 
 func configure(ctx context.Context, c *console, s *socketFlag, q admin.Config) error {
-	return s.call(ctx, func(ctx context.Context, a *admin.Client) error {
+	return s.call(ctx, c, func(ctx context.Context, a *admin.Client) error {
 		v, err := a.Configure(ctx, q)
 		if err != nil {
-			return err
+			return s.failed(ctx, c, err, "")
 		}
 		return s.print(c, v, func(w *tabwriter.Writer) { fmt.Fprintf(w, "version %d, revision %d\n", v.Version, v.Revision) })
 	})
@@ -54,7 +54,7 @@
 }
 
 func (k *configGet) Run(ctx context.Context, c *console) error {
-	return k.call(ctx, func(ctx context.Context, a *admin.Client) error {
+	return k.call(ctx, c, func(ctx context.Context, a *admin.Client) error {
 		all, err := a.History(ctx)
 		if err != nil {
 			return err
@@ -73,7 +73,7 @@
 type configHistory struct{ socketFlag }
 
 func (k *configHistory) Run(ctx context.Context, c *console) error {
-	return k.call(ctx, func(ctx context.Context, a *admin.Client) error {
+	return k.call(ctx, c, func(ctx context.Context, a *admin.Client) error {
 		all, err := a.History(ctx)
 		if err != nil {
 			return err
--- /dev/null
+++ b/cmd/birchmoor/lease.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"birchmoor/internal/store/admin"
+)
+
+type leaseCommands struct {
+	Grant leaseGrant `cmd:"" help:"Begin a lease, and print its id."`
+	Renew leaseRenew `cmd:"" help:"Have a lease go on."`
+	End   leaseEnd   `cmd:"" help:"End a lease; its keys go with it."`
+	List  leaseList  `cmd:"" help:"List leases and their keys."`
+}
+
+type leaseGrant struct {
+	socketFlag
+	requestFlag
+	TTL time.Duration `arg:"" help:"Silence of its holder after which it ends, such as 30s."`
+}
+
+func (k *leaseGrant) Help() string {
+	return `A key that is put with --lease goes when its lease ends: when it was not renewed for its time, by the leader's clock.
+
+Example:
+  id=$(birchmoor store lease grant 30s)
+  birchmoor store put hosts/a up --lease $id
+  birchmoor store lease renew $id`
+}
+
+func (k *leaseGrant) Run(ctx context.Context, c *console) error {
+	if k.TTL < time.Second || k.TTL > 24*time.Hour {
+		return fmt.Errorf("%v is not within 1s and 24h", k.TTL)
+	}
+	id, err := k.id()
+	if err != nil {
+		return err
+	}
+	return k.change(ctx, c, admin.Request{ID: id, Grant: uint64(k.TTL.Milliseconds())}, func(w *tabwriter.Writer, x admin.Change) {
+		fmt.Fprintln(w, x.Lease)
+	})
+}
+
+type leaseRenew struct {
+	socketFlag
+	requestFlag
+	Lease uint64 `arg:"" help:"Its id."`
+}
+
+func (k *leaseRenew) Run(ctx context.Context, c *console) error {
+	id, err := k.id()
+	if err != nil {
+		return err
+	}
+	return k.change(ctx, c, admin.Request{ID: id, Renew: k.Lease}, func(w *tabwriter.Writer, x admin.Change) {
+		fmt.Fprintf(w, "lease %d goes on\n", k.Lease)
+	})
+}
+
+type leaseEnd struct {
+	socketFlag
+	requestFlag
+	Lease uint64 `arg:"" help:"Its id."`
+}
+
+func (k *leaseEnd) Run(ctx context.Context, c *console) error {
+	id, err := k.id()
+	if err != nil {
+		return err
+	}
+	return k.change(ctx, c, admin.Request{ID: id, End: k.Lease}, func(w *tabwriter.Writer, x admin.Change) {
+		fmt.Fprintf(w, "lease %d has ended, and its keys are gone\n", k.Lease)
+	})
+}
+
+type leaseList struct{ socketFlag }
+
+func (k *leaseList) Run(ctx context.Context, c *console) error {
+	return k.call(ctx, c, func(ctx context.Context, a *admin.Client) error {
+		all, err := a.Leases(ctx)
+		if err != nil {
+			return err
+		}
+		return k.print(c, all, func(w *tabwriter.Writer) {
+			fmt.Fprintln(w, "ID\tTIME\tKEYS")
+			for _, l := range all {
+				fmt.Fprintf(w, "%d\t%v\t%s\n", l.ID, time.Duration(l.TTLms)*time.Millisecond, strings.Join(l.Keys, " "))
+			}
+		})
+	})
+}
--- a/cmd/birchmoor/store.go
+++ b/cmd/birchmoor/store.go
@@ -34,6 +34,7 @@
 	Get      storeGet      `cmd:"" help:"Read a key, or all keys with a prefix."`
 	Put      storePut      `cmd:"" help:"Write a key."`
 	Delete   storeDelete   `cmd:"" help:"Delete a key."`
+	Lease    leaseCommands `cmd:"" help:"Keys that go when their holder falls silent."`
 	Watch    storeWatch    `cmd:"" help:"Follow changes."`
 	Snapshot storeSnapshot `cmd:"" help:"Save the whole store in a file, or begin a new cluster from one."`
 	Bench    storeBench    `cmd:"" help:"Measure the store on this machine, beside a bare bbolt file."`
@@ -42,15 +43,64 @@
 }
 
 type socketFlag struct {
-	Socket string `help:"Socket of a running daemon." default:"store.sock" env:"BIRCHMOOR_STORE" placeholder:"PATH"`
-	JSON   bool   `help:"As JSON."`
+	Socket  string        `help:"Socket of a running daemon." default:"store.sock" env:"BIRCHMOOR_STORE" placeholder:"PATH"`
+	JSON    bool          `help:"As JSON."`
+	Timeout time.Duration `help:"Wait for an answer for so long at most." default:"10s"`
 }
 
-// call asks the daemon, for at most a while.
-func (s *socketFlag) call(ctx context.Context, f func(context.Context, *admin.Client) error) error {
-	ctx, cancel := context.WithTimeout(ctx, 15*time.Second)
+const (
+	timeoutLeast = 50 * time.Millisecond
+	timeoutMost  = 10 * time.Minute
+	wordSlack    = 500 * time.Millisecond // for the daemon's own word that it has waited for so long
+	sayAfter     = time.Second
+)
+
+// call asks the daemon, for at most the time that was given, and says on standard error that it waits if that takes
+// long.
+func (s *socketFlag) call(ctx context.Context, c *console, f func(context.Context, *admin.Client) error) error {
+	if s.Timeout < timeoutLeast || s.Timeout > timeoutMost {
+		return fmt.Errorf("--timeout: %v is not within %v and %v", s.Timeout, timeoutLeast, timeoutMost)
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.Timeout+wordSlack)
 	defer cancel()
-	return f(ctx, admin.Dial(s.Socket))
+	say := time.AfterFunc(sayAfter, func() {
+		fmt.Fprintf(c.err, "birchmoor: no answer yet; waiting for %v in all\n", s.Timeout)
+	})
+	defer say.Stop()
+	a := admin.Dial(s.Socket)
+	a.Timeout = s.Timeout
+	return f(ctx, a)
+}
+
+// failure is what --json prints of a change that was not seen to be made.
+type failure struct {
+	Error   string `json:"error"`
+	Outcome string `json:"outcome"` // "unchanged" or "unknown"
+	Request string `json:"request,omitempty"`
+}
+
+// failed says what an error means for a change: that nothing was changed, or that it is not known whether. request, if
+// it is not empty, is what to say again.
+func (s *socketFlag) failed(ctx context.Context, c *console, err error, request string) error {
+	var told *admin.Error
+	x := failure{Error: err.Error(), Outcome: "unchanged"}
+	switch {
+	case errors.As(err, &told) && told.Unknown != nil, told == nil && ctx.Err() != nil:
+		// The daemon sent it on and heard nothing, or did not even answer us.
+		x.Outcome, x.Request = "unknown", request
+		err = fmt.Errorf("the outcome is unknown: %w", err)
+		if request != "" {
+			err = fmt.Errorf("%w; to find out and have it made once, say it again with --request %s", err, request)
+		}
+	default:
+		err = fmt.Errorf("nothing was changed: %w", err)
+	}
+	if s.JSON {
+		if bad := json.NewEncoder(c.out).Encode(x); bad != nil {
+			return bad
+		}
+	}
+	return err
 }
 
 func (s *socketFlag) print(c *console, v any, table func(*tabwriter.Writer)) error {
@@ -67,7 +117,7 @@
 type storeStatus struct{ socketFlag }
 
 func (k *storeStatus) Run(ctx context.Context, c *console) error {
-	return k.call(ctx, func(ctx context.Context, a *admin.Client) error {
+	return k.call(ctx, c, func(ctx context.Context, a *admin.Client) error {
 		s, err := a.Status(ctx)
 		if err != nil {
 			return err
@@ -104,7 +154,7 @@
 type storeMembers struct{ socketFlag }
 
 func (k *storeMembers) Run(ctx context.Context, c *console) error {
-	return k.call(ctx, func(ctx context.Context, a *admin.Client) error {
+	return k.call(ctx, c, func(ctx context.Context, a *admin.Client) error {
 		s, err := a.Status(ctx)
 		if err != nil {
 			return err
@@ -138,14 +188,10 @@
 		}
 		r.ID = store.RequestID{Client: binary.BigEndian.Uint64(b[:]) >> 1, Seq: 1}
 	}
-	return s.call(ctx, func(ctx context.Context, a *admin.Client) error {
+	return s.call(ctx, c, func(ctx context.Context, a *admin.Client) error {
 		x, err := a.Change(ctx, r)
-		var e *admin.Error
-		if errors.As(err, &e) && e.Unknown != nil || err != nil && ctx.Err() != nil {
-			return fmt.Errorf("%w; to find out and have it made once, say it again with --request %d-%d", err, r.ID.Client, r.ID.Seq)
-		}
 		if err != nil {
-			return err
+			return s.failed(ctx, c, err, fmt.Sprintf("%d-%d", r.ID.Client, r.ID.Seq))
 		}
 		return s.print(c, x, func(w *tabwriter.Writer) { table(w, x) })
 	})
@@ -209,7 +255,7 @@
 type storeOut struct{ socketFlag }
 
 func (k *storeOut) Run(ctx context.Context, c *console) error {
-	return k.call(ctx, func(ctx context.Context, a *admin.Client) error {
+	return k.call(ctx, c, func(ctx context.Context, a *admin.Client) error {
 		all, err := a.Out(ctx)
 		if err != nil {
 			return err
@@ -226,7 +272,12 @@
 type storeHandover struct{ socketFlag }
 
 func (k *storeHandover) Run(ctx context.Context, c *console) error {
-	return k.call(ctx, func(ctx context.Context, a *admin.Client) error { return a.HandOver(ctx) })
+	return k.call(ctx, c, func(ctx context.Context, a *admin.Client) error {
+		if err := a.HandOver(ctx); err != nil {
+			return k.failed(ctx, c, err, "")
+		}
+		return nil
+	})
 }
 
 type storeGet struct {
@@ -254,7 +305,7 @@
 	} else {
 		q.Set("key", k.Key)
 	}
-	return k.call(ctx, func(ctx context.Context, a *admin.Client) error {
+	return k.call(ctx, c, func(ctx context.Context, a *admin.Client) error {
 		i, err := a.Range(ctx, q)
 		if err != nil {
 			return err
@@ -283,6 +334,7 @@
 	Key   string  `arg:"" help:"Key."`
 	Value string  `arg:"" help:"Value; - reads standard input."`
 	If    *uint64 `help:"Only if the key was last put at this revision; 0: only if there is none." placeholder:"REVISION"`
+	Lease uint64  `help:"The key goes when this lease ends." placeholder:"ID"`
 }
 
 func (k *storePut) Run(ctx context.Context, c *console) error {
@@ -293,7 +345,7 @@
 			return err
 		}
 	}
-	return putOrDelete(ctx, c, &k.socketFlag, k.requestFlag, store.Op{Key: k.Key, Value: value}, k.If)
+	return putOrDelete(ctx, c, &k.socketFlag, k.requestFlag, store.Op{Key: k.Key, Value: value, Lease: k.Lease}, k.If)
 }
 
 func putOrDelete(ctx context.Context, c *console, s *socketFlag, r requestFlag, op store.Op, at *uint64) error {
--- /dev/null
+++ b/cmd/birchmoor/store_test.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+)
+
+// replicaUnderTest runs a replica in this process until the test ends or stop is called.
+type replicaUnderTest struct {
+	file, socket, address string
+	stop                  func()
+}
+
+func newDaemon(t *testing.T, dir, name string, join bool) *replicaUnderTest {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &replicaUnderTest{file: filepath.Join(dir, name+".toml"), socket: filepath.Join(dir, name+".sock"), address: ln.Addr().String()}
+	ln.Close()
+	text := fmt.Sprintf("[store]\nname = %q\ndir = %q\nsocket = %q\nlisten = %q\nplain = true\njoin = %v\ntick = \"10ms\"\n",
+		name, filepath.Join(dir, name), d.socket, d.address, join)
+	if err := os.WriteFile(d.file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if d.stop != nil {
+			d.stop()
+		}
+	})
+	return d
+}
+
+func (d *replicaUnderTest) start(t *testing.T) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan int, 1)
+	var errs bytes.Buffer
+	go func() { ended <- run(ctx, []string{"run", "--config", d.file}, &bytes.Buffer{}, &errs) }()
+	d.stop = func() {
+		cancel()
+		<-ended
+		d.stop = nil
+	}
+	d.until(t, "is up", func() bool { code, _, _ := d.say("status"); return code == 0 })
+}
+
+// until waits for what must come.
+func (d *replicaUnderTest) until(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !done(); {
+		if time.Now().After(end) {
+			t.Fatalf("%s: %s does not come", d.file, what)
+		}
+	}
+}
+
+// say runs a command of the store's at this daemon.
+func (d *replicaUnderTest) say(args ...string) (code int, out, errs string) {
+	var o, e bytes.Buffer
+	code = run(context.Background(), append(append([]string{"store"}, args...), "--socket", d.socket), &o, &e)
+	return code, o.String(), e.String()
+}
+
+func (d *replicaUnderTest) must(t *testing.T, args ...string) string {
+	t.Helper()
+	code, out, errs := d.say(args...)
+	if code != 0 {
+		t.Fatalf("%v: exit code %d, %s", args, code, errs)
+	}
+	return strings.TrimSpace(out)
+}
+
+// A write without a quorum ends by its time, with exit code 2 and the word that its outcome is unknown; said again with
+// its request's id, it is made once.
+func TestWriteWithoutQuorum(t *testing.T) {
+	dir := t.TempDir()
+	a, b := newDaemon(t, dir, "a", false), newDaemon(t, dir, "b", true)
+	a.start(t)
+	b.start(t)
+	a.until(t, "a first write", func() bool { code, _, _ := a.say("put", "k", "0"); return code == 0 })
+	a.must(t, "add", "b", b.address)
+	a.until(t, "b's vote", func() bool {
+		_, out, _ := a.say("members")
+		_, status, _ := a.say("status")
+		return strings.Count(out, "votes")+strings.Count(out, "leads") == 2 && regexp.MustCompile(`members settled +true`).MatchString(status)
+	})
+	b.stop()
+	code, out, errs := a.say("put", "k", "1", "--timeout", "300ms", "--json")
+	var x failure
+	if err := json.Unmarshal([]byte(out), &x); err != nil || code != exitInput {
+		t.Fatalf("exit code %d, %q, %s", code, out, errs)
+	}
+	if x.Outcome != "unknown" || x.Request == "" || !strings.Contains(errs, "the outcome is unknown") || !strings.Contains(errs, "--request "+x.Request) {
+		t.Errorf("%+v; %s", x, errs)
+	}
+	b.start(t)
+	a.until(t, "the write", func() bool {
+		code, _, _ := a.say("put", "k", "1", "--request", x.Request)
+		return code == 0
+	})
+	if out := a.must(t, "get", "k"); !strings.Contains(out, "1") {
+		t.Error(out)
+	}
+	revision := func() string { return strings.Fields(a.must(t, "get", "k"))[2] }
+	before := revision()
+	a.must(t, "put", "k", "1", "--request", x.Request)
+	if got := revision(); got != before {
+		t.Errorf("made twice: revision %s, then %s", before, got)
+	}
+}
+
+// What the daemon refuses, or a daemon that is not there, changes nothing, and is said so.
+func TestWriteThatChangesNothing(t *testing.T) {
+	a := newDaemon(t, t.TempDir(), "a", false)
+	if code, _, errs := a.say("put", "k", "1"); code != exitInput || !strings.Contains(errs, "nothing was changed") {
+		t.Errorf("without a daemon: exit code %d, %s", code, errs)
+	}
+	a.start(t)
+	a.until(t, "a first write", func() bool { code, _, _ := a.say("put", "k", "0"); return code == 0 })
+	for _, args := range [][]string{
+		{"put", "k", "1", "--lease", "99"},
+		{"lease", "renew", "99"},
+		{"lease", "grant", "1ms"},
+		{"put", "k", "1", "--timeout", "0s"},
+		{"put", "", "1"},
+	} {
+		if code, _, errs := a.say(args...); code != exitInput || errs == "" {
+			t.Errorf("%v: exit code %d, %s", args, code, errs)
+		}
+	}
+	if code, _, _ := a.say("put", "k", "1", "--if", "12345"); code != exitMissed {
+		t.Errorf("a condition that does not hold: exit code %d", code)
+	}
+	if got := a.must(t, "get", "k"); !strings.Contains(got, "0") {
+		t.Error(got)
+	}
+}
+
+// A lease's keys go with it: when it is ended, and when nobody renews it.
+func TestLeases(t *testing.T) {
+	a := newDaemon(t, t.TempDir(), "a", false)
+	a.start(t)
+	a.until(t, "a first write", func() bool { code, _, _ := a.say("put", "other", "0"); return code == 0 })
+	long, short := a.must(t, "lease", "grant", "1h"), a.must(t, "lease", "grant", "1s")
+	a.must(t, "put", "hosts/a", "up", "--lease", long)
+	a.must(t, "put", "hosts/b", "up", "--lease", short)
+	if out := a.must(t, "lease", "list"); !strings.Contains(out, "hosts/a") || !strings.Contains(out, "1h0m0s") {
+		t.Error(out)
+	}
+	a.must(t, "lease", "renew", long)
+	a.until(t, "the end of the silent one", func() bool { code, _, _ := a.say("get", "hosts/b"); return code == exitMissed })
+	a.must(t, "get", "hosts/a")
+	a.must(t, "lease", "end", long)
+	if code, _, _ := a.say("get", "hosts/a"); code != exitMissed {
+		t.Errorf("its key outlives a lease: exit code %d", code)
+	}
+	if out := a.must(t, "lease", "list", "--json"); strings.TrimSpace(out) != "[]" {
+		t.Error(out)
+	}
+	a.must(t, "get", "other")
+}
--- a/internal/store/admin/admin.go
+++ b/internal/store/admin/admin.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/url"
@@ -25,10 +26,24 @@
 const (
 	bodyMost  = 4 << 20
 	rangeMost = 10000
-	waitMost  = 10 * time.Second // for a request's outcome
-	watchMost = 64               // watches at once
+	waitMost  = 10 * time.Second // for a request's outcome, unless it says how long
+	waitLimit = 10 * time.Minute
+	watchMost = 64 // watches at once
 )
 
+// wait bounds a request by the time that it gives itself.
+func wait(r *http.Request) (context.Context, context.CancelFunc, error) {
+	span := waitMost
+	if text := r.URL.Query().Get("timeout"); text != "" {
+		var err error
+		if span, err = time.ParseDuration(text); err != nil || span <= 0 || span > waitLimit {
+			return nil, nil, fmt.Errorf("%w: timeout: %q is not a duration within 0 and %v", errBad, text, waitLimit)
+		}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), span)
+	return ctx, cancel, nil
+}
+
 // Fault is an error as it is told.
 type Fault struct {
 	Error   string           `json:"error"`
@@ -58,6 +73,17 @@
 	Txn *store.Txn      `json:"txn,omitempty"`
 	Add *store.Join     `json:"add,omitempty"`
 	Del uint64          `json:"remove,omitempty"`
+
+	Grant uint64 `json:"grant,omitempty"` // a lease, of so many milliseconds
+	Renew uint64 `json:"renew,omitempty"` // this lease
+	End   uint64 `json:"end,omitempty"`   // this lease, and its keys with it
+}
+
+// Lease is one as operators see it.
+type Lease struct {
+	ID    uint64   `json:"id"`
+	TTLms uint64   `json:"ttl_ms"`
+	Keys  []string `json:"keys"`
 }
 
 // Config asks for other settings, or for those of an earlier version.
@@ -102,6 +128,7 @@
 	m.HandleFunc("POST /v1/handover", s.handOver)
 	m.HandleFunc("GET /v1/config", s.history)
 	m.HandleFunc("POST /v1/config", s.configure)
+	m.HandleFunc("GET /v1/leases", s.leases)
 	m.HandleFunc("GET /v1/out", func(w http.ResponseWriter, r *http.Request) { answer(w, http.StatusOK, d.Outs()) })
 	s.http = &http.Server{Handler: m, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
 	go s.http.Serve(ln)
@@ -162,7 +189,11 @@
 }
 
 func (s *Server) status(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), waitMost)
+	ctx, cancel, err := wait(r)
+	if err != nil {
+		fail(w, err)
+		return
+	}
 	defer cancel()
 	st, err := s.e.Status(ctx)
 	if err != nil {
@@ -173,7 +204,11 @@
 }
 
 func (s *Server) read(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), waitMost)
+	ctx, cancel, err := wait(r)
+	if err != nil {
+		fail(w, err)
+		return
+	}
 	defer cancel()
 	q := r.URL.Query()
 	limit, err := number(q, "limit")
@@ -209,7 +244,11 @@
 }
 
 func (s *Server) change(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), waitMost)
+	ctx, cancel, err := wait(r)
+	if err != nil {
+		fail(w, err)
+		return
+	}
 	defer cancel()
 	var q Request
 	if err := decode(w, r, &q); err != nil {
@@ -220,14 +259,23 @@
 	if q.Del != 0 {
 		c.Leave = &store.Leave{Member: q.Del}
 	}
+	if q.Grant != 0 {
+		c.Grant = &store.Grant{TTL: q.Grant}
+	}
+	if q.Renew != 0 {
+		c.Renew = &store.Renew{Lease: q.Renew}
+	}
+	if q.End != 0 {
+		c.End = &store.End{Lease: q.End}
+	}
 	set := 0
-	for _, is := range []bool{c.Txn != nil, c.Join != nil, c.Leave != nil} {
+	for _, is := range []bool{c.Txn != nil, c.Join != nil, c.Leave != nil, c.Grant != nil, c.Renew != nil, c.End != nil} {
 		if is {
 			set++
 		}
 	}
 	if set != 1 {
-		fail(w, fmt.Errorf("%w: one of txn, add and remove", errBad))
+		fail(w, fmt.Errorf("%w: one of txn, add, remove, grant, renew and end", errBad))
 		return
 	}
 	if c.Join != nil {
@@ -248,8 +296,41 @@
 	answer(w, http.StatusOK, Change{Revision: res.Revision, Held: res.Held, Member: res.Member, Lease: res.Lease})
 }
 
+func (s *Server) leases(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel, err := wait(r)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	defer cancel()
+	all := []Lease{}
+	if _, err := s.e.View(ctx, false, func(st *store.State) {
+		at := map[uint64]int{}
+		for _, l := range st.Leases() {
+			at[l.ID] = len(all)
+			all = append(all, Lease{ID: l.ID, TTLms: l.TTL, Keys: []string{}})
+		}
+		st.Range("", "", func(i store.Item) bool {
+			if n, ok := at[i.Lease]; ok && i.Lease != 0 {
+				all[n].Keys = append(all[n].Keys, i.Key)
+			}
+			return true
+		})
+	}); err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, http.StatusOK, all)
+}
+
 func (s *Server) handOver(w http.ResponseWriter, r *http.Request) {
-	if err := s.e.HandOver(r.Context()); err != nil {
+	ctx, cancel, err := wait(r)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	defer cancel()
+	if err := s.e.HandOver(ctx); err != nil {
 		fail(w, err)
 		return
 	}
@@ -257,7 +338,11 @@
 }
 
 func (s *Server) history(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), waitMost)
+	ctx, cancel, err := wait(r)
+	if err != nil {
+		fail(w, err)
+		return
+	}
 	defer cancel()
 	all, err := s.d.History(ctx)
 	if err != nil {
@@ -268,7 +353,11 @@
 }
 
 func (s *Server) configure(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), waitMost)
+	ctx, cancel, err := wait(r)
+	if err != nil {
+		fail(w, err)
+		return
+	}
 	defer cancel()
 	var q Config
 	if err := decode(w, r, &q); err != nil {
@@ -276,7 +365,6 @@
 		return
 	}
 	var v daemon.Version
-	var err error
 	if q.Rollback != 0 {
 		v, err = s.d.Rollback(ctx, q.Rollback)
 	} else {
@@ -356,11 +444,17 @@
 }
 
 // Client asks a Server.
-type Client struct{ http *http.Client }
+type Client struct {
+	http *http.Client
+
+	// Timeout, if it is not 0, is how long the server may take for an answer. It is to be less than what a call's
+	// context allows, so that its word, that an outcome is unknown or nothing was changed, still comes.
+	Timeout time.Duration
+}
 
 // Dial returns a client of the socket at a path.
 func Dial(path string) *Client {
-	return &Client{&http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "unix", path)
 	}}}}
 }
@@ -374,6 +468,11 @@
 func (e *Error) Error() string { return e.Fault.Error }
 
 func (c *Client) do(ctx context.Context, method, path string, q url.Values, body io.Reader) (*http.Response, error) {
+	if c.Timeout > 0 {
+		all := url.Values{"timeout": {c.Timeout.String()}}
+		maps.Copy(all, q)
+		q = all
+	}
 	r, err := http.NewRequestWithContext(ctx, method, "http://store"+path+"?"+q.Encode(), body)
 	if err != nil {
 		return nil, err
@@ -423,6 +522,11 @@
 	return x, c.call(ctx, "POST", "/v1/change", nil, r, &x)
 }
 
+// Leases lists all leases and their keys.
+func (c *Client) Leases(ctx context.Context) (all []Lease, err error) {
+	return all, c.call(ctx, "GET", "/v1/leases", nil, nil, &all)
+}
+
 // Configure puts settings, or those of an earlier version.
 func (c *Client) Configure(ctx context.Context, q Config) (v daemon.Version, err error) {
 	return v, c.call(ctx, "POST", "/v1/config", nil, q, &v)
