End a late attempt whose request has ended and may not be withdrawn

Seen on reading: where the site's settings forbid withdrawing, an attempt over DNS whose request had ended (its client gone, say) was kept beyond its time-out like one that somebody waits for, and nothing ended it any more: a goroutine and a socket each. Checked: HTTP keeps none, and with withdrawing allowed the module ends it. The line at fault was outcome's, which asked only whether the protocol keeps late attempts.

Change: only an attempt whose request is open is kept. TestNobodyWaitsForTheLate fails without it.

--- a/internal/core/late_test.go
+++ b/internal/core/late_test.go
@@ -90,3 +90,39 @@
 		})
 	}
 }
+
+// Where nothing may be withdrawn, an attempt whose request has ended goes on to its time and no longer.
+func TestNobodyWaitsForTheLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sent, over := make(chan struct{}), make(chan struct{})
+		s := stub{late: true, send: func(ctx context.Context, o Order) Reply {
+			o.Go(0)
+			close(sent)
+			<-ctx.Done()
+			close(over)
+			return Reply{Status: balancer.Cancelled}
+		}}
+		c := sidetest.Configure(t, "127.0.0.1:1", []discovery.Instance{sidetest.Up("s-1", "127.0.0.1:1")}, `"cancel":true`, `"cancel":false`)
+		l, err := New(c, NewClock(), s, func(bool) {}, metrics.New(), nil, sidetest.Quiet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { l.Run(ctx); close(done) }()
+		k := &Call{ID: "1", Class: "look", View: l.View(), Answer: make(chan Answer, 1),
+			In: balancer.Request{Deadline: l.Now() + 900_000, Rules: l.View().Rules}}
+		l.Arrived(k)
+		<-sent
+		l.Left(k)
+		time.Sleep(time.Second) // past its time
+		synctest.Wait()
+		select {
+		case <-over:
+		default:
+			t.Error("the attempt is still out")
+		}
+		cancel()
+		<-done
+	})
+}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -321,7 +321,7 @@
 		return
 	}
 	a.done = true
-	if a.late = r.Status == balancer.Timeout && l.upstream.KeepsLate(); !a.late {
+	if a.late = r.Status == balancer.Timeout && !c.ended && l.upstream.KeepsLate(); !a.late {
 		a.cancel()
 	}
 	l.callOff(a.timeUp)
