Keep drains that discovery tells in the store: binding at the first word, for one process

Change: a drain is of a process: id, address and start. What a sidecar's discovery tells goes to its daemon, into the store and from there to every other sidecar, which sends that process nothing new; a start knows what its own disk's copy says before it serves. A new start, the id elsewhere and the address under another id are other processes, so nobody has to agree on a return. Off on the platform: without a store nothing is told and no map is looked at.

--- /dev/null
+++ b/cmd/birchmoor/drain_test.go
@@ -0,0 +1,250 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"birchmoor/internal/discovery"
+)
+
+// counted is a slot server that counts which daemon's requests it got, and when the last came.
+type counted struct {
+	*httptest.Server
+	mu   sync.Mutex
+	from map[string]int
+	last time.Time
+}
+
+func newCounted(t *testing.T) *counted {
+	c := &counted{from: map[string]int{}}
+	c.Server = httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.from[r.Header.Get("X-From")]++
+		c.last = time.Now()
+	}))
+	t.Cleanup(c.Close)
+	return c
+}
+
+func (c *counted) count(from string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.from[from]
+}
+
+// whole is a process with a replica and a sidecar.
+type whole struct {
+	name, dir, listen, store, discovery string
+	known                               []discovery.Instance
+	cmd                                 *exec.Cmd
+	log                                 bytes.Buffer
+}
+
+func newWhole(t *testing.T, dir, name, at string, known ...discovery.Instance) *whole {
+	t.Helper()
+	w := &whole{name: name, dir: dir, discovery: at, known: known}
+	for _, to := range []*string{&w.listen, &w.store} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		*to = ln.Addr().String()
+		ln.Close()
+	}
+	t.Cleanup(w.kill)
+	return w
+}
+
+func (w *whole) path(of string) string { return filepath.Join(w.dir, w.name+of) }
+
+func (w *whole) start(t *testing.T, join bool) {
+	t.Helper()
+	config, err := json.Marshal(map[string]any{"name": w.name, "listen": w.listen, "discovery": w.discovery, "seed": "8c1f30d27a5be964",
+		"known": discovery.List{Generation: 1, Reset: true, Instances: w.known}, "settings": json.RawMessage(settingsOfOne)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := fmt.Sprintf("[store]\nname = %q\ndir = %q\nsocket = %q\nlisten = %q\nplain = true\njoin = %v\ntick = \"20ms\"\n", w.name,
+		w.path(""), w.path(".sock"), w.store, join)
+	for name, text := range map[string]string{".json": string(config), ".toml": file} {
+		if err := os.WriteFile(w.path(name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.cmd = exec.Command(self, "run", "--config", w.path(".toml"))
+	w.cmd.Env = append(os.Environ(), asProgram+"=1", "ROUTER_CONFIG="+w.path(".json"), "TMPDIR="+t.TempDir()) // which the next start has not
+	w.cmd.Stderr = &w.log
+	w.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := w.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	w.until(t, "readiness", func() bool {
+		resp, err := http.Get("http://" + w.listen + "/-/ready")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == 200
+	})
+}
+
+func (w *whole) kill() {
+	if w.cmd != nil {
+		w.cmd.Process.Kill()
+		w.cmd.Wait()
+		w.cmd = nil
+	}
+}
+
+func (w *whole) until(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !done(); {
+		if time.Now().After(end) {
+			t.Fatalf("%s: %s does not come:\n%s", w.name, what, w.log.String())
+		}
+	}
+}
+
+var traces struct {
+	sync.Mutex
+	n int
+}
+
+// ask sends requests through its sidecar.
+func (w *whole) ask(t *testing.T, n int) {
+	t.Helper()
+	for range n {
+		req, err := http.NewRequest("GET", "http://"+w.listen+"/look/1", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		traces.Lock()
+		traces.n++
+		id := fmt.Sprintf("%020x", traces.n)
+		traces.Unlock()
+		for name, value := range map[string]string{"X-Trace-Id": id, "X-Qos": "look", "X-Customer": "acme", "X-Expires-In-Ms": "900", "X-From": w.name} {
+			req.Header.Set(name, value)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatalf("%s: %v\n%s", w.name, err, w.log.String())
+		}
+		io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+	}
+}
+
+func (w *whole) tellStore(args ...string) (int, string) {
+	code, out, errs := birchmoor(append(append([]string{"store"}, args...), "--socket", w.path(".sock"))...)
+	return code, out + errs
+}
+
+// Three copies, of which only one hears discovery, and each is killed outright in turn: no copy that a drain has reached ever
+// sends the server another request, also not a start whose own list is older than the drain.
+func TestKilledCopiesServeNoStaleDrain(t *testing.T) {
+	drained, other := newCounted(t), newCounted(t)
+	in := func(id string, s *counted, lifecycle string) discovery.Instance {
+		return discovery.Instance{ID: id, Addr: s.Listener.Addr().String(), Zone: "a", Kind: "m", Cell: 1, Lifecycle: lifecycle, Weight: 1, StartedMs: 1}
+	}
+	known := []discovery.Instance{in("s-1", drained, "up"), in("s-2", other, "up")}
+	tell := make(chan discovery.List)
+	board := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		http.NewResponseController(w).Flush()
+		for {
+			select {
+			case l := <-tell:
+				json.NewEncoder(w).Encode(l)
+			case <-time.After(time.Second):
+				io.WriteString(w, "\n")
+			case <-r.Context().Done():
+				return
+			}
+			http.NewResponseController(w).Flush()
+		}
+	}))
+	t.Cleanup(board.CloseClientConnections) // the processes are killed after it
+	dir := t.TempDir()
+	a := newWhole(t, dir, "a", strings.TrimPrefix(board.URL, "http://"), known...)
+	b, c := newWhole(t, dir, "b", "127.0.0.1:1", known...), newWhole(t, dir, "c", "127.0.0.1:1", known...)
+	all := []*whole{a, b, c}
+	for i, w := range all {
+		w.start(t, i > 0)
+		if i == 0 {
+			a.until(t, "a store", func() bool { code, _ := a.tellStore("put", "k", "v"); return code == 0 })
+			continue
+		}
+		a.until(t, w.name+" in the cluster", func() bool { code, _ := a.tellStore("add", w.name, w.store); return code == 0 })
+		a.until(t, w.name+"'s vote", func() bool {
+			_, out := a.tellStore("members")
+			_, status := a.tellStore("status")
+			return strings.Count(out, "votes")+strings.Count(out, "leads") == i+1 && strings.Contains(status, "members settled      true")
+		})
+	}
+	for _, w := range all {
+		w.until(t, "traffic at both servers", func() bool {
+			w.ask(t, 10)
+			return drained.count(w.name) > 0 && other.count(w.name) > 0
+		})
+	}
+	told := time.Now()
+	tell <- discovery.List{Generation: 2, Instances: []discovery.Instance{in("s-1", drained, "draining")}}
+	// It has reached a copy once none of many requests goes there.
+	reached := func(w *whole) {
+		w.until(t, "the drain", func() bool {
+			before := drained.count(w.name)
+			w.ask(t, 60)
+			return drained.count(w.name) == before
+		})
+	}
+	for _, w := range all {
+		reached(w)
+	}
+	t.Logf("the last request came %v after the word", drained.last.Sub(told).Round(time.Millisecond))
+	before := map[string]int{}
+	for _, w := range all {
+		before[w.name] = drained.count(w.name)
+	}
+	check := func(when string) {
+		t.Helper()
+		for _, w := range all {
+			if w.cmd == nil {
+				continue
+			}
+			w.ask(t, 100)
+			if got := drained.count(w.name); got != before[w.name] {
+				t.Errorf("%s: %s sent %d requests to the server that drains\n%s", when, w.name, got-before[w.name], w.log.String())
+			}
+		}
+	}
+	for _, w := range []*whole{b, c} {
+		w.kill()
+		check(w.name + " killed")
+		w.start(t, true)
+		check(w.name + " back, with its old list")
+	}
+	for _, w := range all {
+		w.kill()
+	}
+	c.start(t, true)
+	check("all killed, and c alone is back")
+	b.start(t, true)
+	check("b is back, too")
+}
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -171,11 +171,13 @@
 
 // endpoint is one of discovery's entries. Attempts read stopAt.
 type endpoint struct {
-	number uint32
-	addr   string
-	to     Target
-	state  balancer.State
-	told   discovery.Instance // the latest entry
-	banned bool               // operators have taken it out
-	stopAt atomic.Int64       // nothing new goes out from this instant on; 0: no such instant
+	number  uint32
+	addr    string
+	to      Target
+	state   balancer.State
+	told    discovery.Instance // the latest entry
+	started int64              // of the latest entry that told it
+	drains  discovery.Process  // what discovery told to drain, until it does no more
+	banned  bool               // operators have taken it out
+	stopAt  atomic.Int64       // nothing new goes out from this instant on; 0: no such instant
 }
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -45,9 +45,11 @@
 	byName   map[string]*endpoint
 	byNumber map[uint32]*endpoint
 	numbers  uint32
-	marks    []maintenance.Mark // what operators said before the start
-	bans     map[string]uint32  // the numbers of the endpoints that operators have taken out
-	met      recent             // the names of those listed of late
+	marks    []maintenance.Mark         // what operators said before the start
+	bans     map[string]uint32          // the numbers of the endpoints that operators have taken out
+	met      recent                     // the names of those listed of late
+	drained  map[discovery.Process]bool // those that other daemons heard to drain; nil where nobody tells
+	hear     func(p discovery.Process, drains bool)
 	alarms   alarms
 	order    uint64
 }
@@ -413,6 +415,9 @@
 			e.addr, e.to = in.Addr, l.upstream.Target(in.Addr)
 		}
 		e.told = in
+		if l.drained != nil {
+			state = l.drain(e, state)
+		}
 		l.setState(now, in.ID, e, state)
 		entries = append(entries, balancer.Endpoint{ID: e.number, Zone: index(l.config.Zones, in.Zone),
 			Kind: index(l.config.Kinds, in.Kind), Cell: in.Cell, State: state, Share: in.Weight,
@@ -452,6 +457,9 @@
 	}
 	e.state = state
 	if state == balancer.Gone {
+		if l.drained != nil {
+			l.drain(e, state)
+		}
 		e.to.Drop()
 		delete(l.byName, name)
 		delete(l.byNumber, e.number)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -34,6 +34,7 @@
 	verdictWait   = 5 * time.Second
 	writeWait     = 5 * time.Second
 	owedEvery     = time.Second
+	tidyEvery     = 10 * time.Second
 	historyKept   = 100
 	candidateFor  = 30 * time.Second
 	verdictOfNone = "no sidecar here"
@@ -62,6 +63,7 @@
 	current json.RawMessage // settings in the store, or nil
 	version uint64          // and their revision
 	pending *candidate      // to be checked
+	drains  drains
 
 	wake    chan struct{}
 	writes  chan store.Op
@@ -78,7 +80,8 @@
 // New returns a daemon that runs nothing yet.
 func New(name string, check Check, log *slog.Logger) *Daemon {
 	return &Daemon{name: name, check: check, log: log, guard: policy.NewGuard(name), dirty: map[string]bool{},
-		wake: make(chan struct{}, 1), writes: make(chan store.Op, 1024), reload: make(chan os.Signal, 1)}
+		drains: drains{dirty: map[policy.Process]bool{}, hearing: map[policy.Process]bool{}, told: map[policy.Process]time.Time{}},
+		wake:   make(chan struct{}, 1), writes: make(chan store.Op, 1024), reload: make(chan os.Signal, 1)}
 }
 
 // Hook puts the daemon's hooks into the configuration of an engine.
@@ -108,13 +111,31 @@
 	defer d.mu.Unlock()
 	if strings.HasPrefix(e.Item.Key, policy.Prefix) {
 		d.guard.Applied(e)
-		d.dirty[serverOf(e.Item.Key)] = true
+		if p, ok := drainOf(e.Item.Key); ok {
+			d.drainEvent(p, e.Deleted)
+		} else {
+			d.dirty[serverOf(e.Item.Key)] = true
+		}
 		d.poke()
 	} else if strings.HasPrefix(e.Item.Key, configPrefix) {
 		d.setting(e.Item, e.Deleted)
 	}
 }
 
+// stale notes that all that is out is to be told to the sidecar again. The lock is held.
+func (d *Daemon) stale() {
+	for _, o := range d.guard.All() {
+		if p, ok := drainOf(policy.Key(o.Kind, o.Server)); ok {
+			d.drains.dirty[p] = true
+			if _, known := d.drains.told[p]; !known {
+				d.drains.told[p] = time.Now()
+			}
+		} else {
+			d.dirty[o.Server] = true
+		}
+	}
+}
+
 func serverOf(key string) string {
 	_, server, _ := strings.Cut(strings.TrimPrefix(key, policy.Prefix), "/")
 	return server
@@ -146,16 +167,12 @@
 func (d *Daemon) reset(s *store.State) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, o := range d.guard.All() {
-		d.dirty[o.Server] = true
-	}
+	d.stale()
 	if err := d.guard.Reset(s); err != nil {
 		d.log.Error("the store's copy is not acted on", "error", err)
 		return
 	}
-	for _, o := range d.guard.All() {
-		d.dirty[o.Server] = true
-	}
+	d.stale()
 	for _, key := range []string{keyCurrent, keyCandidate} {
 		if i, ok := s.Get(key); ok {
 			d.setting(i, false)
@@ -168,9 +185,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.guard.Unsettled(c)
-	for _, o := range d.guard.All() {
-		d.dirty[o.Server] = true
-	}
+	d.stale()
 }
 
 // Attach gives the engine, once it is open and before anything else is called.
@@ -188,6 +203,7 @@
 			return
 		case <-d.wake:
 			d.tell(ctx)
+			d.tellDrains(ctx)
 			d.judge(ctx)
 		case <-t.C:
 			d.mu.Lock()
@@ -197,6 +213,7 @@
 				d.queue(op)
 			}
 			d.tell(ctx) // what did not bind is told again
+			d.tellDrains(ctx)
 		}
 	}
 }
@@ -213,13 +230,22 @@
 }
 
 func (d *Daemon) write(ctx context.Context) {
+	tidy := time.NewTicker(tidyEvery)
+	defer tidy.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-tidy.C:
+			d.tidyDrains(ctx, time.Now())
 		case op := <-d.writes:
 			c, cancel := context.WithTimeout(ctx, writeWait)
-			_, err := d.engine.Do(c, store.Command{Txn: &store.Txn{Then: []store.Op{op}}})
+			var err error
+			if p, ok := drainOf(op.Key); ok {
+				err = d.writeDrain(c, p, op)
+			} else {
+				_, err = d.engine.Do(c, store.Command{Txn: &store.Txn{Then: []store.Op{op}}})
+			}
 			cancel()
 			if err != nil && ctx.Err() == nil {
 				d.log.Warn("the store does not know yet that a server is out; it is out here", "key", op.Key, "error", err)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -42,6 +42,12 @@
 	Protocol  string  `json:"protocol,omitempty"` // empty: HTTP
 }
 
+// Process is one process of an endpoint: another start, or the id at another address, is another.
+type Process struct {
+	ID, Addr  string
+	StartedMs int64
+}
+
 // For returns the list as it concerns one protocol. An entry of another one tells that the endpoint, if it was known,
 // is not there any more.
 func (l List) For(protocol string) List {
--- a/internal/sidecar/lane.go
+++ b/internal/sidecar/lane.go
@@ -101,6 +101,16 @@
 	return whole, nil
 }
 
+// drain makes another daemon's word on a process bind.
+func (ls lanes) drain(ctx context.Context, p discovery.Process, drains bool) error {
+	for _, n := range ls {
+		if err := n.loop.Drain(ctx, p, drains); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // mark makes an operator's call bind in all. An ID that one of them knows is known; the others keep a ban for the case
 // that it comes to them.
 func (ls lanes) mark(ctx context.Context, m maintenance.Mark, force bool) error {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -41,6 +41,7 @@
 	Mgmt     net.Listener                   // where operators call; nil for nowhere
 	Bans     maintenance.Store              // what operators said, over the life of a process
 	Shared   maintenance.Shared             // what daemons agree on; nil for nothing
+	Drains   Drains                         // what daemons tell each other of drains; nil for nothing
 	Kept     snapshot.File                  // what a process knew, for the next one
 	Beside   []core.Protocol                // protocols besides HTTP
 	Tap      core.Tap                       // between the loop and the decision module; nil for nothing
@@ -50,6 +51,16 @@
 	Log      *slog.Logger
 }
 
+// Drains is how daemons tell each other which processes of servers drain.
+type Drains interface {
+	// Known are those known before this sidecar has heard anything.
+	Known() []discovery.Process
+	// Heard takes the word of this sidecar's discovery. It does not wait.
+	Heard(p discovery.Process, drains bool)
+	// Bind gives the way in which the word of others binds here.
+	Bind(bind func(ctx context.Context, p discovery.Process, drains bool) error)
+}
+
 // node is a running sidecar.
 type node struct {
 	config  *config.Config
@@ -104,6 +115,12 @@
 	if h.Shared != nil {
 		n.book.Share(h.Shared)
 	}
+	if h.Drains != nil {
+		for _, l := range n.lanes {
+			l.loop.Drains(h.Drains.Known(), h.Drains.Heard)
+		}
+		h.Drains.Bind(n.lanes.drain)
+	}
 	d.Watcher = discovery.NewWatcher(c.Discovery, c.Known.Generation, c.MemoryMB, n.lanes.told, h.Log)
 	d.Watch, d.Ended = (*discovery.Watcher).Keep, first.loop.Untold
 	if c.Settings.Subscribe {
--- a/internal/store/policy/policy.go
+++ b/internal/store/policy/policy.go
@@ -25,7 +25,7 @@
 
 // The kinds.
 const (
-	Drain Kind = "drain" // it said that it drains, or discovery did
+	Drain Kind = "drain" // discovery told that a process of it drains; the server is a Process
 	Ban   Kind = "ban"   // operators took it out
 )
 
