Send lost datagrams again to the same server, within a budget that its answers pay in

Cause: every lost datagram is a time-out, 36 in 100 attempts, at all servers alike; the module's breakers take that for servers that fail, and drop. The module is right of what it is told; what it was told was wrong.

Change: package resend, without I/O or clock: TCP's wait, twice at most within an attempt, only where the server may still be sent to, and paid by the server's answers, half a resend each, so that a dead or jammed one is met with ten and no more.

--- /dev/null
+++ b/internal/dnsfront/resend/resend_test.go
@@ -0,0 +1,59 @@
+package resend
+
+import (
+	"testing"
+	"time"
+)
+
+// The wait follows round trips, and what went out twice teaches nothing of them.
+func TestWait(t *testing.T) {
+	l := New()
+	if w, ok := l.Wait(0); !ok || w != unknown {
+		t.Errorf("of nothing known: %v", w)
+	}
+	for range 100 {
+		l.Answered(20*time.Millisecond, true)
+		l.Answered(time.Second, false)
+	}
+	if w, _ := l.Wait(0); w < 20*time.Millisecond || w > 25*time.Millisecond {
+		t.Errorf("of a steady 20 ms: %v", w)
+	}
+	one, _ := l.Wait(0)
+	if two, ok := l.Wait(1); !ok || two != 2*one {
+		t.Errorf("the second: %v", two)
+	}
+	if _, ok := l.Wait(times); ok {
+		t.Error("sent again without end")
+	}
+	for range 100 {
+		l.Answered(time.Millisecond, true)
+	}
+	if w, _ := l.Wait(0); w != least {
+		t.Errorf("of a quick one: %v", w)
+	}
+}
+
+// A server that does not answer is sent little again; one behind a network that loses a third is sent all that is lost.
+func TestBudget(t *testing.T) {
+	l, dead := New(), 0
+	for range 1000 {
+		if l.Take() {
+			dead++
+		}
+	}
+	if dead != most {
+		t.Errorf("%d of 1000 to a dead server", dead)
+	}
+	l, refused := New(), 0
+	for i := range 1000 {
+		lost := i%3 == 0
+		if lost && !l.Take() {
+			refused++
+			continue
+		}
+		l.Answered(time.Millisecond, !lost)
+	}
+	if refused > 0 {
+		t.Errorf("%d lost ones were not sent again", refused)
+	}
+}
--- a/internal/dnsfront/settings.go
+++ b/internal/dnsfront/settings.go
@@ -126,6 +126,7 @@
 	Slipped    *metrics.Counter // over the rate, answered truncated
 	Dropped    *metrics.Counter // over the rate, not answered
 	Unsent     *metrics.Counter // answers that the client's socket or connection did not take
+	Resent     *metrics.Counter // datagrams sent once more to the same server
 	Truncated  *metrics.Counter // servers' answers asked for again over TCP
 	Shared     *metrics.Counter // queries without a socket of their own
 	Unasked    *metrics.Counter // servers' messages that no open query has the id of: late, forged
@@ -138,6 +139,6 @@
 	return &Counts{Malformed: r.Counter("malformed_total"), Unrouted: r.Counter("unrouted_total"),
 		Joined: r.Counter("joined_total"), Followed: r.Counter("followed_total"), Shed: r.Counter("shed_total"),
 		Slipped: r.Counter("slipped_total"), Dropped: r.Counter("dropped_total"), Unsent: r.Counter("unsent_total"),
-		Truncated: r.Counter("truncated_total"), Shared: r.Counter("shared_sockets_total"),
+		Resent: r.Counter("resent_total"), Truncated: r.Counter("truncated_total"), Shared: r.Counter("shared_sockets_total"),
 		Unasked: r.Counter("unasked_total"), Mismatched: r.Counter("mismatched_total"), Doubled: r.Counter("doubled_total")}
 }
--- a/internal/dnsfront/sockets.go
+++ b/internal/dnsfront/sockets.go
@@ -28,8 +28,8 @@
 	rests bool // and it is in up.resting
 }
 
-// datagram asks over UDP, once. may is asked right before the query goes out.
-func (r *resolver) datagram(ctx context.Context, q *question, may func(balancer.Micros) bool) ([]byte, balancer.Status) {
+// datagram asks over UDP. may is asked right before the query goes out, more before it goes out again.
+func (r *resolver) datagram(ctx context.Context, q *question, may, more func(balancer.Micros) bool) ([]byte, balancer.Status) {
 	s, err := r.socket()
 	if err != nil {
 		return nil, r.up.unsent(ctx, err)
@@ -41,16 +41,55 @@
 		return nil, r.up.unsent(ctx, err)
 	}
 	defer s.drop(id)
-	raw, err := q.onward(r.cookieNow())
+	query, err := q.onward(r.cookieNow())
 	if err != nil || !may(r.up.clock.Now()) {
 		return nil, balancer.Moot
 	}
-	raw[0], raw[1] = byte(id>>8), byte(id)
-	if _, err := s.conn.Write(raw); err != nil {
+	query[0], query[1] = byte(id>>8), byte(id)
+	begun := time.Now()
+	if _, err := s.conn.Write(query); err != nil {
 		return nil, balancer.ConnectFailed // a datagram goes whole or not at all
 	}
 	r.up.sends.Inc()
-	return p.wait(ctx)
+	for n := 0; ; n++ {
+		wait, again := r.waitFor(n)
+		var late <-chan time.Time
+		if again {
+			late = time.After(wait)
+		}
+		raw, status, over := p.wait(ctx, late)
+		if over {
+			if status == balancer.OK {
+				r.answered(time.Since(begun), n == 0)
+			}
+			return raw, status
+		}
+		if !more(r.up.clock.Now()) || !r.mayResend() {
+			raw, status, _ := p.wait(ctx, nil)
+			return raw, status
+		}
+		r.up.counts.Resent.Inc()
+		s.conn.Write(query) // as good as lost if it fails
+	}
+}
+
+// waitFor, mayResend and answered ask and tell what is known of the way to the server.
+func (r *resolver) waitFor(n int) (time.Duration, bool) {
+	r.up.mu.Lock()
+	defer r.up.mu.Unlock()
+	return r.link.Wait(n)
+}
+
+func (r *resolver) mayResend() bool {
+	r.up.mu.Lock()
+	defer r.up.mu.Unlock()
+	return r.link.Take()
+}
+
+func (r *resolver) answered(trip time.Duration, once bool) {
+	r.up.mu.Lock()
+	defer r.up.mu.Unlock()
+	r.link.Answered(trip, once)
 }
 
 // socket returns a socket of its own for a query or, where there are no more, one that others of this server share.
--- a/internal/dnsfront/streams.go
+++ b/internal/dnsfront/streams.go
@@ -76,7 +76,8 @@
 		return nil, balancer.Reset
 	}
 	r.up.sends.Inc()
-	return p.wait(ctx)
+	answer, status, _ := p.wait(ctx, nil)
+	return answer, status
 }
 
 // connection returns the connection with the fewest queries, or a new one.
--- a/internal/dnsfront/upstream.go
+++ b/internal/dnsfront/upstream.go
@@ -15,6 +15,7 @@
 	"birchmoor/balancer"
 	"birchmoor/internal/config"
 	"birchmoor/internal/core"
+	"birchmoor/internal/dnsfront/resend"
 	"birchmoor/internal/metrics"
 	"github.com/miekg/dns"
 )
@@ -63,6 +64,7 @@
 	// Guarded by up.mu.
 	sockets []*socket
 	streams []*stream
+	link    *resend.Link
 	cookie  string // the server's part, in hex
 	gone    bool
 }
@@ -174,7 +176,9 @@
 const dialParts = 4
 
 // Target returns a server without sockets.
-func (u *Upstream) Target(addr string) core.Target { return &resolver{up: u, addr: addr} }
+func (u *Upstream) Target(addr string) core.Target {
+	return &resolver{up: u, addr: addr, link: resend.New()}
+}
 
 // Adopt does nothing: what concerns servers is not in the settings.
 func (u *Upstream) Adopt(*config.Config) {}
@@ -213,8 +217,8 @@
 	if req.tcp {
 		raw, status = r.stream(ctx, req.q, o.Go)
 	} else {
-		if raw, status = r.datagram(ctx, req.q, o.Go); status == balancer.OK && r.newCookie(req.q, raw) {
-			raw, status = r.datagram(ctx, req.q, o.More)
+		if raw, status = r.datagram(ctx, req.q, o.Go, o.More); status == balancer.OK && r.newCookie(req.q, raw) {
+			raw, status = r.datagram(ctx, req.q, o.More, o.More)
 		}
 		if status == balancer.OK && truncated(raw) {
 			r.up.counts.Truncated.Inc()
@@ -257,7 +261,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
 	defer cancel()
 	q := &question{msg: new(dns.Msg).SetQuestion(".", dns.TypeNS)}
-	_, status := r.datagram(ctx, q, func(balancer.Micros) bool { return true })
+	always := func(balancer.Micros) bool { return true }
+	_, status := r.datagram(ctx, q, always, always)
 	return core.Reply{Status: status, At: r.up.clock.Now()}
 }
 
@@ -318,18 +323,20 @@
 	return err == nil && a.msg.Rcode == dns.RcodeBadCookie && cookie != "" && r.keep(cookie)
 }
 
-// wait waits for the answer to a query that is out.
-func (p *pending) wait(ctx context.Context) ([]byte, balancer.Status) {
+// wait waits for the answer to a query that is out, and says whether its wait is over; if not, it is late.
+func (p *pending) wait(ctx context.Context, late <-chan time.Time) (raw []byte, status balancer.Status, over bool) {
 	select {
 	case raw := <-p.got:
-		return raw, balancer.OK
+		return raw, balancer.OK, true
 	case err := <-p.lost:
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			return nil, balancer.ConnectFailed // nobody listens: it never ran
+			return nil, balancer.ConnectFailed, true // nobody listens: it never ran
 		}
-		return nil, balancer.Reset
+		return nil, balancer.Reset, true
 	case <-ctx.Done():
-		return nil, balancer.Cancelled
+		return nil, balancer.Cancelled, true
+	case <-late:
+		return nil, balancer.Moot, false
 	}
 }
 
