--- a/internal/dnsfront/clients.go
+++ b/internal/dnsfront/clients.go
@@ -16,7 +16,7 @@
 	clientRead = 2 * time.Second // for a message, from its first byte
 	clientSend = 2 * time.Second // a client that takes nothing for so long is given up
 	acceptWait = 5 * time.Millisecond
-	unreadMost = 128 << 10 // bytes of answers that the system holds for a client that does not take them
+	unreadMost = 128 << 10              // bytes of answers that the system holds for a client that does not take them
 	lastIdle   = 100 * time.Millisecond // for a connection while the server ends
 )
 
