Say in one place what it means that an attempt has no connection

Need: the DNS and the HTTP side told a shortage of our own from a server's failure by the same eighteen lines.

Change: core.Unsent, with the two errors of a transport's own; both use it. No change of behaviour but for one word of the log line of the DNS side.

--- a/internal/dnsfront/sockets.go
+++ b/internal/dnsfront/sockets.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"birchmoor/balancer"
+	"birchmoor/internal/core"
 )
 
 const (
@@ -32,13 +33,13 @@
 func (r *resolver) datagram(ctx context.Context, q *question, may, more func(balancer.Micros) bool) ([]byte, balancer.Status) {
 	s, err := r.socket()
 	if err != nil {
-		return nil, r.up.unsent(ctx, err)
+		return nil, r.up.unsent.Status(ctx, err, r.up.log)
 	}
 	defer r.up.rest(s)
 	p := newPending(q)
 	id, err := s.add(p)
 	if err != nil {
-		return nil, r.up.unsent(ctx, err)
+		return nil, r.up.unsent.Status(ctx, err, r.up.log)
 	}
 	defer s.drop(id)
 	query, err := q.onward(r.cookieNow())
@@ -99,7 +100,7 @@
 	switch {
 	case r.gone:
 		u.mu.Unlock()
-		return nil, errGone
+		return nil, core.ErrGone
 	case u.sockets < u.socketsMost:
 	case len(u.resting) > 0:
 		u.closeLocked(u.resting[0])
@@ -119,7 +120,7 @@
 		}
 		u.mu.Unlock()
 		if shared == nil {
-			return nil, errNoRoom
+			return nil, core.ErrNoRoom
 		}
 		return shared, nil
 	}
--- a/internal/dnsfront/streams.go
+++ b/internal/dnsfront/streams.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"birchmoor/balancer"
+	"birchmoor/internal/core"
 )
 
 const (
@@ -42,7 +43,7 @@
 func (r *resolver) stream(ctx context.Context, q *question, may func(balancer.Micros) bool) ([]byte, balancer.Status) {
 	s, err := r.connection()
 	if err != nil {
-		return nil, r.up.unsent(ctx, err)
+		return nil, r.up.unsent.Status(ctx, err, r.up.log)
 	}
 	defer r.up.leave(s)
 	select {
@@ -51,7 +52,7 @@
 		return nil, balancer.Moot
 	}
 	if s.err != nil {
-		return nil, r.up.unsent(ctx, s.err)
+		return nil, r.up.unsent.Status(ctx, s.err, r.up.log)
 	}
 	p := newPending(q)
 	id, err := s.add(p)
@@ -86,7 +87,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if r.gone {
-		return nil, errGone
+		return nil, core.ErrGone
 	}
 	var least *stream
 	for _, s := range r.streams {
@@ -101,7 +102,7 @@
 		go least.run()
 	}
 	if least == nil || least.load >= streamMost {
-		return nil, errNoRoom
+		return nil, core.ErrNoRoom
 	}
 	least.load++
 	return least, nil
--- a/internal/dnsfront/upstream.go
+++ b/internal/dnsfront/upstream.go
@@ -22,11 +22,6 @@
 
 const probeTime = 250 * time.Millisecond
 
-var (
-	errNoRoom = errors.New("all sockets are in use")
-	errGone   = errors.New("the server is gone")
-)
-
 // request is a query on its way to a server.
 type request struct {
 	q   *question
@@ -47,13 +42,13 @@
 	dial   func(ctx context.Context, network, addr string) (net.Conn, error)
 	secret *secret
 	s      *Settings
+	unsent core.Unsent
 
 	mu          sync.Mutex
 	socketsMost int
 	sockets     int                  // open or being opened
 	resting     []*socket            // without a query, the oldest first
 	streams     map[*stream]struct{} // being opened or open
-	noRoom      time.Time            // when a shortage was last logged
 }
 
 // resolver is where one server listens. What it has open is its own.
@@ -339,25 +334,3 @@
 		return nil, balancer.Moot, false
 	}
 }
-
-// unsent says what it means that there is no way to a server, for a query that did not go out. Our own shortage says
-// nothing of the server.
-func (u *Upstream) unsent(ctx context.Context, err error) balancer.Status {
-	shortage := errors.Is(err, errNoRoom) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
-		errors.Is(err, syscall.EADDRNOTAVAIL)
-	if shortage {
-		u.mu.Lock()
-		due := time.Since(u.noRoom) > time.Second
-		if due {
-			u.noRoom = time.Now()
-		}
-		u.mu.Unlock()
-		if due {
-			u.log.Warn("no socket for a query", "error", err)
-		}
-	}
-	if shortage || errors.Is(err, errGone) || errors.Is(ctx.Err(), context.Canceled) {
-		return balancer.Moot
-	}
-	return balancer.ConnectFailed
-}
--- a/internal/httpfront/upstream.go
+++ b/internal/httpfront/upstream.go
@@ -55,11 +55,11 @@
 	sends     *metrics.Counter // attempts written whole
 	reports   atomic.Pointer[reports]
 	answers   *budget.Budget // bytes of answers that are held
+	unsent    core.Unsent
 
-	mu     sync.Mutex
-	conns  int                 // open or being opened
-	idle   map[*place]struct{} // those with idle connections
-	noRoom time.Time           // when a shortage of connections was last logged
+	mu    sync.Mutex
+	conns int                 // open or being opened
+	idle  map[*place]struct{} // those with idle connections
 }
 
 // place is where one endpoint listens. Its connections are its own.
@@ -147,7 +147,7 @@
 	mayGo func(now balancer.Micros) bool, whole func(now balancer.Micros)) core.Reply {
 	c, err := u.get(ctx, to)
 	if err != nil {
-		return u.ended(u.noConn(ctx, err))
+		return u.ended(u.unsent.Status(ctx, err, u.log))
 	}
 	now := u.clock.Now()
 	left := millisLeft(deadline - now)
@@ -171,7 +171,7 @@
 	defer cancel()
 	c, err := u.get(ctx, to)
 	if err != nil {
-		return u.ended(u.noConn(ctx, err))
+		return u.ended(u.unsent.Status(ctx, err, u.log))
 	}
 	m := message{method: http.MethodGet, uri: "/-/healthy", host: to.addr}
 	fields := u.reports.Load().fields
@@ -520,33 +520,6 @@
 
 // ---- Connections -----------------------------------------------------------
 
-var (
-	errNoRoom = errors.New("all connections are in use")
-	errGone   = errors.New("the endpoint is gone")
-)
-
-// noConn says what it means that there is no connection for an attempt, which never ran. What is our own doing
-// says nothing of the endpoint: blamed for it, a sound one would be ejected.
-func (u *Upstream) noConn(ctx context.Context, err error) balancer.Status {
-	shortage := errors.Is(err, errNoRoom) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
-		errors.Is(err, syscall.EADDRNOTAVAIL)
-	if shortage {
-		u.mu.Lock()
-		due := time.Since(u.noRoom) > time.Second
-		if due {
-			u.noRoom = time.Now()
-		}
-		u.mu.Unlock()
-		if due {
-			u.log.Warn("no connection for an attempt", "error", err)
-		}
-	}
-	if shortage || errors.Is(err, errGone) || errors.Is(ctx.Err(), context.Canceled) {
-		return balancer.Moot
-	}
-	return balancer.ConnectFailed
-}
-
 // get returns the idle connection used last, since the others may then grow old, or a new one.
 func (u *Upstream) get(ctx context.Context, to *place) (*conn, error) {
 	u.mu.Lock()
@@ -561,9 +534,9 @@
 	err := error(nil)
 	switch {
 	case to.gone:
-		err = errGone
+		err = core.ErrGone
 	case u.conns >= u.connsMost && !u.evictLocked(): // descriptors must not run out: one idle elsewhere makes room
-		err = errNoRoom
+		err = core.ErrNoRoom
 	default:
 		u.conns++
 	}
@@ -581,7 +554,7 @@
 	c := newConn(nc, to)
 	if to.gone {
 		u.closeLocked(c) // another may listen there by now
-		return nil, errGone
+		return nil, core.ErrGone
 	}
 	return c, nil
 }
--- a/internal/httpfront/upstream_test.go
+++ b/internal/httpfront/upstream_test.go
@@ -412,8 +412,8 @@
 	if _, err := u.get(ctx, one); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := u.get(ctx, two); err != errNoRoom {
-		t.Fatalf("third connection: error %v, want %v", err, errNoRoom)
+	if _, err := u.get(ctx, two); err != core.ErrNoRoom {
+		t.Fatalf("third connection: error %v, want %v", err, core.ErrNoRoom)
 	}
 	u.put(a)
 	if _, err := u.get(ctx, two); err != nil {
