Have the test of a write without a quorum hold on a busy machine, too

Where more than 100 ms pass between a voter's stop and the write, the leader has stepped down and nothing was changed, which the test took for a fault.

--- a/cmd/birchmoor/store_test.go
+++ b/cmd/birchmoor/store_test.go
@@ -95,11 +95,25 @@
 		_, status, _ := a.say("status")
 		return strings.Count(out, "votes")+strings.Count(out, "leads") == 2 && regexp.MustCompile(`members settled +true`).MatchString(status)
 	})
-	b.stop()
-	code, out, errs := a.say("put", "k", "1", "--timeout", "300ms", "--json")
+	// A machine that is busy may let the leader step down before the write reaches it: then nothing was changed, and it is
+	// tried again.
 	var x failure
-	if err := json.Unmarshal([]byte(out), &x); err != nil || code != exitInput {
-		t.Fatalf("exit code %d, %q, %s", code, out, errs)
+	var errs string
+	for try := 0; x.Outcome != "unknown" && try < 20; try++ {
+		if try > 0 {
+			b.start(t)
+			a.until(t, "a leader", func() bool { code, _, _ := a.say("put", "other", "0"); return code == 0 })
+		}
+		b.stop()
+		var code int
+		var out string
+		code, out, errs = a.say("put", "k", "1", "--timeout", "300ms", "--json")
+		if err := json.Unmarshal([]byte(out), &x); err != nil || code != exitInput {
+			t.Fatalf("exit code %d, %q, %s", code, out, errs)
+		}
+		if x.Outcome == "unchanged" && !strings.Contains(errs, "nothing was changed") {
+			t.Errorf("%+v; %s", x, errs)
+		}
 	}
 	if x.Outcome != "unknown" || x.Request == "" || !strings.Contains(errs, "the outcome is unknown") || !strings.Contains(errs, "--request "+x.Request) {
 		t.Errorf("%+v; %s", x, errs)
