--- a/internal/dnsfront/message.go
+++ b/internal/dnsfront/message.go
@@ -224,7 +224,6 @@
 	tcp    bool
 	cookie string        // for its OPT, if it sent one
 	keep   time.Duration // TCP connections are kept for
-	most   int           // bytes; 0: as many as fit
 }
 
 // pack writes a server's answer as the answer to q. What does not fit its transport is truncated.
@@ -264,9 +263,6 @@
 	if !r.tcp {
 		most = q.size
 	}
-	if r.most > 0 {
-		most = min(most, r.most)
-	}
 	m.Truncate(most)
 	return m.Pack()
 }
--- a/internal/lab/dnslab/client.go
+++ b/internal/lab/dnslab/client.go
@@ -140,7 +140,7 @@
 		k.l.stray.Add(1)
 		return
 	}
-	if m.Truncated && !k.tcp && m.Rcode == dns.RcodeSuccess && len(m.Answer) == 0 || m.Truncated && !k.tcp {
+	if m.Truncated && !k.tcp {
 		k.l.truncated.Add(1)
 	}
 	v := trace.Failed
--- a/internal/lab/dnslab/lab.go
+++ b/internal/lab/dnslab/lab.go
@@ -48,23 +48,22 @@
 
 // Result is what a run came to.
 type Result struct {
-	Scenario  string             `json:"scenario"`
-	Through   Through            `json:"through"`
-	Asked     int                `json:"asked"`
-	Service   float64            `json:"service"` // share answered within the aim
-	Served    float64            `json:"served"`  // share answered at all
-	Attempts  float64            `json:"attempts"`
-	P50       float64            `json:"p50_ms"`
-	P99       float64            `json:"p99_ms"`
-	P999      float64            `json:"p999_ms"`
-	Bookings  float64            `json:"bookings"`     // share of HTTP requests that were served; 0 without any
-	LastSent  float64            `json:"last_sent_ms"` // the last query to a resolver after it was told out, 0 for none
-	Truncated int64              `json:"truncated"`
-	Stray     int64              `json:"stray"` // messages to clients that were no answer to anything
-	Flooded   int64              `json:"flooded"`
-	Verdict   *referee.Verdict   `json:"verdict"`
-	Figures   map[string]float64 `json:"figures,omitempty"`
-	Missed    []string           `json:"missed"`
+	Scenario  string           `json:"scenario"`
+	Through   Through          `json:"through"`
+	Asked     int              `json:"asked"`
+	Service   float64          `json:"service"` // share answered within the aim
+	Served    float64          `json:"served"`  // share answered at all
+	Attempts  float64          `json:"attempts"`
+	P50       float64          `json:"p50_ms"`
+	P99       float64          `json:"p99_ms"`
+	P999      float64          `json:"p999_ms"`
+	Bookings  float64          `json:"bookings"`     // share of HTTP requests that were served; 0 without any
+	LastSent  float64          `json:"last_sent_ms"` // the last query to a resolver after it was told out, 0 for none
+	Truncated int64            `json:"truncated"`
+	Stray     int64            `json:"stray"` // messages to clients that were no answer to anything
+	Flooded   int64            `json:"flooded"`
+	Verdict   *referee.Verdict `json:"verdict"`
+	Missed    []string         `json:"missed"`
 }
 
 // Options of a run.
