Keep starts of servers and what sidecars know in the store, and start from them

Need: a sidecar that restarts forgets how warm each server was, and a host that lost its disk starts blind (the users' wish).

Change: level 2 of commands adds bounds on prefixes, refused until every voter knows them; a build that knows less stops before it applies anything, and says so. policy.Turns decides, without clock or I/O, which of many daemons that hear the same writes it; drains go through it and starts of processes are new. What each module knows is put under known/, as often as the bytes of all pictures allow; internal/recovery chooses what a start believes: its own newest, else what others know of the servers alone. Pictures of other hosts count only where their age was measured by one clock.

--- a/cmd/birchmoor/run.go
+++ b/cmd/birchmoor/run.go
@@ -120,7 +120,7 @@
 		}
 	})
 	log.Info("the store runs", "replica", s.Name, "listen", s.Listen, "socket", s.Socket)
-	x = &extras{reload: d.Reload(), shared: d, drains: d, settings: d.Settings}
+	x = &extras{reload: d.Reload(), shared: d, fleet: d, settings: d.Settings}
 	return x, func() {
 		cancel()
 		working.Wait()
--- a/cmd/birchmoor/sidecar.go
+++ b/cmd/birchmoor/sidecar.go
@@ -51,7 +51,7 @@
 type extras struct {
 	reload   <-chan os.Signal
 	shared   maintenance.Shared
-	drains   sidecar.Drains
+	fleet    sidecar.Fleet
 	settings func() json.RawMessage // in the place of the file's, unless nil
 }
 
@@ -72,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	h.Shared, h.Drains, h.Read = x.shared, x.drains, x.read
+	h.Shared, h.Fleet, h.Read = x.shared, x.fleet, x.read
 	if f.Keep != nil {
 		if err := os.MkdirAll(f.Keep.Dir, 0o755); err != nil {
 			return err
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -178,6 +178,8 @@
 	told    discovery.Instance // the latest entry
 	started int64              // of the latest entry that told it
 	drains  discovery.Process  // what discovery told to drain, until it does no more
+	began   balancer.Micros    // by others' word, where discovery does not tell; 0: not known
+	own     bool               // this sidecar saw it begin
 	banned  bool               // operators have taken it out
 	stopAt  atomic.Int64       // nothing new goes out from this instant on; 0: no such instant
 }
--- a/internal/core/drains.go
+++ b/internal/core/drains.go
@@ -56,6 +56,10 @@
 		e.drains = p
 		l.hear(p, true)
 	}
+	// Another's newer word is of a process that this sidecar's list does not know yet, and that drain is not its.
+	if other, ok := l.starts.others[seat{p.ID, p.Addr}]; ok && other.ms > p.StartedMs {
+		p.StartedMs = other.ms
+	}
 	if state == balancer.Ready && l.drained[p] {
 		return balancer.Draining
 	}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -50,6 +50,7 @@
 	met      recent                     // the names of those listed of late
 	drained  map[discovery.Process]bool // those that other daemons heard to drain; nil where nobody tells
 	hear     func(p discovery.Process, drains bool)
+	starts   starts
 	alarms   alarms
 	order    uint64
 }
@@ -397,7 +398,8 @@
 		}
 		named[in.ID] = true
 		e := l.byName[in.ID]
-		if e == nil {
+		fresh := e == nil
+		if fresh {
 			if state == balancer.Gone {
 				continue
 			}
@@ -413,16 +415,23 @@
 		if in.Addr != "" && in.Addr != e.addr {
 			e.to.Drop()
 			e.addr, e.to = in.Addr, l.upstream.Target(in.Addr)
+			e.began, fresh = 0, true // of another process
 		}
+		before := e.told.StartedMs
 		e.told = in
+		started := in.StartedMs * 1000
+		if l.starts.began != nil {
+			started = l.started(now, e, fresh, before)
+		}
 		if l.drained != nil {
 			state = l.drain(e, state)
 		}
 		l.setState(now, in.ID, e, state)
 		entries = append(entries, balancer.Endpoint{ID: e.number, Zone: index(l.config.Zones, in.Zone),
 			Kind: index(l.config.Kinds, in.Kind), Cell: in.Cell, State: state, Share: in.Weight,
-			StartTime: in.StartedMs * 1000})
+			StartTime: started})
 	}
+	l.starts.watched = l.starts.watched || kind == balancer.ListFull
 	if kind != balancer.ListDelta {
 		for name, e := range l.byName {
 			if !named[name] {
--- a/internal/core/recall.go
+++ b/internal/core/recall.go
@@ -20,9 +20,11 @@
 	tellWithin = 500 * time.Millisecond
 )
 
-// picture is the module's state with the names of its endpoints. The loop's goroutine takes it.
-func (l *Loop) picture(now balancer.Micros) *snapshot.Kept {
+// picture is the module's state with the names of its endpoints, and their addresses if it goes abroad. The loop's goroutine
+// takes it.
+func (l *Loop) picture(now balancer.Micros, abroad bool) *snapshot.Kept {
 	k := &snapshot.Kept{Sidecar: l.config.Name, State: l.balancer.Snapshot(now, false)}
+	var addrs []string
 	k.Names = make([]string, 0, len(k.State.Endpoints))
 	known := k.State.Endpoints[:0]
 	places := make([]int, len(k.State.Endpoints))
@@ -33,6 +35,7 @@
 			places[i] = len(known)
 			known = append(known, e)
 			k.Names = append(k.Names, named.told.ID)
+			addrs = append(addrs, named.addr)
 		}
 	}
 	pool := k.State.Pool[:0]
@@ -42,32 +45,44 @@
 		}
 	}
 	k.State.Endpoints, k.State.Pool = known, pool
+	if abroad {
+		k.Addrs = addrs
+	}
 	return k
 }
 
 // Pictured returns the picture as bytes. Only taking it holds the loop.
-func (l *Loop) Pictured(ctx context.Context) ([]byte, error) {
+func (l *Loop) Pictured(ctx context.Context) ([]byte, error) { return l.pictured(ctx, false) }
+
+// PicturedAbroad returns it for readers on other hosts, who know servers by name and address.
+func (l *Loop) PicturedAbroad(ctx context.Context) ([]byte, error) { return l.pictured(ctx, true) }
+
+func (l *Loop) pictured(ctx context.Context, abroad bool) ([]byte, error) {
 	var k *snapshot.Kept
-	if err := l.call(ctx, func(now balancer.Micros) { k = l.picture(now) }); err != nil {
+	if err := l.call(ctx, func(now balancer.Micros) { k = l.picture(now, abroad) }); err != nil {
 		return nil, err
 	}
 	k.Clock = snapshot.Now()
 	return snapshot.Encode(k)
 }
 
-// Recall tells the module what an earlier process knew. What is not of this sidecar, or makes no sense, is passed
-// over: a start without it is as good as any.
+// Recall tells the module what an earlier process knew, by the clocks that both have in common. What is not of this
+// sidecar, or makes no sense, is passed over: a start without it is as good as any.
 func (l *Loop) Recall(ctx context.Context, k *snapshot.Kept, from string) {
+	l.RecallAt(ctx, k, from, snapshot.Now().Since(k.Clock))
+}
+
+// RecallAt does so with a picture of a known age.
+func (l *Loop) RecallAt(ctx context.Context, k *snapshot.Kept, from string, age balancer.Micros) {
 	if k.Sidecar != l.config.Name {
 		l.log.Warn("snapshot of another sidecar passed over", "from", from, "its name", k.Sidecar)
 		return
 	}
-	age := snapshot.Now().Since(k.Clock)
 	var known int
 	var err error
 	failed := l.call(ctx, func(now balancer.Micros) {
-		k.Renumber(func(name string) (uint32, bool) {
-			if e := l.byName[name]; e != nil {
+		k.Renumber(func(name, addr string) (uint32, bool) {
+			if e := l.byName[name]; e != nil && (addr == "" || addr == e.addr) {
 				return e.number, true
 			}
 			return 0, false
--- a/internal/core/recall_test.go
+++ b/internal/core/recall_test.go
@@ -64,7 +64,7 @@
 	t.Helper()
 	got := map[string]float64{}
 	l.call(t.Context(), func(now balancer.Micros) {
-		k := l.picture(now)
+		k := l.picture(now, false)
 		for i, name := range k.Names {
 			got[name] = k.State.Endpoints[i].RTT.V
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -64,14 +64,34 @@
 	version uint64          // and their revision
 	pending *candidate      // to be checked
 	drains  drains
+	starts  starts
+	kept    pictures
 
 	wake    chan struct{}
-	writes  chan store.Op
+	writes  chan write
 	reload  chan os.Signal
-	engine  *engine.Engine
+	engine  Store
+	begun   time.Time
 	working sync.WaitGroup
 }
 
+// Store is a copy of the store that a daemon works with: a replica's, or that of a follower of replicas.
+type Store interface {
+	// Do makes a change; see engine.Engine.
+	Do(ctx context.Context, c store.Command) (store.Result, error)
+	// View has f read the copy, for which others are asked first unless stale is set.
+	View(ctx context.Context, stale bool, f func(*store.State)) (engine.Age, error)
+	// Next returns the changes of keys with a prefix after a revision.
+	Next(ctx context.Context, prefix string, after uint64, most int) ([]store.Event, uint64, error)
+}
+
+// write is a change that the daemon owes the store. What became of it is told to wrote, if that is set.
+type write struct {
+	key   string
+	do    func(context.Context) error
+	wrote func(ok bool)
+}
+
 type candidate struct {
 	id   uint64 // its revision
 	text json.RawMessage
@@ -80,8 +100,8 @@
 // New returns a daemon that runs nothing yet.
 func New(name string, check Check, log *slog.Logger) *Daemon {
 	return &Daemon{name: name, check: check, log: log, guard: policy.NewGuard(name), dirty: map[string]bool{},
-		drains: drains{dirty: map[policy.Process]bool{}, hearing: map[policy.Process]bool{}, told: map[policy.Process]time.Time{}},
-		wake:   make(chan struct{}, 1), writes: make(chan store.Op, 1024), reload: make(chan os.Signal, 1)}
+		drains: newDrains(name), starts: newStarts(name), kept: newPictures(name), begun: time.Now(),
+		wake: make(chan struct{}, 1), writes: make(chan write, 1024), reload: make(chan os.Signal, 1)}
 }
 
 // Hook puts the daemon's hooks into the configuration of an engine.
@@ -89,6 +109,19 @@
 	c.Event, c.Reset, c.Unsettled = d.event, d.reset, d.unsettled
 }
 
+// Hooks are what a copy of the store calls: see engine.Config.
+func (d *Daemon) Hooks() (event func(store.Event), reset func(*store.State)) { return d.event, d.reset }
+
+// now is an instant on the daemon's own clock, which does not step, in nanoseconds.
+func (d *Daemon) now(t time.Time) int64 { return int64(t.Sub(d.begun)) + 1 }
+
+// wakeAt has the daemon look for what is due at an instant of its clock; 0 is none.
+func (d *Daemon) wakeAt(due, now int64) {
+	if due > 0 {
+		time.AfterFunc(time.Duration(due-now), d.poke)
+	}
+}
+
 // Reload is told when settings have changed.
 func (d *Daemon) Reload() chan os.Signal { return d.reload }
 
@@ -109,15 +142,21 @@
 func (d *Daemon) event(e store.Event) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if strings.HasPrefix(e.Item.Key, policy.Prefix) {
+	now := d.now(time.Now())
+	switch key := e.Item.Key; {
+	case strings.HasPrefix(key, policy.Prefix):
 		d.guard.Applied(e)
-		if p, ok := drainOf(e.Item.Key); ok {
-			d.drainEvent(p, e.Deleted)
+		if p, ok := drainOf(key); ok {
+			d.drainEvent(now, p, e.Deleted)
 		} else {
-			d.dirty[serverOf(e.Item.Key)] = true
+			d.dirty[serverOf(key)] = true
 		}
 		d.poke()
-	} else if strings.HasPrefix(e.Item.Key, configPrefix) {
+	case strings.HasPrefix(key, policy.StartPrefix):
+		d.startEvent(now, e)
+	case strings.HasPrefix(key, policy.PicturePrefix):
+		d.kept.event(now, e)
+	case strings.HasPrefix(key, configPrefix):
 		d.setting(e.Item, e.Deleted)
 	}
 }
@@ -127,9 +166,6 @@
 	for _, o := range d.guard.All() {
 		if p, ok := drainOf(policy.Key(o.Kind, o.Server)); ok {
 			d.drains.dirty[p] = true
-			if _, known := d.drains.told[p]; !known {
-				d.drains.told[p] = time.Now()
-			}
 		} else {
 			d.dirty[o.Server] = true
 		}
@@ -173,6 +209,10 @@
 		return
 	}
 	d.stale()
+	now := d.now(time.Now())
+	d.drains.turns.Found(now, keysOf(s, policy.Key(policy.Drain, "")))
+	d.resetStarts(now, s)
+	d.kept.reset(now, s)
 	for _, key := range []string{keyCurrent, keyCandidate} {
 		if i, ok := s.Get(key); ok {
 			d.setting(i, false)
@@ -188,8 +228,14 @@
 	d.stale()
 }
 
-// Attach gives the engine, once it is open and before anything else is called.
-func (d *Daemon) Attach(e *engine.Engine) { d.engine = e }
+// keysOf lists the keys with a prefix.
+func keysOf(s *store.State, prefix string) (keys []string) {
+	s.Range(prefix, store.PrefixEnd(prefix), func(i store.Item) bool { keys = append(keys, i.Key); return true })
+	return keys
+}
+
+// Attach gives the copy of the store, once it is open and before anything else is called.
+func (d *Daemon) Attach(e Store) { d.engine = e }
 
 // Run works until ctx ends.
 func (d *Daemon) Run(ctx context.Context) {
@@ -202,8 +248,10 @@
 		case <-ctx.Done():
 			return
 		case <-d.wake:
+			d.speak(time.Now())
 			d.tell(ctx)
 			d.tellDrains(ctx)
+			d.tellStarts(ctx)
 			d.judge(ctx)
 		case <-t.C:
 			d.mu.Lock()
@@ -212,20 +260,41 @@
 			for _, op := range owed {
 				d.queue(op)
 			}
+			d.speak(time.Now())
 			d.tell(ctx) // what did not bind is told again
 			d.tellDrains(ctx)
+			d.tellStarts(ctx)
 		}
 	}
 }
 
-// queue leaves an operation to be written; if there is no room it stays owed.
+// speak tells the store what it is this daemon's turn to tell.
+func (d *Daemon) speak(now time.Time) {
+	d.speakDrains(d.now(now))
+	d.speakStarts(d.now(now))
+}
+
+// queue leaves a word of the guard's to be written; if there is no room it stays owed.
 func (d *Daemon) queue(op store.Op) {
+	d.owe(write{key: op.Key, wrote: func(ok bool) { d.guard.Wrote(op.Key, ok) }, do: func(ctx context.Context) error {
+		if p, ok := drainOf(op.Key); ok {
+			return d.writeDrain(ctx, p, op)
+		}
+		_, err := d.engine.Do(ctx, store.Command{Txn: &store.Txn{Then: []store.Op{op}}})
+		return err
+	}})
+}
+
+// owe leaves a change to be made. Wrote is called under the daemon's lock.
+func (d *Daemon) owe(w write) {
 	select {
-	case d.writes <- op:
+	case d.writes <- w:
 	default:
-		d.mu.Lock()
-		d.guard.Wrote(op.Key, false)
-		d.mu.Unlock()
+		if w.wrote != nil {
+			d.mu.Lock()
+			w.wrote(false)
+			d.mu.Unlock()
+		}
 	}
 }
 
@@ -237,22 +306,37 @@
 		case <-ctx.Done():
 			return
 		case <-tidy.C:
-			d.tidyDrains(ctx, time.Now())
-		case op := <-d.writes:
+			d.tidy(ctx, time.Now())
+		case w := <-d.writes:
 			c, cancel := context.WithTimeout(ctx, writeWait)
-			var err error
-			if p, ok := drainOf(op.Key); ok {
-				err = d.writeDrain(c, p, op)
-			} else {
-				_, err = d.engine.Do(c, store.Command{Txn: &store.Txn{Then: []store.Op{op}}})
-			}
+			err := w.do(c)
 			cancel()
-			if err != nil && ctx.Err() == nil {
-				d.log.Warn("the store does not know yet that a server is out; it is out here", "key", op.Key, "error", err)
+			if err != nil && ctx.Err() == nil && !errors.Is(err, store.ErrLevel) {
+				d.log.Warn("the store does not know yet what is known here", "key", w.key, "error", err)
 			}
-			d.mu.Lock()
-			d.guard.Wrote(op.Key, err == nil)
-			d.mu.Unlock()
+			if w.wrote != nil {
+				d.mu.Lock()
+				w.wrote(err == nil)
+				d.mu.Unlock()
+			}
+		}
+	}
+}
+
+// tidy ends what nobody has told for long.
+func (d *Daemon) tidy(ctx context.Context, now time.Time) {
+	d.speak(now)
+	d.mu.Lock()
+	ends := append(d.drainsOver(d.now(now)), d.startsOver(d.now(now))...)
+	ends = append(ends, d.kept.over(d.now(now))...)
+	d.mu.Unlock()
+	for _, t := range ends {
+		c, cancel := context.WithTimeout(ctx, writeWait)
+		_, err := d.engine.Do(c, store.Command{Txn: t})
+		cancel()
+		if err != nil && ctx.Err() == nil {
+			d.log.Warn("what nobody has told for long does not end yet", "key", t.Then[0].Key, "error", err)
+			return // it is tried again
 		}
 	}
 }
--- a/internal/daemon/drains.go
+++ b/internal/daemon/drains.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"strings"
 	"time"
 
@@ -13,10 +12,8 @@
 
 // Drains travel like bans, but for three things. They are of a process, so that nobody has to agree that a server serves
 // again: a new start is another process. All daemons hear a drain from discovery at about the same time, and one of them
-// writes it: each waits for a while of its own and does not write what the store has by then, and of those that meet all
-// the same the first makes a change. And they end by rule: who hears a drain sees to it that it is told again every
-// drainRenew, one write for all, and what nobody has told for drainKept is over. Both are measured on each daemon's own
-// clock, which does not step, from when the store's word came here: clocks of hosts are not compared.
+// writes it (policy.Turns). And they end by rule: who hears a drain sees to it that it is told again every drainRenew, one
+// write for all, and what nobody has told for drainKept is over.
 const (
 	drainSpread = 200 * time.Millisecond
 	drainRenew  = 4 * time.Minute
@@ -26,13 +23,18 @@
 
 // drains is a daemon's part in them. The daemon's lock guards it.
 type drains struct {
-	bind    func(ctx context.Context, p discovery.Process, drains bool) error
-	dirty   map[policy.Process]bool
-	hearing map[policy.Process]bool      // by discovery here
-	told    map[policy.Process]time.Time // when the store's latest word came
-	full    bool                         // and said so
+	bind  func(ctx context.Context, p discovery.Process, drains bool) error
+	dirty map[policy.Process]bool
+	turns *policy.Turns // by key
 }
 
+func newDrains(by string) drains {
+	return drains{dirty: map[policy.Process]bool{}, turns: policy.NewTurns(by, policy.TurnRules{Spread: int64(drainSpread),
+		Renew: int64(drainRenew), Keep: int64(drainKept), Most: drainsMost})}
+}
+
+func drainKey(p policy.Process) string { return policy.Key(policy.Drain, p.Server()) }
+
 // drainOf reads a key that tells of a drain.
 func drainOf(key string) (policy.Process, bool) {
 	server, ok := strings.CutPrefix(key, policy.Key(policy.Drain, ""))
@@ -68,44 +70,35 @@
 func (d *Daemon) Heard(p discovery.Process, drains bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	x := policy.Process(p)
-	switch {
-	case !drains:
-		delete(d.drains.hearing, x)
-		d.drains.full = false
-	case d.drains.hearing[x]:
-	case len(d.drains.hearing) >= drainsMost:
-		if !d.drains.full {
-			d.log.Error("other daemons are not told of a drain: too many processes drain", "id", p.ID, "most", drainsMost)
-		}
-		d.drains.full = true
-	default:
-		d.drains.hearing[x] = true
-		d.hearLater(x)
+	key, now := drainKey(policy.Process(p)), d.now(time.Now())
+	if !drains {
+		d.drains.turns.Unhear(key)
+		return
 	}
+	due, full := d.drains.turns.Hear(now, key)
+	if full {
+		d.log.Error("other daemons are not told of a drain: too many processes drain", "id", p.ID, "most", drainsMost)
+	}
+	d.wakeAt(due, now)
 }
 
-// hearLater has a drain written after this daemon's own while, in which another may do it.
-func (d *Daemon) hearLater(p policy.Process) {
-	h := fnv.New32a()
-	h.Write([]byte(d.name))
-	h.Write([]byte(p.Server()))
-	time.AfterFunc(time.Duration(h.Sum32())%drainSpread, func() { d.hear(p, time.Now()) })
-}
-
-// hear writes a drain that is heard here, unless the store was told of it of late.
-func (d *Daemon) hear(p policy.Process, now time.Time) {
+// speakDrains writes what it is this daemon's turn to tell.
+func (d *Daemon) speakDrains(now int64) {
 	d.mu.Lock()
-	var op *store.Op
-	var err error
-	if d.drains.hearing[p] && (d.guard.Agreed(p) == 0 || now.Sub(d.drains.told[p]) >= drainRenew) {
-		op, err = d.guard.Hear(policy.Drain, p.Server())
+	keys, _ := d.drains.turns.Due(now)
+	var ops []store.Op
+	for _, key := range keys {
+		p, _ := drainOf(key)
+		op, err := d.guard.Hear(policy.Drain, p.Server())
+		if err != nil {
+			d.log.Error("other daemons are not told of a drain", "id", p.ID, "error", err)
+		} else if op != nil {
+			ops = append(ops, *op)
+		}
 	}
 	d.mu.Unlock()
-	if err != nil {
-		d.log.Error("other daemons are not told of a drain", "id", p.ID, "error", err)
-	} else if op != nil {
-		d.queue(*op)
+	for _, op := range ops {
+		d.queue(op)
 	}
 }
 
@@ -130,21 +123,15 @@
 }
 
 // drainEvent notes a change of the store. The daemon's lock is held.
-func (d *Daemon) drainEvent(p policy.Process, deleted bool) {
+func (d *Daemon) drainEvent(now int64, p policy.Process, deleted bool) {
+	key := drainKey(p)
 	d.drains.dirty[p] = true
-	if !d.drains.hearing[p] {
+	if !d.drains.turns.Hears(key) {
 		// What a start found in its log, not knowing that it was agreed on, is settled: the store has said something of it
 		// since. Told again from here, it could come back after its end.
-		d.guard.Wrote(policy.Key(policy.Drain, p.Server()), true)
-	}
-	if !deleted {
-		d.drains.told[p] = time.Now()
-		return
-	}
-	delete(d.drains.told, p)
-	if d.drains.hearing[p] { // whoever ended it does not hear it, and it drains all the same
-		d.hearLater(p)
+		d.guard.Wrote(key, true)
 	}
+	d.wakeAt(d.drains.turns.Told(now, key, deleted), now)
 }
 
 // tellDrains makes bind in the sidecar what has changed.
@@ -171,33 +158,14 @@
 	}
 }
 
-// tidyDrains tells again what is heard here, and ends what nobody has told for long.
-func (d *Daemon) tidyDrains(ctx context.Context, now time.Time) {
-	d.mu.Lock()
-	var again []policy.Process
-	for p := range d.drains.hearing {
-		again = append(again, p)
-	}
-	var ends []*store.Txn
-	for p, told := range d.drains.told {
-		if now.Sub(told) < drainKept || d.drains.hearing[p] {
-			continue
-		}
+// drainsOver ends what nobody has told for long. The daemon's lock is held.
+func (d *Daemon) drainsOver(now int64) (ends []*store.Txn) {
+	_, over := d.drains.turns.Due(now)
+	for _, key := range over {
+		p, _ := drainOf(key)
 		if t, err := d.guard.Return(policy.Drain, p.Server()); err == nil {
 			ends = append(ends, t)
 		}
 	}
-	d.mu.Unlock()
-	for _, p := range again {
-		d.hear(p, now)
-	}
-	for _, t := range ends {
-		c, cancel := context.WithTimeout(ctx, writeWait)
-		_, err := d.engine.Do(c, store.Command{Txn: t})
-		cancel()
-		if err != nil && ctx.Err() == nil {
-			d.log.Warn("a drain that nobody has told for long does not end yet", "error", err)
-			return // it is tried again
-		}
-	}
+	return ends
 }
--- /dev/null
+++ b/internal/recovery/recovery.go
@@ -0,0 +1,142 @@
+// Package recovery decides what a sidecar that starts believes of what is kept for it: by itself on its own disk, by itself in
+// the store, and by other sidecars in the store. It has no I/O and no clock; what of a picture still holds after its age the
+// decision module decides (balancer.Recall).
+//
+// The order is that of how near a picture is: this sidecar's own, the newest first, and only where there is none that can be
+// believed what others know of the servers. That is not all that others know: how far away a server is, how much this
+// sidecar asks and which servers it uses are its own, and failures may be those of the other's network.
+package recovery
+
+import (
+	"cmp"
+	"slices"
+
+	"birchmoor/balancer"
+	"birchmoor/internal/snapshot"
+)
+
+// Candidate is a picture that a start may believe.
+type Candidate struct {
+	From string // for the log
+	Kept *snapshot.Kept
+	Own  bool            // of this sidecar
+	Age  balancer.Micros // how old it is
+	Sure bool            // by one clock; else by clocks of two hosts, which may be hours apart
+}
+
+// Oldest is the age from which on a picture is not believed: the module's own bound.
+const Oldest balancer.Micros = 300e6
+
+// Choice is what a start believes.
+type Choice struct {
+	From string
+	Kept *snapshot.Kept // of the sidecar that starts, by name; nil: nothing
+	Age  balancer.Micros
+	Of   int // pictures that it was made of
+}
+
+// Choose returns what a sidecar believes at its start. Candidates whose age is not sure count only if they are its own: two
+// clocks that are apart would make an old picture new.
+func Choose(sidecar string, all []Candidate) Choice {
+	var own, others []Candidate
+	for _, c := range all {
+		switch {
+		case c.Kept == nil || c.Kept.State == nil || c.Age < 0 || c.Age > Oldest:
+		case c.Own:
+			own = append(own, c)
+		case c.Sure:
+			others = append(others, c)
+		}
+	}
+	newest := func(list []Candidate) Candidate {
+		return slices.MinFunc(list, func(a, b Candidate) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.From, b.From)) })
+	}
+	switch {
+	case len(own) > 0:
+		c := newest(own)
+		return Choice{c.From, c.Kept, c.Age, 1}
+	case len(others) > 0:
+		slices.SortStableFunc(others, func(a, b Candidate) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.From, b.From)) })
+		return Choice{others[0].From, merge(sidecar, others), others[0].Age, len(others)}
+	}
+	return Choice{}
+}
+
+// merge makes one picture of what several sidecars know, the newest first: the newest's means of requests; of each server
+// the coldest that anyone holds it to be, and the newest pace. Servers are told apart by name, address and start.
+func merge(sidecar string, all []Candidate) *snapshot.Kept {
+	type server struct {
+		name, addr string
+		start      balancer.Micros
+	}
+	out := foreign(all[0].Kept)
+	out.Sidecar = sidecar
+	at := map[server]int{}
+	names := map[string]bool{}
+	key := func(k *snapshot.Kept, i int) server {
+		s := server{name: k.Names[i], start: k.State.Endpoints[i].StartTime}
+		if i < len(k.Addrs) {
+			s.addr = k.Addrs[i]
+		}
+		return s
+	}
+	for i := range out.Names {
+		at[key(out, i)], names[out.Names[i]] = i, true
+	}
+	for _, c := range all[1:] {
+		// As of the newest's instant, by which the ages of all are told.
+		older := c.Age - all[0].Age
+		next := foreign(c.Kept)
+		for i := range next.State.Endpoints {
+			e, k := next.State.Endpoints[i], key(next, i)
+			e.ColdFrom, e.PaceAt = e.ColdFrom+older, e.PaceAt+older
+			have, met := at[k]
+			if !met {
+				if names[k.name] || len(out.Names) >= serversMost {
+					continue // the newer picture knows another process under that name
+				}
+				e.ID = uint32(len(out.Names))
+				at[k], names[k.name] = len(out.Names), true
+				out.Names, out.Addrs = append(out.Names, k.name), append(out.Addrs, k.addr)
+				out.State.Endpoints = append(out.State.Endpoints, e)
+				continue
+			}
+			was := &out.State.Endpoints[have]
+			if e.Cold && (!was.Cold || e.ColdFrom < was.ColdFrom) {
+				was.Cold, was.ColdFrom = true, e.ColdFrom
+			}
+			if e.Pace.N > 0 && (was.Pace.N == 0 || e.PaceAt < was.PaceAt) {
+				was.Pace, was.PaceAt = e.Pace, e.PaceAt
+			}
+		}
+	}
+	return out
+}
+
+const serversMost = 4096 // as a picture may name
+
+// foreign is what of a picture another sidecar may believe: what is the servers' and the requests', not what is the
+// teller's own.
+func foreign(k *snapshot.Kept) *snapshot.Kept {
+	s := *k.State
+	s.Random, s.Salt, s.Near, s.Pool, s.Bans, s.Called = 0, 0, nil, nil, nil, nil
+	s.Demand, s.SentWork, s.Refused = balancer.MeterState{}, balancer.MeterState{}, balancer.Mean{}
+	s.Trend, s.Credit = 1, creditFull
+	s.Class = slices.Clone(s.Class)
+	for i := range s.Class {
+		s.Class[i].Asked, s.Class[i].Open = balancer.MeterState{}, 0
+	}
+	s.Tenant = slices.Clone(s.Tenant)
+	for i := range s.Tenant {
+		s.Tenant[i] = balancer.MeterState{Name: s.Tenant[i].Name}
+	}
+	s.Endpoints = slices.Clone(s.Endpoints)
+	for i := range s.Endpoints {
+		e := &s.Endpoints[i]
+		*e = balancer.EndpointState{ID: uint32(i), Zone: e.Zone, Kind: e.Kind, Cell: e.Cell, State: e.State, Share: e.Share,
+			StartTime: e.StartTime, Cold: e.Cold, ColdFrom: e.ColdFrom, Pace: e.Pace, PaceAt: e.PaceAt}
+	}
+	return &snapshot.Kept{Sidecar: k.Sidecar, Clock: k.Clock, State: &s, Names: slices.Clone(k.Names), Addrs: slices.Clone(k.Addrs)}
+}
+
+const creditFull = 1e6 // the module takes of it what a start has
--- a/internal/sidecar/lane.go
+++ b/internal/sidecar/lane.go
@@ -111,6 +111,16 @@
 	return nil
 }
 
+// begun has another daemon's word that a process began count.
+func (ls lanes) begun(ctx context.Context, s core.Start) error {
+	for _, n := range ls {
+		if err := n.loop.Begun(ctx, s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // mark makes an operator's call bind in all. An ID that one of them knows is known; the others keep a ban for the case
 // that it comes to them.
 func (ls lanes) mark(ctx context.Context, m maintenance.Mark, force bool) error {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -22,6 +22,7 @@
 	"birchmoor/internal/handover"
 	"birchmoor/internal/maintenance"
 	"birchmoor/internal/mgmt"
+	"birchmoor/internal/recovery"
 	"birchmoor/internal/snapshot"
 )
 
@@ -41,7 +42,7 @@
 	Mgmt     net.Listener                   // where operators call; nil for nowhere
 	Bans     maintenance.Store              // what operators said, over the life of a process
 	Shared   maintenance.Shared             // what daemons agree on; nil for nothing
-	Drains   Drains                         // what daemons tell each other of drains; nil for nothing
+	Fleet    Fleet                          // what daemons tell each other of servers; nil for nothing
 	Kept     snapshot.File                  // what a process knew, for the next one
 	Beside   []core.Protocol                // protocols besides HTTP
 	Tap      core.Tap                       // between the loop and the decision module; nil for nothing
@@ -51,14 +52,26 @@
 	Log      *slog.Logger
 }
 
-// Drains is how daemons tell each other which processes of servers drain.
-type Drains interface {
-	// Known are those known before this sidecar has heard anything.
+// Fleet is how daemons tell each other of servers: which processes drain, which began, and what is known of them.
+type Fleet interface {
+	// Known are the processes that were known to drain before this sidecar has heard anything.
 	Known() []discovery.Process
-	// Heard takes the word of this sidecar's discovery. It does not wait.
+	// Heard takes the word of this sidecar's discovery on a drain. It does not wait.
 	Heard(p discovery.Process, drains bool)
 	// Bind gives the way in which the word of others binds here.
 	Bind(bind func(ctx context.Context, p discovery.Process, drains bool) error)
+
+	// Begun are the processes that began of late, as far as was known before this sidecar has seen anything.
+	Begun() []core.Start
+	// Began takes what this sidecar saw begin, so long ago, and cold for so long. It does not wait.
+	Began(p discovery.Process, ago, cold time.Duration)
+	// Warm gives the way in which others' word that a process began counts here.
+	Warm(begun func(ctx context.Context, s core.Start) error)
+
+	// Pictures are those of a protocol that a start may believe.
+	Pictures(sidecar, protocol string) []recovery.Candidate
+	// Keep has the pictures of this sidecar kept until ctx ends. While paused says so another process's are.
+	Keep(ctx context.Context, sidecar, protocol string, picture func(context.Context) ([]byte, error), paused func() bool)
 }
 
 // node is a running sidecar.
@@ -115,11 +128,13 @@
 	if h.Shared != nil {
 		n.book.Share(h.Shared)
 	}
-	if h.Drains != nil {
+	if h.Fleet != nil {
 		for _, l := range n.lanes {
-			l.loop.Drains(h.Drains.Known(), h.Drains.Heard)
+			l.loop.Drains(h.Fleet.Known(), h.Fleet.Heard)
+			l.loop.Starts(h.Fleet.Begun(), h.Fleet.Began)
 		}
-		h.Drains.Bind(n.lanes.drain)
+		h.Fleet.Bind(n.lanes.drain)
+		h.Fleet.Warm(n.lanes.begun)
 	}
 	d.Watcher = discovery.NewWatcher(c.Discovery, c.Known.Generation, c.MemoryMB, n.lanes.told, h.Log)
 	d.Watch, d.Ended = (*discovery.Watcher).Keep, first.loop.Untold
@@ -163,10 +178,12 @@
 		return err
 	}
 	beside.Go(func() { n.takeOver(ctx, old) })
+	another := func() bool { return !n.serving.Load() || n.yields.Load() }
 	for _, l := range n.lanes {
-		beside.Go(func() {
-			core.Keeper{Loop: l.loop, File: l.kept}.Run(ctx, func() bool { return !n.serving.Load() || n.yields.Load() })
-		})
+		beside.Go(func() { core.Keeper{Loop: l.loop, File: l.kept}.Run(ctx, another) })
+		if h.Fleet != nil {
+			beside.Go(func() { h.Fleet.Keep(ctx, c.Name, l.name, l.loop.PicturedAbroad, another) })
+		}
 	}
 	h.Log.Info("serving", "name", c.Name, "listen", c.Listen)
 	select {
@@ -310,19 +327,34 @@
 	return old
 }
 
-// recall tells the module what an earlier process knew: the old one's word, else what was kept in the file.
+// recall tells the module what is known to begin with: the old process's word; else what was kept, in the file and by the
+// fleet, as recovery chooses.
 func (n *node) recall(ctx context.Context, l *lane, told []byte) {
-	from := "the old process"
-	was, err := snapshot.Decode(told)
-	if len(told) == 0 {
-		from = l.kept.Path
-		was, err = l.kept.Load()
+	if len(told) > 0 {
+		was, err := snapshot.Decode(told)
+		if err != nil {
+			n.log.Warn("snapshot passed over", "from", "the old process", "error", err)
+			return
+		}
+		l.loop.Recall(ctx, was, "the old process")
+		return
 	}
-	switch {
-	case err != nil:
-		n.log.Warn("snapshot passed over", "from", from, "error", err)
-	case was != nil:
-		l.loop.Recall(ctx, was, from)
+	var all []recovery.Candidate
+	was, err := l.kept.Load()
+	if err != nil {
+		n.log.Warn("snapshot passed over", "from", l.kept.Path, "error", err)
+	} else if was != nil && was.Sidecar != n.config.Name {
+		n.log.Warn("snapshot of another sidecar passed over", "from", l.kept.Path, "its name", was.Sidecar)
+	} else if was != nil {
+		all = append(all, recovery.Candidate{From: l.kept.Path, Kept: was, Own: true, Age: snapshot.Now().Since(was.Clock), Sure: true})
+	}
+	if n.host.Fleet != nil {
+		all = append(all, n.host.Fleet.Pictures(n.config.Name, l.name)...)
+	}
+	if c := recovery.Choose(n.config.Name, all); c.Kept != nil {
+		l.loop.RecallAt(ctx, c.Kept, c.From, c.Age)
+	} else if len(all) > 0 {
+		n.log.Info("nothing that was kept is recalled: too old, or of a time that is not sure", "pictures", len(all))
 	}
 }
 
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -40,6 +40,7 @@
 	State   *balancer.Snapshot `cbor:"3,keyasint"`
 	Names   []string           `cbor:"4,keyasint"`           // of State.Endpoints, in their order
 	Run     uint64             `cbor:"5,keyasint,omitempty"` // of a capture: names the process
+	Addrs   []string           `cbor:"6,keyasint,omitempty"` // of State.Endpoints, where another host is to read it; no file has them
 }
 
 // Error says what is wrong with a snapshot.
@@ -156,14 +157,26 @@
 		}
 		met[name] = true
 	}
+	if len(k.Addrs) > 0 && len(k.Addrs) != len(k.Names) {
+		return fmt.Errorf("%d addresses for %d endpoints", len(k.Addrs), len(k.Names))
+	}
+	for _, addr := range k.Addrs {
+		if len(addr) > nameMost {
+			return fmt.Errorf("the address %.40q is too long", addr)
+		}
+	}
 	return nil
 }
 
-// Renumber gives the endpoints the numbers that another process has for their names; those that it does not know
-// get numbers that it does not use.
-func (k *Kept) Renumber(number func(name string) (uint32, bool)) {
+// Renumber gives the endpoints the numbers that another process has for their names and, where these are told, addresses;
+// those that it does not know get numbers that it does not use.
+func (k *Kept) Renumber(number func(name, addr string) (uint32, bool)) {
 	for i, name := range k.Names {
-		n, known := number(name)
+		addr := ""
+		if i < len(k.Addrs) {
+			addr = k.Addrs[i]
+		}
+		n, known := number(name, addr)
 		if !known {
 			n = math.MaxUint32 - uint32(i)
 		}
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -133,7 +133,7 @@
 
 func TestRenumberKeepsForeignNamesApart(t *testing.T) {
 	k := known(t, 3)
-	k.Renumber(func(name string) (uint32, bool) { return 1, name == "s-2" })
+	k.Renumber(func(name, _ string) (uint32, bool) { return 1, name == "s-2" })
 	if s := k.State.Endpoints; s[2].ID != 1 || s[0].ID == s[1].ID || s[0].ID < 1<<31 {
 		t.Errorf("numbers %d %d %d", s[0].ID, s[1].ID, s[2].ID)
 	}
--- a/internal/store/command.go
+++ b/internal/store/command.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -34,6 +35,16 @@
 	If   []Compare `cbor:"1,keyasint,omitempty" json:"if,omitempty"`
 	Then []Op      `cbor:"2,keyasint,omitempty" json:"then,omitempty"`
 	Else []Op      `cbor:"3,keyasint,omitempty" json:"else,omitempty"`
+
+	// Bounds are checked with what Then or Else would leave; one that would be passed is ErrFull, and nothing is done.
+	// Since level 2.
+	Bounds []Bound `cbor:"4,keyasint,omitempty" json:"bounds,omitempty"`
+}
+
+// Bound says that no more than so many keys may have a prefix.
+type Bound struct {
+	Prefix string `cbor:"1,keyasint" json:"prefix"`
+	Most   int    `cbor:"2,keyasint" json:"most"`
 }
 
 // Compare holds if the key was last put at a revision; 0 means that there is no such key.
@@ -107,7 +118,21 @@
 
 // Level is the version of commands that this build knows. A build that knows more goes on using this one until every
 // member knows more.
-const Level = 1
+const Level = 2
+
+// Levels of commands.
+const (
+	levelFirst  = 1
+	levelBounds = 2 // Txn.Bounds
+)
+
+// Needs is the least level of commands by which this one can be read. Until the cluster uses it, the command is refused.
+func (c *Command) Needs() uint64 {
+	if c.Txn != nil && len(c.Txn.Bounds) > 0 {
+		return levelBounds
+	}
+	return levelFirst
+}
 
 const commandMost = 16 << 20 // bytes of a command
 
@@ -125,7 +150,7 @@
 	return v
 }
 
-// Encode writes a command as its first byte, the level, and CBOR.
+// Encode writes a command as its first byte, the level that it needs, and CBOR.
 func (c *Command) Encode() ([]byte, error) {
 	b, err := encoding.Marshal(c)
 	if err == nil && len(b) >= commandMost {
@@ -134,7 +159,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("command: %w", err)
 	}
-	return append([]byte{Level}, b...), nil
+	return append([]byte{byte(c.Needs())}, b...), nil
+}
+
+// CommandLevel is the level that an encoded command needs, 0 if it is none.
+func CommandLevel(b []byte) uint64 {
+	if len(b) == 0 {
+		return 0
+	}
+	return uint64(b[0])
 }
 
 // DecodeCommand reads what Encode wrote. A command of a newer level is ErrUnknownOp: a replica that meets one in its
@@ -172,13 +205,21 @@
 
 // Check says what is wrong with a command before it is sent to all. Apply finds the same, and changes nothing.
 func (s *State) Check(c *Command) error {
+	if c.Needs() > s.level {
+		return ErrLevel
+	}
 	if c.Txn == nil {
 		return nil
 	}
 	t := c.Txn
-	if max(len(t.If), len(t.Then), len(t.Else)) > s.limits.Ops {
+	if max(len(t.If), len(t.Then), len(t.Else), len(t.Bounds)) > s.limits.Ops {
 		return ErrTooLarge
 	}
+	for _, b := range t.Bounds {
+		if b.Prefix == "" || len(b.Prefix) > s.limits.Key || b.Most < 1 {
+			return ErrBadKey
+		}
+	}
 	for _, q := range t.If {
 		if q.Key == "" || len(q.Key) > s.limits.Key {
 			return ErrBadKey
@@ -286,6 +327,11 @@
 		ops = t.Else
 	}
 	// All or none: what could go wrong is looked for first. Deletions in the same transaction make no room.
+	for _, b := range t.Bounds {
+		if s.over(b, ops) {
+			return Result{Held: held, Err: ErrFull}
+		}
+	}
 	grown := 0
 	for _, o := range ops {
 		if o.Delete {
@@ -320,6 +366,25 @@
 	return Result{Held: held}
 }
 
+// over says whether operations would leave more keys under a prefix than it may have. A bound that was lowered under what
+// is there refuses new keys alone.
+func (s *State) over(b Bound, ops []Op) bool {
+	added := 0
+	for _, o := range ops {
+		if !o.Delete && strings.HasPrefix(o.Key, b.Prefix) {
+			if _, ok := s.items.Get(&Item{Key: o.Key}); !ok {
+				added++
+			}
+		}
+	}
+	if added == 0 {
+		return false
+	}
+	n := added
+	s.Range(b.Prefix, PrefixEnd(b.Prefix), func(Item) bool { n++; return n <= b.Most })
+	return n > b.Most
+}
+
 func (s *State) put(rev uint64, o Op) {
 	n := &Item{Key: o.Key, Value: o.Value, Created: rev, Modified: rev, Version: 1, Lease: o.Lease}
 	if old, ok := s.items.Get(n); ok {
--- /dev/null
+++ b/internal/store/policy/starts.go
@@ -0,0 +1,219 @@
+package policy
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"birchmoor/internal/store"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// StartPrefix is that of the keys that tell of processes of servers that began a while ago: start/PROCESS.
+const StartPrefix = "start/"
+
+// StartsMost bounds those in the store. One more is refused, and said to be.
+const StartsMost = 16384
+
+// Format is that of the records of starts and pictures. A reader passes over what has a later one.
+const Format = 1
+
+// ErrFormat says that a record is of a later version.
+var ErrFormat = errors.New("of a later format than this build reads")
+
+// Start is the word that a process of a server began. It matters while the process is cold, and says so itself: which
+// configuration a reader has does not matter.
+type Start struct {
+	Format uint64 `cbor:"1,keyasint" json:"-"`
+	By     string `cbor:"2,keyasint" json:"by"`
+	Ago    int64  `cbor:"3,keyasint" json:"ago_ms"` // it had begun, when this was written, milliseconds before
+	For    int64  `cbor:"4,keyasint" json:"for_ms"` // it is cold for so many milliseconds, by its contract
+}
+
+const longestStart = 24 * 3600 * 1000 // milliseconds; beyond it a figure makes no sense
+
+// Encode writes it.
+func (s Start) Encode() []byte {
+	s.Format = Format
+	b, err := cbor.Marshal(s)
+	if err != nil {
+		panic(err) // strings and numbers always can be written
+	}
+	return b
+}
+
+// DecodeStart reads one. What is of a later format is ErrFormat.
+func DecodeStart(b []byte) (s Start, err error) {
+	if err := record.Unmarshal(b, &s); err != nil {
+		return Start{}, fmt.Errorf("start: %w", err)
+	}
+	if s.Format > Format {
+		return Start{}, fmt.Errorf("start: %w: %d", ErrFormat, s.Format)
+	}
+	if s.Format == 0 || s.Ago < 0 || s.Ago > longestStart || s.For <= 0 || s.For > longestStart {
+		return Start{}, errors.New("start: a figure is out of range")
+	}
+	return s, nil
+}
+
+// record reads values that other builds wrote: keys that it does not know are theirs.
+var record = func() cbor.DecMode {
+	m, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden,
+		TagsMd: cbor.TagsForbidden, MaxNestedLevels: 8, MaxArrayElements: 1 << 16, MaxMapPairs: 64}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+// StartKey is that of a process.
+func StartKey(p Process) string { return StartPrefix + p.Server() }
+
+// ParseStart reads such a key.
+func ParseStart(key string) (Process, bool) {
+	server, ok := strings.CutPrefix(key, StartPrefix)
+	if !ok {
+		return Process{}, false
+	}
+	return ParseProcess(server)
+}
+
+// begun is what is known of a process that began.
+type begun struct {
+	at     int64  // by this daemon's clock
+	until  int64  // it matters
+	mine   bool   // seen here
+	agreed uint64 // revision of the store's word, or 0
+	by     string
+}
+
+// Starts holds which processes of servers began a while ago, as this daemon saw and as the store says. A process begins once:
+// while the first word of it matters, a later one comes of a late list and changes nothing; so a daemon's own sight is never
+// put back. It is for one goroutine; times are nanoseconds of the daemon's own clock.
+type Starts struct {
+	by    string
+	words map[string]*begun
+	most  int
+}
+
+// NewStarts returns one that knows nothing. It holds no more than most.
+func NewStarts(by string, most int) *Starts {
+	return &Starts{by: by, words: map[string]*begun{}, most: most}
+}
+
+// See takes a beginning that this daemon saw: so long ago, and cold for so long. It says whether that is news here.
+func (s *Starts) See(now int64, p Process, ago, cold int64) bool {
+	if ago < 0 || cold <= ago {
+		return false
+	}
+	key := StartKey(p)
+	w := s.words[key]
+	if w != nil && now < w.until {
+		return false
+	}
+	if w == nil {
+		if len(s.words) >= s.most {
+			return false
+		}
+		w = &begun{}
+		s.words[key] = w
+	}
+	w.at, w.until, w.mine, w.by = now-ago, now-ago+cold, true, s.by
+	return true
+}
+
+// Write is the transaction that tells the store of a process, or nil if there is nothing to tell.
+func (s *Starts) Write(now int64, p Process) *store.Txn {
+	key := StartKey(p)
+	w := s.words[key]
+	if w == nil || !w.mine || now >= w.until {
+		return nil
+	}
+	v := Start{By: s.by, Ago: (now - w.at) / 1e6, For: (w.until - w.at) / 1e6}
+	return &store.Txn{If: []store.Compare{{Key: key, Modified: w.agreed}}, Then: []store.Op{{Key: key, Value: v.Encode()}},
+		Bounds: []store.Bound{{Prefix: StartPrefix, Most: StartsMost}}}
+}
+
+// End is the transaction that ends the store's word of a process, or nil if it has none.
+func (s *Starts) End(p Process) *store.Txn {
+	key := StartKey(p)
+	w := s.words[key]
+	if w == nil || w.agreed == 0 {
+		return nil
+	}
+	return &store.Txn{If: []store.Compare{{Key: key, Modified: w.agreed}}, Then: []store.Op{{Key: key, Delete: true}}}
+}
+
+// Applied takes a change of the store. late is how long ago it was made, as far as that is known: 0 as it comes. It returns
+// the process if what is known of it has changed.
+func (s *Starts) Applied(now int64, e store.Event, late int64) (Process, bool) {
+	p, ok := ParseStart(e.Item.Key)
+	if !ok {
+		return p, false
+	}
+	w := s.words[e.Item.Key]
+	if e.Deleted {
+		if w != nil {
+			if w.agreed = 0; !w.mine {
+				delete(s.words, e.Item.Key)
+			}
+		}
+		return p, false // it had ended, or who saw it goes on by what it saw
+	}
+	v, err := DecodeStart(e.Item.Value)
+	if err != nil {
+		return p, false
+	}
+	at, cold := now-late-v.Ago*1e6, v.For*1e6
+	if w == nil {
+		if len(s.words) >= s.most {
+			return p, false
+		}
+		w = &begun{}
+		s.words[e.Item.Key] = w
+	}
+	w.agreed = e.Revision
+	if now < w.until {
+		return p, false
+	}
+	w.at, w.until, w.mine, w.by = at, at+cold, false, v.By
+	return p, now < w.until
+}
+
+// Cold lists the processes that began and are cold yet, with how long ago each did and for how long it is cold.
+func (s *Starts) Cold(now int64, f func(p Process, ago, left int64, by string, agreed bool)) {
+	for key, w := range s.words {
+		if p, ok := ParseStart(key); ok && now < w.until {
+			f(p, now-w.at, w.until-now, w.by, w.agreed > 0)
+		}
+	}
+}
+
+// Of tells of one process.
+func (s *Starts) Of(now int64, p Process) (ago, left int64, ok bool) {
+	w := s.words[StartKey(p)]
+	if w == nil || now >= w.until {
+		return 0, 0, false
+	}
+	return now - w.at, w.until - now, true
+}
+
+// Over returns the processes whose beginning matters no more and that the store still tells of, and forgets those that
+// it does not.
+func (s *Starts) Over(now int64) (over []Process) {
+	for key, w := range s.words {
+		if now < w.until {
+			continue
+		}
+		if p, ok := ParseStart(key); ok && w.agreed > 0 {
+			over = append(over, p)
+		} else {
+			delete(s.words, key)
+		}
+	}
+	return over
+}
+
+// Len is how many are held.
+func (s *Starts) Len() int { return len(s.words) }
--- a/internal/store/replica/members.go
+++ b/internal/store/replica/members.go
@@ -68,7 +68,7 @@
 	}
 	if me, ok := n.state.Member(n.self.Member); ok && !n.placed {
 		n.tried = n.now
-		n.send(&store.Command{Place: &store.Place{Member: me.ID, Disk: n.self.Disk, Boot: n.self.Boot, Level: store.Level}})
+		n.send(&store.Command{Place: &store.Place{Member: me.ID, Disk: n.self.Disk, Boot: n.self.Boot, Level: n.cfg.Knows}})
 	}
 	if !n.leading {
 		return
@@ -78,7 +78,7 @@
 		n.must(func() error { return n.raw.ProposeConfChange(cc) })
 		return
 	}
-	least := uint64(store.Level)
+	least := n.cfg.Knows
 	for _, m := range n.state.Members() {
 		least = min(least, m.Level)
 	}
--- a/internal/store/replica/replica.go
+++ b/internal/store/replica/replica.go
@@ -42,13 +42,14 @@
 type Config struct {
 	Rand         *rand.Rand
 	Log          *slog.Logger
-	ElectTicks   int // silence of the leader after which another is elected, up to twice as long by chance; 10
-	TickMillis   int // of a tick, for leases; 100
-	WaitTicks    int // after which a request is told that its outcome is unknown; 50
-	Pending      int // requests that may wait; 8192
-	SnapshotLog  int // bytes of log after which a snapshot is taken; 16 MiB
-	KeepEntries  int // behind a snapshot, for followers that are a little late; 4096
-	MessageBytes int // of entries in one message; 1 MiB
+	ElectTicks   int    // silence of the leader after which another is elected, up to twice as long by chance; 10
+	TickMillis   int    // of a tick, for leases; 100
+	WaitTicks    int    // after which a request is told that its outcome is unknown; 50
+	Pending      int    // requests that may wait; 8192
+	SnapshotLog  int    // bytes of log after which a snapshot is taken; 16 MiB
+	KeepEntries  int    // behind a snapshot, for followers that are a little late; 4096
+	MessageBytes int    // of entries in one message; 1 MiB
+	Knows        uint64 // level of commands, for tests of earlier builds; store.Level
 	Planted      Planted
 
 	Observe func(*raftpb.Entry) // told of every entry before it is applied, or nil
@@ -83,6 +84,9 @@
 	def(&c.SnapshotLog, 16<<20)
 	def(&c.KeepEntries, 4096)
 	def(&c.MessageBytes, 1<<20)
+	if c.Knows == 0 {
+		c.Knows = store.Level
+	}
 	if c.Log == nil {
 		c.Log = slog.New(slog.DiscardHandler)
 	}
@@ -219,6 +223,9 @@
 		}
 		n.conf = saved.Snapshot.conf()
 	}
+	if err := n.knows(n.state); err != nil {
+		return nil, err
+	}
 	n.log.conf, n.seated = n.conf, saved.Snapshot.Index
 	n.log.stale = func(index uint64) bool {
 		n.wanted = n.wanted || index < n.seated
@@ -266,6 +273,15 @@
 	return n, n.failed
 }
 
+// knows says whether this build can go on from a state: whether it knows the commands that the cluster uses.
+func (n *Node) knows(s *store.State) error {
+	if s.Level() > n.cfg.Knows {
+		return fmt.Errorf("%w: the cluster uses commands of level %d, and this build knows %d: start a newer build on this disk, nothing is lost",
+			store.ErrUnknownOp, s.Level(), n.cfg.Knows)
+	}
+	return nil
+}
+
 // guard makes of a panic of raft, which finds its own invariants broken, an error: this replica is not to go on.
 func guard(f func() error) (err error) {
 	defer func() {
@@ -538,6 +554,9 @@
 		if err != nil {
 			return fmt.Errorf("the leader's snapshot: %w", err)
 		}
+		if err := n.knows(s); err != nil {
+			return fmt.Errorf("the leader's snapshot: %w", err)
+		}
 		meta := metaOf(rd.Snapshot.Metadata)
 		if err := n.disk.Install(meta, hard, rd.Snapshot.Data); err != nil {
 			return err
@@ -608,10 +627,17 @@
 	case len(e.Data) == 0:
 		n.state.Skip(n.applied)
 	default:
+		if l := store.CommandLevel(e.Data); l > n.cfg.Knows {
+			return fmt.Errorf("entry %d: %w: level %d, and this build knows %d", n.applied, store.ErrUnknownOp, l, n.cfg.Knows)
+		}
 		c, err := store.DecodeCommand(e.Data)
 		if err != nil {
 			return fmt.Errorf("entry %d: %w", n.applied, err)
 		}
+		if c.Raise != nil && c.Raise.Level > n.cfg.Knows { // it was started on an older build since it said what it knows
+			return fmt.Errorf("entry %d: %w: the cluster goes to level %d, and this build knows %d", n.applied, store.ErrUnknownOp,
+				c.Raise.Level, n.cfg.Knows)
+		}
 		if n.cfg.Planted&ForgetResults != 0 {
 			id := c.ID
 			c.ID = store.RequestID{}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -135,7 +135,7 @@
 
 // New returns an empty state of a cluster at revision 0.
 func New(cluster uint64, limits Limits) *State {
-	return &State{limits: limits, cluster: cluster, level: 1, items: btree.NewG(32, byKey), leases: map[uint64]*lease{}}
+	return &State{limits: limits, cluster: cluster, level: levelFirst, items: btree.NewG(32, byKey), leases: map[uint64]*lease{}}
 }
 
 // Cluster is the number by which replicas know each other as of one cluster.
