Let daemons without a replica follow the store; list what is known of servers

Need: 80 or 300 daemons cannot all be replicas, and a new host is to start with what the others know.

Change: a daemon with follow = [...] has a copy that it takes from any replica that serves followers, hears changes and beats, keeps a file for its next start and tells the store through whichever replica answers; it may change nothing but the keys by which daemons tell each other of servers. birchmoor store servers lists drains, bans, starts and what modules know, from whom and how old; status says what a daemon started with.

--- a/cmd/birchmoor/run.go
+++ b/cmd/birchmoor/run.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -20,7 +21,9 @@
 	"birchmoor/internal/operator"
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/admin"
+	"birchmoor/internal/store/disk"
 	"birchmoor/internal/store/engine"
+	"birchmoor/internal/store/follow"
 )
 
 type daemonCommand struct {
@@ -87,15 +90,15 @@
 		}
 	}
 	d := daemon.New(s.Name, check, log)
-	d.Hook(&cfg)
-	e, err := engine.Open(cfg)
+	var e closer
+	if len(s.Follow) > 0 {
+		e, err = openFollower(s, d, cfg.Keys, log)
+	} else {
+		e, err = openReplica(s, d, cfg)
+	}
 	if err != nil {
-		if cfg.Listen != nil {
-			err = errors.Join(err, cfg.Listen.Close())
-		}
 		return nil, nil, err
 	}
-	d.Attach(e)
 	if err := os.MkdirAll(filepath.Dir(s.Socket), 0o700); err != nil {
 		return nil, nil, errors.Join(err, e.Close())
 	}
@@ -103,6 +106,18 @@
 	if err != nil {
 		return nil, nil, errors.Join(err, e.Close())
 	}
+	shut := a.Close
+	if s.Serve != "" {
+		ln, err := net.Listen("tcp", s.Serve)
+		if err != nil {
+			return nil, nil, errors.Join(fmt.Errorf("store: %w", err), a.Close(), e.Close())
+		}
+		o, err := admin.ServeFollowers(ln, e.(*engine.Engine), d, cfg.Keys)
+		if err != nil {
+			return nil, nil, errors.Join(err, ln.Close(), a.Close(), e.Close())
+		}
+		shut = func() error { return errors.Join(o.Close(), a.Close()) }
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var working sync.WaitGroup
 	working.Go(func() { d.Run(ctx) })
@@ -119,17 +134,74 @@
 			}
 		}
 	})
-	log.Info("the store runs", "replica", s.Name, "listen", s.Listen, "socket", s.Socket)
+	log.Info("the store runs", "replica", s.Name, "listen", s.Listen, "serve", s.Serve, "follows", s.Follow, "socket", s.Socket)
 	x = &extras{reload: d.Reload(), shared: d, fleet: d, settings: d.Settings}
 	return x, func() {
 		cancel()
 		working.Wait()
-		if err := errors.Join(a.Close(), e.Close()); err != nil {
+		if err := errors.Join(shut(), e.Close()); err != nil {
 			log.Warn("the store did not close well", "error", err)
 		}
 	}, nil
 }
 
+// closer is a copy of the store, a replica's or a follower's.
+type closer interface {
+	admin.Store
+	Close() error
+}
+
+// openReplica starts a replica, and notes what its daemon starts with.
+func openReplica(s *operator.Store, d *daemon.Daemon, cfg engine.Config) (closer, error) {
+	d.Hook(&cfg)
+	var written time.Time
+	if info, err := os.Stat(filepath.Join(s.Dir, disk.Name)); err == nil {
+		written = info.ModTime()
+	}
+	e, err := engine.Open(cfg)
+	if err != nil {
+		if cfg.Listen != nil {
+			err = errors.Join(err, cfg.Listen.Close())
+		}
+		return nil, err
+	}
+	d.Attach(e)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	from := "own disk"
+	if written.IsZero() {
+		from = "nothing"
+	}
+	a, err := e.View(ctx, true, func(*store.State) {})
+	if err != nil {
+		return nil, errors.Join(err, e.Close())
+	}
+	d.Opened(from, a.Revision, written)
+	return e, nil
+}
+
+// openFollower starts a copy of others' replicas.
+func openFollower(s *operator.Store, d *daemon.Daemon, pair *keys.Pair, log *slog.Logger) (closer, error) {
+	cfg := follow.Config{Name: s.Name, Dir: s.Dir, Keys: pair, Wait: time.Duration(s.Wait), Log: log, Age: d.PictureAge}
+	for _, text := range s.Follow {
+		name, addr, _ := strings.Cut(text, "=")
+		cfg.Replicas = append(cfg.Replicas, follow.Replica{Name: name, Addr: addr})
+	}
+	cfg.Event, cfg.Reset = d.Hooks()
+	f, err := follow.Open(cfg)
+	if err != nil {
+		return nil, err
+	}
+	d.Attach(f)
+	from, written := f.Found()
+	a, err := f.View(context.Background(), true, func(*store.State) {})
+	if err != nil {
+		from = "nothing"
+	}
+	d.Opened(from, a.Revision, written)
+	return f, nil
+}
+
 type checkCommand struct {
 	File string `arg:"" type:"existingfile" help:"Operator file."`
 }
--- a/cmd/birchmoor/store.go
+++ b/cmd/birchmoor/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
@@ -11,11 +12,13 @@
 	"net/url"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"text/tabwriter"
 	"time"
 	"unicode/utf8"
 
+	"birchmoor/internal/daemon"
 	"birchmoor/internal/lab/storebench"
 	"birchmoor/internal/lab/storesim"
 	"birchmoor/internal/store"
@@ -30,6 +33,7 @@
 	Add      storeAdd      `cmd:"" help:"Add a replica, which waits with an empty disk."`
 	Remove   storeRemove   `cmd:"" help:"Remove a replica for good."`
 	Out      storeOut      `cmd:"" help:"List the servers that are out, drained or banned."`
+	Servers  storeServers  `cmd:"" help:"List what is known of servers, from whom and how old."`
 	Handover storeHandover `cmd:"" help:"Give leadership away, before a planned stop."`
 	Get      storeGet      `cmd:"" help:"Read a key, or all keys with a prefix."`
 	Put      storePut      `cmd:"" help:"Write a key."`
@@ -129,6 +133,10 @@
 				state = "stopped: " + s.Failed
 			case s.WaitingToJoin:
 				state = "waits to be taken into a cluster"
+			case s.Follower && s.Follows == "":
+				state = "has a copy, and hears no replica"
+			case s.Follower:
+				state = "has a copy, and follows " + s.Follows
 			case s.Leading:
 				state = "leads"
 			case s.Lead == 0:
@@ -141,7 +149,19 @@
 			if s.Age.Stale {
 				copied = "STALE, " + copied
 			}
-			for _, x := range [][2]any{{"name", s.Name}, {"cluster", fmt.Sprintf("%x", s.Self.Cluster)}, {"member", s.Self.Member}, {"state", state}, {"copy", copied},
+			began := fmt.Sprintf("%s at revision %d: %d out, %d starts, %d pictures", s.Began.From, s.Began.Revision, s.Began.Out, s.Began.Starts, s.Began.Pictures)
+			if s.Began.Settings {
+				began += ", the fleet's settings"
+			}
+			if s.Began.Age != "" {
+				began += ", written " + s.Began.Age + " before"
+			}
+			for _, r := range s.Began.Recalled {
+				began += fmt.Sprintf("; the module recalled %d servers from %s (%d pictures), %v old", r.Servers, r.From, r.Pictures, r.Age.Round(time.Millisecond))
+			}
+			k := s.Daemon
+			for _, x := range [][2]any{{"began with", began}, {"holds", fmt.Sprintf("%d out, %d starts, %d pictures of %d bytes; %d changes owed",
+				k.Out, k.Starts, k.Pictures, k.Bytes, k.Owed)}, {"name", s.Name}, {"cluster", fmt.Sprintf("%x", s.Self.Cluster)}, {"member", s.Self.Member}, {"state", state}, {"copy", copied},
 				{"term", s.Term}, {"revision", s.Revision}, {"keys", s.Keys}, {"bytes", s.Bytes}, {"disk", s.Disk},
 				{"applied", fmt.Sprintf("%d of %d", s.Applied, s.Commit)}, {"members settled", s.Settled},
 				{"peers refused", s.Refused}, {"connections refused", s.Untaken}, {"messages dropped", s.Dropped}} {
@@ -269,6 +289,54 @@
 	})
 }
 
+type storeServers struct {
+	socketFlag
+	ID string `arg:"" optional:"" help:"Of one server."`
+}
+
+func (k *storeServers) Help() string {
+	return `Drains, bans, processes that began a while ago, and what sidecars' decision modules know, as this daemon and its copy of
+the store have it. AGE is since the store's latest word came here; - is before this daemon's start.
+
+Example:
+  birchmoor store servers s-5be2a07c`
+}
+
+func (k *storeServers) Run(ctx context.Context, c *console) error {
+	return k.call(ctx, c, func(ctx context.Context, a *admin.Client) error {
+		all, err := a.Servers(ctx)
+		if err != nil {
+			return err
+		}
+		if k.ID != "" {
+			all = slices.DeleteFunc(all, func(f daemon.Fact) bool { return f.ID != k.ID })
+			if len(all) == 0 {
+				fmt.Fprintf(c.err, "%s: nothing is known of it here\n", k.ID)
+				return errMissed
+			}
+		}
+		return k.print(c, all, func(w *tabwriter.Writer) {
+			fmt.Fprintln(w, "SERVER\tADDRESS\tSTART\tWHAT\tBY\tAGE\tLEFT\tAGREED")
+			for _, f := range all {
+				start, age, left, by := "-", "-", "-", f.By
+				if f.StartedMs != 0 {
+					start = time.UnixMilli(f.StartedMs).UTC().Format(time.RFC3339)
+				}
+				if f.AgeMs >= 0 {
+					age = (time.Duration(f.AgeMs) * time.Millisecond).String()
+				}
+				if f.LeftMs > 0 {
+					left = (time.Duration(f.LeftMs) * time.Millisecond).String()
+				}
+				if f.Sidecars > 1 {
+					by = fmt.Sprintf("%s and %d more", f.By, f.Sidecars-1)
+				}
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%v\n", f.ID, cmp.Or(f.Addr, "-"), start, f.What, by, age, left, f.Agreed)
+			}
+		})
+	})
+}
+
 type storeHandover struct{ socketFlag }
 
 func (k *storeHandover) Run(ctx context.Context, c *console) error {
--- a/internal/core/recall.go
+++ b/internal/core/recall.go
@@ -72,13 +72,12 @@
 	l.RecallAt(ctx, k, from, snapshot.Now().Since(k.Clock))
 }
 
-// RecallAt does so with a picture of a known age.
-func (l *Loop) RecallAt(ctx context.Context, k *snapshot.Kept, from string, age balancer.Micros) {
+// RecallAt does so with a picture of a known age. It returns how many servers it knew.
+func (l *Loop) RecallAt(ctx context.Context, k *snapshot.Kept, from string, age balancer.Micros) (known int) {
 	if k.Sidecar != l.config.Name {
 		l.log.Warn("snapshot of another sidecar passed over", "from", from, "its name", k.Sidecar)
-		return
+		return 0
 	}
-	var known int
 	var err error
 	failed := l.call(ctx, func(now balancer.Micros) {
 		k.Renumber(func(name, addr string) (uint32, bool) {
@@ -97,6 +96,7 @@
 		l.log.Info("recalled what an earlier process knew", "from", from, "endpoints", known, "of", len(k.Names),
 			"age", time.Duration(age)*time.Microsecond)
 	}
+	return known
 }
 
 // Beside has the process beside this one told of ejections, until forget is called.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -66,6 +66,7 @@
 	drains  drains
 	starts  starts
 	kept    pictures
+	start   Began
 
 	wake    chan struct{}
 	writes  chan write
--- a/internal/daemon/pictures.go
+++ b/internal/daemon/pictures.go
@@ -26,7 +26,7 @@
 
 type picture struct {
 	value  []byte
-	at     int64 // when it came, by this daemon's clock; 0: with a whole copy, so that its age is not known
+	at     int64 // when it was put, by this daemon's clock; 0: it came with a whole copy, so that its age is not known
 	agreed uint64
 }
 
@@ -96,7 +96,7 @@
 		c := recovery.Candidate{From: "the store: " + of, Kept: k, Own: of == sidecar}
 		here := snapshot.Now()
 		switch {
-		case p.at > 0:
+		case p.at != 0:
 			c.Age, c.Sure = balancer.Micros(now-p.at)/1000, true
 		default:
 			c.Age, c.Sure = here.Since(k.Clock), here.Boot != "" && here.Boot == k.Clock.Boot
@@ -106,6 +106,29 @@
 	return all
 }
 
+// PictureAges are those that this daemon saw come: how long ago.
+func (d *Daemon) PictureAges() map[string]time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now, all := d.now(time.Now()), map[string]time.Duration{}
+	for key, p := range d.kept.all {
+		if p.at != 0 {
+			all[key] = time.Duration(now - p.at)
+		}
+	}
+	return all
+}
+
+// PictureAge takes the word of another daemon's clock on how long ago a picture was put, where this one did not see it come.
+func (d *Daemon) PictureAge(key string, age time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p, ok := d.kept.all[key]; ok && p.at == 0 && age >= 0 {
+		p.at = d.now(time.Now()) - int64(age)
+		d.kept.all[key] = p
+	}
+}
+
 // Keep puts a sidecar's pictures in the store until ctx ends.
 func (d *Daemon) Keep(ctx context.Context, sidecar, protocol string, take func(context.Context) ([]byte, error), paused func() bool) {
 	key := policy.PictureKey(sidecar, protocol)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"time"
 
 	"birchmoor/internal/keys"
@@ -72,6 +73,10 @@
 	TotalMB int      `toml:"total_mb"`
 	Tick    Duration `toml:"tick"`
 	Elect   int      `toml:"elect_ticks"` // silence of a leader after which another is elected
+
+	Serve  string   `toml:"serve"`  // where daemons without a replica reach this one
+	Follow []string `toml:"follow"` // replicas, NAME=ADDRESS of their serve: this daemon has a copy and no replica
+	Wait   Duration `toml:"wait"`   // of a follower without a disk for its first copy, before its sidecar serves
 }
 
 // Keep is where what is known outlives a start.
@@ -175,12 +180,46 @@
 		if s.Keys != "" {
 			dir("store.keys", &s.Keys)
 		}
+		loopback := func(addr string) bool {
+			host, _, err := net.SplitHostPort(addr)
+			ip := net.ParseIP(host)
+			return err == nil && ip != nil && ip.IsLoopback()
+		}
+		span("store.wait", &s.Wait, 500*time.Millisecond, time.Millisecond, time.Minute)
+		if s.Plain == (s.Keys != "") && (s.Serve != "" || len(s.Follow) > 0) {
+			bad("store.keys", "one of keys and plain = true is needed, and not both")
+		}
+		if s.Serve != "" {
+			if _, _, err := net.SplitHostPort(s.Serve); err != nil {
+				bad("store.serve", err.Error())
+			} else if s.Plain && !loopback(s.Serve) {
+				bad("store.plain", "is for loopback addresses alone")
+			}
+		}
+		met := map[string]bool{}
+		for i, f := range s.Follow {
+			key := fmt.Sprintf("store.follow[%d]", i)
+			name, addr, found := strings.Cut(f, "=")
+			_, _, err := net.SplitHostPort(addr)
+			switch {
+			case !found || keys.CheckName(name) != nil || err != nil:
+				bad(key, fmt.Sprintf("%q is not of the form NAME=HOST:PORT", f))
+			case s.Plain && !loopback(addr):
+				bad("store.plain", "is for loopback addresses alone")
+			case met[addr]:
+				bad(key, fmt.Sprintf("%s stands there twice", addr))
+			}
+			met[addr] = true
+		}
+		if len(s.Follow) > 0 && (s.Listen != "" || s.Serve != "" || s.Join || s.Address != "") {
+			bad("store.follow", "is for a daemon without a replica: listen, serve, join and address are of one")
+		}
 		host, _, err := net.SplitHostPort(s.Listen)
 		switch ip := net.ParseIP(host); {
+		case len(s.Follow) > 0:
+		case s.Listen == "" && s.Serve == "" && !s.Join && s.Address == "":
 		case s.Listen == "":
-			if s.Join || s.Address != "" {
-				bad("store.listen", "is missing, and others are to reach this replica")
-			}
+			bad("store.listen", "is missing, and others are to reach this replica")
 		case err != nil:
 			bad("store.listen", err.Error())
 		case s.Plain && (ip == nil || !ip.IsLoopback()):
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -70,6 +70,8 @@
 
 	// Pictures are those of a protocol that a start may believe.
 	Pictures(sidecar, protocol string) []recovery.Candidate
+	// Recalled says what of them a start went on from, and how many servers that knew.
+	Recalled(protocol string, c recovery.Choice, servers int)
 	// Keep has the pictures of this sidecar kept until ctx ends. While paused says so another process's are.
 	Keep(ctx context.Context, sidecar, protocol string, picture func(context.Context) ([]byte, error), paused func() bool)
 }
@@ -352,7 +354,10 @@
 		all = append(all, n.host.Fleet.Pictures(n.config.Name, l.name)...)
 	}
 	if c := recovery.Choose(n.config.Name, all); c.Kept != nil {
-		l.loop.RecallAt(ctx, c.Kept, c.From, c.Age)
+		known := l.loop.RecallAt(ctx, c.Kept, c.From, c.Age)
+		if n.host.Fleet != nil {
+			n.host.Fleet.Recalled(l.name, c, known)
+		}
 	} else if len(all) > 0 {
 		n.log.Info("nothing that was kept is recalled: too old, or of a time that is not sure", "pictures", len(all))
 	}
--- a/internal/store/admin/admin.go
+++ b/internal/store/admin/admin.go
@@ -93,9 +93,24 @@
 	Note     string          `json:"note,omitempty"`
 }
 
+// Store is what a Server shows: a replica, or the copy of a daemon that has none.
+type Store interface {
+	daemon.Store
+	Status(ctx context.Context) (engine.Status, error)
+	Save(ctx context.Context) (*store.State, error)
+	HandOver(ctx context.Context) error
+}
+
+// Status is how a copy of the store and what a daemon holds of servers stand.
+type Status struct {
+	engine.Status
+	Daemon daemon.Kept  `json:"daemon"`
+	Began  daemon.Began `json:"began"`
+}
+
 // Server answers operators.
 type Server struct {
-	e       *engine.Engine
+	e       Store
 	d       *daemon.Daemon
 	http    *http.Server
 	ln      net.Listener
@@ -103,7 +118,7 @@
 }
 
 // Listen makes the socket and serves it. A socket that a process that is gone left behind is replaced.
-func Listen(path string, e *engine.Engine, d *daemon.Daemon) (*Server, error) {
+func Listen(path string, e Store, d *daemon.Daemon) (*Server, error) {
 	if c, err := net.DialTimeout("unix", path, time.Second); err == nil {
 		c.Close()
 		return nil, fmt.Errorf("another process serves %s", path)
@@ -130,6 +145,7 @@
 	m.HandleFunc("POST /v1/config", s.configure)
 	m.HandleFunc("GET /v1/leases", s.leases)
 	m.HandleFunc("GET /v1/out", func(w http.ResponseWriter, r *http.Request) { answer(w, http.StatusOK, d.Outs()) })
+	m.HandleFunc("GET /v1/servers", s.servers)
 	s.http = &http.Server{Handler: m, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
 	go s.http.Serve(ln)
 	return s, nil
@@ -155,6 +171,8 @@
 		f.Oldest, status = gone.Oldest, http.StatusGone
 	case errors.Is(err, store.ErrTooLarge), errors.Is(err, store.ErrBadKey), errors.Is(err, errBad):
 		status = http.StatusBadRequest
+	case errors.Is(err, store.ErrLevel):
+		status = http.StatusPreconditionFailed
 	case errors.Is(err, store.ErrFull):
 		status = http.StatusInsufficientStorage
 	case errors.Is(err, store.ErrMember), errors.Is(err, store.ErrNoLease), errors.Is(err, store.ErrForgotten):
@@ -200,7 +218,22 @@
 		fail(w, err)
 		return
 	}
-	answer(w, http.StatusOK, st)
+	answer(w, http.StatusOK, Status{st, s.d.Kept(), s.d.Start()})
+}
+
+func (s *Server) servers(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel, err := wait(r)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	defer cancel()
+	all, err := s.d.Servers(ctx)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, http.StatusOK, all)
 }
 
 func (s *Server) read(w http.ResponseWriter, r *http.Request) {
@@ -508,7 +541,7 @@
 }
 
 // Status asks how the store stands.
-func (c *Client) Status(ctx context.Context) (s engine.Status, err error) {
+func (c *Client) Status(ctx context.Context) (s Status, err error) {
 	return s, c.call(ctx, "GET", "/v1/status", nil, nil, &s)
 }
 
@@ -542,6 +575,11 @@
 	return all, c.call(ctx, "GET", "/v1/out", nil, nil, &all)
 }
 
+// Servers lists what is known of servers.
+func (c *Client) Servers(ctx context.Context) (all []daemon.Fact, err error) {
+	return all, c.call(ctx, "GET", "/v1/servers", nil, nil, &all)
+}
+
 // HandOver gives leadership away, if the replica has it.
 func (c *Client) HandOver(ctx context.Context) error {
 	return c.call(ctx, "POST", "/v1/handover", nil, nil, &struct{}{})
--- /dev/null
+++ b/internal/store/admin/outer.go
@@ -0,0 +1,217 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"birchmoor/internal/daemon"
+	"birchmoor/internal/keys"
+	"birchmoor/internal/store"
+	"birchmoor/internal/store/engine"
+	"birchmoor/internal/store/policy"
+)
+
+// Followers are daemons without a replica of their own. They reach replicas over TCP with the cluster's keys, or plainly on
+// loopback, and may do less than operators: take a copy and what changes, ask up to where the quorum is, and make
+// transactions on the keys by which daemons tell each other of servers.
+const (
+	followersMost = 512 // at once, of one replica
+	beatEvery     = time.Second
+	changeMost    = 256 // changes of followers at once
+)
+
+// Beat is sent between changes, so that a follower knows that its copy is up to date and how old it may be.
+type Beat struct {
+	Cluster  uint64        `json:"cluster"`
+	Revision uint64        `json:"revision"`
+	Proved   bool          `json:"proved"`
+	Age      time.Duration `json:"age_ns"`
+	Ages     []KeyAge      `json:"ages,omitempty"` // of pictures, with the first beat: how long ago they were put
+}
+
+// KeyAge is how long ago the store was told of a key.
+type KeyAge struct {
+	Key string        `json:"key"`
+	Age time.Duration `json:"age_ns"`
+}
+
+// Line is one of a follower's stream: a change or a beat.
+type Line struct {
+	Event *store.Event `json:"event,omitempty"`
+	Beat  *Beat        `json:"beat,omitempty"`
+	Fault *Fault       `json:"fault,omitempty"`
+}
+
+// Outer answers followers.
+type Outer struct {
+	e       *engine.Engine
+	d       *daemon.Daemon
+	http    *http.Server
+	slots   chan struct{}
+	changes chan struct{}
+}
+
+// ServeFollowers serves a listener, which Close closes. Without keys it is for loopback alone.
+func ServeFollowers(ln net.Listener, e *engine.Engine, d *daemon.Daemon, pair *keys.Pair) (*Outer, error) {
+	if a, ok := ln.Addr().(*net.TCPAddr); pair == nil && (!ok || !a.IP.IsLoopback()) {
+		return nil, fmt.Errorf("store: plain TCP on %s, which is not a loopback address", ln.Addr())
+	}
+	o := &Outer{e: e, d: d, slots: make(chan struct{}, followersMost), changes: make(chan struct{}, changeMost)}
+	m := http.NewServeMux()
+	m.HandleFunc("GET /v1/copy", o.copy)
+	m.HandleFunc("GET /v1/follow", o.follow)
+	m.HandleFunc("GET /v1/revision", o.revision)
+	m.HandleFunc("POST /v1/change", o.change)
+	o.http = &http.Server{Handler: m, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 8 << 10}
+	if pair != nil {
+		o.http.TLSConfig = pair.Server()
+		go o.http.ServeTLS(ln, "", "")
+	} else {
+		go o.http.Serve(ln)
+	}
+	return o, nil
+}
+
+// Close ends all streams.
+func (o *Outer) Close() error { return o.http.Close() }
+
+// copy sends the state as this replica has it: a follower that starts must not wait for a quorum.
+func (o *Outer) copy(w http.ResponseWriter, r *http.Request) {
+	var s *store.State
+	if _, err := o.e.View(r.Context(), true, func(now *store.State) { s = now.Clone() }); err != nil || s == nil {
+		fail(w, errors.Join(errors.New("this replica has no copy yet"), err))
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_ = s.Save(w) // a reader finds by its checksum that it is cut
+}
+
+// follow sends changes after a revision, and beats.
+func (o *Outer) follow(w http.ResponseWriter, r *http.Request) {
+	select {
+	case o.slots <- struct{}{}:
+		defer func() { <-o.slots }()
+	default:
+		fail(w, fmt.Errorf("%d followers are here already", followersMost))
+		return
+	}
+	after, err := number(r.URL.Query(), "after")
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	enc, c := json.NewEncoder(w), http.NewResponseController(w)
+	send := func(l Line) bool {
+		_ = c.SetWriteDeadline(time.Now().Add(waitMost))
+		return enc.Encode(l) == nil
+	}
+	ages := o.d.PictureAges()
+	for {
+		var b Beat
+		a, err := o.e.View(r.Context(), true, func(s *store.State) { b.Cluster = s.Cluster() })
+		if err != nil {
+			return
+		}
+		b.Revision, b.Proved, b.Age, b.Ages = a.Revision, a.Proved, a.Age, nil
+		for key, age := range ages {
+			b.Ages = append(b.Ages, KeyAge{key, age})
+		}
+		if b.Revision < after {
+			b.Revision, b.Proved = after, false // this replica is behind what the follower has: it confirms nothing
+		}
+		ages = nil
+		if !send(Line{Beat: &b}) || c.Flush() != nil {
+			return
+		}
+		for end := time.Now().Add(beatEvery); time.Now().Before(end); {
+			wait, cancel := context.WithDeadline(r.Context(), end)
+			events, to, err := o.e.Next(wait, "", after, 256)
+			cancel()
+			var gone *store.ErrCompacted
+			switch {
+			case errors.As(err, &gone):
+				send(Line{Fault: &Fault{Error: err.Error(), Oldest: gone.Oldest}})
+				return
+			case err != nil && r.Context().Err() == nil && errors.Is(err, context.DeadlineExceeded):
+			case err != nil:
+				return
+			}
+			for i := range events {
+				if !send(Line{Event: &events[i]}) {
+					return
+				}
+			}
+			if after = to; c.Flush() != nil {
+				return
+			}
+		}
+	}
+}
+
+// revision tells up to where a copy has to be to show all that was answered before the call.
+func (o *Outer) revision(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel, err := wait(r)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	defer cancel()
+	a, err := o.e.View(ctx, false, func(*store.State) {})
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, http.StatusOK, a)
+}
+
+// change makes a transaction of a follower.
+func (o *Outer) change(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel, err := wait(r)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	defer cancel()
+	var q Request
+	if err := decode(w, r, &q); err != nil {
+		fail(w, err)
+		return
+	}
+	if err := followerMay(&q); err != nil {
+		fail(w, err)
+		return
+	}
+	select {
+	case o.changes <- struct{}{}:
+		defer func() { <-o.changes }()
+	case <-ctx.Done():
+		fail(w, ctx.Err())
+		return
+	}
+	res, err := o.e.Do(ctx, store.Command{ID: q.ID, Txn: q.Txn})
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, http.StatusOK, Change{Revision: res.Revision, Held: res.Held})
+}
+
+// followerMay says what of a follower's request is not for it.
+func followerMay(q *Request) error {
+	if q.Txn == nil || q.Add != nil || q.Del != 0 || q.Grant != 0 || q.Renew != 0 || q.End != 0 {
+		return fmt.Errorf("%w: a follower makes transactions alone", errBad)
+	}
+	for _, ops := range [][]store.Op{q.Txn.Then, q.Txn.Else} {
+		for _, op := range ops {
+			if op.End != "" || op.Lease != 0 || !policy.Told(op.Key) {
+				return fmt.Errorf("%w: %q is not a follower's to change", errBad, op.Key)
+			}
+		}
+	}
+	return nil
+}
--- a/internal/store/disk/disk.go
+++ b/internal/store/disk/disk.go
@@ -74,13 +74,16 @@
 
 var _ replica.Disk = (*Disk)(nil)
 
+// Name is the file's in its folder.
+const Name = "store.db"
+
 // Open opens the file "store.db" in a folder, made if it is not there, and counts a start. The file is the owner's
 // alone; one that others may read or write is refused.
 func Open(dir string, o Options) (*Disk, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
-	path := filepath.Join(dir, "store.db")
+	path := filepath.Join(dir, Name)
 	if i, err := os.Stat(path); err == nil && i.Mode().Perm()&0o077 != 0 {
 		return nil, fmt.Errorf("store: %s may be read or written by others (mode %04o): it must be 0600", path, i.Mode().Perm())
 	} else if err != nil && !errors.Is(err, fs.ErrNotExist) {
--- a/internal/store/engine/engine.go
+++ b/internal/store/engine/engine.go
@@ -537,14 +537,16 @@
 // Status is how the store stands.
 type Status struct {
 	replica.Status
-	WaitingToJoin bool  `json:"waiting_to_join,omitempty"`
-	Age           Age   `json:"copy"`
-	Disk          int64 `json:"disk_bytes"`
-	Refused       int64 `json:"peers_refused"`
-	Untaken       int64 `json:"connections_refused"`
-	Dropped       int64 `json:"messages_dropped"`
-	Sent          int64 `json:"messages_sent"`
-	Received      int64 `json:"messages_received"`
+	WaitingToJoin bool   `json:"waiting_to_join,omitempty"`
+	Follower      bool   `json:"follower,omitempty"` // has no replica: a copy of others'
+	Follows       string `json:"follows,omitempty"`  // the replica that it hears now, or "" for none
+	Age           Age    `json:"copy"`
+	Disk          int64  `json:"disk_bytes"`
+	Refused       int64  `json:"peers_refused"`
+	Untaken       int64  `json:"connections_refused"`
+	Dropped       int64  `json:"messages_dropped"`
+	Sent          int64  `json:"messages_sent"`
+	Received      int64  `json:"messages_received"`
 }
 
 // Status returns it.
--- a/internal/store/policy/policy.go
+++ b/internal/store/policy/policy.go
@@ -47,6 +47,19 @@
 	By string `cbor:"1,keyasint" json:"by"` // daemon that told it
 }
 
+// Told says whether a key is one by which daemons tell each other of servers.
+func Told(key string) bool {
+	return strings.HasPrefix(key, Prefix) || strings.HasPrefix(key, StartPrefix) || strings.HasPrefix(key, PicturePrefix)
+}
+
+// MarkOf reads a mark; what is none is an empty one.
+func MarkOf(b []byte) (m Mark) {
+	if record.Unmarshal(b, &m) != nil {
+		return Mark{}
+	}
+	return m
+}
+
 // Out is a server that is out.
 type Out struct {
 	Kind   Kind   `json:"kind"`
