Play drains, their watchers and two builds in the store's simulation; mend what it found

Need: drains were played by the guard alone; the users want no stale drain whatever dies.

Change: each simulated host has a daemon that tells drains by the real rules (policy.Turns) and a sidecar whose requests independent servers count; discovery comes late, in part or not at all. Hosts may run a build of level 1 in turn. Seven planted faults are new.

--- a/cmd/birchmoor/store.go
+++ b/cmd/birchmoor/store.go
@@ -554,6 +554,7 @@
 	Replicas int    `help:"At the start." default:"3"`
 	Ops      int    `help:"Requests of each client." default:"60"`
 	Faults   int    `help:"Faults that are caused in a run." default:"24"`
+	Mixed    bool   `help:"Hosts begin with a build of level 1 of commands, and go a step up or back in turn."`
 	JSON     bool   `help:"A line of JSON for each run."`
 }
 
@@ -567,18 +568,18 @@
 }
 
 func (k *storeSim) Run(ctx context.Context, c *console) error {
-	o := storesim.Options{Replicas: k.Replicas, Ops: k.Ops, Faults: k.Faults}
+	o := storesim.Options{Replicas: k.Replicas, Ops: k.Ops, Faults: k.Faults, Mixed: k.Mixed}
 	for _, f := range storesim.Faults {
 		if k.Plant == "list" {
 			fmt.Fprintf(c.out, "%-18s %s\n", f.Name, f.About)
 		} else if f.Name == k.Plant {
-			o.Planted = f.Fault
+			o.Planted, o.Watch = f.Fault, f.Watch
 		}
 	}
 	if k.Plant == "list" {
 		return nil
 	}
-	if k.Plant != "" && o.Planted == 0 {
+	if k.Plant != "" && o.Planted == 0 && o.Watch == storesim.WatchNone {
 		return fmt.Errorf("--plant %q is not a fault: list names them", k.Plant)
 	}
 	broken := 0
@@ -590,6 +591,7 @@
 		}
 		r := storesim.Run(k.Seed+i, o)
 		sum.Ops, sum.Crashes, sum.Cuts, sum.Elected = sum.Ops+r.Ops, sum.Crashes+r.Crashes, sum.Cuts+r.Cuts, sum.Elected+r.Elected
+		sum.Told, sum.Over, sum.Sent, sum.Steps = sum.Told+r.Told, sum.Over+r.Over, sum.Sent+r.Sent, sum.Steps+r.Steps
 		sum.Joined, sum.Left, sum.Installs = sum.Joined+r.Joined, sum.Left+r.Left, sum.Installs+r.Installs
 		if k.JSON {
 			if err := enc.Encode(r); err != nil {
@@ -609,6 +611,8 @@
 	}
 	fmt.Fprintf(c.err, "%d seeds, %d broken: %d requests, %d crashes, %d cuts, %d leaders, %d joined, %d left, %d snapshots installed\n",
 		k.Seeds, broken, sum.Ops, sum.Crashes, sum.Cuts, sum.Elected, sum.Joined, sum.Left, sum.Installs)
+	fmt.Fprintf(c.err, "drains: %d changes that tell of one, %d ends; %d requests sent to servers; %d changes of a host's build\n", sum.Told, sum.Over,
+		sum.Sent, sum.Steps)
 	if broken > 0 || k.Plant != "" {
 		return errMissed
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -107,7 +107,7 @@
 
 // Hook puts the daemon's hooks into the configuration of an engine.
 func (d *Daemon) Hook(c *engine.Config) {
-	c.Event, c.Reset, c.Unsettled = d.event, d.reset, d.unsettled
+	c.Event, c.Reset, c.Unsettled, c.Settled = d.event, d.reset, d.unsettled, d.settled
 }
 
 // Hooks are what a copy of the store calls: see engine.Config.
@@ -148,7 +148,7 @@
 	case strings.HasPrefix(key, policy.Prefix):
 		d.guard.Applied(e)
 		if p, ok := drainOf(key); ok {
-			d.drainEvent(now, p, e.Deleted)
+			d.drainEvent(now, p, e)
 		} else {
 			d.dirty[serverOf(key)] = true
 		}
@@ -211,7 +211,7 @@
 	}
 	d.stale()
 	now := d.now(time.Now())
-	d.drains.turns.Found(now, keysOf(s, policy.Key(policy.Drain, "")))
+	d.drains.turns.Found(now, wordsOf(s, policy.Key(policy.Drain, "")))
 	d.resetStarts(now, s)
 	d.kept.reset(now, s)
 	for _, key := range []string{keyCurrent, keyCandidate} {
@@ -229,10 +229,24 @@
 	d.stale()
 }
 
-// keysOf lists the keys with a prefix.
-func keysOf(s *store.State, prefix string) (keys []string) {
-	s.Range(prefix, store.PrefixEnd(prefix), func(i store.Item) bool { keys = append(keys, i.Key); return true })
-	return keys
+func (d *Daemon) settled() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, key := range d.guard.Settled() {
+		if p, ok := drainOf(key); ok {
+			d.drains.dirty[p] = true
+		} else {
+			d.dirty[serverOf(key)] = true
+		}
+	}
+	d.poke()
+}
+
+// wordsOf are the keys with a prefix, and the revisions at which they were told.
+func wordsOf(s *store.State, prefix string) map[string]uint64 {
+	words := map[string]uint64{}
+	s.Range(prefix, store.PrefixEnd(prefix), func(i store.Item) bool { words[i.Key] = i.Modified; return true })
+	return words
 }
 
 // Attach gives the copy of the store, once it is open and before anything else is called.
--- a/internal/daemon/drains.go
+++ b/internal/daemon/drains.go
@@ -123,15 +123,10 @@
 }
 
 // drainEvent notes a change of the store. The daemon's lock is held.
-func (d *Daemon) drainEvent(now int64, p policy.Process, deleted bool) {
+func (d *Daemon) drainEvent(now int64, p policy.Process, e store.Event) {
 	key := drainKey(p)
 	d.drains.dirty[p] = true
-	if !d.drains.turns.Hears(key) {
-		// What a start found in its log, not knowing that it was agreed on, is settled: the store has said something of it
-		// since. Told again from here, it could come back after its end.
-		d.guard.Wrote(key, true)
-	}
-	d.wakeAt(d.drains.turns.Told(now, key, deleted), now)
+	d.wakeAt(d.drains.turns.Told(now, key, e.Revision, e.Deleted), now)
 }
 
 // tellDrains makes bind in the sidecar what has changed.
--- a/internal/daemon/pictures.go
+++ b/internal/daemon/pictures.go
@@ -47,7 +47,7 @@
 
 func (k *pictures) event(now int64, e store.Event) {
 	k.set(e.Item.Key, picture{e.Item.Value, now, e.Revision}, e.Deleted)
-	k.turns.Told(now, e.Item.Key, e.Deleted)
+	k.turns.Told(now, e.Item.Key, e.Revision, e.Deleted)
 }
 
 func (k *pictures) reset(now int64, s *store.State) {
@@ -62,7 +62,7 @@
 		}
 		return true
 	})
-	k.turns.Found(now, keysOf(s, policy.PicturePrefix))
+	k.turns.Found(now, wordsOf(s, policy.PicturePrefix))
 }
 
 // over ends those that nobody has put for long.
--- a/internal/daemon/starts.go
+++ b/internal/daemon/starts.go
@@ -69,7 +69,7 @@
 		d.starts.dirty[p] = true
 		d.poke()
 	}
-	d.starts.turns.Told(now, e.Item.Key, e.Deleted)
+	d.starts.turns.Told(now, e.Item.Key, e.Revision, e.Deleted)
 }
 
 // resetStarts takes a whole copy. How long ago its words were written is not known: each counts as new, so that a process is
@@ -81,7 +81,7 @@
 		}
 		return true
 	})
-	d.starts.turns.Found(now, keysOf(s, policy.StartPrefix))
+	d.starts.turns.Found(now, wordsOf(s, policy.StartPrefix))
 }
 
 func (d *Daemon) speakStarts(now int64) {
--- a/internal/lab/storesim/actors.go
+++ b/internal/lab/storesim/actors.go
@@ -278,7 +278,7 @@
 		return
 	}
 	for _, op := range h.guard.Owed() {
-		u.write(h, op)
+		u.owed(h, op)
 	}
 	server := fmt.Sprintf("s%d", w.rng.IntN(3))
 	if w.rng.IntN(2) == 0 {
@@ -301,6 +301,15 @@
 	}
 }
 
+// owed writes once more what a host's daemon owes the store.
+func (u *outs) owed(h *host, op store.Op) {
+	if p, ok := policy.ParseProcess(op.Key[len("out/drain/"):]); ok && p.Addr != "" {
+		h.tell(p, op)
+	} else {
+		u.write(h, op)
+	}
+}
+
 func (u *outs) write(h *host, op store.Op) {
 	u.seq++
 	boot := h.boot
--- a/internal/lab/storesim/faults.go
+++ b/internal/lab/storesim/faults.go
@@ -230,6 +230,7 @@
 			h.disk = newDisk(w.rng)
 			h.disk.saved.Identity.Cluster, h.disk.saved.Identity.Member = id.Cluster, id.Member
 		}
+		h.acted = map[string]bool{} // what that disk had shown went with it
 		h.start()
 		w.order(uint64(h.number)*10+3, store.Command{Leave: &store.Leave{Member: member}}, func(r store.Result) {
 			h.joining, h.retired = false, true
@@ -244,20 +245,29 @@
 	})
 }
 
+// settleFor is how long after the last fault a run goes on: what is told binds at all by then, with an election and a start on
+// the way, and what is heard has to be told again.
+const settleFor = simKeep + second
+
 // heal ends all faults, and the run once nothing is open and all replicas are at the same entry.
 func (w *world) heal() {
-	w.clean, w.net = true, netFaults{}
+	w.clean, w.net, w.s.healed = true, netFaults{}, w.q.Now()
 	w.mend()
 	for _, h := range w.hosts {
 		h.disk.dieIn, h.disk.breakIn, h.paused, h.pace = 0, 0, false, 1
+		w.q.After(w.rng.Int64N(150*milli), h.hearAll)
+	}
+	if w.o.Mixed {
+		w.step()
 	}
 	var check func()
 	check = func() {
-		same := w.quiet() && !w.changing()
+		same := w.quiet() && !w.changing() && w.q.Now()-w.s.healed > settleFor
 		for _, h := range w.members() {
 			same = same && h.node != nil && h.index == w.top
 		}
 		if same {
+			w.settledServers()
 			w.over = true
 			return
 		}
@@ -270,15 +280,23 @@
 var Faults = []struct {
 	Name  string
 	Fault replica.Planted
+	Watch Watch
 	About string
 }{
-	{"ack-before-sync", replica.AckBeforeSync, "messages go out before the disk has what they promise"},
-	{"vote-forgotten", replica.ForgetVote, "the vote is not written"},
-	{"stale-read", replica.StaleRead, "a read is answered without asking the quorum"},
-	{"apply-twice", replica.ApplyTwice, "after a start the last entries of the snapshot are applied again"},
-	{"results-forgotten", replica.ForgetResults, "a request sent again is done again"},
-	{"blind-lease", replica.BlindLease, "a silent lease ends although it was renewed meanwhile"},
-	{"log-cut-too-far", replica.LostSnapshotLog, "the log is cut behind what the snapshot holds"},
-	{"empty-disk-let-in", replica.SkipCheck, "an empty or old disk is let in under its old name"},
-	{"eager-return", replica.EagerReturn, "a server may serve again at one copy's word"},
+	{"ack-before-sync", replica.AckBeforeSync, WatchNone, "messages go out before the disk has what they promise"},
+	{"vote-forgotten", replica.ForgetVote, WatchNone, "the vote is not written"},
+	{"stale-read", replica.StaleRead, WatchNone, "a read is answered without asking the quorum"},
+	{"apply-twice", replica.ApplyTwice, WatchNone, "after a start the last entries of the snapshot are applied again"},
+	{"results-forgotten", replica.ForgetResults, WatchNone, "a request sent again is done again"},
+	{"blind-lease", replica.BlindLease, WatchNone, "a silent lease ends although it was renewed meanwhile"},
+	{"log-cut-too-far", replica.LostSnapshotLog, WatchNone, "the log is cut behind what the snapshot holds"},
+	{"empty-disk-let-in", replica.SkipCheck, WatchNone, "an empty or old disk is let in under its old name"},
+	{"eager-return", replica.EagerReturn, WatchNone, "a server may serve again at one copy's word"},
+	{"bind-late", 0, BindLate, "the store's word of a drain binds half a second after it came"},
+	{"own-word-undone", 0, Overwrite, "the store's word that a drain ended undoes what a daemon hears itself"},
+	{"end-early", 0, EndEarly, "a drain ends after a quarter of its time"},
+	{"end-alone", 0, EndAlone, "a daemon ends a drain for itself, without the quorum"},
+	{"log-end-forgotten", 0, ForgetDisk, "a start does not know what the log's end says is out"},
+	{"any-level", replica.AnyLevel, WatchNone, "a command is sent although a voter does not know its level (with --mixed)"},
+	{"never-renewed", 0, NeverRenew, "nobody tells a drain again"},
 }
--- a/internal/lab/storesim/storesim.go
+++ b/internal/lab/storesim/storesim.go
@@ -12,6 +12,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -34,6 +35,8 @@
 	Ops      int // requests of each client; 60
 	Faults   int // that are caused, one after another; 24
 	Planted  replica.Planted
+	Watch    Watch // a fault of daemons
+	Mixed    bool  // hosts begin with a build of level 1 of commands, and go to this one and back in turn
 }
 
 func (o *Options) fill() {
@@ -59,8 +62,13 @@
 	Left     int      `json:"left"`
 	Elected  int      `json:"elected"` // terms with a leader
 	Snaps    int      `json:"snapshots"`
-	Installs int      `json:"installs"` // of a leader's snapshot
-	Refused  int      `json:"refused"`  // greetings
+	Installs int      `json:"installs"`    // of a leader's snapshot
+	Refused  int      `json:"refused"`     // greetings
+	Told     int      `json:"drains_told"` // changes of the store that say that a process drains
+	Over     int      `json:"drains_over"`
+	Sent     int      `json:"sent"`   // requests to servers
+	Raised   int64    `json:"raised"` // when the cluster came to level 2, in virtual ms; 0: never
+	Steps    int      `json:"steps"`  // changes of a host's build
 	Entries  uint64   `json:"entries"`
 	Micros   int64    `json:"virtual_us"`
 	Events   int      `json:"events"`
@@ -72,6 +80,8 @@
 	tick    = 10 * milli
 	second  = evq.Second
 	mostRun = 40 * second
+
+	mostEvents = 200_000
 )
 
 type world struct {
@@ -93,6 +103,8 @@
 	kinds  map[string]bool
 	leases []*leaseUser
 	over   bool
+	s      servers
+	level  uint64 // of commands that the cluster uses, by the log
 }
 
 type netFaults struct{ loss, double, delayed float64 }
@@ -115,6 +127,13 @@
 	waits   map[replica.Token]func(replica.Done)
 	token   replica.Token
 	mirror  map[string]uint64 // servers that are out, as the truth of what this process was told
+
+	watch      *watcher        // nil before the first start
+	acted      map[string]bool // drains that a copy on this disk has shown, and whose end it has not
+	restarting bool
+	settled    bool
+	seq        uint64
+	old        bool // of the earlier build
 }
 
 // Run plays a seed.
@@ -140,7 +159,7 @@
 func (w *world) config(h *host) replica.Config {
 	return replica.Config{Rand: rand.New(rand.NewPCG(w.rng.Uint64(), 1)), ElectTicks: 10, TickMillis: int(tick / milli), WaitTicks: 60,
 		SnapshotLog: 2000, KeepEntries: 8 + w.rng.IntN(40), MessageBytes: 4096, Planted: w.o.Planted,
-		Observe: func(e *raftpb.Entry) { h.observe(e) }}
+		Knows: h.knows(), Observe: func(e *raftpb.Entry) { h.observe(e) }}
 }
 
 // observe checks each entry before it is applied.
@@ -151,6 +170,7 @@
 		w.broken("order", "host %d applies another entry %d than was applied before", h.number, e.GetIndex())
 	}
 	w.log[e.GetIndex()] = sum
+	h.level(e)
 	w.top = max(w.top, e.GetIndex())
 	if e.GetIndex() != h.index+1 {
 		w.broken("hole", "host %d applies entry %d after %d", h.number, e.GetIndex(), h.index)
@@ -159,6 +179,8 @@
 }
 
 func (w *world) play() {
+	begin := int64(w.o.Replicas) * 600 * milli
+	w.beginServers(begin)
 	first := w.addHost()
 	if err := replica.Found(first.disk, 7, "r0", "r0", store.Limits{Key: 64, Value: 256, Total: 1 << 20, Ops: 16, Events: 200,
 		History: 1 << 16, Leases: 64, Results: 20000, Members: 7}); err != nil {
@@ -168,7 +190,6 @@
 	for i := 1; i < w.o.Replicas; i++ {
 		w.q.After(int64(i)*400*milli, func() { w.join() })
 	}
-	begin := int64(w.o.Replicas) * 600 * milli
 	for i := range w.o.Clients {
 		c := &client{w: w, id: uint64(100 + i)}
 		w.cl = append(w.cl, c)
@@ -184,6 +205,11 @@
 		w.ops = append(w.ops, u)
 		w.q.After(begin, u.next)
 	}
+	b := &bounds{w: w, id: 500}
+	w.q.After(begin, b.next)
+	if w.o.Mixed {
+		w.q.After(begin, w.step)
+	}
 	for i := range w.o.Faults {
 		w.q.After(begin+int64(i+1)*300*milli+w.rng.Int64N(200*milli), w.cause)
 	}
@@ -192,7 +218,11 @@
 }
 
 func (w *world) run() {
-	done := func() bool { w.r.Events++; return w.over || w.q.Now() > mostRun || w.r.Events > 100_000 }
+	long := max(1, w.o.Faults/24)
+	done := func() bool {
+		w.r.Events++
+		return w.over || w.q.Now() > mostRun*int64(long) || w.r.Events > mostEvents*long
+	}
 	_ = w.q.Run(context.Background(), done)
 	if !w.over {
 		w.broken("standstill", "requests are open: %s", w.open())
@@ -237,7 +267,8 @@
 }
 
 func (w *world) addHost() *host {
-	h := &host{w: w, number: len(w.hosts), disk: newDisk(w.rng), pace: 0.9 + 0.2*w.rng.Float64()}
+	h := &host{w: w, number: len(w.hosts), disk: newDisk(w.rng), pace: 0.9 + 0.2*w.rng.Float64(), acted: map[string]bool{},
+		old: w.o.Mixed}
 	w.hosts = append(w.hosts, h)
 	return h
 }
@@ -250,6 +281,11 @@
 	h.waits, h.paused = map[replica.Token]func(replica.Done){}, false
 	n, err := replica.New(w.config(h), h.disk)
 	if err != nil {
+		if h.old && errors.Is(err, store.ErrUnknownOp) { // as it should: operators start the newer build
+			h.old = false
+			h.again()
+			return
+		}
 		w.broken("start", "host %d: %v", h.number, err)
 		return
 	}
@@ -258,8 +294,13 @@
 	if w.o.Planted&replica.EagerReturn != 0 {
 		h.guard.PlantEagerReturn()
 	}
+	h.restarting, h.settled = true, false
+	h.beginWatch()
 	h.adopt()
-	n.Unsettled(h.guard.Unsettled)
+	if w.o.Watch != ForgetDisk {
+		n.Unsettled(h.guard.Unsettled)
+	}
+	h.restarting = false
 	boot := h.boot
 	var beat func()
 	beat = func() {
@@ -269,6 +310,9 @@
 		if !h.paused {
 			h.node.Tick()
 			h.drive()
+			if h.boot == boot && h.node != nil {
+				h.beat()
+			}
 		}
 		w.q.After(int64(float64(tick)*h.pace), beat)
 	}
@@ -287,6 +331,7 @@
 		h.mirror[i.Key] = i.Modified
 		return true
 	})
+	h.watchAdopt()
 	h.node.State().Notify(h.event)
 }
 
@@ -298,6 +343,7 @@
 	} else if len(e.Item.Key) > 4 && e.Item.Key[:4] == policy.Prefix {
 		h.mirror[e.Item.Key] = e.Revision
 	}
+	h.watchEvent(e)
 	for _, l := range h.w.leases {
 		l.saw(e)
 	}
@@ -349,9 +395,14 @@
 		h.index = n.State().Index()
 		h.adopt()
 	}
+	if !h.settled && n.Settled() {
+		h.settled = true
+		h.guard.Settled()
+	}
 	if out.Applied > 0 || out.Renewed {
 		h.look()
 		h.compare()
+		h.boundsHeld()
 	}
 	for _, d := range out.Done {
 		if f := h.waits[d.Token]; f != nil {
@@ -370,7 +421,13 @@
 		})
 	}
 	if err := n.Failed(); err != nil && h.node == n {
-		if h.disk.broke || h.disk.dead || h.retired || h.joining {
+		if h.old && errors.Is(err, store.ErrUnknownOp) {
+			if w.level < store.Level {
+				w.broken("level", "host %d was sent what its build does not know, and the cluster uses level %d: %v", h.number, w.level, err)
+			}
+			h.old = false // it stopped before it applied what it does not know, and said so: a newer build is started
+		}
+		if h.disk.broke || h.disk.dead || h.retired || h.joining || w.o.Mixed && errors.Is(err, store.ErrUnknownOp) {
 			h.crash() // as its own supervisor would have it; the world starts it again
 			h.again()
 			return
--- a/internal/lab/storesim/storesim_test.go
+++ b/internal/lab/storesim/storesim_test.go
@@ -18,6 +18,19 @@
 	}
 }
 
+// Two builds in one cluster, a step up and back in turn: no promise is broken, and the newer's commands are used in the end.
+func TestTwoBuildsInOneCluster(t *testing.T) {
+	seeds := uint64(1)
+	if thorough {
+		seeds = 20
+	}
+	for seed := range seeds {
+		if r := Run(seed, Options{Mixed: true}); len(r.Broken) > 0 || r.Steps == 0 {
+			t.Errorf("seed %d: %d steps, %q", seed, r.Steps, r.Broken)
+		}
+	}
+}
+
 func TestASeedPlaysTheSameAgain(t *testing.T) {
 	for seed := range uint64(1) {
 		if d := cmp.Diff(Run(seed, Options{}), Run(seed, Options{})); d != "" {
@@ -35,7 +48,7 @@
 	for _, p := range faults {
 		found := false
 		for seed := uint64(0); seed < 200 && !found; seed++ {
-			found = len(Run(seed, Options{Planted: p.Fault}).Broken) > 0
+			found = len(Run(seed, Options{Planted: p.Fault, Watch: p.Watch, Mixed: p.Name == "any-level"}).Broken) > 0
 		}
 		if !found {
 			t.Errorf("%s: not found", p.Name)
--- a/internal/store/engine/engine.go
+++ b/internal/store/engine/engine.go
@@ -49,8 +49,10 @@
 	// Event is told of each change in order, Reset of a whole new state, both by the loop. They must not wait.
 	Event func(store.Event)
 	Reset func(*store.State)
-	// Unsettled is told at the start what the log's end says that is not known to be agreed on.
+	// Unsettled is told at the start what the log's end says that is not known to be agreed on, Settled once when the copy
+	// has come to that end, by the loop.
 	Unsettled func(*store.Command)
+	Settled   func()
 }
 
 const (
@@ -90,6 +92,7 @@
 	wg    sync.WaitGroup
 
 	node    *replica.Node // nil while an empty disk waits to be taken in
+	settled bool
 	adopted replica.Identity
 	greeter map[uint64][2]string // who greeted while no members were known: they are answered
 	waits   map[replica.Token]func(replica.Done)
@@ -292,6 +295,11 @@
 	if out.Renewed {
 		e.adopt()
 	}
+	if !e.settled && e.node.Settled() {
+		if e.settled = true; e.cfg.Settled != nil {
+			e.cfg.Settled()
+		}
+	}
 	if e.net != nil {
 		e.net.Send(out.Messages)
 	}
--- a/internal/store/policy/policy.go
+++ b/internal/store/policy/policy.go
@@ -80,8 +80,13 @@
 	pending bool   // a word was heard here, whose writing is under way or owed
 	again   bool   // and another since that writing began
 	owed    bool   // it is to be proposed once more
+
+	tail bool // the log's end said so at the start, and the copy has not come to that end yet
+	said bool // but the store has spoken of it since
 }
 
+func (w *word) binds() bool { return w.agreed > 0 || w.pending || w.tail }
+
 // NewGuard returns the guard of a daemon that knows nothing yet.
 func NewGuard(by string) *Guard { return &Guard{by: by, words: map[string]*word{}} }
 
@@ -103,7 +108,7 @@
 // Is says whether a server is out for a reason.
 func (g *Guard) is(kind Kind, server string) bool {
 	w := g.words[Key(kind, server)]
-	return w != nil && (w.agreed > 0 || w.pending)
+	return w != nil && w.binds()
 }
 
 // Hear takes a word that this daemon heard itself. It binds from now on. The operation, if there is one, is to be
@@ -127,6 +132,7 @@
 		w.again = true
 		return nil, nil
 	}
+	w.tail = false // it is heard here, which says more
 	w.pending, w.owed = true, false
 	return g.put(key), nil
 }
@@ -205,12 +211,13 @@
 	default:
 		w.agreed = e.Revision
 	}
+	w.said = true
 	g.tidy(e.Item.Key, w)
 	return before != g.Out(server)
 }
 
 func (g *Guard) tidy(key string, w *word) {
-	if w.agreed == 0 && !w.pending {
+	if !w.binds() {
 		delete(g.words, key)
 	}
 }
@@ -238,8 +245,9 @@
 	return nil
 }
 
-// Unsettled takes the commands at the end of the log that are not known to be agreed on: a start finds them. What they
-// say is out binds as if heard here, and is owed; what they let return does not return.
+// Unsettled takes the commands at the end of the log that are not known to be agreed on: a start finds them. What they say is
+// out binds, whatever the store says of it meanwhile, until Settled: the copy may have acted on it before it was killed, and
+// what it applies on its way there may be older. What they let return does not return.
 func (g *Guard) Unsettled(c *store.Command) {
 	if c.Txn == nil {
 		return
@@ -253,10 +261,28 @@
 			w = &word{}
 			g.words[o.Key] = w
 		}
-		if !w.pending {
+		w.tail = true
+	}
+}
+
+// Settled says that the copy has come to where the log ended at the start. What the store has not spoken of on the way was
+// lost with the log's end, and is owed, since whoever said it may have gone by that. It returns the keys of words that bind no
+// more.
+func (g *Guard) Settled() (over []string) {
+	for key, w := range g.words {
+		if !w.tail {
+			continue
+		}
+		w.tail = false
+		if w.agreed == 0 && !w.said && !w.pending {
 			w.pending, w.owed = true, true
 		}
+		if g.tidy(key, w); g.words[key] == nil {
+			over = append(over, key)
+		}
 	}
+	slices.Sort(over)
+	return over
 }
 
 // Floor is the highest revision that was acted on.
@@ -289,5 +315,5 @@
 // Pending says whether a word heard here is not agreed on yet.
 func (g *Guard) Pending(key string) bool {
 	w := g.words[key]
-	return w != nil && w.pending
+	return w != nil && (w.pending || w.tail)
 }
--- a/internal/store/policy/policy_test.go
+++ b/internal/store/policy/policy_test.go
@@ -134,7 +134,22 @@
 func TestWhatTheLogsEndSaysIsOutBinds(t *testing.T) {
 	g := NewGuard("a")
 	g.Unsettled(&store.Command{Txn: &store.Txn{Then: []store.Op{{Key: Key(Drain, "s")}, {Key: Key(Drain, "x"), Delete: true}}}})
-	if owed := g.Owed(); !g.Out("s") || g.Out("x") || len(owed) != 1 {
+	g.Unsettled(&store.Command{Txn: &store.Txn{Then: []store.Op{{Key: Key(Drain, "again")}}}})
+	if owed := g.Owed(); !g.Out("s") || g.Out("x") || len(owed) != 0 {
 		t.Fatal(owed, g.All())
 	}
+	// On the way to the log's end the copy shows an older word of one, and its end: the later one may be yet to come.
+	item := store.Item{Key: Key(Drain, "again")}
+	for i, gone := range []bool{false, true} {
+		if g.Applied(store.Event{Revision: uint64(i + 1), Deleted: gone, Item: item}); !g.Out("again") {
+			t.Fatalf("change %d lets it serve", i+1)
+		}
+	}
+	// At the end, what the store has spoken of counts as it says; of the other it says nothing, and is told.
+	if over := g.Settled(); len(over) != 1 || over[0] != item.Key || g.Out("again") || !g.Out("s") {
+		t.Fatal(over, g.All())
+	}
+	if owed := g.Owed(); len(owed) != 1 || owed[0].Key != Key(Drain, "s") {
+		t.Fatal(owed)
+	}
 }
--- a/internal/store/policy/turns.go
+++ b/internal/store/policy/turns.go
@@ -33,10 +33,11 @@
 
 // turn is what is known of a word.
 type turn struct {
-	heard bool  // here, and not taken back
-	due   int64 // when to speak; 0: not
-	known bool  // the store has it,
-	told  int64 // and said so here, latest, then
+	heard bool   // here, and not taken back
+	due   int64  // when to speak; 0: not
+	known bool   // the store has it,
+	told  int64  // and said so here, latest, then
+	at    uint64 // at this revision
 }
 
 // NewTurns returns one for a daemon that has heard nothing.
@@ -115,28 +116,27 @@
 	return w != nil && w.heard
 }
 
-// Told takes the store's word, as it comes: that it knows, or, with gone, that it has ended. It returns when Due is to be
-// called, or 0: who still hears what others ended tells it again.
-func (t *Turns) Told(now int64, key string, gone bool) (due int64) {
+// Told takes the store's word at a revision, as it comes: that it knows, or, with gone, that it has ended. It returns when
+// Due is to be called, or 0: who still hears what others ended tells it again.
+func (t *Turns) Told(now int64, key string, at uint64, gone bool) (due int64) {
 	w := t.word(key)
-	w.known, w.told = !gone, now
+	w.known, w.told, w.at = !gone, now, at
 	due = t.plan(now, key, w)
 	t.tidy(key, w)
 	return due
 }
 
-// Found takes what a whole copy says, at a start or when the leader sent one: of a word that is not new the time stays.
-func (t *Turns) Found(now int64, keys []string) {
-	has := make(map[string]bool, len(keys))
-	for _, key := range keys {
-		has[key] = true
-		if w := t.word(key); !w.known {
-			w.known, w.told = true, now
+// Found takes what a whole copy says, at a start or when the leader sent one: keys, and the revisions of their latest words.
+// Of a word that was told here already the time stays; one that was told again meanwhile counts as told now.
+func (t *Turns) Found(now int64, words map[string]uint64) {
+	for key, at := range words {
+		if w := t.word(key); !w.known || w.at != at {
+			w.known, w.told, w.at = true, now, at
 			t.plan(now, key, w)
 		}
 	}
 	for key, w := range t.words {
-		if w.known && !has[key] {
+		if _, has := words[key]; w.known && !has {
 			w.known = false
 			t.plan(now, key, w)
 			t.tidy(key, w)
--- a/internal/store/replica/replica.go
+++ b/internal/store/replica/replica.go
@@ -69,6 +69,7 @@
 	LostSnapshotLog                     // a snapshot begins the log behind what it holds
 	SkipCheck                           // an empty disk is let in under an old name
 	EagerReturn                         // a server may serve again at one copy's word
+	AnyLevel                            // a command is sent although a voter does not know its level
 )
 
 func (c *Config) fill() {
@@ -122,6 +123,7 @@
 	conf  *raftpb.ConfState
 
 	applied uint64
+	tail    uint64 // last entry of the log at the start
 	term    uint64 // of the last entry applied
 	failed  error
 
@@ -245,6 +247,7 @@
 	if err := n.log.Append(saved.Entries); err != nil {
 		return nil, err
 	}
+	n.tail, _ = n.log.LastIndex()
 	for _, e := range saved.Entries {
 		if e.GetIndex() > n.applied {
 			n.logged += len(e.Data)
@@ -373,7 +376,7 @@
 	if len(n.waiting) >= n.cfg.Pending {
 		return ErrBusy
 	}
-	if err := n.state.Check(c); err != nil {
+	if err := n.state.Check(c); err != nil && !(errors.Is(err, store.ErrLevel) && n.cfg.Planted&AnyLevel != 0) {
 		n.out.Done = append(n.out.Done, Done{Token: t, Result: store.Result{Revision: n.state.Revision(), Err: err}})
 		return nil
 	}
@@ -565,7 +568,7 @@
 			return err
 		}
 		n.state, n.conf, n.applied, n.term, n.logged = s, meta.conf(), meta.Index, meta.Term, 0
-		n.seated = meta.Index
+		n.seated, n.tail = meta.Index, 0
 		n.out.Renewed = true
 		n.answerFrom(s)
 		hard = nil
@@ -790,6 +793,9 @@
 func (q quiet) Panic(v ...any)            { panic(fmt.Sprint(v...)) }
 func (q quiet) Panicf(f string, v ...any) { panic(fmt.Sprintf(f, v...)) }
 
+// Settled says whether the state has come to where the log ended at the start, so that it says all that it ever said.
+func (n *Node) Settled() bool { return n.applied >= n.tail }
+
 // Unsettled calls f with the commands at the end of the log that are not applied: at a start, what may have been
 // agreed on and may not.
 func (n *Node) Unsettled(f func(*store.Command)) {
