Torture drains with real daemons, and bind a drain of a process that the own list does not know yet

Need: the users would be convinced by copies killed in turn that never serve a stale drain, and the servers are to judge.

Change: internal/lab/fleetlab runs replicas and followers as processes over slot servers that count; birchmoor store fleet torture kills and cuts them under load, store fleet measure takes figures. In internal/core/drains.go a newer process that others know of at the same id and address is now the one that counts. Also: a follower returned from a change before its own copy showed it, so that maint-off said that the ban was renewed; and it stayed with a replica that no quorum confirms.

--- /dev/null
+++ b/cmd/birchmoor/fleet.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"birchmoor/internal/lab/fleetlab"
+)
+
+type fleetCommands struct {
+	Torture fleetTorture `cmd:"" help:"Kill and cut daemons under load while servers drain; the servers judge."`
+	Measure fleetMeasure `cmd:"" help:"How fast words bind, how daemons start, and what a fleet writes."`
+}
+
+type fleetFlags struct {
+	Dir      string `help:"Folder for what it writes." default:"." type:"existingdir"`
+	Replicas int    `help:"Daemons with a replica." default:"3"`
+	Follow   int    `help:"Daemons that follow them." default:"2"`
+	Servers  int    `help:"Slot servers." default:"6"`
+	Seed     uint64 `help:"Of what happens." default:"1"`
+	JSON     bool   `help:"As JSON."`
+}
+
+// begin starts a fleet of this program's daemons.
+func (k *fleetFlags) begin(ctx context.Context) (*fleetlab.Fleet, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	if k.Replicas < 1 || k.Replicas > 9 || k.Follow < 0 || k.Follow > 400 || k.Servers < 2 || k.Servers > 1000 {
+		return nil, fmt.Errorf("1 to 9 replicas, up to 400 followers, 2 to 1000 servers: not %d, %d, %d", k.Replicas, k.Follow, k.Servers)
+	}
+	return fleetlab.Begin(ctx, fleetlab.Config{Program: self, Args: []string{"run", "--config"}, Dir: k.Dir, Replicas: k.Replicas,
+		Follow: k.Follow, Servers: k.Servers, Starts: true, Seed: k.Seed})
+}
+
+type fleetTorture struct {
+	fleetFlags
+	For   time.Duration `help:"Long." default:"2m"`
+	Every time.Duration `help:"A blow, on average." default:"4s"`
+	Conns int           `help:"Clients' connections to each daemon." default:"4"`
+	Pause time.Duration `help:"Between two requests of a connection." default:"10ms"`
+}
+
+func (k *fleetTorture) Help() string {
+	return `Exit code 1 if a daemon sent anything to a server that it knew to drain, or that all should have known to.
+
+Example:
+  birchmoor store fleet torture --for 5m --follow 5`
+}
+
+func (k *fleetTorture) Run(ctx context.Context, c *console) error {
+	f, err := k.begin(ctx)
+	if err != nil {
+		return err
+	}
+	defer f.End()
+	load, stop := context.WithCancel(ctx)
+	clients := f.Load(load, k.Conns, k.Pause)
+	t := fleetlab.Torture{Fleet: f, For: k.For, Every: k.Every, Seed: k.Seed, Say: func(s string) { fmt.Fprintln(c.err, s) }}
+	r, err := t.Run(ctx)
+	stop()
+	clients.Wait()
+	if err != nil {
+		return err
+	}
+	if k.JSON {
+		if err := json.NewEncoder(c.out).Encode(r); err != nil {
+			return err
+		}
+	} else {
+		fmt.Fprintf(c.out, "%d drains (%d of them undisturbed), %d starts, %d kills, %d times all at once, %d cuts, %d requests\n", r.Drains, r.Judged,
+			r.Starts, r.Kills, r.All, r.Cuts, r.Requests)
+		fmt.Fprintf(c.out, "from daemons that knew %d, late %d, never told %d; the last of an undisturbed one came %.0f ms after the word\n", r.Stale, r.Late,
+			r.Never, r.WorstMs)
+		for _, b := range r.Broken {
+			fmt.Fprintln(c.out, b)
+		}
+	}
+	if r.Stale+r.Late+r.Never > 0 {
+		return errMissed
+	}
+	return nil
+}
+
+type fleetMeasure struct {
+	fleetFlags
+	Words  int   `help:"Words of discovery and of operators whose way to all is measured; 0 for none." default:"1000"`
+	Starts int   `help:"Starts of each kind; 0 for none." default:"10"`
+	Writes []int `help:"Daemons at which the store's writes are counted." default:"3,20,80"`
+}
+
+func (k *fleetMeasure) Help() string {
+	return `How long a drain or a ban takes to bind at all daemons, how a daemon starts with nothing, with its own disk and from the
+store, and what a fleet writes while its lists change. Minutes long: not for a test run.
+
+Example:
+  birchmoor store fleet measure --words 1000 --starts 10 --writes 3,20,80`
+}
+
+// measured is all of it.
+type measured struct {
+	Words  []fleetlab.Told    `json:"words,omitempty"`
+	Starts []fleetlab.Began   `json:"starts,omitempty"`
+	Writes []fleetlab.Writing `json:"writes,omitempty"`
+}
+
+func (k *fleetMeasure) Run(ctx context.Context, c *console) error {
+	var m measured
+	say := func(s string) { fmt.Fprintln(c.err, "measured:", s) }
+	if k.Words > 0 || k.Starts > 0 {
+		if err := k.fleet(ctx, &m, say); err != nil {
+			return err
+		}
+	}
+	for _, n := range k.Writes {
+		o := k.fleetFlags
+		o.Replicas, o.Follow = min(k.Replicas, n), max(0, n-k.Replicas)
+		f, err := o.begin(ctx)
+		if err != nil {
+			return err
+		}
+		w, err := f.Writes(ctx, 60, 500*time.Millisecond)
+		f.End()
+		if err != nil {
+			return err
+		}
+		m.Writes = append(m.Writes, w)
+		say(fmt.Sprintf("writes of %d daemons", n))
+	}
+	if k.JSON {
+		return json.NewEncoder(c.out).Encode(m)
+	}
+	w := tabwriter.NewWriter(c.out, 0, 4, 2, ' ', 0)
+	for _, x := range m.Words {
+		fmt.Fprintf(w, "%s, to where it was told\t%d\tp50 %.1f ms\tp99 %.1f\tworst %.1f\n", x.What, x.Here.N, x.Here.P50, x.Here.P99, x.Here.Worst)
+		fmt.Fprintf(w, "%s, to the others\t%d\tp50 %.1f ms\tp99 %.1f\tworst %.1f\n", x.What, x.Others.N, x.Others.P50, x.Others.P99, x.Others.Worst)
+	}
+	for _, x := range m.Starts {
+		fmt.Fprintf(w, "start with %s\t%d\tp50 %.0f ms\tworst %.0f\tserved in the first second %.3f, sent to drained servers %.1f, servers recalled %.1f\n",
+			x.How, x.N, x.Ready.P50, x.Ready.Worst, x.Served, x.Drained, x.Recalled)
+	}
+	for _, x := range m.Writes {
+		fmt.Fprintf(w, "%d daemons\t%d changes of lists\t%d words in the store\t%d entries of the log\t%d pictures\tin %.0f s\n", x.Daemons, x.Changes,
+			x.Words, x.Entries, x.Pictures, x.Seconds)
+	}
+	return w.Flush()
+}
+
+// fleet measures words and starts.
+func (k *fleetMeasure) fleet(ctx context.Context, m *measured, say func(string)) error {
+	f, err := k.begin(ctx)
+	if err != nil {
+		return err
+	}
+	defer f.End()
+	load, stop := context.WithCancel(ctx)
+	defer stop()
+	if k.Words > 0 {
+		clients := f.Load(load, 4, 5*time.Millisecond)
+		time.Sleep(2 * time.Second)
+		for _, operators := range []bool{false, true} {
+			t, err := f.Words(ctx, k.Words, operators, say)
+			if err != nil {
+				return err
+			}
+			m.Words = append(m.Words, t)
+		}
+		stop()
+		clients.Wait()
+	}
+	if k.Starts > 0 {
+		m.Starts, err = f.Starts(ctx, k.Starts, say)
+	}
+	return err
+}
--- a/cmd/birchmoor/store.go
+++ b/cmd/birchmoor/store.go
@@ -43,6 +43,7 @@
 	Snapshot storeSnapshot `cmd:"" help:"Save the whole store in a file, or begin a new cluster from one."`
 	Bench    storeBench    `cmd:"" help:"Measure the store on this machine, beside a bare bbolt file."`
 	Torture  storeTorture  `cmd:"" help:"Kill three real replicas in turn, or cut one off, under writers and readers, and look for what is lost."`
+	Fleet    fleetCommands `cmd:"" help:"Run a fleet of daemons with sidecars, over slot servers that count."`
 	Sim      storeSim      `cmd:"" help:"Play clusters of the store in simulation, many seeds."`
 }
 
--- a/internal/core/drains.go
+++ b/internal/core/drains.go
@@ -11,9 +11,9 @@
 // Drains begins, before Run, the exchange with other daemons of what drains: hear is told what this sidecar's discovery
 // says, at once and without waiting for it, and known drains from the beginning.
 func (l *Loop) Drains(known []discovery.Process, hear func(p discovery.Process, drains bool)) {
-	l.hear, l.drained = hear, map[discovery.Process]bool{}
+	l.hear, l.drained, l.newest = hear, map[discovery.Process]bool{}, map[seat]int64{}
 	for _, p := range known {
-		l.drained[p] = true
+		l.drains(p, true)
 	}
 }
 
@@ -21,17 +21,30 @@
 // changes nothing where this sidecar's own discovery says that it does.
 func (l *Loop) Drain(ctx context.Context, p discovery.Process, drains bool) error {
 	return l.call(ctx, func(now balancer.Micros) {
-		if drains {
-			l.drained[p] = true
-		} else {
-			delete(l.drained, p)
-		}
-		if e := l.byName[p.ID]; e != nil && e.process() == p {
+		l.drains(p, drains)
+		if e := l.byName[p.ID]; e != nil && e.addr == p.Addr {
 			l.members(now, balancer.ListDelta, discovery.List{Instances: []discovery.Instance{e.told}})
 		}
 	})
 }
 
+// drains notes others' word on a process.
+func (l *Loop) drains(p discovery.Process, drains bool) {
+	at := seat{p.ID, p.Addr}
+	if drains {
+		l.drained[p] = true
+		l.newest[at] = max(l.newest[at], p.StartedMs)
+		return
+	}
+	delete(l.drained, p)
+	delete(l.newest, at)
+	for o := range l.drained {
+		if (seat{o.ID, o.Addr}) == at {
+			l.newest[at] = max(l.newest[at], o.StartedMs)
+		}
+	}
+}
+
 // process is who an entry is about.
 func (e *endpoint) process() discovery.Process {
 	return discovery.Process{ID: e.told.ID, Addr: e.addr, StartedMs: e.told.StartedMs}
@@ -56,10 +69,10 @@
 		e.drains = p
 		l.hear(p, true)
 	}
-	// Another's newer word is of a process that this sidecar's list does not know yet, and that drain is not its.
-	if other, ok := l.starts.others[seat{p.ID, p.Addr}]; ok && other.ms > p.StartedMs {
-		p.StartedMs = other.ms
-	}
+	// Where others know of a newer process than this sidecar's list, it is the one that is reached there: whether that
+	// drains counts, and no more whether the one before it did.
+	at := seat{p.ID, p.Addr}
+	p.StartedMs = max(p.StartedMs, l.starts.others[at].ms, l.newest[at])
 	if state == balancer.Ready && l.drained[p] {
 		return balancer.Draining
 	}
--- a/internal/core/drains_test.go
+++ b/internal/core/drains_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"birchmoor/balancer"
 	"birchmoor/internal/discovery"
@@ -65,6 +66,10 @@
 	serve("another's word", "ac")
 	l.Drain(ctx, process("b", "127.0.0.1:2", 5), false)
 	serve("which has ended", "abc")
+	l.Drain(ctx, process("a", "127.0.0.1:1", 9), true)
+	serve("of a later process than its list knows", "bc")
+	l.Drain(ctx, process("a", "127.0.0.1:1", 9), false)
+	serve("and that has ended", "abc")
 	if len(told) > 0 {
 		t.Errorf("told %v of what it did not hear", told)
 	}
@@ -80,3 +85,63 @@
 		t.Errorf("told %s", got)
 	}
 }
+
+// What others saw begin is cold here: where discovery does not tell starts, and where this sidecar's list is late. What it
+// saw itself is told once, and not put back.
+func TestStartsOfOthers(t *testing.T) {
+	in := func(id string, started int64) discovery.Instance {
+		return discovery.Instance{ID: id, Addr: "127.0.0.1:1", Lifecycle: "up", StartedMs: started}
+	}
+	c := sidetest.Configure(t, "127.0.0.1:1", []discovery.Instance{in("old", 0), in("began", 0), in("late", 5)})
+	l, err := New(c, NewClock(), stub{}, func(bool) {}, metrics.New(), nil, sidetest.Quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var told []string
+	word := func(id string, started int64, ago time.Duration) Start {
+		return Start{discovery.Process{ID: id, Addr: "127.0.0.1:1", StartedMs: started}, ago}
+	}
+	now := time.Now().UnixMilli()
+	l.Drains([]discovery.Process{{ID: "late", Addr: "127.0.0.1:1", StartedMs: 5}}, func(discovery.Process, bool) {})
+	l.Starts([]Start{word("began", 0, time.Second)}, func(p discovery.Process, ago, cold time.Duration) {
+		told = append(told, p.ID)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { l.Run(ctx); close(done) }()
+	defer func() { cancel(); <-done }()
+	cold := func(what, want string) {
+		t.Helper()
+		got := ""
+		l.call(ctx, func(now balancer.Micros) {
+			k := l.picture(now, true)
+			for i, e := range k.State.Endpoints {
+				if e.Cold {
+					got += k.Names[i] + " "
+				}
+			}
+		})
+		if got != want {
+			t.Errorf("%s: cold are %q, want %q", what, got, want)
+		}
+	}
+	cold("known at the start", "began ")
+	l.Begun(ctx, word("late", now, time.Second))
+	cold("a newer process than the list knows", "began late ")
+	if e := l.byName["late"]; e.state != balancer.Ready {
+		t.Error("the drain of the process before it binds it")
+	}
+	full := func(all ...discovery.Instance) {
+		l.call(ctx, func(now balancer.Micros) { l.members(now, balancer.ListFull, discovery.List{Reset: true, Instances: all}) })
+	}
+	full(in("old", 0), in("began", 0), in("late", 5))
+	full(in("old", 0), in("began", 0), in("late", now), in("new", 0))
+	cold("seen to begin", "began late new ")
+	l.Begun(ctx, word("new", 0, time.Hour))
+	l.Begun(ctx, word("old", 0, time.Hour))
+	full(in("old", 0), in("began", 0), in("late", now), in("new", 0))
+	cold("what others know to be long ago", "began late new ")
+	if got := fmt.Sprint(told); got != "[late new]" {
+		t.Errorf("told %s", got)
+	}
+}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -49,6 +49,7 @@
 	bans     map[string]uint32          // the numbers of the endpoints that operators have taken out
 	met      recent                     // the names of those listed of late
 	drained  map[discovery.Process]bool // those that other daemons heard to drain; nil where nobody tells
+	newest   map[seat]int64             // of them, by where they are: the latest start
 	hear     func(p discovery.Process, drains bool)
 	starts   starts
 	alarms   alarms
--- /dev/null
+++ b/internal/lab/fleetlab/fleet.go
@@ -0,0 +1,492 @@
+// Package fleetlab runs daemons as processes: a few replicas of the store and any number of followers, each with its sidecar,
+// a discovery of its own and clients, over slot servers that count what reaches them. It kills and cuts them, judges by what the
+// servers counted, and measures. All of it is on loopback.
+package fleetlab
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"birchmoor/internal/discovery"
+	"birchmoor/internal/lab/relay"
+	"birchmoor/internal/store"
+	"birchmoor/internal/store/admin"
+)
+
+// Config says what is run.
+type Config struct {
+	Program  string   // that runs a daemon,
+	Args     []string // with these before the operator file,
+	Env      []string // and these besides the environment
+	Dir      string   // for what it writes; a temporary folder within it
+	Replicas int
+	Follow   int // followers
+	Servers  int
+	Starts   bool // discovery tells when servers start
+	Seed     uint64
+}
+
+// settings is a small site: one class that is safe to repeat, and servers that are cold for 10 s.
+const settings = `{"peers-total":1,"areas":["a"],"skus":["m"],"discovery":"automatic",
+	"classes":[{"name":"look","repeat":"pure","target":500000,"give-up":1000000,"credit":1.0}],
+	"contract":{"drain-grace":250000,"cold-from":0.2,"ramp-time":10000000,"fall-multiple":2.5,"overload-for":2000000,
+	"ask-within":10000000},"limits":{"cancel":true,"probes":false,"most-tries":3,"most-held":1000,"dial-timeout":1000000},
+	"reporting":{"how":"none"},"tenants":[{"name":"acme","allowance-per-s":100.0,"share":1.0}]}`
+
+// Fleet is what runs.
+type Fleet struct {
+	cfg     Config
+	dir     string
+	Daemons []*Daemon
+	Servers []*Server
+}
+
+// Arrival is a request as a server counted it.
+type Arrival struct {
+	From  int // daemon
+	At    time.Time
+	Start int64 // of the process that it reached
+}
+
+// Server is a slot server.
+type Server struct {
+	*httptest.Server
+	Number int
+
+	mu    sync.Mutex
+	now   discovery.Instance
+	last  map[int]time.Time // of the process of now, by daemon
+	count map[int]int
+	watch func(Arrival) // told of each, or nil
+}
+
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	at := time.Now()
+	var from int
+	fmt.Sscanf(r.Header.Get("X-From"), "%d", &from)
+	s.mu.Lock()
+	s.last[from] = at
+	s.count[from]++
+	watch, a := s.watch, Arrival{from, at, s.now.StartedMs}
+	s.mu.Unlock()
+	if watch != nil {
+		watch(a)
+	}
+	io.WriteString(w, "ok")
+}
+
+// Now is the entry of the process that runs.
+func (s *Server) Now() discovery.Instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now
+}
+
+// Set makes it another entry's: one that drains, or a new start. Counts begin anew with a start.
+func (s *Server) Set(in discovery.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if in.StartedMs != s.now.StartedMs || in.Lifecycle == "up" && s.now.Lifecycle != "up" {
+		clear(s.last)
+		clear(s.count)
+	}
+	s.now = in
+}
+
+// Last is when a daemon's last request came to the process of now; ok is false if none did.
+func (s *Server) Last(from int) (at time.Time, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, ok = s.last[from]
+	return at, ok
+}
+
+// Count is how many of a daemon's came to it.
+func (s *Server) Count(from int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.count[from]
+}
+
+// Daemon is a process with a sidecar and a copy of the store.
+type Daemon struct {
+	Number   int
+	f        *Fleet
+	name     string
+	follower bool
+	listen   string // of the sidecar
+	mgmt     string
+	peer     string // of the replica, through the relay
+	serve    string
+	in       *relay.Link
+	board    *board
+	Client   *admin.Client
+	Known    []discovery.Instance // with which it is configured: its list of a start
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+}
+
+// Begin starts servers, boards and daemons, and waits until all replicas vote. End ends them.
+func Begin(ctx context.Context, cfg Config) (f *Fleet, err error) {
+	dir, err := os.MkdirTemp(cfg.Dir, "fleet-")
+	if err != nil {
+		return nil, err
+	}
+	f = &Fleet{cfg: cfg, dir: dir}
+	defer func() {
+		if err != nil {
+			f.End()
+		}
+	}()
+	var list []discovery.Instance
+	for i := range cfg.Servers {
+		s := &Server{Number: i, last: map[int]time.Time{}, count: map[int]int{}}
+		s.Server = httptest.NewServer(s)
+		s.now = discovery.Instance{ID: fmt.Sprintf("slot-%d", i), Addr: s.Listener.Addr().String(), Zone: "a", Kind: "m", Cell: 1,
+			Lifecycle: "up", Weight: 1}
+		if cfg.Starts {
+			s.now.StartedMs = time.Now().Add(-time.Hour).UnixMilli()
+		}
+		f.Servers = append(f.Servers, s)
+		list = append(list, s.now)
+	}
+	for i := range cfg.Replicas + cfg.Follow {
+		d, err := f.prepare(i, i >= cfg.Replicas, list)
+		if err != nil {
+			return f, err
+		}
+		f.Daemons = append(f.Daemons, d)
+		if d.follower {
+			continue
+		}
+		if err := d.Start(); err != nil {
+			return f, err
+		}
+		if err := f.vote(ctx, i); err != nil {
+			return f, err
+		}
+	}
+	for _, d := range f.Daemons[cfg.Replicas:] {
+		if err := d.Start(); err != nil {
+			return f, err
+		}
+	}
+	for _, d := range f.Daemons {
+		if err := d.Ready(ctx); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+// End kills all, and removes what was written.
+func (f *Fleet) End() {
+	for _, d := range f.Daemons {
+		d.Kill()
+		if d.in != nil {
+			d.in.Close()
+		}
+		d.board.close()
+	}
+	for _, s := range f.Servers {
+		s.CloseClientConnections()
+		s.Close()
+	}
+	os.RemoveAll(f.dir)
+}
+
+// free is an address that nobody listens at.
+func free() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return ln.Addr().String(), ln.Close()
+}
+
+func (f *Fleet) prepare(i int, follower bool, list []discovery.Instance) (*Daemon, error) {
+	d := &Daemon{Number: i, f: f, name: fmt.Sprintf("d%d", i), follower: follower, Known: list, board: newBoard(list)}
+	d.Client = admin.Dial(d.path(".sock"))
+	for _, to := range []*string{&d.listen, &d.mgmt, &d.serve} {
+		var err error
+		if *to, err = free(); err != nil {
+			return nil, err
+		}
+	}
+	file := fmt.Sprintf("[store]\nname = %q\ndir = %q\nsocket = %q\nplain = true\n", d.name, d.name, d.name+".sock")
+	if follower {
+		var all []string
+		for _, r := range f.Daemons[:f.cfg.Replicas] {
+			all = append(all, r.name+"="+r.serve)
+		}
+		text, _ := json.Marshal(all) // TOML writes such lists as JSON does
+		file += fmt.Sprintf("follow = %s\n", text)
+	} else {
+		to, err := free()
+		if err != nil {
+			return nil, err
+		}
+		in, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		d.in, d.peer = relay.New(to, f.cfg.Seed+uint64(i), relay.Conditions{}), in.Addr().String()
+		d.in.Listen(in)
+		file += fmt.Sprintf("listen = %q\naddress = %q\nserve = %q\njoin = %v\ntick = \"20ms\"\n", to, d.peer, d.serve, i > 0)
+	}
+	return d, os.WriteFile(d.path(".toml"), []byte(file), 0o600)
+}
+
+func (d *Daemon) path(of string) string { return filepath.Join(d.f.dir, d.name+of) }
+
+// Start runs the process. Its temporary folder is new: what outlives it is the store's.
+func (d *Daemon) Start() error {
+	config, err := json.Marshal(map[string]any{"name": d.name, "listen": d.listen, "mgmt": d.mgmt, "discovery": d.board.addr(),
+		"seed": fmt.Sprintf("%016x", d.f.cfg.Seed+uint64(d.Number)), "known": discovery.List{Generation: 1, Reset: true, Instances: d.Known},
+		"settings": json.RawMessage(settings)})
+	if err != nil {
+		return err
+	}
+	tmp, err := os.MkdirTemp(d.f.dir, "tmp-")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(d.path(".json"), config, 0o600); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(d.path(".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(d.f.cfg.Program, append(append([]string{}, d.f.cfg.Args...), d.path(".toml"))...)
+	cmd.Env = append(append(os.Environ(), "ROUTER_CONFIG="+d.path(".json"), "TMPDIR="+tmp), d.f.cfg.Env...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	d.mu.Lock()
+	d.cmd = cmd
+	d.mu.Unlock()
+	return nil
+}
+
+// Kill ends the process with SIGKILL.
+func (d *Daemon) Kill() {
+	d.mu.Lock()
+	cmd := d.cmd
+	d.cmd = nil
+	d.mu.Unlock()
+	if cmd != nil {
+		_ = cmd.Process.Signal(syscall.SIGKILL)
+		_ = cmd.Wait() // it was killed
+	}
+}
+
+// Lose removes what a daemon that does not run has on its disk.
+func (d *Daemon) Lose() error { return os.RemoveAll(d.path("")) }
+
+// Log is what its processes wrote.
+func (d *Daemon) Log() string {
+	b, err := os.ReadFile(d.path(".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(b)
+}
+
+// Ready waits until the sidecar takes requests.
+func (d *Daemon) Ready(ctx context.Context) error {
+	for ctx.Err() == nil {
+		resp, err := http.Get("http://" + d.listen + "/-/ready")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == 200 {
+				return nil
+			}
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	return fmt.Errorf("%s does not come to serve: %w", d.name, ctx.Err())
+}
+
+// vote takes a replica into the cluster, and waits until it votes.
+func (f *Fleet) vote(ctx context.Context, i int) error {
+	ctx, cancel := context.WithTimeout(ctx, 30*time.Second)
+	defer cancel()
+	added := i == 0
+	var last error
+	for ctx.Err() == nil {
+		a := f.Daemons[0].Client
+		if !added {
+			_, last = a.Change(ctx, admin.Request{ID: store.RequestID{Client: 1 << 40, Seq: uint64(i)},
+				Add: &store.Join{Name: f.Daemons[i].name, Address: f.Daemons[i].peer}})
+			added = last == nil
+		}
+		if s, err := a.Status(ctx); err == nil && added && s.Settled && len(s.Peers) == i+1 && s.Lead != 0 && s.Level >= store.Level {
+			return nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return fmt.Errorf("replica %d does not come to vote: %w", i, errors.Join(last, ctx.Err()))
+}
+
+// Ask sends one request through the daemon's sidecar, and says whether it was served.
+func (d *Daemon) Ask(ctx context.Context, c *http.Client, id string) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.listen+"/look/1", nil)
+	if err != nil {
+		return false
+	}
+	for name, value := range map[string]string{"X-Trace-Id": id, "X-Qos": "look", "X-Customer": "acme", "X-Expires-In-Ms": "900",
+		"X-From": fmt.Sprint(d.Number)} {
+		r.Header.Set(name, value)
+	}
+	resp, err := c.Do(r)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	return err == nil && resp.StatusCode == http.StatusOK
+}
+
+// Load asks through all daemons, each so many times a second over so many connections, until ctx ends.
+func (f *Fleet) Load(ctx context.Context, conns int, every time.Duration) *sync.WaitGroup {
+	var wg sync.WaitGroup
+	for _, d := range f.Daemons {
+		for k := range conns {
+			wg.Go(func() {
+				c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: 2 * time.Second}
+				defer c.CloseIdleConnections()
+				t := time.NewTicker(every)
+				defer t.Stop()
+				for n := 0; ctx.Err() == nil; n++ {
+					d.Ask(ctx, c, fmt.Sprintf("%04x%04x%012x", d.Number, k, n))
+					select {
+					case <-t.C:
+					case <-ctx.Done():
+					}
+				}
+			})
+		}
+	}
+	return &wg
+}
+
+// Operate makes an operator's call at the daemon's second address, and returns the answer.
+func (d *Daemon) Operate(line string) (string, error) {
+	c, err := net.DialTimeout("tcp", d.mgmt, time.Second)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.WriteString(c, line+"\n"); err != nil {
+		return "", err
+	}
+	b, err := io.ReadAll(c)
+	return string(b), err
+}
+
+// ---- Discovery -------------------------------------------------------------
+
+// board is one daemon's discovery.
+type board struct {
+	http *httptest.Server
+
+	mu      sync.Mutex
+	list    []discovery.Instance
+	version int64
+	changed chan struct{}
+	deaf    bool // it says nothing new
+}
+
+func newBoard(list []discovery.Instance) *board {
+	b := &board{list: append([]discovery.Instance(nil), list...), version: 1, changed: make(chan struct{})}
+	b.http = httptest.NewServer(b)
+	return b
+}
+
+func (b *board) addr() string { return b.http.Listener.Addr().String() }
+
+func (b *board) close() {
+	b.http.CloseClientConnections()
+	b.http.Close()
+}
+
+// Tell has a daemon's discovery say that an entry is so, unless it has said something later of it: words that are told late
+// may cross.
+func (d *Daemon) Tell(in discovery.Instance) {
+	b := d.board
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	found := false
+	for i := range b.list {
+		if was := b.list[i]; was.ID == in.ID {
+			if was.StartedMs > in.StartedMs || was.StartedMs == in.StartedMs && was.Lifecycle == "draining" {
+				return
+			}
+			b.list[i], found = in, true
+		}
+	}
+	if !found {
+		b.list = append(b.list, in)
+	}
+	b.version++
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// Deaf has a daemon's discovery say nothing new, or go on with what it has.
+func (d *Daemon) Deaf(on bool) {
+	d.board.mu.Lock()
+	defer d.board.mu.Unlock()
+	d.board.deaf = on
+	close(d.board.changed)
+	d.board.changed = make(chan struct{})
+}
+
+func (b *board) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := http.NewResponseController(w)
+	sent := int64(0)
+	for {
+		b.mu.Lock()
+		list, version, changed := append([]discovery.Instance(nil), b.list...), b.version, b.changed
+		if b.deaf {
+			version = sent
+		}
+		b.mu.Unlock()
+		if version != sent {
+			if json.NewEncoder(w).Encode(discovery.List{Generation: version, Reset: true, Instances: list}) != nil {
+				return
+			}
+			sent = version
+		} else if r.FormValue("watch") != "" {
+			if _, err := io.WriteString(w, "\n"); err != nil {
+				return
+			}
+		}
+		if r.FormValue("watch") == "" || c.Flush() != nil {
+			return
+		}
+		select {
+		case <-changed:
+		case <-time.After(time.Second):
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- a/internal/store/follow/follow.go
+++ b/internal/store/follow/follow.go
@@ -283,6 +283,10 @@
 			}
 			heard = true
 			f.beat(at, l.Beat)
+			// One that is cut off from the quorum tells nothing new: another may.
+			if (!l.Beat.Proved || l.Beat.Age > staleAfter) && len(f.cfg.Replicas) > 1 {
+				return false, fmt.Errorf("%w: no quorum confirms its copy", errBehind)
+			}
 		case l.Event != nil:
 			if err := f.event(*l.Event); err != nil {
 				return heard, err
@@ -441,6 +445,7 @@
 		var x admin.Change
 		reached, err := f.ask(ctx, at, http.MethodPost, "/v1/change", body, &x)
 		if err == nil {
+			f.await(ctx, x.Revision)
 			return store.Result{Revision: x.Revision, Held: x.Held}, nil
 		}
 		var told *admin.Error
@@ -466,6 +471,25 @@
 	return store.Result{}, last
 }
 
+// await waits until the copy shows a revision, for as long as the caller has: who made a change looks at what it did.
+func (f *Follower) await(ctx context.Context, revision uint64) {
+	for {
+		f.mu.Lock()
+		changed, there := f.changed, f.state != nil && f.state.Revision() >= revision
+		f.mu.Unlock()
+		if there {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		case <-f.ctx.Done():
+			return
+		}
+	}
+}
+
 // finalOf is the outcome that a replica's answer tells, or nil if another may be asked.
 func finalOf(e *admin.Error) error {
 	switch e.Status {
