--- a/internal/core/drains_test.go
+++ b/internal/core/drains_test.go
@@ -132,7 +132,9 @@
 		t.Error("the drain of the process before it binds it")
 	}
 	full := func(all ...discovery.Instance) {
-		l.call(ctx, func(now balancer.Micros) { l.members(now, balancer.ListFull, discovery.List{Reset: true, Instances: all}) })
+		l.call(ctx, func(now balancer.Micros) {
+			l.members(now, balancer.ListFull, discovery.List{Reset: true, Instances: all})
+		})
 	}
 	full(in("old", 0), in("began", 0), in("late", 5))
 	full(in("old", 0), in("began", 0), in("late", now), in("new", 0))
--- a/internal/lab/fleetlab/fleet.go
+++ b/internal/lab/fleetlab/fleet.go
@@ -36,6 +36,7 @@
 	Servers  int
 	Starts   bool // discovery tells when servers start
 	Seed     uint64
+	Wait     time.Duration // of a follower without a disk for its first copy; 0: as daemons do
 }
 
 // settings is a small site: one class that is safe to repeat, and servers that are cold for 10 s.
@@ -234,6 +235,9 @@
 		}
 		text, _ := json.Marshal(all) // TOML writes such lists as JSON does
 		file += fmt.Sprintf("follow = %s\n", text)
+		if f.cfg.Wait > 0 {
+			file += fmt.Sprintf("wait = %q\n", f.cfg.Wait)
+		}
 	} else {
 		to, err := free()
 		if err != nil {
@@ -296,6 +300,12 @@
 	}
 }
 
+// Socket is where its operators reach it.
+func (d *Daemon) Socket() string { return d.path(".sock") }
+
+// Dir is its store's folder.
+func (d *Daemon) Dir() string { return d.path("") }
+
 // Lose removes what a daemon that does not run has on its disk.
 func (d *Daemon) Lose() error { return os.RemoveAll(d.path("")) }
 
--- /dev/null
+++ b/internal/recovery/recovery_test.go
@@ -0,0 +1,115 @@
+package recovery
+
+import (
+	"fmt"
+	"testing"
+
+	"birchmoor/balancer"
+	"birchmoor/internal/sidetest"
+	"birchmoor/internal/snapshot"
+)
+
+const second = balancer.Micros(1e6)
+
+// kept is a picture of a sidecar that knows servers: name, address, start, and since when cold (-1: warm).
+func kept(t *testing.T, sidecar string, servers ...balancer.EndpointState) *snapshot.Kept {
+	t.Helper()
+	c := sidetest.Configure(t, "127.0.0.1:1", nil)
+	b, err := balancer.New(c.Settings, 1, nothing{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := &snapshot.Kept{Sidecar: sidecar, State: b.Snapshot(1e9, false)}
+	for i, e := range servers {
+		k.Names = append(k.Names, fmt.Sprintf("s-%d", e.ID))
+		k.Addrs = append(k.Addrs, fmt.Sprintf("127.0.0.1:%d", e.Cell))
+		e.ID, e.Cell = uint32(i), 0
+		k.State.Endpoints = append(k.State.Endpoints, e)
+	}
+	return k
+}
+
+type nothing struct{ balancer.Actions }
+
+// server makes one with a round trip, ejected and busy, which are the teller's own.
+func server(id uint32, port uint16, start, coldFrom balancer.Micros, pace float64, paceAge balancer.Micros) balancer.EndpointState {
+	return balancer.EndpointState{ID: id, Cell: port, StartTime: start, Cold: coldFrom >= 0, ColdFrom: max(0, coldFrom),
+		Pace: balancer.Mean{V: pace, N: 5}, PaceAt: paceAge, RTT: balancer.Mean{V: 7, N: 3}, Inflight: 4, HasLoad: true,
+		Ills: []balancer.IllState{{Part: -1, Streak: 3, OutTo: -second}}}
+}
+
+func TestChoose(t *testing.T) {
+	own := func(age balancer.Micros, sure bool) Candidate {
+		return Candidate{From: fmt.Sprint("own ", age, sure), Kept: kept(t, "me"), Own: true, Age: age, Sure: sure}
+	}
+	other := func(age balancer.Micros, sure bool) Candidate {
+		return Candidate{From: fmt.Sprint("other ", age, sure), Kept: kept(t, "other"), Age: age, Sure: sure}
+	}
+	for what, tc := range map[string]struct {
+		all  []Candidate
+		want string
+	}{
+		"nothing":                       {nil, ""},
+		"the newer own":                 {[]Candidate{own(9, true), own(5, true)}, "own 5 true"},
+		"own before others' newer":      {[]Candidate{other(1, true), own(200*second, true)}, "own 200000000 true"},
+		"too old":                       {[]Candidate{own(Oldest+1, true)}, ""},
+		"of the future":                 {[]Candidate{own(-1, true), other(-1, true)}, ""},
+		"others where own is too old":   {[]Candidate{own(Oldest+1, true), other(4, true), other(3, true)}, "other 3 true"},
+		"others by clocks of two hosts": {[]Candidate{other(4, false)}, ""},
+		"own by clocks of two hosts":    {[]Candidate{own(4, false)}, "own 4 false"},
+		"one that is none":              {[]Candidate{{From: "x", Own: true}}, ""},
+	} {
+		got := Choose("me", tc.all)
+		if got.From != tc.want || (got.Kept == nil) != (tc.want == "") || got.Kept != nil && got.Kept.Sidecar != "me" {
+			t.Errorf("%s: %q, want %q", what, got.From, tc.want)
+		}
+	}
+}
+
+// Of others' pictures the coldest word of a server counts, at one instant, and the newest pace; a server is one by name,
+// address and start; and what is the teller's own is not believed. What comes out is a picture that a module takes.
+func TestOthersTellOfServersAlone(t *testing.T) {
+	one := kept(t, "one", server(1, 1, 0, 4*second, 2, second), server(2, 2, 50, -1, 3, 9*second), server(3, 3, 0, -1, 1, second))
+	two := kept(t, "two", server(1, 1, 0, second, 5, 0), server(2, 2, 40, 2*second, 9, 0), server(3, 9, 0, second, 9, 0), server(4, 4, 0, second, 8, 0))
+	c := Choose("me", []Candidate{{From: "two", Kept: two, Age: 3 * second, Sure: true}, {From: "one", Kept: one, Age: second, Sure: true}})
+	if c.From != "one" || c.Of != 2 || c.Age != second || len(c.Kept.Names) != 4 {
+		t.Fatalf("%+v %v", c, c.Kept.Names)
+	}
+	want := map[string]string{
+		"s-1": "cold 3000000 pace 2", // two's word, two seconds older, is colder; its pace is 2 s old, one's 1 s
+		"s-2": "warm pace 3",         // two's is of an earlier process
+		"s-3": "warm pace 1",         // two's is at another address
+		"s-4": "cold 3000000 pace 8",
+	}
+	for i, e := range c.Kept.State.Endpoints {
+		got := "warm"
+		if e.Cold {
+			got = fmt.Sprint("cold ", e.ColdFrom)
+		}
+		if got += fmt.Sprint(" pace ", e.Pace.V); got != want[c.Kept.Names[i]] {
+			t.Errorf("%s: %s, want %s", c.Kept.Names[i], got, want[c.Kept.Names[i]])
+		}
+		if e.RTT.N != 0 || e.Inflight != 0 || e.HasLoad || len(e.Ills) != 0 || e.ID != uint32(i) {
+			t.Errorf("%s: %+v is believed", c.Kept.Names[i], e)
+		}
+	}
+	raw, err := snapshot.Encode(c.Kept)
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, err := snapshot.Decode(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := sidetest.Configure(t, "127.0.0.1:1", nil)
+	b, err := balancer.New(cfg.Settings, 1, nothing{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := b.Recall(2e9, back.State, c.Age); err != nil {
+		t.Error(err)
+	}
+	if one.State.Endpoints[0].RTT.N == 0 {
+		t.Error("the teller's own picture was changed")
+	}
+}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -193,3 +193,60 @@
 		}
 	})
 }
+
+func TestBoundsOfPrefixes(t *testing.T) {
+	s := New(1, DefaultLimits)
+	s.Found("a", "a", 1)
+	put := func(index uint64, key string, gone bool) error {
+		return s.Apply(index, &Command{Txn: &Txn{Then: []Op{{Key: key, Delete: gone}}, Bounds: []Bound{{Prefix: "p/", Most: 2}}}}).Err
+	}
+	if err := put(1, "p/1", false); !errors.Is(err, ErrLevel) || s.Len() != 0 {
+		t.Fatal("before the cluster uses its level:", err)
+	}
+	if r := s.Apply(2, &Command{Raise: &Raise{Level: Level}}); r.Err != nil {
+		t.Fatal(r.Err)
+	}
+	for i, tc := range []struct {
+		key  string
+		gone bool
+		want error
+	}{{"p/1", false, nil}, {"p/2", false, nil}, {"p/3", false, ErrFull}, {"p/2", false, nil}, {"q", false, nil}, {"p/1", true, nil}, {"p/3", false, nil}} {
+		before := s.Revision()
+		if err := put(uint64(i+3), tc.key, tc.gone); !errors.Is(err, tc.want) || (err == nil) != (s.Revision() > before) {
+			t.Errorf("%d: %s: %v", i, tc.key, err)
+		}
+	}
+}
+
+// A copy that is mirrored event by event has what the state has, and finds what does not follow.
+func TestMirror(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New(1, DefaultLimits)
+		var events []Event
+		s.Notify(func(e Event) { events = append(events, e) })
+		copied := New(1, DefaultLimits)
+		for i := range rapid.IntRange(1, 60).Draw(t, "commands") {
+			s.Apply(uint64(i+1), drawCommand(t, uint64(i+1)))
+		}
+		for _, e := range events {
+			if err := copied.Mirror(e); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var want, got []string
+		s.Range("", "", func(i Item) bool { want = append(want, fmt.Sprint(i.Key, i.Value, i.Modified, i.Version)); return true })
+		copied.Range("", "", func(i Item) bool { got = append(got, fmt.Sprint(i.Key, i.Value, i.Modified, i.Version)); return true })
+		if fmt.Sprint(want) != fmt.Sprint(got) || copied.Size() != s.Size() || copied.Revision() != s.Revision() {
+			t.Fatalf("%v\n%v, %d and %d bytes", want, got, s.Size(), copied.Size())
+		}
+		back, err := Load(bytes.NewReader(saved(t, copied)))
+		if err != nil || back.Revision() != s.Revision() {
+			t.Fatal(err)
+		}
+		if len(events) > 0 && s.Revision() > 1 {
+			if err := copied.Mirror(Event{Revision: 1, Item: Item{Key: "a"}}); !errors.Is(err, ErrOrder) {
+				t.Fatal(err)
+			}
+		}
+	})
+}
