Keep what binds over a kill, and have a real file fail under a replica

Need: the torture counted 37 requests from a follower that had acted on a drain, was killed and started again (35 kills): the file of its copy is up to 2 s old. A drain that a daemon heard itself and had not told yet was forgotten likewise.

Change: the drains that bind at a daemon are kept in a small file of lines, written behind the words and bounded; what a start finds there binds like the log's end, until the copy is up to date. A test puts /dev/full and /dev/null under a replica's open file, in the middle of drains being written: it stops and says why, the others go on, and on the same file it knows all that it had acted on.

--- a/cmd/birchmoor/run.go
+++ b/cmd/birchmoor/run.go
@@ -90,6 +90,9 @@
 		}
 	}
 	d := daemon.New(s.Name, check, log)
+	if err := d.Journal(s.Dir); err != nil {
+		return nil, nil, err
+	}
 	var e closer
 	if len(s.Follow) > 0 {
 		e, err = openFollower(s, d, cfg.Keys, log)
@@ -188,6 +191,7 @@
 		cfg.Replicas = append(cfg.Replicas, follow.Replica{Name: name, Addr: addr})
 	}
 	cfg.Event, cfg.Reset = d.Hooks()
+	cfg.Settled = d.Settled
 	f, err := follow.Open(cfg)
 	if err != nil {
 		return nil, err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,6 +67,7 @@
 	starts  starts
 	kept    pictures
 	start   Began
+	journal *journal // nil where nothing is kept
 
 	wake    chan struct{}
 	writes  chan write
@@ -211,7 +212,11 @@
 	}
 	d.stale()
 	now := d.now(time.Now())
-	d.drains.turns.Found(now, wordsOf(s, policy.Key(policy.Drain, "")))
+	drained := wordsOf(s, policy.Key(policy.Drain, ""))
+	d.drains.turns.Found(now, drained)
+	for key := range drained {
+		d.note(key)
+	}
 	d.resetStarts(now, s)
 	d.kept.reset(now, s)
 	for _, key := range []string{keyCurrent, keyCandidate} {
@@ -235,6 +240,7 @@
 	for _, key := range d.guard.Settled() {
 		if p, ok := drainOf(key); ok {
 			d.drains.dirty[p] = true
+			d.note(key)
 		} else {
 			d.dirty[serverOf(key)] = true
 		}
@@ -242,6 +248,10 @@
 	d.poke()
 }
 
+// Settled says that the copy is up to date: what an earlier process of this daemon acted on counts as the store says from now
+// on, and what the store does not say is told. A replica's engine says so by its hook; a follower once it has heard.
+func (d *Daemon) Settled() { d.settled() }
+
 // wordsOf are the keys with a prefix, and the revisions at which they were told.
 func wordsOf(s *store.State, prefix string) map[string]uint64 {
 	words := map[string]uint64{}
@@ -256,6 +266,9 @@
 func (d *Daemon) Run(ctx context.Context) {
 	d.working.Go(func() { d.write(ctx) })
 	defer d.working.Wait()
+	if d.journal != nil {
+		d.working.Go(func() { d.journal.run(ctx.Done()) })
+	}
 	t := time.NewTicker(owedEvery)
 	defer t.Stop()
 	for {
@@ -291,7 +304,12 @@
 
 // queue leaves a word of the guard's to be written; if there is no room it stays owed.
 func (d *Daemon) queue(op store.Op) {
-	d.owe(write{key: op.Key, wrote: func(ok bool) { d.guard.Wrote(op.Key, ok) }, do: func(ctx context.Context) error {
+	d.owe(write{key: op.Key, wrote: func(ok bool) {
+		d.guard.Wrote(op.Key, ok)
+		if _, drain := drainOf(op.Key); drain {
+			d.note(op.Key)
+		}
+	}, do: func(ctx context.Context) error {
 		if p, ok := drainOf(op.Key); ok {
 			return d.writeDrain(ctx, p, op)
 		}
--- a/internal/daemon/drains.go
+++ b/internal/daemon/drains.go
@@ -71,6 +71,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	key, now := drainKey(policy.Process(p)), d.now(time.Now())
+	defer d.note(key)
 	if !drains {
 		d.drains.turns.Unhear(key)
 		return
@@ -127,6 +128,7 @@
 	key := drainKey(p)
 	d.drains.dirty[p] = true
 	d.wakeAt(d.drains.turns.Told(now, key, e.Revision, e.Deleted), now)
+	d.note(key)
 }
 
 // tellDrains makes bind in the sidecar what has changed.
--- a/internal/store/disk/disk.go
+++ b/internal/store/disk/disk.go
@@ -61,8 +61,12 @@
 // ErrLocked says that another process has the file open.
 var ErrLocked = errors.New("another process holds the store's file")
 
-// Options are for tests: NoSync makes a file that does not outlive a loss of power.
-type Options struct{ NoSync bool }
+// Options are for tests.
+type Options struct {
+	NoSync bool // the file does not outlive a loss of power
+	// File is told of the file that was opened, so that a test can have it fail under the disk's hands.
+	File func(*os.File)
+}
 
 // Disk is an open file. It is safe for concurrent use as replica.Disk asks.
 type Disk struct {
@@ -109,6 +113,13 @@
 		}
 	}()
 	db, err = bbolt.Open(path, 0o600, &bbolt.Options{Timeout: time.Second, NoSync: o.NoSync,
+		OpenFile: func(name string, flag int, mode os.FileMode) (*os.File, error) {
+			f, err := os.OpenFile(name, flag, mode)
+			if err == nil && o.File != nil {
+				o.File(f)
+			}
+			return f, err
+		},
 		FreelistType: bbolt.FreelistMapType}) // the free list is kept: to find it anew is done by a goroutine that may panic
 	switch {
 	case errors.Is(err, bbolt.ErrTimeout):
--- /dev/null
+++ b/internal/store/engine/faulty_test.go
@@ -0,0 +1,82 @@
+package engine
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+
+	"birchmoor/internal/store"
+	"birchmoor/internal/store/disk"
+	"birchmoor/internal/store/policy"
+	"birchmoor/internal/store/replica"
+)
+
+// become puts a device in the place of an open file, under the same descriptor: /dev/full takes no byte (ENOSPC), /dev/null
+// takes all and keeps none, and says so when it is synced.
+func become(t *testing.T, f *os.File, device string) {
+	t.Helper()
+	to, err := os.OpenFile(device, os.O_RDWR, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer to.Close()
+	if err := syscall.Dup3(int(to.Fd()), int(f.Fd()), syscall.O_CLOEXEC); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A real file whose disk is full, or whose syncs fail, in the middle of drains being written: that replica stops and says why,
+// the others go on, nothing that was answered is lost, and started again on the same file it knows all that it had acted on.
+func TestAFileThatFailsUnderAReplica(t *testing.T) {
+	for device, reason := range map[string]string{"/dev/full": "no space left", "/dev/null": "invalid argument"} {
+		t.Run(device[5:], func(t *testing.T) {
+			c := &cluster{t: t, disk: map[string]disk.Options{}}
+			var file *os.File
+			c.disk["b"] = disk.Options{File: func(f *os.File) { file = f }}
+			c.begin("a", "b", "c")
+			drain := func(n int) store.Command {
+				key := policy.Key(policy.Drain, policy.Process{ID: fmt.Sprint("s", n), Addr: "127.0.0.1:1", StartedMs: 1}.Server())
+				return store.Command{Txn: &store.Txn{Then: []store.Op{{Key: key, Value: []byte{0xa0}}}}}
+			}
+			const drains = 60
+			for n := range drains {
+				if n == drains/2 {
+					if got := c.get("b", drain(n - 1).Txn.Then[0].Key); got == "" {
+						t.Fatal("b does not have the drain before")
+					}
+					become(t, file, device)
+				}
+				if _, err := c.all["a"].Do(c.ctx(), drain(n)); err != nil {
+					t.Fatal(n, err)
+				}
+			}
+			c.until("b", func(s Status) bool { return strings.Contains(s.Failed, reason) })
+			if _, err := c.all["b"].Do(c.ctx(), drain(drains)); !errors.Is(err, replica.ErrStopped) && !errors.Is(err, replica.ErrUnknown) {
+				t.Errorf("a stopped replica answers %v", err)
+			}
+			c.all["b"].Kill() // whose disk cannot be closed well
+			delete(c.disk, "b")
+			guard := policy.NewGuard("b")
+			c.first = func(cfg *Config) {
+				cfg.Reset = func(s *store.State) { guard.Reset(s) }
+				cfg.Unsettled = guard.Unsettled
+			}
+			b := c.start("b", true)
+			c.first = nil
+			for n := range drains / 2 {
+				if key := drain(n).Txn.Then[0].Key; !guard.Out(strings.TrimPrefix(key, policy.Key(policy.Drain, ""))) {
+					t.Fatalf("started again, it does not know drain %d at once", n)
+				}
+			}
+			var there int
+			if _, err := b.View(c.ctx(), false, func(s *store.State) {
+				s.Range(policy.Prefix, store.PrefixEnd(policy.Prefix), func(store.Item) bool { there++; return true })
+			}); err != nil || there < drains {
+				t.Errorf("%d of %d drains that were answered are there: %v", there, drains, err)
+			}
+		})
+	}
+}
--- a/internal/store/follow/follow.go
+++ b/internal/store/follow/follow.go
@@ -54,6 +54,8 @@
 	// Event and Reset are told of changes and of a whole new copy, one after the other. They must not wait.
 	Event func(store.Event)
 	Reset func(*store.State)
+	// Settled is told once, when the copy is as a replica has it that a quorum confirms.
+	Settled func()
 	// Age is told how long ago, by a replica's clock, a picture was put that the copy came with.
 	Age func(key string, age time.Duration)
 }
@@ -299,10 +301,15 @@
 func (f *Follower) beat(at int, b *admin.Beat) {
 	f.mu.Lock()
 	f.follows = f.cfg.Replicas[at].Addr
+	first := false
 	if b.Proved && b.Revision <= f.state.Revision() {
+		first = f.proved == 0
 		f.proved = max(f.proved, time.Since(f.begun)-b.Age, 1)
 	}
 	f.mu.Unlock()
+	if first && f.cfg.Settled != nil {
+		f.cfg.Settled()
+	}
 	if f.cfg.Age != nil {
 		for _, x := range b.Ages {
 			f.cfg.Age(x.Key, x.Age)
