--- a/cmd/birchmoor/fleet.go
+++ b/cmd/birchmoor/fleet.go
@@ -92,6 +92,8 @@
 	Words  int   `help:"Words of discovery and of operators whose way to all is measured; 0 for none." default:"1000"`
 	Starts int   `help:"Starts of each kind; 0 for none." default:"10"`
 	Writes []int `help:"Daemons at which the store's writes are counted." default:"3,20,80"`
+	Known  int   `help:"Servers that the store knows when daemons catch up; 0 for not at all." default:"10000"`
+	Cost   int   `help:"Pairs of runs at full load, with the store and without; 0 for none." default:"5"`
 }
 
 func (k *fleetMeasure) Help() string {
@@ -107,12 +109,14 @@
 	Words  []fleetlab.Told    `json:"words,omitempty"`
 	Starts []fleetlab.Began   `json:"starts,omitempty"`
 	Writes []fleetlab.Writing `json:"writes,omitempty"`
+	Caught *fleetlab.Caught   `json:"caught,omitempty"`
+	Cost   *fleetlab.Cost     `json:"cost,omitempty"`
 }
 
 func (k *fleetMeasure) Run(ctx context.Context, c *console) error {
 	var m measured
 	say := func(s string) { fmt.Fprintln(c.err, "measured:", s) }
-	if k.Words > 0 || k.Starts > 0 {
+	if k.Words > 0 || k.Starts > 0 || k.Known > 0 || k.Cost > 0 {
 		if err := k.fleet(ctx, &m, say); err != nil {
 			return err
 		}
@@ -148,6 +152,14 @@
 		fmt.Fprintf(w, "%d daemons\t%d changes of lists\t%d words in the store\t%d entries of the log\t%d pictures\tin %.0f s\n", x.Daemons, x.Changes,
 			x.Words, x.Entries, x.Pictures, x.Seconds)
 	}
+	if x := m.Cost; x != nil {
+		fmt.Fprintf(w, "full load, %d pairs\t%.0f a second with the store\t%.0f without\tratio %.3f (%.3f to %.3f)\tp99 ratio %.2f (%.2f to %.2f)\n", x.Pairs,
+			x.With, x.Without, x.Ratio.Median, x.Ratio.Least, x.Ratio.Most, x.P99.Median, x.P99.Least, x.P99.Most)
+	}
+	if x := m.Caught; x != nil {
+		fmt.Fprintf(w, "%d servers known, %d bytes\tfollower from a replica %.0f ms\tfrom its own disk %.0f\ta replica %.0f\n", x.Servers, x.Bytes,
+			x.Follower, x.Disk, x.Replica)
+	}
 	return w.Flush()
 }
 
@@ -174,7 +186,23 @@
 		clients.Wait()
 	}
 	if k.Starts > 0 {
-		m.Starts, err = f.Starts(ctx, k.Starts, say)
+		if m.Starts, err = f.Starts(ctx, k.Starts, say); err != nil {
+			return err
+		}
 	}
-	return err
+	if k.Cost > 0 {
+		cost, err := f.Cost(ctx, k.Cost, 3*time.Second)
+		if m.Cost = &cost; err != nil {
+			return err
+		}
+		say("cost")
+	}
+	if k.Known > 0 {
+		caught, err := f.CatchUp(ctx, k.Known)
+		if m.Caught = &caught; err != nil {
+			return err
+		}
+		say("catching up")
+	}
+	return nil
 }
--- a/internal/lab/fleetlab/fleet.go
+++ b/internal/lab/fleetlab/fleet.go
@@ -135,6 +135,7 @@
 	board    *board
 	Client   *admin.Client
 	Known    []discovery.Instance // with which it is configured: its list of a start
+	plain    bool                 // the next start is of the sidecar alone
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -276,7 +277,11 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(d.f.cfg.Program, append(append([]string{}, d.f.cfg.Args...), d.path(".toml"))...)
+	args := append(append([]string{}, d.f.cfg.Args...), d.path(".toml"))
+	if d.plain {
+		args = []string{"sidecar"}
+	}
+	cmd := exec.Command(d.f.cfg.Program, args...)
 	cmd.Env = append(append(os.Environ(), "ROUTER_CONFIG="+d.path(".json"), "TMPDIR="+tmp), d.f.cfg.Env...)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
--- a/internal/lab/fleetlab/measure.go
+++ b/internal/lab/fleetlab/measure.go
@@ -9,6 +9,11 @@
 	"time"
 
 	"birchmoor/internal/discovery"
+	"birchmoor/internal/store"
+	"birchmoor/internal/store/admin"
+	"birchmoor/internal/store/policy"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // Spread is how times lie, in milliseconds.
@@ -283,3 +288,169 @@
 	}
 	return w, err
 }
+
+// Caught is how long daemons take to know what the store has of so many servers.
+type Caught struct {
+	Servers  int     `json:"servers"`
+	Bytes    int     `json:"store_bytes"`
+	Follower float64 `json:"follower_ms"` // from the start with an empty disk until all bind and the sidecar serves
+	Disk     float64 `json:"own_disk_ms"` // from its own disk
+	Replica  float64 `json:"replica_ms"`  // a replica killed and started again
+}
+
+// CatchUp puts drains of so many servers that nobody lists into the store, and starts daemons.
+func (f *Fleet) CatchUp(ctx context.Context, servers int) (Caught, error) {
+	r := Caught{Servers: servers}
+	d, a := f.Daemons[len(f.Daemons)-1], f.Daemons[1]
+	if !d.follower {
+		return r, fmt.Errorf("it is measured of a follower, and there is none")
+	}
+	mark, err := cbor.Marshal(policy.Mark{By: "lab"})
+	if err != nil {
+		return r, err
+	}
+	for at := 0; at < servers; at += 100 {
+		t := &store.Txn{}
+		for i := at; i < min(at+100, servers); i++ {
+			p := policy.Process{ID: fmt.Sprintf("far-%05d", i), Addr: fmt.Sprintf("127.0.0.1:%d", 1+i%60000), StartedMs: int64(1 + i)}
+			t.Then = append(t.Then, store.Op{Key: policy.Key(policy.Drain, p.Server()), Value: mark})
+		}
+		if _, err := f.Daemons[0].Client.Change(ctx, admin.Request{ID: store.RequestID{Client: 1 << 41, Seq: uint64(at + 1)}, Txn: t}); err != nil {
+			return r, err
+		}
+	}
+	time.Sleep(3 * time.Second) // for the follower's file
+	start := func(d *Daemon) (float64, error) {
+		begun := time.Now()
+		if err := d.Start(); err != nil {
+			return 0, err
+		}
+		if err := d.Ready(ctx); err != nil {
+			return 0, err
+		}
+		for ctx.Err() == nil {
+			if s, err := d.Client.Status(ctx); err == nil && s.Daemon.Out >= servers {
+				r.Bytes = s.Bytes
+				return float64(time.Since(begun)) / 1e6, nil
+			}
+			time.Sleep(time.Millisecond)
+		}
+		return 0, ctx.Err()
+	}
+	d.Kill()
+	if r.Disk, err = start(d); err != nil {
+		return r, err
+	}
+	d.Kill()
+	if err := d.Lose(); err != nil {
+		return r, err
+	}
+	if r.Follower, err = start(d); err != nil {
+		return r, err
+	}
+	a.Kill()
+	r.Replica, err = start(a)
+	return r, err
+}
+
+// Cost is what the store costs a sidecar at full load: medians of pairs, with and without it.
+type Cost struct {
+	Pairs   int     `json:"pairs"`
+	With    float64 `json:"with_per_s"`
+	Without float64 `json:"without_per_s"`
+	Ratio   Ratio   `json:"ratio"` // of requests a second
+	P99     Ratio   `json:"p99_ratio"`
+}
+
+// Ratio is of pairs.
+type Ratio struct{ Least, Median, Most float64 }
+
+func ratio(all []float64) Ratio {
+	sort.Float64s(all)
+	return Ratio{all[0], all[len(all)/2], all[len(all)-1]}
+}
+
+// Cost loads the last daemon as a follower and as the same program without a store, one after the other in turn, while the lists
+// of all change four times a second.
+func (f *Fleet) Cost(ctx context.Context, pairs int, each time.Duration) (Cost, error) {
+	c := Cost{Pairs: pairs}
+	d := f.Daemons[len(f.Daemons)-1]
+	change, stop := context.WithCancel(ctx)
+	defer stop()
+	var changing sync.WaitGroup
+	changing.Go(func() {
+		for k := 0; change.Err() == nil; k++ {
+			s := f.Servers[k%(len(f.Servers)/2)]
+			in := s.Now()
+			in.Lifecycle, in.StartedMs = "up", time.Now().Add(-time.Hour).UnixMilli()+int64(k)
+			if k/(len(f.Servers)/2)%2 == 0 {
+				in.Lifecycle = "draining"
+			}
+			s.Set(in)
+			for _, d := range f.Daemons {
+				d.Tell(in)
+			}
+			select {
+			case <-change.Done():
+			case <-time.After(250 * time.Millisecond):
+			}
+		}
+	})
+	defer changing.Wait()
+	defer stop()
+	var rates, tails []float64
+	var with, without []float64
+	for range pairs {
+		var rate, tail [2]float64
+		for i, plain := range []bool{false, true} {
+			d.Kill()
+			d.plain = plain
+			if err := d.Start(); err != nil {
+				return c, err
+			}
+			if err := d.Ready(ctx); err != nil {
+				return c, err
+			}
+			time.Sleep(time.Second)
+			n, p99 := d.full(ctx, 16, each)
+			rate[i], tail[i] = float64(n)/each.Seconds(), float64(p99)
+		}
+		with, without = append(with, rate[0]), append(without, rate[1])
+		rates, tails = append(rates, rate[0]/rate[1]), append(tails, tail[0]/tail[1])
+	}
+	d.Kill()
+	d.plain = false
+	c.With, c.Without, c.Ratio, c.P99 = ratio(with).Median, ratio(without).Median, ratio(rates), ratio(tails)
+	return c, d.Start()
+}
+
+// full asks over so many connections without a pause, and returns how much was served and the slowest in a hundred.
+func (d *Daemon) full(ctx context.Context, conns int, each time.Duration) (served int, p99 time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, each)
+	defer cancel()
+	var mu sync.Mutex
+	var all []time.Duration
+	var wg sync.WaitGroup
+	for k := range conns {
+		wg.Go(func() {
+			c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+			defer c.CloseIdleConnections()
+			var took []time.Duration
+			for n := 0; ctx.Err() == nil; n++ {
+				begun := time.Now()
+				if d.Ask(ctx, c, fmt.Sprintf("%02x%06x%012x", k, d.Number, time.Now().UnixNano()&0xffffffffffff)) {
+					took = append(took, time.Since(begun))
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, took...)
+		})
+	}
+	wg.Wait()
+	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
+	if len(all) == 0 {
+		return 0, 0
+	}
+	return len(all), all[len(all)*99/100]
+}
