Test the replica and the operators' and followers' calls by themselves

Need: store/replica and store/admin had no tests of their own.

Change: an older build stops before it applies, also on a newer one's file, and the newer goes on with it; stray messages change nothing; wrong requests of operators and followers are told apart and change nothing; a follower's stream has each change once, in order, or says where the history begins.

--- /dev/null
+++ b/internal/store/admin/admin_test.go
@@ -0,0 +1,185 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/url"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"birchmoor/internal/daemon"
+	"birchmoor/internal/store"
+	"birchmoor/internal/store/disk"
+	"birchmoor/internal/store/engine"
+	"birchmoor/internal/store/policy"
+)
+
+// one is a replica alone with its socket, and where followers reach it.
+func one(t *testing.T) (c *Client, e *engine.Engine, outer string) {
+	t.Helper()
+	log := slog.New(slog.DiscardHandler)
+	d := daemon.New("a", nil, log)
+	cfg := engine.Config{Name: "a", Dir: t.TempDir(), Tick: 5 * time.Millisecond, Disk: disk.Options{NoSync: true},
+		Limits: store.Limits{Key: 64, Value: 256, Total: 1 << 20, Ops: 8, Events: 20, History: 1 << 16, Leases: 4, Results: 100, Members: 3}}
+	d.Hook(&cfg)
+	e, err := engine.Open(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Attach(e)
+	path := filepath.Join(t.TempDir(), "s.sock")
+	s, err := Listen(path, e, d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := ServeFollowers(ln, e, d, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { o.Close(); s.Close(); e.Kill() })
+	return Dial(path), e, "http://" + ln.Addr().String()
+}
+
+func put(key, value string) Request {
+	return Request{ID: store.RequestID{Client: 9, Seq: uint64(time.Now().UnixNano())}, Txn: &store.Txn{Then: []store.Op{{Key: key, Value: []byte(value)}}}}
+}
+
+// What operators say wrongly is told apart from what the store cannot do, and changes nothing.
+func TestWrongRequestsChangeNothing(t *testing.T) {
+	c, e, outer := one(t)
+	ctx := t.Context()
+	if _, err := c.Change(ctx, put("k", "v")); err != nil {
+		t.Fatal(err)
+	}
+	revision := func() uint64 {
+		a, err := e.View(ctx, false, func(*store.State) {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return a.Revision
+	}
+	before := revision()
+	for what, tc := range map[string]struct {
+		r    Request
+		want int
+	}{
+		"nothing to do":      {Request{}, http.StatusBadRequest},
+		"two things":         {Request{Txn: &store.Txn{}, Grant: 5}, http.StatusBadRequest},
+		"a key too long":     {put(string(bytes.Repeat([]byte("k"), 65)), "v"), http.StatusBadRequest},
+		"a value too long":   {put("k", string(make([]byte, 257))), http.StatusBadRequest},
+		"a name that is no":  {Request{Add: &store.Join{Name: "no name", Address: "127.0.0.1:1"}}, http.StatusBadRequest},
+		"an address of none": {Request{Add: &store.Join{Name: "b", Address: "nowhere"}}, http.StatusBadRequest},
+		"a lease of nobody":  {Request{Renew: 77}, http.StatusConflict},
+		"the last member":    {Request{Del: 1}, http.StatusConflict},
+	} {
+		var told *Error
+		if _, err := c.Change(ctx, tc.r); !errors.As(err, &told) || told.Status != tc.want || told.Unknown != nil {
+			t.Errorf("%s: %v", what, err)
+		}
+	}
+	// A follower may change what daemons tell each other of servers, and nothing else.
+	for what, tc := range map[string]struct {
+		body string
+		want int
+	}{
+		"settings":        {`{"id":{"Client":1,"Seq":1},"txn":{"then":[{"key":"config/current","value":"e30="}]}}`, http.StatusBadRequest},
+		"a range":         {`{"id":{"Client":1,"Seq":2},"txn":{"then":[{"key":"out/ban/a","delete":true,"end":"z"}]}}`, http.StatusBadRequest},
+		"in the else":     {`{"id":{"Client":1,"Seq":3},"txn":{"if":[{"key":"k","modified":9}],"else":[{"key":"k","delete":true}]}}`, http.StatusBadRequest},
+		"a member":        {`{"id":{"Client":1,"Seq":4},"remove":1}`, http.StatusBadRequest},
+		"an unknown word": {`{"id":{"Client":1,"Seq":5},"txn":{},"more":1}`, http.StatusBadRequest},
+		"no JSON":         {`{`, http.StatusBadRequest},
+	} {
+		resp, err := http.Post(outer+"/v1/change", "application/json", bytes.NewReader([]byte(tc.body)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if resp.StatusCode != tc.want {
+			t.Errorf("%s: %s %s", what, resp.Status, text)
+		}
+	}
+	if after := revision(); after != before {
+		t.Errorf("the store went from revision %d to %d", before, after)
+	}
+	for _, q := range []string{"timeout=-1s", "timeout=1h", "timeout=x"} {
+		if resp, err := http.Get(outer + "/v1/revision?" + q); err != nil || resp.StatusCode != http.StatusBadRequest {
+			t.Errorf("%s: %v %v", q, resp, err)
+		} else {
+			resp.Body.Close()
+		}
+	}
+}
+
+// A stream of a follower begins with a beat that names the cluster, has each change once and in order, and says so when it
+// begins before what the history keeps.
+func TestAFollowersStream(t *testing.T) {
+	c, _, outer := one(t)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	stream := func(after uint64) *json.Decoder {
+		r, _ := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("%s/v1/follow?after=%d", outer, after), nil)
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatal(resp, err)
+		}
+		t.Cleanup(func() { resp.Body.Close() })
+		return json.NewDecoder(resp.Body)
+	}
+	key := policy.Key(policy.Ban, "s")
+	d := stream(0)
+	var l Line
+	if err := d.Decode(&l); err != nil || l.Beat == nil || l.Beat.Cluster == 0 {
+		t.Fatalf("%+v %v", l, err)
+	}
+	for range 15 {
+		if _, err := c.Change(ctx, put(key, "v")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for last := uint64(0); last < 15; {
+		l = Line{}
+		if err := d.Decode(&l); err != nil {
+			t.Fatal(err)
+		}
+		if l.Event == nil {
+			continue
+		}
+		if l.Event.Revision != last+1 || l.Event.Item.Key != key {
+			t.Fatalf("%+v after %d", l.Event, last)
+		}
+		last = l.Event.Revision
+	}
+	for range 15 {
+		if _, err := c.Change(ctx, put(key, "w")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for d := stream(1); ; {
+		l = Line{}
+		if err := d.Decode(&l); err != nil {
+			t.Fatal(err)
+		}
+		if l.Fault != nil && l.Fault.Oldest > 1 {
+			break
+		}
+		if l.Event != nil {
+			t.Fatalf("%+v, and changes before it are gone", l.Event)
+		}
+	}
+	if i, err := c.Range(ctx, url.Values{"key": {key}}); err != nil || len(i.Items) != 1 || i.Items[0].Version != 30 {
+		t.Error(i, err)
+	}
+}
--- /dev/null
+++ b/internal/store/replica/replica_test.go
@@ -0,0 +1,156 @@
+package replica_test
+
+import (
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"birchmoor/internal/store"
+	"birchmoor/internal/store/disk"
+	"birchmoor/internal/store/replica"
+
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// alone runs a replica of a cluster of one on a real file.
+type alone struct {
+	t    *testing.T
+	dir  string
+	disk *disk.Disk
+	node *replica.Node
+	next replica.Token
+	seq  uint64
+}
+
+func found(t *testing.T) *alone {
+	t.Helper()
+	a := &alone{t: t, dir: t.TempDir()}
+	a.open()
+	if err := replica.Found(a.disk, 7, "a", "a", store.DefaultLimits); err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func (a *alone) open() {
+	a.t.Helper()
+	d, err := disk.Open(a.dir, disk.Options{NoSync: true})
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	a.t.Cleanup(func() { d.Close() })
+	a.disk = d
+}
+
+// start begins a build that knows commands up to a level.
+func (a *alone) start(knows uint64) error {
+	n, err := replica.New(replica.Config{Rand: rand.New(rand.NewPCG(1, 1)), Knows: knows, SnapshotLog: 1 << 20}, a.disk)
+	a.node = n
+	return err
+}
+
+func (a *alone) stop() { a.disk.Close() }
+
+// do makes a change and drives until it is answered.
+func (a *alone) do(c store.Command) replica.Done {
+	a.t.Helper()
+	a.next++
+	a.seq++
+	c.ID = store.RequestID{Client: 1, Seq: a.seq}
+	a.node.Propose(a.next, &c)
+	for range 1000 {
+		for _, d := range a.node.Drive().Done {
+			if d.Token == a.next {
+				return d
+			}
+		}
+		a.node.Tick()
+	}
+	a.t.Fatal("no answer")
+	panic("unreachable")
+}
+
+func (a *alone) ticks(n int) {
+	for range n {
+		a.node.Tick()
+		a.node.Drive()
+	}
+}
+
+func bounded(key string) store.Command {
+	return store.Command{Txn: &store.Txn{Then: []store.Op{{Key: key}}, Bounds: []store.Bound{{Prefix: "p/", Most: 1}}}}
+}
+
+// An older build goes on in a cluster that uses what it knows, refuses what it does not use yet, and stops, saying why and
+// having changed nothing, once the cluster uses more: at the start, and on a file that was a newer build's meanwhile.
+func TestAnOlderBuildStopsBeforeItApplies(t *testing.T) {
+	a := found(t)
+	if err := a.start(1); err != nil {
+		t.Fatal(err)
+	}
+	a.ticks(40)
+	if d := a.do(bounded("p/1")); !errors.Is(d.Result.Err, store.ErrLevel) || a.node.State().Level() != 1 {
+		t.Fatal("at level 1:", d, a.node.State().Level())
+	}
+	a.stop()
+	a.open()
+	if err := a.start(2); err != nil { // one step up
+		t.Fatal(err)
+	}
+	a.ticks(80)
+	if d := a.do(bounded("p/1")); d.Err != nil || d.Result.Err != nil {
+		t.Fatal("at level 2:", d)
+	}
+	if d := a.do(bounded("p/2")); !errors.Is(d.Result.Err, store.ErrFull) {
+		t.Fatal("over the bound:", d)
+	}
+	revision, applied := a.node.State().Revision(), a.node.Status().Applied
+	a.stop()
+	a.open()
+	err := a.start(1) // and one back
+	for range 100 {
+		if err == nil {
+			a.node.Tick()
+			a.node.Drive()
+			err = a.node.Failed()
+		}
+	}
+	if err == nil || !strings.Contains(err.Error(), "level 2, and this build knows 1") {
+		t.Fatal(err)
+	}
+	a.stop()
+	a.open()
+	if err := a.start(2); err != nil {
+		t.Fatal(err)
+	}
+	a.ticks(40)
+	if s := a.node.State(); s.Revision() != revision || a.node.Status().Applied < applied {
+		t.Errorf("revision %d of %d, entry %d of %d", s.Revision(), revision, a.node.Status().Applied, applied)
+	}
+}
+
+// What is not a message of another replica is taken by none: messages of raft's own, to others, and from strangers.
+func TestStrayMessagesAreNotTaken(t *testing.T) {
+	a := found(t)
+	if err := a.start(0); err != nil {
+		t.Fatal(err)
+	}
+	a.ticks(40)
+	term := a.node.Term()
+	for _, m := range []*raftpb.Message{
+		{Type: raftpb.MsgHup.Enum(), To: proto.Uint64(1)},
+		{Type: raftpb.MsgApp.Enum(), To: proto.Uint64(2), From: proto.Uint64(3), Term: proto.Uint64(99)},
+		{Type: raftpb.MsgAppResp.Enum(), To: proto.Uint64(1), From: proto.Uint64(55), Term: proto.Uint64(term)},
+	} {
+		a.node.Step(m)
+		a.node.Drive()
+	}
+	if a.node.Failed() != nil || a.node.Term() != term || !a.node.Leading() {
+		t.Error(a.node.Failed(), a.node.Term(), a.node.Leading())
+	}
+	if d := a.do(store.Command{Txn: &store.Txn{Then: []store.Op{{Key: "k"}}}}); d.Err != nil || d.Result.Err != nil {
+		t.Error(d)
+	}
+}
