Write the time-out and the fault of a call once for operators and followers

The ten handlers of the two sides repeated how a call is bounded and its error told; one function does it now. No behaviour changes; the tests of both sides pass.

--- a/internal/store/admin/admin.go
+++ b/internal/store/admin/admin.go
@@ -44,6 +44,24 @@
 	return ctx, cancel, nil
 }
 
+// handle makes a handler of what answers within the time that the request gives itself.
+func handle(f func(context.Context, http.ResponseWriter, *http.Request) (any, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel, err := wait(r)
+		if err != nil {
+			fail(w, err)
+			return
+		}
+		defer cancel()
+		v, err := f(ctx, w, r)
+		if err != nil {
+			fail(w, err)
+			return
+		}
+		answer(w, http.StatusOK, v)
+	}
+}
+
 // Fault is an error as it is told.
 type Fault struct {
 	Error   string           `json:"error"`
@@ -135,17 +153,17 @@
 	}
 	s := &Server{e: e, d: d, ln: ln, watches: make(chan struct{}, watchMost)}
 	m := http.NewServeMux()
-	m.HandleFunc("GET /v1/status", s.status)
-	m.HandleFunc("GET /v1/range", s.read)
+	m.HandleFunc("GET /v1/status", handle(s.status))
+	m.HandleFunc("GET /v1/range", handle(s.read))
 	m.HandleFunc("GET /v1/watch", s.watch)
 	m.HandleFunc("GET /v1/snapshot", s.save)
-	m.HandleFunc("POST /v1/change", s.change)
-	m.HandleFunc("POST /v1/handover", s.handOver)
-	m.HandleFunc("GET /v1/config", s.history)
-	m.HandleFunc("POST /v1/config", s.configure)
-	m.HandleFunc("GET /v1/leases", s.leases)
+	m.HandleFunc("POST /v1/change", handle(s.change))
+	m.HandleFunc("POST /v1/handover", handle(s.handOver))
+	m.HandleFunc("GET /v1/config", handle(s.history))
+	m.HandleFunc("POST /v1/config", handle(s.configure))
+	m.HandleFunc("GET /v1/leases", handle(s.leases))
 	m.HandleFunc("GET /v1/out", func(w http.ResponseWriter, r *http.Request) { answer(w, http.StatusOK, d.Outs()) })
-	m.HandleFunc("GET /v1/servers", s.servers)
+	m.HandleFunc("GET /v1/servers", handle(s.servers))
 	s.http = &http.Server{Handler: m, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
 	go s.http.Serve(ln)
 	return s, nil
@@ -206,48 +224,27 @@
 	return v, nil
 }
 
-func (s *Server) status(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel, err := wait(r)
-	if err != nil {
-		fail(w, err)
-		return
-	}
-	defer cancel()
+func (s *Server) status(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
 	st, err := s.e.Status(ctx)
 	if err != nil {
-		fail(w, err)
-		return
+		return nil, err
 	}
-	answer(w, http.StatusOK, Status{st, s.d.Kept(), s.d.Start()})
+	return Status{st, s.d.Kept(), s.d.Start()}, nil
 }
 
-func (s *Server) servers(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel, err := wait(r)
-	if err != nil {
-		fail(w, err)
-		return
-	}
-	defer cancel()
+func (s *Server) servers(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
 	all, err := s.d.Servers(ctx)
 	if err != nil {
-		fail(w, err)
-		return
+		return nil, err
 	}
-	answer(w, http.StatusOK, all)
+	return all, nil
 }
 
-func (s *Server) read(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel, err := wait(r)
-	if err != nil {
-		fail(w, err)
-		return
-	}
-	defer cancel()
+func (s *Server) read(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
 	q := r.URL.Query()
 	limit, err := number(q, "limit")
 	if err != nil {
-		fail(w, err)
-		return
+		return nil, err
 	}
 	if limit == 0 || limit > rangeMost {
 		limit = rangeMost
@@ -270,23 +267,15 @@
 		})
 	})
 	if err != nil {
-		fail(w, err)
-		return
+		return nil, err
 	}
-	answer(w, http.StatusOK, out)
+	return out, nil
 }
 
-func (s *Server) change(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel, err := wait(r)
-	if err != nil {
-		fail(w, err)
-		return
-	}
-	defer cancel()
+func (s *Server) change(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
 	var q Request
 	if err := decode(w, r, &q); err != nil {
-		fail(w, err)
-		return
+		return nil, err
 	}
 	c := store.Command{ID: q.ID, Txn: q.Txn, Join: q.Add}
 	if q.Del != 0 {
@@ -308,34 +297,24 @@
 		}
 	}
 	if set != 1 {
-		fail(w, fmt.Errorf("%w: one of txn, add, remove, grant, renew and end", errBad))
-		return
+		return nil, fmt.Errorf("%w: one of txn, add, remove, grant, renew and end", errBad)
 	}
 	if c.Join != nil {
 		if err := keys.CheckName(c.Join.Name); err != nil {
-			fail(w, fmt.Errorf("%w: %w", errBad, err))
-			return
+			return nil, fmt.Errorf("%w: %w", errBad, err)
 		}
 		if _, _, err := net.SplitHostPort(c.Join.Address); err != nil {
-			fail(w, fmt.Errorf("%w: address: %w", errBad, err))
-			return
+			return nil, fmt.Errorf("%w: address: %w", errBad, err)
 		}
 	}
 	res, err := s.e.Do(ctx, c)
 	if err != nil {
-		fail(w, err)
-		return
+		return nil, err
 	}
-	answer(w, http.StatusOK, Change{Revision: res.Revision, Held: res.Held, Member: res.Member, Lease: res.Lease})
+	return Change{Revision: res.Revision, Held: res.Held, Member: res.Member, Lease: res.Lease}, nil
 }
 
-func (s *Server) leases(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel, err := wait(r)
-	if err != nil {
-		fail(w, err)
-		return
-	}
-	defer cancel()
+func (s *Server) leases(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
 	all := []Lease{}
 	if _, err := s.e.View(ctx, false, func(st *store.State) {
 		at := map[uint64]int{}
@@ -350,65 +329,43 @@
 			return true
 		})
 	}); err != nil {
-		fail(w, err)
-		return
+		return nil, err
 	}
-	answer(w, http.StatusOK, all)
+	return all, nil
 }
 
-func (s *Server) handOver(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel, err := wait(r)
-	if err != nil {
-		fail(w, err)
-		return
-	}
-	defer cancel()
+func (s *Server) handOver(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
 	if err := s.e.HandOver(ctx); err != nil {
-		fail(w, err)
-		return
+		return nil, err
 	}
-	answer(w, http.StatusOK, struct{}{})
+	return struct{}{}, nil
 }
 
-func (s *Server) history(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel, err := wait(r)
-	if err != nil {
-		fail(w, err)
-		return
-	}
-	defer cancel()
+func (s *Server) history(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
 	all, err := s.d.History(ctx)
 	if err != nil {
-		fail(w, err)
-		return
+		return nil, err
 	}
-	answer(w, http.StatusOK, all)
+	return all, nil
 }
 
-func (s *Server) configure(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel, err := wait(r)
-	if err != nil {
-		fail(w, err)
-		return
-	}
-	defer cancel()
+func (s *Server) configure(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
 	var q Config
 	if err := decode(w, r, &q); err != nil {
-		fail(w, err)
-		return
+		return nil, err
 	}
 	var v daemon.Version
+	var err error
 	if q.Rollback != 0 {
 		v, err = s.d.Rollback(ctx, q.Rollback)
 	} else {
 		v, err = s.d.Put(ctx, q.Settings, q.Note)
 	}
 	if err != nil {
-		fail(w, err)
-		return
+		return nil, err
 	}
 	v.Settings = nil
-	answer(w, http.StatusOK, v)
+	return v, nil
 }
 
 // watch sends events as lines of JSON for as long as the connection lasts.
--- a/internal/store/admin/outer.go
+++ b/internal/store/admin/outer.go
@@ -65,8 +65,8 @@
 	m := http.NewServeMux()
 	m.HandleFunc("GET /v1/copy", o.copy)
 	m.HandleFunc("GET /v1/follow", o.follow)
-	m.HandleFunc("GET /v1/revision", o.revision)
-	m.HandleFunc("POST /v1/change", o.change)
+	m.HandleFunc("GET /v1/revision", handle(o.revision))
+	m.HandleFunc("POST /v1/change", handle(o.change))
 	o.http = &http.Server{Handler: m, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 8 << 10}
 	if pair != nil {
 		o.http.TLSConfig = pair.Server()
@@ -154,51 +154,34 @@
 }
 
 // revision tells up to where a copy has to be to show all that was answered before the call.
-func (o *Outer) revision(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel, err := wait(r)
-	if err != nil {
-		fail(w, err)
-		return
-	}
-	defer cancel()
+func (o *Outer) revision(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
 	a, err := o.e.View(ctx, false, func(*store.State) {})
 	if err != nil {
-		fail(w, err)
-		return
+		return nil, err
 	}
-	answer(w, http.StatusOK, a)
+	return a, nil
 }
 
 // change makes a transaction of a follower.
-func (o *Outer) change(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel, err := wait(r)
-	if err != nil {
-		fail(w, err)
-		return
-	}
-	defer cancel()
+func (o *Outer) change(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
 	var q Request
 	if err := decode(w, r, &q); err != nil {
-		fail(w, err)
-		return
+		return nil, err
 	}
 	if err := followerMay(&q); err != nil {
-		fail(w, err)
-		return
+		return nil, err
 	}
 	select {
 	case o.changes <- struct{}{}:
 		defer func() { <-o.changes }()
 	case <-ctx.Done():
-		fail(w, ctx.Err())
-		return
+		return nil, ctx.Err()
 	}
 	res, err := o.e.Do(ctx, store.Command{ID: q.ID, Txn: q.Txn})
 	if err != nil {
-		fail(w, err)
-		return
+		return nil, err
 	}
-	answer(w, http.StatusOK, Change{Revision: res.Revision, Held: res.Held})
+	return Change{Revision: res.Revision, Held: res.Held}, nil
 }
 
 // followerMay says what of a follower's request is not for it.
