Hold a picture to be as old as the copy that shows it may be

Need: a test of what a copy believes after it was away showed that pictures in the log's replay counted as put in that moment: a replica started after an hour would have begun with warmth of an hour ago.

Change: each word of a quorum that confirms the copy is told to the daemon with when it was asked, and what the copy shows from then on counts as written then; before the first such word an age is not known, and the picture of another host not used. Lines: internal/daemon/pictures.go, where event took the present as the time of every change.

--- a/cmd/birchmoor/run.go
+++ b/cmd/birchmoor/run.go
@@ -191,7 +191,7 @@
 		cfg.Replicas = append(cfg.Replicas, follow.Replica{Name: name, Addr: addr})
 	}
 	cfg.Event, cfg.Reset = d.Hooks()
-	cfg.Settled = d.Settled
+	cfg.Settled, cfg.Proved = d.Settled, d.Proved
 	f, err := follow.Open(cfg)
 	if err != nil {
 		return nil, err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -68,6 +68,7 @@
 	kept    pictures
 	start   Began
 	journal *journal // nil where nothing is kept
+	proved  int64    // when a quorum last confirmed the copy; 0: not since the start
 
 	wake    chan struct{}
 	writes  chan write
@@ -109,6 +110,7 @@
 // Hook puts the daemon's hooks into the configuration of an engine.
 func (d *Daemon) Hook(c *engine.Config) {
 	c.Event, c.Reset, c.Unsettled, c.Settled = d.event, d.reset, d.unsettled, d.settled
+	c.Proved = d.Proved
 }
 
 // Hooks are what a copy of the store calls: see engine.Config.
@@ -157,7 +159,7 @@
 	case strings.HasPrefix(key, policy.StartPrefix):
 		d.startEvent(now, e)
 	case strings.HasPrefix(key, policy.PicturePrefix):
-		d.kept.event(now, e)
+		d.kept.event(now, d.proved, e)
 	case strings.HasPrefix(key, configPrefix):
 		d.setting(e.Item, e.Deleted)
 	}
@@ -248,6 +250,14 @@
 	d.poke()
 }
 
+// Proved says that a quorum confirmed the copy so long ago. What a copy shows may have been written at any time since it was last
+// confirmed: one that was away for an hour, and catches up, shows old words as they come.
+func (d *Daemon) Proved(ago time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.proved = max(d.proved, d.now(time.Now())-int64(ago))
+}
+
 // Settled says that the copy is up to date: what an earlier process of this daemon acted on counts as the store says from now
 // on, and what the store does not say is told. A replica's engine says so by its hook; a follower once it has heard.
 func (d *Daemon) Settled() { d.settled() }
--- a/internal/daemon/pictures.go
+++ b/internal/daemon/pictures.go
@@ -26,7 +26,7 @@
 
 type picture struct {
 	value  []byte
-	at     int64 // when it was put, by this daemon's clock; 0: it came with a whole copy, so that its age is not known
+	at     int64 // when it was put at the earliest, by this daemon's clock; 0: not known
 	agreed uint64
 }
 
@@ -45,8 +45,9 @@
 	}
 }
 
-func (k *pictures) event(now int64, e store.Event) {
-	k.set(e.Item.Key, picture{e.Item.Value, now, e.Revision}, e.Deleted)
+// event takes a change; proved is when a quorum last confirmed the copy before it.
+func (k *pictures) event(now, proved int64, e store.Event) {
+	k.set(e.Item.Key, picture{e.Item.Value, proved, e.Revision}, e.Deleted)
 	k.turns.Told(now, e.Item.Key, e.Revision, e.Deleted)
 }
 
--- /dev/null
+++ b/internal/daemon/starts_test.go
@@ -0,0 +1,129 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"birchmoor/balancer"
+	"birchmoor/internal/core"
+	"birchmoor/internal/discovery"
+	"birchmoor/internal/recovery"
+	"birchmoor/internal/sidetest"
+	"birchmoor/internal/snapshot"
+	"birchmoor/internal/store"
+	"birchmoor/internal/store/policy"
+)
+
+func (s *side) version(t *testing.T, key string) uint64 {
+	t.Helper()
+	var i store.Item
+	if _, err := s.e.View(deadline(t), false, func(st *store.State) { i, _ = st.Get(key) }); err != nil {
+		t.Fatal(err)
+	}
+	return i.Version
+}
+
+// What all see begin is one change of the store; what one sees counts at the others, also at a start; and it ends by its own
+// word, whoever is left.
+func TestStarts(t *testing.T) {
+	all, dirs := three(t)
+	for _, s := range all {
+		s.d.Warm(func(ctx context.Context, x core.Start) error {
+			return s.agree(ctx, fmt.Sprint("began ", x.Process.ID), true)
+		})
+	}
+	seen, one := discovery.Process{ID: "all", Addr: "127.0.0.1:1"}, discovery.Process{ID: "one", Addr: "127.0.0.1:2", StartedMs: 7}
+	for _, s := range all {
+		s.d.Began(seen, 0, time.Hour)
+	}
+	all[0].d.Began(one, time.Second, time.Hour)
+	for _, s := range all[1:] {
+		s.until(t, "began one", true)
+	}
+	time.Sleep(2 * startSpread) // all have had their turn by then
+	if n := all[0].version(t, policy.StartKey(policy.Process(seen))); n != 1 {
+		t.Errorf("three that saw it made %d changes", n)
+	}
+	if all[0].out["began all"] || all[0].out["began one"] {
+		t.Error("a daemon is told of what it saw itself")
+	}
+	all[1].stop()
+	b := start(t, "b", dirs[1], all[1].addr, true)
+	b.version(t, policy.StartKey(policy.Process(one))) // its copy is up to date
+	ago := time.Duration(-1)
+	for _, x := range b.d.Begun() {
+		if x.Process == one {
+			ago = x.Ago
+		}
+	}
+	if ago < time.Second || ago > time.Minute { // it counts as when it was written: colder than it is, not warmer
+		t.Errorf("a start knows that it began %v ago", ago)
+	}
+	later := time.Now().Add(time.Hour + time.Minute)
+	for all[2].version(t, policy.StartKey(policy.Process(one))) > 0 {
+		b.d.tidy(deadline(t), later)
+	}
+}
+
+// What a module knows is kept for others; a copy that was away does not know how old it is, and another host's clock, an hour
+// ahead, does not make it new.
+func TestPictures(t *testing.T) {
+	all, dirs := three(t)
+	c := sidetest.Configure(t, "127.0.0.1:1", nil)
+	m, err := balancer.New(c.Settings, 1, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ahead := snapshot.Clock{Wall: time.Now().Add(time.Hour).UnixMicro(), Boot: "of another host"}
+	take := func(context.Context) ([]byte, error) {
+		return snapshot.Encode(&snapshot.Kept{Sidecar: "other", Clock: ahead, State: m.Snapshot(1e9, false)})
+	}
+	key := policy.PictureKey("other", "")
+	for err = store.ErrLevel; errors.Is(err, store.ErrLevel); { // until all know the commands that it takes
+		err = all[0].d.keep(deadline(t), key, take)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	if all[1].version(t, key) != 1 {
+		t.Fatal("it is not in the store")
+	}
+	got := all[1].d.Pictures("me", "")
+	for ; len(got) == 1 && !got[0].Sure; got = all[1].d.Pictures("me", "") { // it came before a quorum had confirmed the copy
+		if err := all[0].d.keep(deadline(t), key, take); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(got) != 1 || !got[0].Sure || got[0].Own || got[0].Age < 0 || got[0].Age > 60e6 {
+		t.Fatalf("%+v", got)
+	}
+	if x := recovery.Choose("me", got); x.Kept == nil || x.Kept.Sidecar != "me" {
+		t.Errorf("%+v", x)
+	}
+	if len(all[1].d.Pictures("me", "dns")) != 0 {
+		t.Error("of another protocol")
+	}
+	all[1].stop()
+	b := start(t, "b", dirs[1], all[1].addr, true)
+	b.version(t, key) // its copy is up to date: it has shown the picture, which was put long before
+	got = b.d.Pictures("me", "")
+	if len(got) != 1 || got[0].Sure {
+		t.Fatalf("%+v", got)
+	}
+	if x := recovery.Choose("me", got); x.Kept != nil {
+		t.Error("the age of a picture is believed by another host's clock")
+	}
+	b.d.PictureAge(key, 4*time.Second) // a replica that saw it come tells
+	if got = b.d.Pictures("me", ""); !got[0].Sure || got[0].Age < 4e6 {
+		t.Errorf("%+v", got)
+	}
+	for later := time.Now().Add(picturesKept + time.Minute); b.version(t, key) > 0; { // nobody puts it any more
+		b.d.tidy(deadline(t), later)
+	}
+	if len(b.d.Pictures("me", "")) != 0 {
+		t.Error("it is still held")
+	}
+}
--- a/internal/store/engine/engine.go
+++ b/internal/store/engine/engine.go
@@ -53,6 +53,9 @@
 	// has come to that end, by the loop.
 	Unsettled func(*store.Command)
 	Settled   func()
+	// Proved is told by the loop, each time that a quorum confirms the copy, how long ago that was asked: what changes from now
+	// on was written after it.
+	Proved func(ago time.Duration)
 }
 
 const (
@@ -240,7 +243,10 @@
 					lastProof = now
 					e.read(func(d replica.Done) {
 						if d.Err == nil {
-							e.proved.Store(int64(time.Since(e.begun)) + 1)
+							e.proved.Store(int64(now.Sub(e.begun)) + 1)
+							if e.cfg.Proved != nil {
+								e.cfg.Proved(time.Since(now))
+							}
 						}
 					})
 				}
--- a/internal/store/follow/follow.go
+++ b/internal/store/follow/follow.go
@@ -56,6 +56,8 @@
 	Reset func(*store.State)
 	// Settled is told once, when the copy is as a replica has it that a quorum confirms.
 	Settled func()
+	// Proved is told how long ago a quorum confirmed the copy, at each word of that.
+	Proved func(ago time.Duration)
 	// Age is told how long ago, by a replica's clock, a picture was put that the copy came with.
 	Age func(key string, age time.Duration)
 }
@@ -301,12 +303,15 @@
 func (f *Follower) beat(at int, b *admin.Beat) {
 	f.mu.Lock()
 	f.follows = f.cfg.Replicas[at].Addr
-	first := false
-	if b.Proved && b.Revision <= f.state.Revision() {
+	first, proved := false, b.Proved && b.Revision <= f.state.Revision()
+	if proved {
 		first = f.proved == 0
 		f.proved = max(f.proved, time.Since(f.begun)-b.Age, 1)
 	}
 	f.mu.Unlock()
+	if proved && f.cfg.Proved != nil {
+		f.cfg.Proved(b.Age)
+	}
 	if first && f.cfg.Settled != nil {
 		f.cfg.Settled()
 	}
