--- a/cmd/birchmoor/store.go
+++ b/cmd/birchmoor/store.go
@@ -282,14 +282,22 @@
 			return err
 		}
 		return k.print(c, all, func(w *tabwriter.Writer) {
-			fmt.Fprintln(w, "SERVER\tWHY\tAGREED")
+			fmt.Fprintln(w, "SERVER\tWHY\tBY\tAGE\tAGREED")
 			for _, o := range all {
-				fmt.Fprintf(w, "%s\t%s\t%v\n", o.Server, o.Kind, o.Agreed)
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%v\n", o.Server, o.Kind, o.By, ageOf(o.AgeMs), o.Agreed)
 			}
 		})
 	})
 }
 
+// ageOf writes an age in milliseconds; "-" is not known.
+func ageOf(ms int64) string {
+	if ms < 0 {
+		return "-"
+	}
+	return (time.Duration(ms) * time.Millisecond).String()
+}
+
 type storeServers struct {
 	socketFlag
 	ID string `arg:"" optional:"" help:"Of one server."`
@@ -319,20 +327,17 @@
 		return k.print(c, all, func(w *tabwriter.Writer) {
 			fmt.Fprintln(w, "SERVER\tADDRESS\tSTART\tWHAT\tBY\tAGE\tLEFT\tAGREED")
 			for _, f := range all {
-				start, age, left, by := "-", "-", "-", f.By
+				start, left, by := "-", "-", f.By
 				if f.StartedMs != 0 {
 					start = time.UnixMilli(f.StartedMs).UTC().Format(time.RFC3339)
 				}
-				if f.AgeMs >= 0 {
-					age = (time.Duration(f.AgeMs) * time.Millisecond).String()
-				}
 				if f.LeftMs > 0 {
 					left = (time.Duration(f.LeftMs) * time.Millisecond).String()
 				}
 				if f.Sidecars > 1 {
 					by = fmt.Sprintf("%s and %d more", f.By, f.Sidecars-1)
 				}
-				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%v\n", f.ID, cmp.Or(f.Addr, "-"), start, f.What, by, age, left, f.Agreed)
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%v\n", f.ID, cmp.Or(f.Addr, "-"), start, f.What, by, ageOf(f.AgeMs), left, f.Agreed)
 			}
 		})
 	})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -58,7 +58,8 @@
 
 	mu      sync.Mutex
 	guard   *policy.Guard
-	dirty   map[string]bool // servers whose state is to be told to the sidecar
+	dirty   map[string]bool  // servers whose state is to be told to the sidecar
+	came    map[string]int64 // when the store's word of a server that is out came here, by key
 	agree   func(ctx context.Context, id string, out bool) error
 	current json.RawMessage // settings in the store, or nil
 	version uint64          // and their revision
@@ -102,7 +103,7 @@
 
 // New returns a daemon that runs nothing yet.
 func New(name string, check Check, log *slog.Logger) *Daemon {
-	return &Daemon{name: name, check: check, log: log, guard: policy.NewGuard(name), dirty: map[string]bool{},
+	return &Daemon{name: name, check: check, log: log, guard: policy.NewGuard(name), dirty: map[string]bool{}, came: map[string]int64{},
 		drains: newDrains(name), starts: newStarts(name), kept: newPictures(name), begun: time.Now(),
 		wake: make(chan struct{}, 1), writes: make(chan write, 1024), reload: make(chan os.Signal, 1)}
 }
@@ -150,6 +151,9 @@
 	switch key := e.Item.Key; {
 	case strings.HasPrefix(key, policy.Prefix):
 		d.guard.Applied(e)
+		if d.came[key] = now; e.Deleted {
+			delete(d.came, key)
+		}
 		if p, ok := drainOf(key); ok {
 			d.drainEvent(now, p, e)
 		} else {
@@ -214,6 +218,11 @@
 	}
 	d.stale()
 	now := d.now(time.Now())
+	for key := range d.came {
+		if _, there := s.Get(key); !there {
+			delete(d.came, key)
+		}
+	}
 	drained := wordsOf(s, policy.Key(policy.Drain, ""))
 	d.drains.turns.Found(now, drained)
 	for key := range drained {
@@ -460,11 +469,18 @@
 	return true, agree(ctx, id, false)
 }
 
-// Outs lists the servers that are out.
+// Outs lists the servers that are out, by whose word and how old that is.
 func (d *Daemon) Outs() []policy.Out {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.guard.All()
+	now, all := d.now(time.Now()), d.guard.All()
+	for i := range all {
+		key := policy.Key(all[i].Kind, all[i].Server)
+		if at, ok := d.came[key]; ok {
+			all[i].AgeMs = (now - at) / 1e6
+		}
+	}
+	return all
 }
 
 // verdict is what a replica says of a candidate.
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -2,13 +2,11 @@
 
 import (
 	"cmp"
-	"context"
 	"slices"
 	"time"
 
 	"birchmoor/internal/recovery"
 	"birchmoor/internal/snapshot"
-	"birchmoor/internal/store"
 	"birchmoor/internal/store/policy"
 )
 
@@ -26,28 +24,16 @@
 }
 
 // Servers lists all that this copy and this daemon know of servers.
-func (d *Daemon) Servers(ctx context.Context) ([]Fact, error) {
-	by := map[string]string{}
-	if _, err := d.engine.View(ctx, true, func(s *store.State) {
-		s.Range(policy.Prefix, store.PrefixEnd(policy.Prefix), func(i store.Item) bool {
-			by[i.Key] = policy.MarkOf(i.Value).By
-			return true
-		})
-	}); err != nil {
-		return nil, err
-	}
+func (d *Daemon) Servers() []Fact {
+	outs := d.Outs()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now(time.Now())
 	var all []Fact
-	for _, o := range d.guard.All() {
-		key := policy.Key(o.Kind, o.Server)
-		f := Fact{ID: o.Server, What: "banned", By: cmp.Or(by[key], d.name), AgeMs: -1, Agreed: o.Agreed}
-		if p, ok := drainOf(key); ok {
+	for _, o := range outs {
+		f := Fact{ID: o.Server, What: "banned", By: o.By, AgeMs: o.AgeMs, Agreed: o.Agreed}
+		if p, ok := drainOf(policy.Key(o.Kind, o.Server)); ok {
 			f.ID, f.Addr, f.StartedMs, f.What = p.ID, p.Addr, p.StartedMs, "drains"
-			if age, ok := d.drains.turns.Age(now, key); ok {
-				f.AgeMs = age / 1e6
-			}
 		}
 		all = append(all, f)
 	}
@@ -58,7 +44,7 @@
 	slices.SortFunc(all, func(a, b Fact) int {
 		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Addr, b.Addr), cmp.Compare(a.StartedMs, b.StartedMs), cmp.Compare(a.What, b.What))
 	})
-	return all, nil
+	return all
 }
 
 // facts adds up what the pictures tell: by whom a server is known, and held to be cold.
--- a/internal/store/admin/admin.go
+++ b/internal/store/admin/admin.go
@@ -163,7 +163,7 @@
 	m.HandleFunc("POST /v1/config", handle(s.configure))
 	m.HandleFunc("GET /v1/leases", handle(s.leases))
 	m.HandleFunc("GET /v1/out", func(w http.ResponseWriter, r *http.Request) { answer(w, http.StatusOK, d.Outs()) })
-	m.HandleFunc("GET /v1/servers", handle(s.servers))
+	m.HandleFunc("GET /v1/servers", func(w http.ResponseWriter, r *http.Request) { answer(w, http.StatusOK, d.Servers()) })
 	s.http = &http.Server{Handler: m, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
 	go s.http.Serve(ln)
 	return s, nil
@@ -232,14 +232,6 @@
 	return Status{st, s.d.Kept(), s.d.Start()}, nil
 }
 
-func (s *Server) servers(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
-	all, err := s.d.Servers(ctx)
-	if err != nil {
-		return nil, err
-	}
-	return all, nil
-}
-
 func (s *Server) read(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
 	q := r.URL.Query()
 	limit, err := number(q, "limit")
--- a/internal/store/policy/policy.go
+++ b/internal/store/policy/policy.go
@@ -65,6 +65,8 @@
 	Kind   Kind   `json:"kind"`
 	Server string `json:"server"`
 	Agreed bool   `json:"agreed"` // the quorum knows; if not, it is this daemon's word alone
+	By     string `json:"by"`     // the daemon that told it, latest
+	AgeMs  int64  `json:"age_ms"` // since that word came to this copy; -1: before this start, or not at all
 }
 
 // Guard holds which servers are out. The zero value is not of use; it is for one goroutine.
@@ -77,6 +79,7 @@
 
 type word struct {
 	agreed  uint64 // revision of the store that says so, or 0
+	by      string // as the store says
 	pending bool   // a word was heard here, whose writing is under way or owed
 	again   bool   // and another since that writing began
 	owed    bool   // it is to be proposed once more
@@ -211,6 +214,7 @@
 	default:
 		w.agreed = e.Revision
 	}
+	w.by = MarkOf(e.Item.Value).By
 	w.said = true
 	g.tidy(e.Item.Key, w)
 	return before != g.Out(server)
@@ -232,13 +236,13 @@
 	for key, w := range g.words {
 		w.agreed = 0
 		if i, ok := s.Get(key); ok {
-			w.agreed = i.Modified
+			w.agreed, w.by = i.Modified, MarkOf(i.Value).By
 		}
 		g.tidy(key, w)
 	}
 	s.Range(Prefix, store.PrefixEnd(Prefix), func(i store.Item) bool {
 		if _, _, ok := parse(i.Key); ok && g.words[i.Key] == nil {
-			g.words[i.Key] = &word{agreed: i.Modified}
+			g.words[i.Key] = &word{agreed: i.Modified, by: MarkOf(i.Value).By}
 		}
 		return true
 	})
@@ -293,7 +297,11 @@
 	all := make([]Out, 0, len(g.words))
 	for key, w := range g.words {
 		kind, server, _ := parse(key)
-		all = append(all, Out{Kind: kind, Server: server, Agreed: w.agreed > 0})
+		o := Out{Kind: kind, Server: server, Agreed: w.agreed > 0, By: g.by, AgeMs: -1}
+		if o.Agreed {
+			o.By = w.by
+		}
+		all = append(all, o)
 	}
 	slices.SortFunc(all, func(a, b Out) int {
 		return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Kind, b.Kind))
