--- a/cmd/birchmoor/store.go
+++ b/cmd/birchmoor/store.go
@@ -560,6 +560,7 @@
 	Replicas int    `help:"At the start." default:"3"`
 	Ops      int    `help:"Requests of each client." default:"60"`
 	Faults   int    `help:"Faults that are caused in a run." default:"24"`
+	Gap      int    `help:"Milliseconds of virtual time between two of them." default:"300"`
 	Mixed    bool   `help:"Hosts begin with a build of level 1 of commands, and go a step up or back in turn."`
 	JSON     bool   `help:"A line of JSON for each run."`
 }
@@ -574,7 +575,7 @@
 }
 
 func (k *storeSim) Run(ctx context.Context, c *console) error {
-	o := storesim.Options{Replicas: k.Replicas, Ops: k.Ops, Faults: k.Faults, Mixed: k.Mixed}
+	o := storesim.Options{Replicas: k.Replicas, Ops: k.Ops, Faults: k.Faults, Gap: k.Gap, Mixed: k.Mixed}
 	for _, f := range storesim.Faults {
 		if k.Plant == "list" {
 			fmt.Fprintf(c.out, "%-18s %s\n", f.Name, f.About)
--- a/internal/lab/storesim/mixed.go
+++ b/internal/lab/storesim/mixed.go
@@ -34,7 +34,7 @@
 		}
 		return
 	}
-	defer w.q.After(w.rng.Int64N(1200*milli), w.step)
+	defer w.q.After(w.rng.Int64N(4*w.gap()), w.step)
 	h := w.up()
 	if h == nil {
 		return
--- a/internal/lab/storesim/storesim.go
+++ b/internal/lab/storesim/storesim.go
@@ -34,6 +34,7 @@
 	Keys     int // that clients write; 4
 	Ops      int // requests of each client; 60
 	Faults   int // that are caused, one after another; 24
+	Gap      int // milliseconds between two of them; 300
 	Planted  replica.Planted
 	Watch    Watch // a fault of daemons
 	Mixed    bool  // hosts begin with a build of level 1 of commands, and go to this one and back in turn
@@ -43,7 +44,7 @@
 	for _, x := range []struct {
 		v *int
 		d int
-	}{{&o.Replicas, 3}, {&o.Clients, 4}, {&o.Keys, 4}, {&o.Ops, 60}, {&o.Faults, 24}} {
+	}{{&o.Replicas, 3}, {&o.Clients, 4}, {&o.Keys, 4}, {&o.Ops, 60}, {&o.Faults, 24}, {&o.Gap, 300}} {
 		if *x.v == 0 {
 			*x.v = x.d
 		}
@@ -211,14 +212,14 @@
 		w.q.After(begin, w.step)
 	}
 	for i := range w.o.Faults {
-		w.q.After(begin+int64(i+1)*300*milli+w.rng.Int64N(200*milli), w.cause)
+		w.q.After(begin+int64(i+1)*w.gap()+w.rng.Int64N(200*milli), w.cause)
 	}
-	w.q.After(begin+int64(w.o.Faults+2)*300*milli, w.heal)
+	w.q.After(begin+int64(w.o.Faults+2)*w.gap(), w.heal)
 	w.run()
 }
 
 func (w *world) run() {
-	long := max(1, w.o.Faults/24)
+	long := 1 + int(int64(w.o.Faults)*w.gap()/mostRun)
 	done := func() bool {
 		w.r.Events++
 		return w.over || w.q.Now() > mostRun*int64(long) || w.r.Events > mostEvents*long
@@ -230,8 +231,10 @@
 	w.judge()
 }
 
-func (w *world) open() string {
+// gap is the time between two faults.
+func (w *world) gap() int64 { return int64(w.o.Gap) * milli }
 
+func (w *world) open() string {
 	n, l := 0, 0
 	for _, c := range w.cl {
 		if !c.finished {
