--- a/cmd/birchmoor/lab.go
+++ b/cmd/birchmoor/lab.go
@@ -21,6 +21,7 @@
 	Run       runCommand       `cmd:"" help:"Play a scenario in real time: the program as processes, on real sockets."`
 	Sim       simCommand       `cmd:"" help:"Play a scenario in virtual time, with the decision module of each sidecar."`
 	Compare   compareCommand   `cmd:"" help:"Play two binaries, settings files or scenarios over the same seeds, in turn."`
+	Sweep     sweepCommand     `cmd:"" help:"Play a scenario at several sizes in virtual time, and tell which cost grows with what."`
 	Bench     benchCommand     `cmd:"" help:"Measure no proxy, Go's reverse proxy and the sidecar side by side."`
 	DNS       labDNSCommand    `cmd:"" help:"Play name look-ups through the sidecar's DNS front, among stand-in resolvers."`
 	DNSBench  dnsBenchCommand  `cmd:"" help:"Measure asking directly, a plain forwarder and the sidecar side by side."`
@@ -107,6 +108,11 @@
 	return os.WriteFile(path, append(text, '\n'), 0o644)
 }
 
+// fleetWords say what a figure of a fleet is.
+var fleetWords = map[string]string{"probes": "probes a server and second", "handshakes": "handshakes", "connections": "connections of the cap",
+	"shut": "turned away at the cap", "cold": "cold work of what pushes over", "calls": "calls of discovery a second",
+	"call_wait_ms": "their wait in ms"}
+
 // printResult prints a run's figures; its last line is the verdict.
 func printResult(w io.Writer, x *figures.Result) {
 	fmt.Fprintf(w, "%s: %d sidecars, %d servers, %.0f s by %s, seed %d\n", x.Scenario, x.Sidecars, x.Servers, x.Length, x.Host, x.Seed)
@@ -121,6 +127,14 @@
 	}
 	fmt.Fprintf(w, "\nfor each that clients want: %.2f tries, %.2f attempts, %.3f turned away, %.3f connections opened, %.2f probes\n",
 		f["tries_per_task"], f["attempts_per_task"], f["turned_per_task"], f["connects_per_task"], f["probes_per_task"])
+	fmt.Fprintf(w, "over all sidecars, mean and worst:")
+	for i, l := range x.Fleet {
+		if i > 0 {
+			fmt.Fprint(w, ",")
+		}
+		fmt.Fprintf(w, " %s %.3g and %.3g", fleetWords[l.Name], l.Mean, l.Worst)
+	}
+	fmt.Fprintln(w)
 	fmt.Fprintf(w, "attempts into other zones %.3f, worst 10 s %.3f, took %.1f s, at most %.0f MB", f["crossings"], x.Worst10s, x.Took, x.MemoryMB)
 	if x.Host == "run" {
 		fmt.Fprintf(w, ", the lab itself late by %.1f ms (99.9%%), %.1f at most", x.LateP999, x.LateMost)
--- a/internal/lab/figures/figures.go
+++ b/internal/lab/figures/figures.go
@@ -35,6 +35,7 @@
 	Classes  []Class            `json:"classes"`
 	Worst10s float64            `json:"worst_10s"` // service of the worst ten seconds
 	Figures  map[string]float64 `json:"figures"`   // what compare compares
+	Fleet    []Load             `json:"fleet"`
 	Verdict  *referee.Verdict   `json:"verdict"`
 	Missed   []string           `json:"missed"` // figures that the scenario demands
 
@@ -149,6 +150,7 @@
 	crossed int
 	probed  int
 	open    map[string]int // bands
+	fleet   fleet
 }
 
 type classSums struct {
@@ -159,7 +161,7 @@
 // New returns a recorder for a scenario.
 func New(s *scenario.Scenario) *Recorder {
 	r := &Recorder{s: s, tries: map[uint64]try{}, tasks: map[uint64]*task{}, open: map[string]int{},
-		byClass: make([]classSums, len(s.Classes))}
+		byClass: make([]classSums, len(s.Classes)), fleet: newFleet(s)}
 	for i := range s.Classes {
 		r.series.Classes = append(r.series.Classes, ClassSeries{Name: s.Classes[i].Name})
 		r.spans = append(r.spans, newHist())
@@ -195,6 +197,7 @@
 	for r.at < at {
 		r.turn()
 	}
+	r.fleet.take(&e)
 	switch e.Kind {
 	case trace.Asked:
 		r.ask(&e, at)
@@ -274,6 +277,7 @@
 	for len(r.series.Conns) <= r.at {
 		r.series.Conns = append(r.series.Conns, r.conns)
 	}
+	r.fleet.turn(r.at)
 	r.at++
 }
 
@@ -372,6 +376,7 @@
 		f["service_"+c.Name] = c.Service
 	}
 	x.Series = r.series
+	r.fleet.end(x)
 	x.keep(&s.Keep)
 	return x
 }
@@ -417,6 +422,7 @@
 	most("connections opened a request", x.Figures["connects_per_task"], k.Handshakes)
 	most("share of crossings", x.Figures["crossings"], k.Crossings)
 	most("p99 in ms", x.Figures["p99_ms"], float64(k.P99.Micros())/1000)
+	x.keepFleet(k.Fleet)
 }
 
 // Passed says whether the run kept the rules and its figures, and tells something at all.
--- a/internal/lab/figures/figures_test.go
+++ b/internal/lab/figures/figures_test.go
@@ -81,3 +81,41 @@
 		t.Errorf("a void run: %s", x.Line())
 	}
 }
+
+// A fleet's figures are over all sidecars, per server and second, and a bound that is passed is named.
+func TestFleet(t *testing.T) {
+	r := New(rules(t, "[keep.fleet_most]\nprobes_worst = 4.0\nshut_mean = 0.001\ncold_worst = 0.5\n"))
+	take := func(at Micros, kind trace.Kind, server, sidecar int32, n int) {
+		for range n {
+			r.Take(trace.Event{At: at, Kind: kind, Server: server, Sidecar: sidecar})
+		}
+	}
+	take(100, trace.Probed, 0, 1, 2)
+	take(200, trace.Probed, 0, 2, 3) // five in one second, of two sidecars
+	take(300, trace.Opened, 1, 1, 4)
+	take(1_200_000, trace.Opened, 1, 2, 2)
+	take(1_300_000, trace.Shut, 1, 3, 1)
+	take(1_400_000, trace.Closed, 1, 1, 1)
+	take(2_100_000, trace.Stopped, 1, 0, 1) // its connections end with it
+	r.Take(trace.Event{At: 2_200_000, Kind: trace.Carried, Server: 1, Warmth: 0.4})
+	r.Take(trace.Event{At: 2_300_000, Kind: trace.Called, Sidecar: 1, Work: 20_000})
+	r.Take(trace.Event{At: 2_400_000, Kind: trace.Called, Sidecar: 2, Work: 40_000, Verdict: trace.Failed})
+	take(3_500_000, trace.Probed, 9, 1, 1) // of no server
+	x := r.End(&referee.Verdict{})
+	want := map[string]float64{"probes_worst": 5, "probes_mean": 5.0 / 8, "handshakes_worst": 4, "handshakes_mean": 6.0 / 8, "shut_mean": 1.0 / 8,
+		"cold_worst": 0.4, "calls_worst": 2, "calls_mean": 0.5, "calls_failed": 0.5, "call_wait_mean_ms": 30, "call_wait_worst_ms": 40}
+	for name, v := range want {
+		if got := x.Figures[name]; math.Abs(got-v) > 1e-9 {
+			t.Errorf("%s %v, want %v", name, got, v)
+		}
+	}
+	for _, l := range x.Fleet {
+		if cap := 5 / x.Figures["connections_worst"]; l.Name == "connections" && (l.Server != 1 || l.At != 1 || cap != math.Trunc(cap)) {
+			t.Errorf("%+v", l)
+		}
+	}
+	if len(x.Missed) != 2 || !strings.Contains(x.Missed[0], "probes_worst (probes of a server in its worst second) 5 is over 4") ||
+		!strings.Contains(x.Missed[1], "shut_mean") {
+		t.Errorf("missed %q", x.Missed)
+	}
+}
--- a/internal/lab/model/discovery.go
+++ b/internal/lab/model/discovery.go
@@ -132,6 +132,15 @@
 	each := d.w.S.Discovery.Call.Micros() / Micros(d.w.S.Discovery.Capacity)
 	d.busyUntil = max(d.busyUntil, now) + each
 	wait := d.busyUntil - now + d.w.S.Discovery.Call.Micros() - each
+	told := answer
+	answer = func(u Update, ok bool) {
+		e := trace.Event{At: d.w.Q.Now(), Kind: trace.Called, Sidecar: int32(sidecar), Work: d.w.Q.Now() - now}
+		if !ok {
+			e.Verdict = trace.Failed
+		}
+		d.w.emit(e)
+		told(u, ok)
+	}
 	o := d.watches[sidecar]
 	if o == nil {
 		o = &watch{}
--- a/internal/lab/model/faults.go
+++ b/internal/lab/model/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"birchmoor/internal/lab/evq"
 	"birchmoor/internal/lab/scenario"
@@ -210,7 +211,7 @@
 	return links
 }
 
-// Sidecars lists the sidecars that a fault is about.
+// Sidecars lists the sidecars that a fault is about: those that it names, or its share of all, drawn.
 func (w *World) Sidecars(f *scenario.Fault) []int {
 	if len(f.Sidecars) > 0 {
 		return f.Sidecars
@@ -219,5 +220,11 @@
 	for i := range all {
 		all[i] = i
 	}
+	if f.Share > 0 && f.Share < 1 {
+		d := w.Seed.Stream("targets", uint64(f.At))
+		d.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+		all = all[:max(1, int(f.Share*float64(len(all))+0.5))]
+		slices.Sort(all)
+	}
 	return all
 }
--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -78,7 +78,8 @@
 	chokedAt Micros // -1 if not
 	restFrom Micros
 	fallen   bool
-	intake   window // work sent to it while cold
+	intake   window  // work sent to it while cold
+	carried  float64 // the most of that, of what it bears; below 0 where it is not cold, or has been told
 
 	// What faults make of it; each is a count or a product, since faults may overlap.
 	Hung       int
@@ -152,7 +153,7 @@
 	s.Running, s.Starts, s.Since = true, s.Starts+1, now
 	s.fallen, s.chokedAt, s.overFrom, s.restFrom = false, -1, -1, -1
 	s.Cold = s.draw.Between(s.Spec.ColdFrom[0], s.Spec.ColdFrom[len(s.Spec.ColdFrom)-1])
-	s.intake = window{}
+	s.intake, s.carried = window{}, 0
 	s.reports, s.lastAt = nil, now
 	if longAgo {
 		s.Since = -1 << 40
@@ -169,7 +170,17 @@
 	s.warming = nil
 	if s.Running && s.isCold(s.w.Q.Now()) {
 		s.warming = s.w.Q.After(warmStep, func() { s.retime(); s.warm() })
+	} else {
+		s.tellCarried()
+	}
+}
+
+// tellCarried tells, once a process, how much it was sent while it was cold.
+func (s *Server) tellCarried() {
+	if s.carried > 0 {
+		s.w.emit(trace.Event{At: s.w.Q.Now(), Kind: trace.Carried, Server: int32(s.Number), Warmth: s.carried})
 	}
+	s.carried = -1
 }
 
 // stop ends the process: what it holds breaks.
@@ -179,6 +190,7 @@
 	}
 	s.advance()
 	s.Running = false
+	s.tellCarried()
 	s.w.emit(trace.Event{At: s.w.Q.Now(), Kind: trace.Stopped, Server: int32(s.Number)})
 	jobs := append([]*Job(nil), s.working...)
 	jobs = append(jobs, s.waiting...)
@@ -412,7 +424,9 @@
 	r := &s.w.S.Rules
 	s.intake.add(now, j.Work, r.OverloadFor.Micros())
 	bears := r.FallMultiple * s.Capacity() * s.Warmth(now) * float64(r.OverloadFor.Micros()) / 1e6
-	if s.intake.sum > pressSlack*bears+pressLeast*s.w.MeanWork() && s.Running {
+	limit := pressSlack*bears + pressLeast*s.w.MeanWork()
+	s.carried = max(s.carried, s.intake.sum/limit)
+	if s.intake.sum > limit && s.Running {
 		s.fallen = true
 		s.w.emit(trace.Event{At: now, Kind: trace.Fell, Server: int32(s.Number)})
 		s.w.Q.After(0, s.stop)
@@ -444,6 +458,7 @@
 // Open takes a connection of a sidecar. Full says that it is over the cap: what comes on it is turned away.
 func (s *Server) Open(sidecar int) (full bool) {
 	if s.conns >= s.Spec.ConnCap {
+		s.w.emit(trace.Event{At: s.w.Q.Now(), Kind: trace.Shut, Sidecar: int32(sidecar), Server: int32(s.Number)})
 		return true
 	}
 	s.conns++
--- a/internal/lab/scenario/read.go
+++ b/internal/lab/scenario/read.go
@@ -169,6 +169,45 @@
 	return s.check(nil)
 }
 
+// SetServers plays the scenario with another number of servers: each kind keeps its share of them, by the largest remainder
+// and no less than one, and the load a server stays. A fault of one that is not there is an error.
+func (s *Scenario) SetServers(n int) error {
+	total := s.Total()
+	if n == total {
+		return nil
+	}
+	if n < len(s.Servers) {
+		return &Error{Path: s.Path, Key: "servers", Reason: fmt.Sprintf("%d servers are fewer than the %d kinds", n, len(s.Servers))}
+	}
+	rest := make([]float64, len(s.Servers))
+	left := n
+	for i := range s.Servers {
+		exact := float64(s.Servers[i].Count) * float64(n) / float64(total)
+		s.Servers[i].Count = max(1, int(exact))
+		rest[i] = exact - float64(s.Servers[i].Count)
+		left -= s.Servers[i].Count
+	}
+	for ; left != 0; left -= sign(left) { // one more for the kind that lacks most, or one less for the one that has the most over
+		at := 0
+		for i := range rest {
+			if left > 0 && rest[i] > rest[at] || left < 0 && s.Servers[i].Count > 1 && (rest[i] < rest[at] || s.Servers[at].Count <= 1) {
+				at = i
+			}
+		}
+		s.Servers[at].Count += sign(left)
+		rest[at] -= float64(sign(left))
+	}
+	s.Load.Rate *= float64(n) / float64(total)
+	return s.check(nil)
+}
+
+func sign(n int) int {
+	if n < 0 {
+		return -1
+	}
+	return 1
+}
+
 // check finds all that makes no sense.
 func (s *Scenario) check(at lines) error {
 	var faults []error
@@ -317,6 +356,11 @@
 		}
 	}
 	part("keep.service", s.Keep.Service)
+	for name, most := range s.Keep.Fleet {
+		_, known := FleetFigures[name]
+		need(known, "keep.fleet_most", "%q is not a figure of a fleet", name)
+		need(!known || most > 0, "keep.fleet_most", "%s: %v is not above 0", name, most)
+	}
 	for name := range s.Keep.Class {
 		need(names[name], "keep.class", "%q is not a class", name)
 	}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -163,7 +163,7 @@
 	For      Dur     `toml:"for"`
 	Servers  []int   `toml:"servers"` // by number from 0; empty with Zone for that zone's
 	Zone     string  `toml:"zone"`
-	Share    float64 `toml:"share"`    // of the servers, or of a class's requests
+	Share    float64 `toml:"share"`    // of the servers, of the sidecars, or of a class's requests
 	Sidecars []int   `toml:"sidecars"` // empty for all
 	Class    string  `toml:"class"`
 	Factor   float64 `toml:"factor"`
@@ -182,6 +182,26 @@
 	Handshakes float64            `toml:"handshakes_most"` // connections opened a request
 	Crossings  float64            `toml:"crossings_most"`  // attempts into other zones, of all
 	P99        Dur                `toml:"p99_most"`        // of served tries
+	Fleet      map[string]float64 `toml:"fleet_most"`      // bounds on fleet figures, by name: FleetFigures
+}
+
+// FleetFigures are those of a whole fleet that a scenario may bound, each with what it counts. All are over all sidecars.
+var FleetFigures = map[string]string{
+	"probes_mean":        "probes a server and second",
+	"probes_worst":       "probes of a server in its worst second",
+	"handshakes_mean":    "connections opened a server and second",
+	"handshakes_worst":   "connections opened to a server in its worst second",
+	"connections_mean":   "open connections of a server, of its cap",
+	"connections_worst":  "and the most at a second's end",
+	"shut_mean":          "connections turned away at the cap, a server and second",
+	"shut_worst":         "and of a server in its worst second",
+	"cold_mean":          "work sent to a cold server, of what pushes it over",
+	"cold_worst":         "and of any cold server",
+	"calls_mean":         "calls of discovery a second",
+	"calls_worst":        "and in the worst second",
+	"calls_failed":       "share of them that failed",
+	"call_wait_mean_ms":  "wait for an answer of discovery",
+	"call_wait_worst_ms": "and the longest",
 }
 
 // Dur is a duration, written as Go does: "80ms".
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"math"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -46,6 +47,8 @@
 		{"unknown fault", plain + "[[fault]]\nkind = \"fire\"\n", `x.toml:13: fault[0].kind: "fire" is not a kind of fault`},
 		{"fault after the end", plain + "[[fault]]\nkind = \"burst\"\nat = \"1h\"\n", "x.toml:14: fault[0].at: is after the end"},
 		{"no such server", plain + "[[fault]]\nkind = \"hang\"\nservers = [2]\n", "x.toml:14: fault[0].servers: 2 is not a server's number"},
+		{"bound of no figure", plain + "[keep.fleet_most]\nprobes = 5.0\n", `keep.fleet_most: "probes" is not a figure`},
+		{"bound below 0", plain + "[keep.fleet_most]\nprobes_mean = -1.0\n", "keep.fleet_most: probes_mean: -1 is not above 0"},
 		{"keep of no class", plain + "[keep.class]\nbook = 0.5\n", `keep.class: "book" is not a class`},
 		{"too many requests", strings.Replace(plain, "rate = 5.0", "rate = 1e9", 1), "load.rate: makes over"},
 	} {
@@ -85,3 +88,32 @@
 		}
 	})
 }
+
+// Another number of servers keeps each kind's share and the load a server.
+func TestSetServers(t *testing.T) {
+	for n, want := range map[int][3]int{60: {24, 24, 12}, 3: {1, 1, 1}, 10: {4, 4, 2}, 11: {5, 4, 2}, 7: {3, 3, 1}, 2000: {800, 800, 400}} {
+		s, err := Read("../../../lab/scenarios/join.toml")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Faults = nil // which name servers
+		each := s.Load.Rate / float64(s.Total())
+		if err := s.SetServers(n); err != nil {
+			t.Fatal(n, err)
+		}
+		got := [3]int{s.Servers[0].Count, s.Servers[1].Count, s.Servers[2].Count}
+		if s.Total() != n || got != want && n != 11 && n != 7 || math.Abs(s.Load.Rate/float64(n)-each) > 1e-9 {
+			t.Errorf("%d: %v, %v a server", n, got, s.Load.Rate/float64(n))
+		}
+	}
+	s, err := Read("../../../lab/scenarios/join.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.SetServers(2); err == nil || !strings.Contains(err.Error(), "fewer than the 3 kinds") {
+		t.Error(err)
+	}
+	if s, _ = Read("../../../lab/scenarios/join.toml"); s.SetServers(20) == nil {
+		t.Error("a fault of server 40 is taken where there are 20")
+	}
+}
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -9,6 +9,7 @@
 	"hash"
 	"hash/fnv"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -169,3 +170,28 @@
 	flag.Set("rapid.seed", "20261201") // the same verdict every time; the command line goes before it
 	flag.Set("rapid.checks", "15")
 }
+
+// The bounds of a fleet can fail: sidecars that are told of no others each use all servers, hold their connections and crowd
+// each other out; and those that are told of four times as many keep every bound.
+func TestFleetBoundsCanFail(t *testing.T) {
+	for told, want := range map[int][]string{1: {"connections_mean", "shut_mean"}, 320: nil} {
+		s, err := scenario.Read("../../../lab/scenarios/herd.toml")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Overlay = map[string]any{"peers-total": told}
+		x, err := Run(t.Context(), s, Options{Seed: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		missed := strings.Join(x.Missed, "; ")
+		for _, name := range want {
+			if !strings.Contains(missed, name) {
+				t.Errorf("told of %d: %s is kept: %s", told, name, missed)
+			}
+		}
+		if len(want) == 0 && missed != "" || !x.Verdict.Kept() {
+			t.Errorf("told of %d: %s, %v", told, missed, x.Verdict)
+		}
+	}
+}
--- a/internal/lab/trace/trace.go
+++ b/internal/lab/trace/trace.go
@@ -32,10 +32,14 @@
 	Began                // a fault began: Note
 	Ended                // a fault ended: Note
 	Gauge                // a server's state now and then: Server, Held, Queued, Warmth, Slow
+	Shut                 // a connection over a server's cap was turned away: Sidecar, Server
+	Carried              // a cold server's time ends: Server, and as Warmth the most work it was sent of what it bears
+	Called               // a call of discovery ended: Sidecar, Verdict (Served or Failed), and as Work its wait
 )
 
 var kindNames = [...]string{"asked", "answered", "left", "cut", "sent", "accepted", "turned", "finished", "told",
-	"started", "fell", "stopped", "opened", "closed", "probed", "killed", "began", "ended", "gauge"}
+	"started", "fell", "stopped", "opened", "closed", "probed", "killed", "began", "ended", "gauge",
+	"shut", "carried", "called"}
 
 // String names the kind.
 func (k Kind) String() string {
