Ask anew when a copy far behind calls a fresh request too old

Need: an hour of two builds in simulation ended with a request refused as too old to know (at 455 s of 3,600). Excluded: a request sent again, whose beginning stays. internal/store/engine/engine.go took the copy's index for the beginning whatever its age. A request that was never sent before is given a new beginning and goes again; one that may have been done is refused as before.

--- a/internal/lab/storesim/actors.go
+++ b/internal/lab/storesim/actors.go
@@ -17,24 +17,32 @@
 func known(d replica.Done) bool { return d.Err == nil }
 
 // persist sends a command until its outcome is known.
-func (w *world) persist(c store.Command, f func(replica.Done)) {
+func (w *world) persist(c store.Command, f func(replica.Done)) { w.send(c, false, f) }
+
+// send does that; sent says that an earlier try may have been done.
+func (w *world) send(c store.Command, sent bool, f func(replica.Done)) {
 	h := w.up()
 	if h == nil {
-		w.q.After(50*milli, func() { w.persist(c, f) })
+		w.q.After(50*milli, func() { w.send(c, sent, f) })
 		return
 	}
 	if c.Since == 0 {
 		c.Since = max(1, h.index)
 	}
 	h.propose(c, func(d replica.Done) {
-		if !known(d) {
-			if errors.Is(d.Err, replica.ErrUnknown) {
+		switch {
+		case !known(d):
+			unknown := errors.Is(d.Err, replica.ErrUnknown)
+			if unknown {
 				w.r.Unknown++
 			}
-			w.q.After(w.rng.Int64N(60*milli), func() { w.persist(c, f) })
-			return
+			w.q.After(w.rng.Int64N(60*milli), func() { w.send(c, sent || unknown, f) })
+		case !sent && errors.Is(d.Result.Err, store.ErrForgotten): // its beginning was told by a copy that is far behind
+			c.Since = 0
+			w.q.After(w.rng.Int64N(60*milli), func() { w.send(c, false, f) })
+		default:
+			f(d)
 		}
-		f(d)
 	})
 }
 
--- a/internal/store/engine/engine.go
+++ b/internal/store/engine/engine.go
@@ -443,6 +443,16 @@
 	for {
 		d, err := e.ask(ctx, func(t replica.Token) { x := c; e.node.Propose(t, &x) })
 		switch {
+		case err == nil && d.Err == nil && !sent && errors.Is(d.Result.Err, store.ErrForgotten):
+			// It was never sent before: its beginning was told by a copy that is far behind, not by an old request.
+			last = d.Result.Err
+			if err := e.do(ctx, func() {
+				if e.node != nil {
+					c.Since = max(1, e.node.State().Index())
+				}
+			}); err != nil {
+				return store.Result{}, err
+			}
 		case err == nil && d.Err == nil:
 			return d.Result, d.Result.Err
 		case err == nil && (errors.Is(d.Err, replica.ErrNoLeader) || errors.Is(d.Err, replica.ErrBusy)):
