Give the lab's daemons addresses that no connection can take before them

Need: of 80 daemons four did not start, since a port that had been looked up for them was taken by a connection of another or given twice (their logs: address already in use). Addresses are of 127.0.0.2 now, where no connection comes from, and none is given twice; a daemon that has ended is not waited for.

--- a/cmd/birchmoor/drain_test.go
+++ b/cmd/birchmoor/drain_test.go
@@ -58,7 +58,7 @@
 	t.Helper()
 	w := &whole{name: name, dir: dir, discovery: at, known: known}
 	for _, to := range []*string{&w.listen, &w.store} {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", "127.0.0.2:0") // whose ports no connection comes from that could take one before the process does
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/lab/fleetlab/fleet.go
+++ b/internal/lab/fleetlab/fleet.go
@@ -137,8 +137,9 @@
 	Known    []discovery.Instance // with which it is configured: its list of a start
 	plain    bool                 // the next start is of the sidecar alone
 
-	mu  sync.Mutex
-	cmd *exec.Cmd
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	over chan struct{} // closed when it has ended
 }
 
 // Begin starts servers, boards and daemons, and waits until all replicas vote. End ends them.
@@ -210,13 +211,26 @@
 	os.RemoveAll(f.dir)
 }
 
-// free is an address that nobody listens at.
+// given are addresses that were handed out: the system may offer one again before who has it listens there.
+var given sync.Map
+
+// free is an address that nobody listens at. It is not of 127.0.0.1, whose ports all connections on loopback come from: one
+// of them could take it before the daemon does.
 func free() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 1000 {
+		ln, err := net.Listen("tcp", "127.0.0.2:0")
+		if err != nil {
+			return "", err
+		}
+		addr := ln.Addr().String()
+		if err := ln.Close(); err != nil {
+			return "", err
+		}
+		if _, before := given.LoadOrStore(addr, true); !before {
+			return addr, nil
+		}
 	}
-	return ln.Addr().String(), ln.Close()
+	return "", errors.New("no port on 127.0.0.2 is free")
 }
 
 func (f *Fleet) prepare(i int, follower bool, list []discovery.Instance) (*Daemon, error) {
@@ -287,21 +301,38 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	over := make(chan struct{})
+	go func() {
+		_ = cmd.Wait() // how it ended shows in its log, or it was killed
+		close(over)
+	}()
 	d.mu.Lock()
-	d.cmd = cmd
+	d.cmd, d.over = cmd, over
 	d.mu.Unlock()
 	return nil
 }
 
+// ended says whether the process has ended by itself.
+func (d *Daemon) ended() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	select {
+	case <-d.over:
+		return d.cmd != nil
+	default:
+		return false
+	}
+}
+
 // Kill ends the process with SIGKILL.
 func (d *Daemon) Kill() {
 	d.mu.Lock()
-	cmd := d.cmd
+	cmd, over := d.cmd, d.over
 	d.cmd = nil
 	d.mu.Unlock()
 	if cmd != nil {
-		_ = cmd.Process.Signal(syscall.SIGKILL)
-		_ = cmd.Wait() // it was killed
+		_ = cmd.Process.Signal(syscall.SIGKILL) // which it may have done without
+		<-over
 	}
 }
 
@@ -333,6 +364,9 @@
 				return nil
 			}
 		}
+		if d.ended() {
+			return fmt.Errorf("%s has ended:\n%s", d.name, d.Log())
+		}
 		time.Sleep(2 * time.Millisecond)
 	}
 	return fmt.Errorf("%s does not come to serve: %w", d.name, ctx.Err())
