--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -81,3 +81,27 @@
 		}
 	}
 }
+
+// A daemon without a replica names replicas to follow, by key and address, and nothing of a replica.
+func TestFollowers(t *testing.T) {
+	base := "[store]\nname = \"h\"\ndir = \"d\"\nsocket = \"s\"\n"
+	f, err := read(t, base+"plain = true\nfollow = [\"a=127.0.0.1:1\", \"b=[::1]:2\"]\n")
+	if err != nil || len(f.Store.Follow) != 2 || time.Duration(f.Store.Wait) != 500*time.Millisecond {
+		t.Errorf("%+v, %v", f, err)
+	}
+	for text, want := range map[string]string{
+		"plain = true\nfollow = [\"127.0.0.1:1\"]\n":                             "store.follow[0]",
+		"plain = true\nfollow = [\"a=127.0.0.1:1\", \"b=127.0.0.1:1\"]\n":        "store.follow[1]",
+		"plain = true\nfollow = [\"a=192.0.2.1:1\"]\n":                           "store.plain",
+		"follow = [\"a=127.0.0.1:1\"]\n":                                         "store.keys",
+		"plain = true\nlisten = \"127.0.0.1:3\"\nfollow = [\"a=127.0.0.1:1\"]\n": "store.follow",
+		"plain = true\nlisten = \"127.0.0.1:3\"\nserve = \"nowhere\"\n":          "store.serve",
+		"plain = true\nlisten = \"127.0.0.1:3\"\nserve = \"192.0.2.1:4\"\n":      "store.plain",
+		"plain = true\nserve = \"127.0.0.1:4\"\n":                                "store.listen",
+		"plain = true\nfollow = [\"a=127.0.0.1:1\"]\nwait = \"2h\"\n":            "store.wait",
+	} {
+		if _, err := read(t, base+text); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %s named", text, err, want)
+		}
+	}
+}
