--- a/internal/lab/fleetlab/fleet.go
+++ b/internal/lab/fleetlab/fleet.go
@@ -298,6 +298,7 @@
 	cmd := exec.Command(d.f.cfg.Program, args...)
 	cmd.Env = append(append(os.Environ(), "ROUTER_CONFIG="+d.path(".json"), "TMPDIR="+tmp), d.f.cfg.Env...)
 	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // none is left when this process is killed
 	if err := cmd.Start(); err != nil {
 		return err
 	}
--- a/internal/sidecar/helper_test.go
+++ b/internal/sidecar/helper_test.go
@@ -93,6 +93,25 @@
 	return s.askOn(t, c, r)
 }
 
+// try sends a request on a connection of its own to a sidecar that may take none any more.
+func (s *running) try(r *http.Request) (*http.Response, error) {
+	c, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	if err := r.Write(c); err != nil {
+		return nil, err
+	}
+	c.SetReadDeadline(time.Now().Add(sidetest.Soon))
+	resp, err := http.ReadResponse(bufio.NewReader(c), r)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp, err
+}
+
 func (s *running) askOn(t *testing.T, c net.Conn, r *http.Request) (*http.Response, string) {
 	t.Helper()
 	if err := r.Write(c); err != nil {
