Give the store leases that their owner alone renews, and leases' holders a core

Need: a lease of the store had no holder; anybody could renew it, a restored store gave revisions and ids again, and a lease could end up to two ticks early (its first tick may come at once, one that was due before may be counted after it).

Level 3 of commands: Grant, Renew, End and Txn name an owner, and keys are tied to leases of that owner alone. A restored store goes on at a billion revisions more, or at the restoring clock's seconds times 2^20 if that is more, and lets nobody hold a task for the longest time that a holder of the old cluster may go on.

The simulation's clocks that catch up after a pause no longer catch up by more than they missed.

--- a/cmd/birchmoor/store.go
+++ b/cmd/birchmoor/store.go
@@ -21,6 +21,7 @@
 	"birchmoor/internal/daemon"
 	"birchmoor/internal/lab/storebench"
 	"birchmoor/internal/lab/storesim"
+	"birchmoor/internal/lease"
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/admin"
 	"birchmoor/internal/store/disk"
@@ -544,7 +545,12 @@
 	if _, err := rand.Read(b[:]); err != nil {
 		return err
 	}
-	s.Renew(binary.BigEndian.Uint64(b[:])>>1 | 1)
+	// Above what the old cluster can have given since the file was saved, and above what an earlier restoring of the same file
+	// went on with: the clock only makes that likely; what a token guards turns lower ones away in any case.
+	s.Renew(binary.BigEndian.Uint64(b[:])>>1|1, max(s.Revision()+1_000_000_000, uint64(time.Now().Unix())<<20))
+	if s.Level() >= store.Level {
+		s.Lay(lease.HoldKey, []byte("restored"), lease.TTLMost) // for as long as holders of the old cluster may go on
+	}
 	s.Found(k.Name, k.Address, d.Identity().Disk)
 	if err := replica.FoundFrom(d, d.Identity(), s); err != nil {
 		return err
--- a/internal/lab/storesim/faults.go
+++ b/internal/lab/storesim/faults.go
@@ -49,11 +49,11 @@
 	case 9:
 		if h.node != nil {
 			h.paused = true
-			boot := h.boot
-			w.q.After(w.rng.Int64N(1200*milli), func() {
+			boot, long := h.boot, w.rng.Int64N(1200*milli)
+			w.q.After(long, func() {
 				if h.boot == boot && h.node != nil {
 					h.paused = false
-					for range w.rng.IntN(8) { // a clock that catches up
+					for range min(int64(w.rng.IntN(8)), long/tick) { // a clock that catches up, and no more than it missed
 						if h.node != nil {
 							h.node.Tick()
 							h.drive()
--- /dev/null
+++ b/internal/lease/table.go
@@ -0,0 +1,289 @@
+package lease
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"birchmoor/internal/store"
+)
+
+// Keys of tasks.
+const (
+	Prefix      = "task/"
+	PlacePrefix = "task/place/" // TASK/HOST/NONCE: a place in a task's queue
+	ConfPrefix  = "task/conf/"  // TASK: Conf
+	OrderPrefix = "task/order/" // TASK: Order, of operators
+	HoldKey     = "task/hold"   // while it is there nobody is entitled: the store was restored a moment ago
+)
+
+// Bounds of what the store keeps.
+const (
+	TasksMost  = 1024
+	PlacesMost = 2048 // of one task
+	ValueMost  = 4096 // bytes of a place's value
+	TTLLeast   = 300  // milliseconds of a session
+	TTLMost    = 60_000
+	SlotsMost  = 256
+)
+
+// Conf is what all who want a task must agree on.
+type Conf struct {
+	Slots int `json:"slots"` // that hold it at once
+}
+
+// Order is an operator's word on a task.
+type Order struct {
+	Pause bool   `json:"pause,omitempty"` // nobody is to hold it
+	Host  string `json:"host,omitempty"`  // those before its first place are to go behind it
+	By    string `json:"by,omitempty"`
+	Note  string `json:"note,omitempty"`
+}
+
+// Word is the value of a place.
+type Word struct {
+	Session uint64 `json:"session"`
+	TTL     int64  `json:"ttl_ms"`
+	Note    string `json:"note,omitempty"` // what it is for
+}
+
+// Place is one in a task's queue.
+type Place struct {
+	Word
+	Key   string
+	Task  string
+	Host  string
+	Token uint64 // the revision at which it was put
+}
+
+// PlaceKey is the key of a host's place; the nonce is of one try alone.
+func PlaceKey(task, host, nonce string) string { return PlacePrefix + task + "/" + host + "/" + nonce }
+
+// ParsePlace reads the key of a place.
+func ParsePlace(key string) (task, host, nonce string, ok bool) {
+	rest, ok := strings.CutPrefix(key, PlacePrefix)
+	parts := strings.Split(rest, "/")
+	if !ok || len(parts) != 3 || Name(parts[0]) != nil || parts[1] == "" || parts[2] == "" {
+		return "", "", "", false
+	}
+	return parts[0], parts[1], parts[2], true
+}
+
+// Table is what a copy of the store shows of tasks. It is for one goroutine at a time.
+type Table struct {
+	tasks   map[string]*queue
+	held    bool // HoldKey is there
+	plant   TablePlant
+	cluster uint64
+}
+
+type queue struct {
+	places []Place // by token
+	conf   Conf
+	order  Order
+	set    uint64 // the revision of the order; 0: there is none
+}
+
+// TablePlant is a fault of a Table.
+type TablePlant int
+
+// The faults.
+const (
+	TableNone    TablePlant = iota
+	CountAtMine             // permits are counted among this daemon's own places
+	IgnoreOrder             // whoever has a place may act
+	ForgetTokens            // the token is not the place's, but counted anew by this process
+)
+
+// NewTable returns an empty one.
+func NewTable(p TablePlant) *Table { return &Table{tasks: map[string]*queue{}, plant: p} }
+
+// of is a task's queue.
+func (t *Table) of(task string) *queue {
+	q := t.tasks[task]
+	if q == nil {
+		q = &queue{}
+		t.tasks[task] = q
+	}
+	return q
+}
+
+// Event takes a change that the copy shows, and says whether it is of tasks.
+func (t *Table) Event(e store.Event) bool {
+	if !strings.HasPrefix(e.Item.Key, Prefix) {
+		return false
+	}
+	t.take(e.Item, e.Deleted)
+	return true
+}
+
+// Reset takes a whole copy. Cluster is told apart: places are of the one in which they were put.
+func (t *Table) Reset(s *store.State) {
+	clear(t.tasks)
+	t.held, t.cluster = false, s.Cluster()
+	s.Range(Prefix, store.PrefixEnd(Prefix), func(i store.Item) bool { t.take(i, false); return true })
+}
+
+// Cluster is that of the last whole copy.
+func (t *Table) Cluster() uint64 { return t.cluster }
+
+func (t *Table) take(i store.Item, deleted bool) {
+	key := i.Key
+	if key == HoldKey {
+		t.held = !deleted
+		return
+	}
+	if task, host, _, ok := ParsePlace(key); ok {
+		q := t.of(task)
+		at := slices.IndexFunc(q.places, func(p Place) bool { return p.Key == key })
+		if at >= 0 {
+			q.places = slices.Delete(q.places, at, at+1)
+		}
+		if !deleted {
+			p := Place{Key: key, Task: task, Host: host, Token: i.Created}
+			_ = json.Unmarshal(i.Value, &p.Word) // a place holds its rank whatever its value says
+			at, _ := slices.BinarySearchFunc(q.places, p.Token, func(x Place, token uint64) int { return cmp.Compare(x.Token, token) })
+			q.places = slices.Insert(q.places, at, p)
+		}
+		t.forget(task)
+		return
+	}
+	for _, x := range []struct {
+		prefix string
+		do     func(q *queue)
+	}{
+		{ConfPrefix, func(q *queue) {
+			if q.conf = (Conf{}); !deleted {
+				_ = json.Unmarshal(i.Value, &q.conf)
+			}
+		}},
+		{OrderPrefix, func(q *queue) {
+			if q.order, q.set = (Order{}), 0; !deleted {
+				q.set = i.Modified
+				if json.Unmarshal(i.Value, &q.order) != nil {
+					q.order = Order{Pause: true} // what cannot be read stops the task rather than nothing
+				}
+			}
+		}},
+	} {
+		if task, ok := strings.CutPrefix(key, x.prefix); ok && Name(task) == nil {
+			x.do(t.of(task))
+			t.forget(task)
+		}
+	}
+}
+
+// forget drops a task of which nothing is known.
+func (t *Table) forget(task string) {
+	if q := t.tasks[task]; q != nil && len(q.places) == 0 && q.conf == (Conf{}) && q.set == 0 {
+		delete(t.tasks, task)
+	}
+}
+
+// Find returns a place that the copy shows, and how many are before it.
+func (t *Table) Find(task, key string) (p Place, before int, ok bool) {
+	q := t.tasks[task]
+	if q == nil {
+		return Place{}, 0, false
+	}
+	at := slices.IndexFunc(q.places, func(p Place) bool { return p.Key == key })
+	if at < 0 {
+		return Place{}, 0, false
+	}
+	return q.places[at], at, true
+}
+
+// Slots is how many hold a task at once; 0: nobody has said.
+func (t *Table) Slots(task string) int {
+	if q := t.tasks[task]; q != nil {
+		return q.conf.Slots
+	}
+	return 0
+}
+
+// Order is the operators' word on a task, and its revision; 0: there is none.
+func (t *Table) Order(task string) (Order, uint64) {
+	if q := t.tasks[task]; q != nil {
+		return q.order, q.set
+	}
+	return Order{}, 0
+}
+
+// Held says whether nobody may act, since the store was restored a moment ago.
+func (t *Table) Held() bool { return t.held }
+
+// Holds says whether the place is among those that hold its task, by this copy: with an old copy too few, never too many. The
+// order of operators is not asked: it has a holder release.
+func (t *Table) Holds(task, key string) (token uint64, ok bool) {
+	p, before, ok := t.Find(task, key)
+	if !ok || t.held {
+		return 0, false
+	}
+	switch t.plant {
+	case CountAtMine:
+		before = 0
+		for _, x := range t.tasks[task].places {
+			if x.Token < p.Token && x.Host == p.Host {
+				before++
+			}
+		}
+	case IgnoreOrder:
+		before = 0
+	}
+	return p.Token, before < max(1, t.Slots(task))
+}
+
+// Yields says whether a holder of this place is to release it, or one who waits to leave: the task is paused, or given to a host
+// that waits behind it.
+func (t *Table) Yields(task, key string) error {
+	o, _ := t.Order(task)
+	if o.Pause {
+		return ErrPaused
+	}
+	if o.Host == "" {
+		return nil
+	}
+	p, _, ok := t.Find(task, key)
+	if !ok || p.Host == o.Host {
+		return nil
+	}
+	for _, x := range t.tasks[task].places {
+		if x.Host == o.Host && x.Token > p.Token {
+			return fmt.Errorf("%w: it is given to %s", ErrLost, o.Host)
+		}
+	}
+	return nil
+}
+
+// Tasks lists the names of all tasks that the copy knows.
+func (t *Table) Tasks() []string {
+	names := make([]string, 0, len(t.tasks))
+	for n := range t.tasks {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Places lists a task's, first the holders.
+func (t *Table) Places(task string) []Place {
+	if q := t.tasks[task]; q != nil {
+		return slices.Clone(q.places)
+	}
+	return nil
+}
+
+// Of lists the places of a host's sessions: what the host has no use for any more it takes away.
+func (t *Table) Of(host string, session uint64) []Place {
+	var own []Place
+	for _, task := range t.Tasks() {
+		for _, p := range t.tasks[task].places {
+			if p.Host == host && p.Session == session {
+				own = append(own, p)
+			}
+		}
+	}
+	return own
+}
--- a/internal/store/command.go
+++ b/internal/store/command.go
@@ -39,6 +39,9 @@
 	// Bounds are checked with what Then or Else would leave; one that would be passed is ErrFull, and nothing is done.
 	// Since level 2.
 	Bounds []Bound `cbor:"4,keyasint,omitempty" json:"bounds,omitempty"`
+
+	// Owner, if it is not empty, may tie keys to leases of its own alone; another's is ErrNoLease. Since level 3.
+	Owner string `cbor:"5,keyasint,omitempty" json:"owner,omitempty"`
 }
 
 // Bound says that no more than so many keys may have a prefix.
@@ -64,12 +67,14 @@
 
 // Grant makes a lease.
 type Grant struct {
-	TTL uint64 `cbor:"1,keyasint"` // milliseconds
+	TTL   uint64 `cbor:"1,keyasint"`           // milliseconds
+	Owner string `cbor:"2,keyasint,omitempty"` // who alone may renew and end it; empty: anybody. Since level 3
 }
 
-// Renew keeps a lease for another TTL from now on, by the leader's clock.
+// Renew keeps a lease for another TTL from now on, by the leader's clock. A lease of another owner is ErrNoLease.
 type Renew struct {
 	Lease uint64 `cbor:"1,keyasint"`
+	Owner string `cbor:"2,keyasint,omitempty"` // since level 3
 }
 
 // End ends a lease, with its keys. One that fell silent ends only if it was not renewed meanwhile: a renewal that
@@ -78,6 +83,7 @@
 	Lease   uint64 `cbor:"1,keyasint"`
 	Silent  bool   `cbor:"2,keyasint,omitempty"` // then only if
 	Renewed uint64 `cbor:"3,keyasint,omitempty"` // it was renewed so often
+	Owner   string `cbor:"4,keyasint,omitempty"` // as of Renew, unless Silent is set. Since level 3
 }
 
 // Join makes a place for a member, who is a learner until it is made a voter. A name that is a member's is refused.
@@ -118,17 +124,22 @@
 
 // Level is the version of commands that this build knows. A build that knows more goes on using this one until every
 // member knows more.
-const Level = 2
+const Level = 3
 
 // Levels of commands.
 const (
 	levelFirst  = 1
 	levelBounds = 2 // Txn.Bounds
+	LevelOwners = 3 // leases of owners, and with them tasks
 )
 
 // Needs is the least level of commands by which this one can be read. Until the cluster uses it, the command is refused.
 func (c *Command) Needs() uint64 {
-	if c.Txn != nil && len(c.Txn.Bounds) > 0 {
+	switch {
+	case c.Txn != nil && c.Txn.Owner != "", c.Grant != nil && c.Grant.Owner != "", c.Renew != nil && c.Renew.Owner != "",
+		c.End != nil && c.End.Owner != "":
+		return LevelOwners
+	case c.Txn != nil && len(c.Txn.Bounds) > 0:
 		return levelBounds
 	}
 	return levelFirst
@@ -208,6 +219,9 @@
 	if c.Needs() > s.level {
 		return ErrLevel
 	}
+	if c.Grant != nil && len(c.Grant.Owner) > s.limits.Key {
+		return ErrTooLarge
+	}
 	if c.Txn == nil {
 		return nil
 	}
@@ -276,16 +290,20 @@
 			return Result{Err: ErrFull}
 		}
 		s.lastID++
-		s.leases[s.lastID] = &lease{Lease: Lease{ID: s.lastID, TTL: c.Grant.TTL}, keys: map[string]struct{}{}}
+		s.leases[s.lastID] = &lease{Lease: Lease{ID: s.lastID, TTL: c.Grant.TTL, Owner: c.Grant.Owner}, keys: map[string]struct{}{}}
 		return Result{Lease: s.lastID}
 	case c.End != nil:
-		if l := s.leases[c.End.Lease]; l != nil && c.End.Silent && l.Renewed != c.End.Renewed {
+		l := s.leases[c.End.Lease]
+		if l != nil && c.End.Silent && l.Renewed != c.End.Renewed {
 			return Result{Lease: l.ID}
 		}
+		if l != nil && !c.End.Silent && l.Owner != c.End.Owner {
+			return Result{Err: ErrNoLease}
+		}
 		return s.end(c.End.Lease)
 	case c.Renew != nil:
 		l := s.leases[c.Renew.Lease]
-		if l == nil {
+		if l == nil || l.Owner != c.Renew.Owner {
 			return Result{Err: ErrNoLease}
 		}
 		l.Renewed++
@@ -337,7 +355,7 @@
 		if o.Delete {
 			continue
 		}
-		if _, ok := s.leases[o.Lease]; o.Lease != 0 && !ok {
+		if l, ok := s.leases[o.Lease]; o.Lease != 0 && (!ok || t.Owner != "" && l.Owner != t.Owner) {
 			return Result{Held: held, Err: ErrNoLease}
 		}
 		grown += len(o.Key) + len(o.Value) + itemCost
--- a/internal/store/replica/members.go
+++ b/internal/store/replica/members.go
@@ -47,10 +47,12 @@
 	}
 }
 
-// keep lets a lease run for its TTL from now on.
+// keep lets a lease run for its TTL from now on, and no less: the first tick may come at once, and one that was due before may
+// be counted after it.
 func (n *Node) keep(id uint64) {
 	if l, ok := n.state.Lease(id); ok {
-		n.deadline[id] = n.now + int64(l.TTL)/int64(n.cfg.TickMillis) + 1
+		tick := int64(n.cfg.TickMillis)
+		n.deadline[id] = n.now + (int64(l.TTL)+tick-1)/tick + 2
 	}
 }
 
--- a/internal/store/snapshot.go
+++ b/internal/store/snapshot.go
@@ -282,11 +282,31 @@
 	return nil
 }
 
+// RevisionMost bounds what Renew may take revisions and ids to: numbers that JSON's readers keep exactly.
+const RevisionMost = 1 << 52
+
 // Renew makes of a loaded state that of a new cluster: with another number and its one member, and none of the
-// outcomes and leases of the old one, whose holders cannot reach it. Revisions go on, so that no watch sees one twice.
-func (s *State) Renew(cluster uint64) {
+// outcomes and leases of the old one, whose holders cannot reach it.
+//
+// Revisions and ids go on at least at floor, up to RevisionMost. The old cluster went on after the state was saved, and gave
+// numbers that this state does not know of; floor is to be above all of them, so that no watch sees a revision twice, and
+// that a token that was given then is not given again. What watches could read of before is compacted.
+func (s *State) Renew(cluster, floor uint64) {
 	for _, l := range s.Leases() {
 		s.end(l.ID)
 	}
 	s.cluster, s.members, s.index, s.results = cluster, nil, 0, results{}
+	floor = min(floor, RevisionMost)
+	s.lastID = max(s.lastID, floor)
+	if s.revision < floor {
+		s.revision, s.history = floor, ring[Event]{oldest: floor}
+	}
+}
+
+// Lay puts keys into a state that Renew made, before it runs: the first under a lease of its own for so many milliseconds, which
+// nobody can renew.
+func (s *State) Lay(key string, value []byte, ttl uint64) {
+	s.lastID++
+	s.leases[s.lastID] = &lease{Lease: Lease{ID: s.lastID, TTL: ttl, Owner: key}, keys: map[string]struct{}{}}
+	s.put(s.revision+1, Op{Key: key, Value: value, Lease: s.lastID})
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -94,6 +94,8 @@
 	TTL uint64 `cbor:"2,keyasint" json:"ttl_ms"` // milliseconds
 
 	Renewed uint64 `cbor:"3,keyasint,omitempty" json:"renewed"` // how often
+
+	Owner string `cbor:"4,keyasint,omitempty" json:"owner,omitempty"` // who alone may renew and end it; empty: anybody
 }
 
 // Member is a replica of the cluster.
