--- a/cmd/birchmoor/run.go
+++ b/cmd/birchmoor/run.go
@@ -24,6 +24,7 @@
 	"birchmoor/internal/store/disk"
 	"birchmoor/internal/store/engine"
 	"birchmoor/internal/store/follow"
+	"birchmoor/internal/tasks"
 )
 
 type daemonCommand struct {
@@ -89,15 +90,17 @@
 			return err
 		}
 	}
-	d := daemon.New(s.Name, check, log)
+	settings, runner := daemon.NewSettings(s.Name, check, log), tasks.New(tasks.Config{Host: s.Name, Skew: s.Skew, Log: log})
+	d := daemon.New(s.Name, log, settings, runner)
+	d.SweepByOne()
 	if err := d.Journal(s.Dir); err != nil {
 		return nil, nil, err
 	}
 	var e closer
 	if len(s.Follow) > 0 {
-		e, err = openFollower(s, d, cfg.Keys, log)
+		e, err = openFollower(s, d, settings, cfg.Keys, log)
 	} else {
-		e, err = openReplica(s, d, cfg)
+		e, err = openReplica(s, d, settings, cfg)
 	}
 	if err != nil {
 		return nil, nil, err
@@ -105,7 +108,7 @@
 	if err := os.MkdirAll(filepath.Dir(s.Socket), 0o700); err != nil {
 		return nil, nil, errors.Join(err, e.Close())
 	}
-	a, err := admin.Listen(s.Socket, e, d)
+	a, err := admin.Listen(s.Socket, admin.Parts{Store: e, Daemon: d, Settings: settings, Tasks: runner})
 	if err != nil {
 		return nil, nil, errors.Join(err, e.Close())
 	}
@@ -124,22 +127,24 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var working sync.WaitGroup
 	working.Go(func() { d.Run(ctx) })
-	working.Go(func() { // a signal of the system's counts as one of the store's
+	working.Go(func() { _ = runner.Take(ctx, sweep(d, time.Duration(s.Lease))) }) // which has no fault to tell
+	working.Go(func() {                                                           // a signal of the system's counts as one of the store's
 		for {
 			select {
 			case <-ctx.Done():
 				return
 			case <-hup:
 				select {
-				case d.Reload() <- syscall.SIGHUP:
+				case settings.Reload() <- syscall.SIGHUP:
 				default:
 				}
 			}
 		}
 	})
 	log.Info("the store runs", "replica", s.Name, "listen", s.Listen, "serve", s.Serve, "follows", s.Follow, "socket", s.Socket)
-	x = &extras{reload: d.Reload(), shared: d, fleet: d, settings: d.Settings}
+	x = &extras{reload: settings.Reload(), shared: d, fleet: d, settings: settings.Current}
 	return x, func() {
+		runner.Close() // while the store still takes what is given up
 		cancel()
 		working.Wait()
 		if err := errors.Join(shut(), e.Close()); err != nil {
@@ -148,6 +153,15 @@
 	}, nil
 }
 
+// sweep is the task of ending what nobody has told for long.
+func sweep(d *daemon.Daemon, ttl time.Duration) tasks.Task {
+	return tasks.Task{Want: tasks.Want{Task: "sweep", TTL: ttl, Note: "ends drains, starts and pictures that nobody tells any more"},
+		Every: sweepEvery, Most: ttl / 2, Progress: 6 * sweepEvery, HoldDown: 6 * sweepEvery,
+		Do: func(ctx context.Context, _ *tasks.Hold) error { return d.Sweep(ctx) }}
+}
+
+const sweepEvery = 10 * time.Second
+
 // closer is a copy of the store, a replica's or a follower's.
 type closer interface {
 	admin.Store
@@ -155,7 +169,7 @@
 }
 
 // openReplica starts a replica, and notes what its daemon starts with.
-func openReplica(s *operator.Store, d *daemon.Daemon, cfg engine.Config) (closer, error) {
+func openReplica(s *operator.Store, d *daemon.Daemon, settings *daemon.Settings, cfg engine.Config) (closer, error) {
 	d.Hook(&cfg)
 	var written time.Time
 	if info, err := os.Stat(filepath.Join(s.Dir, disk.Name)); err == nil {
@@ -179,12 +193,12 @@
 	if err != nil {
 		return nil, errors.Join(err, e.Close())
 	}
-	d.Opened(from, a.Revision, written)
+	d.Opened(from, a.Revision, written, settings.Current() != nil)
 	return e, nil
 }
 
 // openFollower starts a copy of others' replicas.
-func openFollower(s *operator.Store, d *daemon.Daemon, pair *keys.Pair, log *slog.Logger) (closer, error) {
+func openFollower(s *operator.Store, d *daemon.Daemon, settings *daemon.Settings, pair *keys.Pair, log *slog.Logger) (closer, error) {
 	cfg := follow.Config{Name: s.Name, Dir: s.Dir, Keys: pair, Wait: time.Duration(s.Wait), Log: log, Age: d.PictureAge}
 	for _, text := range s.Follow {
 		name, addr, _ := strings.Cut(text, "=")
@@ -202,7 +216,7 @@
 	if err != nil {
 		from = "nothing"
 	}
-	d.Opened(from, a.Revision, written)
+	d.Opened(from, a.Revision, written, settings.Current() != nil)
 	return f, nil
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -1,4 +1,5 @@
-// Package daemon joins a sidecar to the replicated store: which servers are out, and the settings of the data path.
+// Package daemon joins a sidecar to the replicated store: which servers are out and what is known of them (Daemon), the settings
+// of the data path (Settings), and whatever other Part follows the store.
 //
 // What binds is decided by store/policy; here is how words travel. A word heard here binds at once and is written until
 // the store has it. A word from the store binds as soon as this copy applies it. Settings are checked by every replica
@@ -7,16 +8,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
-	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"birchmoor/internal/store"
@@ -24,46 +21,43 @@
 	"birchmoor/internal/store/policy"
 )
 
-// Keys of the settings.
 const (
-	configPrefix  = "config/"
-	keyCurrent    = "config/current"
-	keyCandidate  = "config/candidate"
-	keyHistory    = "config/history/"
-	keyVerdict    = "config/verdict/"
-	verdictWait   = 5 * time.Second
-	writeWait     = 5 * time.Second
-	owedEvery     = time.Second
-	tidyEvery     = 10 * time.Second
-	historyKept   = 100
-	candidateFor  = 30 * time.Second
-	verdictOfNone = "no sidecar here"
+	writeWait = 5 * time.Second
+	owedEvery = time.Second
+	tidyEvery = 10 * time.Second
 )
 
 // Errors of a Daemon.
 var (
 	ErrUnsettled = errors.New("the store does not know yet that it is out: try again")
 	ErrMeanwhile = errors.New("it was taken out again meanwhile")
-	ErrVersion   = errors.New("no such version")
 )
 
-// Check says what is wrong with settings for the sidecar of this daemon.
-type Check func(settings json.RawMessage) error
+// Part is one matter that a daemon does by the store. It is told of each change that the copy shows, and of a whole new copy, by
+// the copy's loop: it must not wait.
+type Part interface {
+	Event(e store.Event)
+	Reset(s *store.State)
+	// Attach gives the copy, once it is open; only the hooks are called before.
+	Attach(s Store)
+	// Run works until ctx ends.
+	Run(ctx context.Context)
+}
 
-// Daemon is one replica's side. Its hooks are given to the engine, which is attached once it is open; then Run is called.
+// Daemon tells and is told of servers, and is the frame of the other parts. Its hooks are given to the copy of the store, which is
+// attached once it is open; then Run is called.
 type Daemon struct {
 	name  string
 	log   *slog.Logger
-	check Check // nil where no sidecar runs
+	parts []Part
+
+	oneSweeps bool
 
 	mu      sync.Mutex
 	guard   *policy.Guard
 	dirty   map[string]bool  // servers whose state is to be told to the sidecar
 	came    map[string]int64 // when the store's word of a server that is out came here, by key
 	agree   func(ctx context.Context, id string, out bool) error
-	current json.RawMessage // settings in the store, or nil
-	version uint64          // and their revision
-	pending *candidate      // to be checked
 	drains  drains
 	starts  starts
 	kept    pictures
@@ -73,7 +67,6 @@
 
 	wake    chan struct{}
 	writes  chan write
-	reload  chan os.Signal
 	engine  Store
 	begun   time.Time
 	working sync.WaitGroup
@@ -96,16 +89,11 @@
 	wrote func(ok bool)
 }
 
-type candidate struct {
-	id   uint64 // its revision
-	text json.RawMessage
-}
-
-// New returns a daemon that runs nothing yet.
-func New(name string, check Check, log *slog.Logger) *Daemon {
-	return &Daemon{name: name, check: check, log: log, guard: policy.NewGuard(name), dirty: map[string]bool{}, came: map[string]int64{},
+// New returns a daemon that runs nothing yet, with the other parts that it is to have.
+func New(name string, log *slog.Logger, parts ...Part) *Daemon {
+	return &Daemon{name: name, log: log, parts: parts, guard: policy.NewGuard(name), dirty: map[string]bool{}, came: map[string]int64{},
 		drains: newDrains(name), starts: newStarts(name), kept: newPictures(name), begun: time.Now(),
-		wake: make(chan struct{}, 1), writes: make(chan write, 1024), reload: make(chan os.Signal, 1)}
+		wake: make(chan struct{}, 1), writes: make(chan write, 1024)}
 }
 
 // Hook puts the daemon's hooks into the configuration of an engine.
@@ -127,16 +115,6 @@
 	}
 }
 
-// Reload is told when settings have changed.
-func (d *Daemon) Reload() chan os.Signal { return d.reload }
-
-// Settings are those of the store, or nil.
-func (d *Daemon) Settings() json.RawMessage {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.current
-}
-
 func (d *Daemon) poke() {
 	select {
 	case d.wake <- struct{}{}:
@@ -145,6 +123,9 @@
 }
 
 func (d *Daemon) event(e store.Event) {
+	for _, p := range d.parts {
+		p.Event(e)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now(time.Now())
@@ -164,8 +145,6 @@
 		d.startEvent(now, e)
 	case strings.HasPrefix(key, policy.PicturePrefix):
 		d.kept.event(now, d.proved, e)
-	case strings.HasPrefix(key, configPrefix):
-		d.setting(e.Item, e.Deleted)
 	}
 }
 
@@ -185,30 +164,10 @@
 	return server
 }
 
-// setting takes a change of the settings' keys.
-func (d *Daemon) setting(i store.Item, deleted bool) {
-	switch i.Key {
-	case keyCurrent:
-		if i.Modified <= d.version && !deleted {
-			return
-		}
-		d.current, d.version = i.Value, i.Modified
-		if deleted {
-			d.current = nil
-		}
-		select {
-		case d.reload <- syscall.SIGHUP:
-		default: // one is owed already, and will read the newest
-		}
-	case keyCandidate:
-		if d.pending = nil; !deleted {
-			d.pending = &candidate{i.Modified, i.Value}
-			d.poke()
-		}
-	}
-}
-
 func (d *Daemon) reset(s *store.State) {
+	for _, p := range d.parts {
+		p.Reset(s)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.stale()
@@ -230,11 +189,6 @@
 	}
 	d.resetStarts(now, s)
 	d.kept.reset(now, s)
-	for _, key := range []string{keyCurrent, keyCandidate} {
-		if i, ok := s.Get(key); ok {
-			d.setting(i, false)
-		}
-	}
 	d.poke()
 }
 
@@ -284,10 +238,18 @@
 }
 
 // Attach gives the copy of the store, once it is open and before anything else is called.
-func (d *Daemon) Attach(e Store) { d.engine = e }
+func (d *Daemon) Attach(e Store) {
+	d.engine = e
+	for _, p := range d.parts {
+		p.Attach(e)
+	}
+}
 
 // Run works until ctx ends.
 func (d *Daemon) Run(ctx context.Context) {
+	for _, p := range d.parts {
+		d.working.Go(func() { p.Run(ctx) })
+	}
 	d.working.Go(func() { d.write(ctx) })
 	defer d.working.Wait()
 	if d.journal != nil {
@@ -304,7 +266,6 @@
 			d.tell(ctx)
 			d.tellDrains(ctx)
 			d.tellStarts(ctx)
-			d.judge(ctx)
 		case <-t.C:
 			d.mu.Lock()
 			owed := d.guard.Owed()
@@ -363,7 +324,9 @@
 		case <-ctx.Done():
 			return
 		case <-tidy.C:
-			d.tidy(ctx, time.Now())
+			if !d.sweptByOne(ctx) {
+				d.Sweep(ctx)
+			}
 		case w := <-d.writes:
 			c, cancel := context.WithTimeout(ctx, writeWait)
 			err := w.do(c)
@@ -380,8 +343,23 @@
 	}
 }
 
-// tidy ends what nobody has told for long.
-func (d *Daemon) tidy(ctx context.Context, now time.Time) {
+// SweepByOne has the sweeping of what nobody has told for long left to whoever holds the task, once the cluster knows of tasks. It
+// is called before Run.
+func (d *Daemon) SweepByOne() { d.oneSweeps = true }
+
+// sweptByOne says whether one daemon sweeps for all.
+func (d *Daemon) sweptByOne(ctx context.Context) bool {
+	known := false
+	_, err := d.engine.View(ctx, true, func(s *store.State) { known = s.Level() >= store.LevelOwners })
+	return d.oneSweeps && err == nil && known
+}
+
+// Sweep ends what nobody has told for long: drains, starts and pictures. Each end is a transaction that does nothing if the word
+// was told again meanwhile, so that two who sweep, or one who sweeps late, end nothing that is told.
+func (d *Daemon) Sweep(ctx context.Context) error { return d.tidy(ctx, time.Now()) }
+
+// tidy does that.
+func (d *Daemon) tidy(ctx context.Context, now time.Time) error {
 	d.speak(now)
 	d.mu.Lock()
 	ends := append(d.drainsOver(d.now(now)), d.startsOver(d.now(now))...)
@@ -393,9 +371,10 @@
 		cancel()
 		if err != nil && ctx.Err() == nil {
 			d.log.Warn("what nobody has told for long does not end yet", "key", t.Then[0].Key, "error", err)
-			return // it is tried again
+			return err // it is tried again
 		}
 	}
+	return nil
 }
 
 // tell makes bind in the sidecar what has changed.
@@ -487,185 +466,3 @@
 	}
 	return all
 }
-
-// verdict is what a replica says of a candidate.
-type verdict struct {
-	Candidate uint64 `json:"candidate"`
-	Error     string `json:"error,omitempty"`
-	Note      string `json:"note,omitempty"`
-}
-
-// judge checks the candidate, if there is one, and says so.
-func (d *Daemon) judge(ctx context.Context) {
-	d.mu.Lock()
-	c := d.pending
-	d.pending = nil
-	d.mu.Unlock()
-	if c == nil {
-		return
-	}
-	v := verdict{Candidate: c.id}
-	if d.check == nil {
-		v.Note = verdictOfNone
-	} else if err := d.check(c.text); err != nil {
-		v.Error = err.Error()
-	}
-	b, err := json.Marshal(v)
-	if err != nil {
-		return
-	}
-	wait, cancel := context.WithTimeout(ctx, writeWait)
-	defer cancel()
-	if _, err := d.engine.Do(wait, store.Command{Txn: &store.Txn{
-		If:   []store.Compare{{Key: keyCandidate, Modified: c.id}},
-		Then: []store.Op{{Key: keyVerdict + d.name, Value: b}}}}); err != nil {
-		d.log.Warn("a verdict on settings was not told", "error", err)
-	}
-}
-
-// Version is settings as they were put.
-type Version struct {
-	Version  uint64          `json:"version"`
-	Settings json.RawMessage `json:"settings,omitempty"`
-	By       string          `json:"by"`
-	Note     string          `json:"note,omitempty"`
-	At       time.Time       `json:"at"` // by the clock of the replica that took it; it decides nothing
-	Revision uint64          `json:"revision,omitempty"`
-}
-
-// Put has settings checked by every replica and, if all agree, commits them as the next version. It returns that.
-func (d *Daemon) Put(ctx context.Context, settings json.RawMessage, note string) (Version, error) {
-	if !json.Valid(settings) {
-		return Version{}, errors.New("settings: not JSON")
-	}
-	if d.check != nil {
-		if err := d.check(settings); err != nil {
-			return Version{}, err
-		}
-	}
-	// A candidate of another who went away is let go after a while: it is held by a lease.
-	lease, err := d.engine.Do(ctx, store.Command{Grant: &store.Grant{TTL: uint64(candidateFor.Milliseconds())}})
-	if err != nil {
-		return Version{}, err
-	}
-	r, err := d.engine.Do(ctx, store.Command{Txn: &store.Txn{If: []store.Compare{{Key: keyCandidate}},
-		Then: []store.Op{{Key: keyVerdict, Delete: true, End: store.PrefixEnd(keyVerdict)}, {Key: keyCandidate, Value: settings, Lease: lease.Lease}}}})
-	if err == nil && !r.Held {
-		err = errors.New("other settings are being put")
-	}
-	if err != nil {
-		return Version{}, err
-	}
-	id := r.Revision
-	if err := d.verdicts(ctx, id, r.Revision); err != nil {
-		_, end := d.engine.Do(ctx, store.Command{End: &store.End{Lease: lease.Lease}})
-		return Version{}, errors.Join(err, end)
-	}
-	var next uint64 = 1
-	var old store.Item
-	if _, err := d.engine.View(ctx, false, func(s *store.State) {
-		s.Range(keyHistory, store.PrefixEnd(keyHistory), func(i store.Item) bool {
-			n, _ := strconv.ParseUint(strings.TrimPrefix(i.Key, keyHistory), 10, 64)
-			next = max(next, n+1)
-			return true
-		})
-		old, _ = s.Get(keyCurrent)
-	}); err != nil {
-		return Version{}, err
-	}
-	v := Version{Version: next, Settings: settings, By: d.name, Note: note, At: time.Now().UTC().Truncate(time.Second)}
-	b, err := json.Marshal(v)
-	if err != nil {
-		return Version{}, err
-	}
-	ops := []store.Op{{Key: keyCurrent, Value: settings}, {Key: historyKey(next), Value: b},
-		{Key: keyCandidate, Delete: true}, {Key: keyVerdict, Delete: true, End: store.PrefixEnd(keyVerdict)}}
-	if next > historyKept {
-		ops = append(ops, store.Op{Key: historyKey(0), Delete: true, End: historyKey(next - historyKept + 1)})
-	}
-	r, err = d.engine.Do(ctx, store.Command{Txn: &store.Txn{If: []store.Compare{{Key: keyCandidate, Modified: id},
-		{Key: keyCurrent, Modified: old.Modified}}, Then: ops}})
-	if err == nil && !r.Held {
-		err = errors.New("the settings were changed meanwhile")
-	}
-	v.Revision = r.Revision
-	return v, err
-}
-
-func historyKey(n uint64) string { return fmt.Sprintf("%s%012d", keyHistory, n) }
-
-// verdicts waits for every member's word on a candidate.
-func (d *Daemon) verdicts(ctx context.Context, id, after uint64) error {
-	var members []store.Member
-	if _, err := d.engine.View(ctx, false, func(s *store.State) { members = s.Members() }); err != nil {
-		return err
-	}
-	wait, cancel := context.WithTimeout(ctx, verdictWait)
-	defer cancel()
-	missing := map[string]bool{}
-	for _, m := range members {
-		missing[m.Name] = true
-	}
-	var faults []error
-	for len(missing) > 0 {
-		events, to, err := d.engine.Next(wait, keyVerdict, after, 64)
-		if err != nil {
-			if wait.Err() != nil {
-				var names []string
-				for n := range missing {
-					names = append(names, n)
-				}
-				slices.Sort(names)
-				return errors.Join(append(faults, fmt.Errorf("no verdict from %s within %v: nothing was changed",
-					strings.Join(names, ", "), verdictWait))...)
-			}
-			return err
-		}
-		after = to
-		for _, e := range events {
-			var v verdict
-			name := strings.TrimPrefix(e.Item.Key, keyVerdict)
-			if e.Deleted || json.Unmarshal(e.Item.Value, &v) != nil || v.Candidate != id || !missing[name] {
-				continue
-			}
-			delete(missing, name)
-			if v.Error != "" {
-				faults = append(faults, fmt.Errorf("%s: %s", name, v.Error))
-			}
-		}
-	}
-	return errors.Join(faults...)
-}
-
-// History lists the versions, the newest first.
-func (d *Daemon) History(ctx context.Context) ([]Version, error) {
-	var all []Version
-	var bad error
-	_, err := d.engine.View(ctx, false, func(s *store.State) {
-		s.Range(keyHistory, store.PrefixEnd(keyHistory), func(i store.Item) bool {
-			var v Version
-			if err := json.Unmarshal(i.Value, &v); err != nil {
-				bad = fmt.Errorf("%s: %w", i.Key, err)
-			}
-			v.Revision = i.Modified
-			all = append(all, v)
-			return true
-		})
-	})
-	slices.Reverse(all)
-	return all, errors.Join(err, bad)
-}
-
-// Rollback puts the settings of an earlier version again, as a new one, checked like any.
-func (d *Daemon) Rollback(ctx context.Context, version uint64) (Version, error) {
-	all, err := d.History(ctx)
-	if err != nil {
-		return Version{}, err
-	}
-	for _, v := range all {
-		if v.Version == version {
-			return d.Put(ctx, v.Settings, fmt.Sprintf("rollback to version %d", version))
-		}
-	}
-	return Version{}, fmt.Errorf("%d: %w", version, ErrVersion)
-}
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -123,12 +123,12 @@
 	d.start.Recalled = append(d.start.Recalled, Recalled{protocol, c.From, c.Of, servers, time.Duration(c.Age) * time.Microsecond})
 }
 
-// Opened notes what this daemon started with. written is when its disk was, zero if there was none.
-func (d *Daemon) Opened(from string, revision uint64, written time.Time) {
+// Opened notes what this daemon started with, and whether that has settings. written is when its disk was, zero if there was none.
+func (d *Daemon) Opened(from string, revision uint64, written time.Time, settings bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.start = Began{From: from, Recalled: d.start.Recalled, Revision: revision, Out: len(d.guard.All()), Starts: d.starts.words.Len(), Pictures: len(d.kept.all),
-		Settings: d.current != nil}
+		Settings: settings}
 	if !written.IsZero() {
 		d.start.Age = time.Since(written).Round(time.Millisecond).String()
 	}
--- /dev/null
+++ b/internal/daemon/settings.go
@@ -0,0 +1,316 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"birchmoor/internal/store"
+)
+
+// Keys of the settings.
+const (
+	configPrefix  = "config/"
+	keyCurrent    = "config/current"
+	keyCandidate  = "config/candidate"
+	keyHistory    = "config/history/"
+	keyVerdict    = "config/verdict/"
+	verdictWait   = 5 * time.Second
+	historyKept   = 100
+	candidateFor  = 30 * time.Second
+	verdictOfNone = "no sidecar here"
+)
+
+// ErrVersion says that settings have no such version.
+var ErrVersion = errors.New("no such version")
+
+// Check says what is wrong with settings for the sidecar of this daemon.
+type Check func(settings json.RawMessage) error
+
+// Settings are those of the data path that the store holds for all daemons: checked by every replica before they are committed,
+// kept by version, and told to the sidecar as SIGHUP does. It is a Part of a Daemon; any goroutine may use it.
+type Settings struct {
+	name   string
+	log    *slog.Logger
+	check  Check // nil where no sidecar runs
+	store  Store
+	wake   chan struct{}
+	reload chan os.Signal
+
+	mu      sync.Mutex
+	current json.RawMessage // or nil
+	version uint64          // its revision
+	pending *candidate      // to be checked
+}
+
+type candidate struct {
+	id   uint64 // its revision
+	text json.RawMessage
+}
+
+// NewSettings returns those of the daemon of a name.
+func NewSettings(name string, check Check, log *slog.Logger) *Settings {
+	return &Settings{name: name, check: check, log: log, wake: make(chan struct{}, 1), reload: make(chan os.Signal, 1)}
+}
+
+// Reload is told when settings have changed.
+func (x *Settings) Reload() chan os.Signal { return x.reload }
+
+// Current are those of the store, or nil.
+func (x *Settings) Current() json.RawMessage {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.current
+}
+
+// Attach is of Part.
+func (x *Settings) Attach(s Store) { x.store = s }
+
+// Event is of Part.
+func (x *Settings) Event(e store.Event) {
+	if strings.HasPrefix(e.Item.Key, configPrefix) {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.take(e.Item, e.Deleted)
+	}
+}
+
+// Reset is of Part.
+func (x *Settings) Reset(s *store.State) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, key := range []string{keyCurrent, keyCandidate} {
+		if i, ok := s.Get(key); ok {
+			x.take(i, false)
+		}
+	}
+}
+
+// Run is of Part: it checks candidates.
+func (x *Settings) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-x.wake:
+			x.judge(ctx)
+		}
+	}
+}
+
+// take takes a change of one of its keys.
+func (x *Settings) take(i store.Item, deleted bool) {
+	switch i.Key {
+	case keyCurrent:
+		if i.Modified <= x.version && !deleted {
+			return
+		}
+		x.current, x.version = i.Value, i.Modified
+		if deleted {
+			x.current = nil
+		}
+		select {
+		case x.reload <- syscall.SIGHUP:
+		default: // one is owed already, and will read the newest
+		}
+	case keyCandidate:
+		if x.pending = nil; !deleted {
+			x.pending = &candidate{i.Modified, i.Value}
+			select {
+			case x.wake <- struct{}{}:
+			default:
+			}
+		}
+	}
+}
+
+// verdict is what a replica says of a candidate.
+type verdict struct {
+	Candidate uint64 `json:"candidate"`
+	Error     string `json:"error,omitempty"`
+	Note      string `json:"note,omitempty"`
+}
+
+// judge checks the candidate, if there is one, and says so.
+func (x *Settings) judge(ctx context.Context) {
+	x.mu.Lock()
+	c := x.pending
+	x.pending = nil
+	x.mu.Unlock()
+	if c == nil {
+		return
+	}
+	v := verdict{Candidate: c.id}
+	if x.check == nil {
+		v.Note = verdictOfNone
+	} else if err := x.check(c.text); err != nil {
+		v.Error = err.Error()
+	}
+	b, err := json.Marshal(v)
+	if err != nil {
+		return
+	}
+	wait, cancel := context.WithTimeout(ctx, writeWait)
+	defer cancel()
+	if _, err := x.store.Do(wait, store.Command{Txn: &store.Txn{
+		If:   []store.Compare{{Key: keyCandidate, Modified: c.id}},
+		Then: []store.Op{{Key: keyVerdict + x.name, Value: b}}}}); err != nil {
+		x.log.Warn("a verdict on settings was not told", "error", err)
+	}
+}
+
+// Version is settings as they were put.
+type Version struct {
+	Version  uint64          `json:"version"`
+	Settings json.RawMessage `json:"settings,omitempty"`
+	By       string          `json:"by"`
+	Note     string          `json:"note,omitempty"`
+	At       time.Time       `json:"at"` // by the clock of the replica that took it; it decides nothing
+	Revision uint64          `json:"revision,omitempty"`
+}
+
+// Put has settings checked by every replica and, if all agree, commits them as the next version. It returns that.
+func (x *Settings) Put(ctx context.Context, settings json.RawMessage, note string) (Version, error) {
+	if !json.Valid(settings) {
+		return Version{}, errors.New("settings: not JSON")
+	}
+	if x.check != nil {
+		if err := x.check(settings); err != nil {
+			return Version{}, err
+		}
+	}
+	// A candidate of another who went away is let go after a while: it is held by a lease.
+	held, err := x.store.Do(ctx, store.Command{Grant: &store.Grant{TTL: uint64(candidateFor.Milliseconds())}})
+	if err != nil {
+		return Version{}, err
+	}
+	r, err := x.store.Do(ctx, store.Command{Txn: &store.Txn{If: []store.Compare{{Key: keyCandidate}},
+		Then: []store.Op{{Key: keyVerdict, Delete: true, End: store.PrefixEnd(keyVerdict)}, {Key: keyCandidate, Value: settings, Lease: held.Lease}}}})
+	if err == nil && !r.Held {
+		err = errors.New("other settings are being put")
+	}
+	if err != nil {
+		return Version{}, err
+	}
+	id := r.Revision
+	if err := x.verdicts(ctx, id, r.Revision); err != nil {
+		_, end := x.store.Do(ctx, store.Command{End: &store.End{Lease: held.Lease}})
+		return Version{}, errors.Join(err, end)
+	}
+	var next uint64 = 1
+	var old store.Item
+	if _, err := x.store.View(ctx, false, func(s *store.State) {
+		s.Range(keyHistory, store.PrefixEnd(keyHistory), func(i store.Item) bool {
+			n, _ := strconv.ParseUint(strings.TrimPrefix(i.Key, keyHistory), 10, 64)
+			next = max(next, n+1)
+			return true
+		})
+		old, _ = s.Get(keyCurrent)
+	}); err != nil {
+		return Version{}, err
+	}
+	v := Version{Version: next, Settings: settings, By: x.name, Note: note, At: time.Now().UTC().Truncate(time.Second)}
+	b, err := json.Marshal(v)
+	if err != nil {
+		return Version{}, err
+	}
+	ops := []store.Op{{Key: keyCurrent, Value: settings}, {Key: historyKey(next), Value: b},
+		{Key: keyCandidate, Delete: true}, {Key: keyVerdict, Delete: true, End: store.PrefixEnd(keyVerdict)}}
+	if next > historyKept {
+		ops = append(ops, store.Op{Key: historyKey(0), Delete: true, End: historyKey(next - historyKept + 1)})
+	}
+	r, err = x.store.Do(ctx, store.Command{Txn: &store.Txn{If: []store.Compare{{Key: keyCandidate, Modified: id},
+		{Key: keyCurrent, Modified: old.Modified}}, Then: ops}})
+	if err == nil && !r.Held {
+		err = errors.New("the settings were changed meanwhile")
+	}
+	v.Revision = r.Revision
+	return v, err
+}
+
+func historyKey(n uint64) string { return fmt.Sprintf("%s%012d", keyHistory, n) }
+
+// verdicts waits for every member's word on a candidate.
+func (x *Settings) verdicts(ctx context.Context, id, after uint64) error {
+	var members []store.Member
+	if _, err := x.store.View(ctx, false, func(s *store.State) { members = s.Members() }); err != nil {
+		return err
+	}
+	wait, cancel := context.WithTimeout(ctx, verdictWait)
+	defer cancel()
+	missing := map[string]bool{}
+	for _, m := range members {
+		missing[m.Name] = true
+	}
+	var faults []error
+	for len(missing) > 0 {
+		events, to, err := x.store.Next(wait, keyVerdict, after, 64)
+		if err != nil {
+			if wait.Err() != nil {
+				var names []string
+				for n := range missing {
+					names = append(names, n)
+				}
+				slices.Sort(names)
+				return errors.Join(append(faults, fmt.Errorf("no verdict from %s within %v: nothing was changed",
+					strings.Join(names, ", "), verdictWait))...)
+			}
+			return err
+		}
+		after = to
+		for _, e := range events {
+			var v verdict
+			name := strings.TrimPrefix(e.Item.Key, keyVerdict)
+			if e.Deleted || json.Unmarshal(e.Item.Value, &v) != nil || v.Candidate != id || !missing[name] {
+				continue
+			}
+			delete(missing, name)
+			if v.Error != "" {
+				faults = append(faults, fmt.Errorf("%s: %s", name, v.Error))
+			}
+		}
+	}
+	return errors.Join(faults...)
+}
+
+// History lists the versions, the newest first.
+func (x *Settings) History(ctx context.Context) ([]Version, error) {
+	var all []Version
+	var bad error
+	_, err := x.store.View(ctx, false, func(s *store.State) {
+		s.Range(keyHistory, store.PrefixEnd(keyHistory), func(i store.Item) bool {
+			var v Version
+			if err := json.Unmarshal(i.Value, &v); err != nil {
+				bad = fmt.Errorf("%s: %w", i.Key, err)
+			}
+			v.Revision = i.Modified
+			all = append(all, v)
+			return true
+		})
+	})
+	slices.Reverse(all)
+	return all, errors.Join(err, bad)
+}
+
+// Rollback puts the settings of an earlier version again, as a new one, checked like any.
+func (x *Settings) Rollback(ctx context.Context, version uint64) (Version, error) {
+	all, err := x.History(ctx)
+	if err != nil {
+		return Version{}, err
+	}
+	for _, v := range all {
+		if v.Version == version {
+			return x.Put(ctx, v.Settings, fmt.Sprintf("rollback to version %d", version))
+		}
+	}
+	return Version{}, fmt.Errorf("%d: %w", version, ErrVersion)
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"birchmoor/internal/keys"
+	"birchmoor/internal/lease"
 	"birchmoor/internal/strict"
 )
 
@@ -77,6 +78,9 @@
 	Serve  string   `toml:"serve"`  // where daemons without a replica reach this one
 	Follow []string `toml:"follow"` // replicas, NAME=ADDRESS of their serve: this daemon has a copy and no replica
 	Wait   Duration `toml:"wait"`   // of a follower without a disk for its first copy, before its sidecar serves
+
+	Lease Duration `toml:"lease"` // a task of a daemon that falls silent goes to another after this
+	Skew  float64  `toml:"skew"`  // part that the fastest clock of two hosts gains on the other at most
 }
 
 // Keep is where what is known outlives a start.
@@ -172,6 +176,13 @@
 		dir("store.socket", &s.Socket)
 		number("store.total_mb", &s.TotalMB, 256, 1, 4096)
 		number("store.elect_ticks", &s.Elect, 10, 3, 100)
+		span("store.lease", &s.Lease, 5*time.Second, lease.TTLLeast*time.Millisecond, lease.TTLMost*time.Millisecond)
+		if s.Skew == 0 {
+			s.Skew = lease.DefaultSkew
+		}
+		if s.Skew < 0 || s.Skew > 0.5 {
+			faults = append(faults, &Error{Path: path, Key: "store.skew", Reason: fmt.Sprintf("%g is not within 0 and 0.5", s.Skew)})
+		}
 		span("store.tick", &s.Tick, 100*time.Millisecond, 10*time.Millisecond, 10*time.Second)
 		bad := func(key, reason string) { faults = append(faults, &Error{Path: path, Key: key, Reason: reason}) }
 		if err := keys.CheckName(s.Name); err != nil {
--- a/internal/store/admin/admin.go
+++ b/internal/store/admin/admin.go
@@ -21,6 +21,7 @@
 	"birchmoor/internal/store/engine"
 	"birchmoor/internal/store/policy"
 	"birchmoor/internal/store/replica"
+	"birchmoor/internal/tasks"
 )
 
 const (
@@ -67,6 +68,7 @@
 	Error   string           `json:"error"`
 	Unknown *store.RequestID `json:"unknown,omitempty"` // the change may have been made
 	Oldest  uint64           `json:"oldest,omitempty"`  // of a watch that is compacted
+	NoLease bool             `json:"no_lease,omitempty"`
 }
 
 // Items answers a read.
@@ -95,12 +97,14 @@
 	Grant uint64 `json:"grant,omitempty"` // a lease, of so many milliseconds
 	Renew uint64 `json:"renew,omitempty"` // this lease
 	End   uint64 `json:"end,omitempty"`   // this lease, and its keys with it
+	Owner string `json:"owner,omitempty"` // of the lease
 }
 
 // Lease is one as operators see it.
 type Lease struct {
 	ID    uint64   `json:"id"`
 	TTLms uint64   `json:"ttl_ms"`
+	Owner string   `json:"owner,omitempty"` // the daemon that alone renews it
 	Keys  []string `json:"keys"`
 }
 
@@ -126,17 +130,25 @@
 	Began  daemon.Began `json:"began"`
 }
 
+// Parts are what a Server answers for.
+type Parts struct {
+	Store    Store
+	Daemon   *daemon.Daemon
+	Settings *daemon.Settings
+	Tasks    *tasks.Runner
+}
+
 // Server answers operators.
 type Server struct {
-	e       Store
-	d       *daemon.Daemon
+	Parts
 	http    *http.Server
 	ln      net.Listener
 	watches chan struct{}
+	locks   chan struct{}
 }
 
 // Listen makes the socket and serves it. A socket that a process that is gone left behind is replaced.
-func Listen(path string, e Store, d *daemon.Daemon) (*Server, error) {
+func Listen(path string, p Parts) (*Server, error) {
 	if c, err := net.DialTimeout("unix", path, time.Second); err == nil {
 		c.Close()
 		return nil, fmt.Errorf("another process serves %s", path)
@@ -151,7 +163,7 @@
 	if err := os.Chmod(path, 0o600); err != nil {
 		return nil, errors.Join(err, ln.Close())
 	}
-	s := &Server{e: e, d: d, ln: ln, watches: make(chan struct{}, watchMost)}
+	s := &Server{Parts: p, ln: ln, watches: make(chan struct{}, watchMost), locks: make(chan struct{}, locksMost)}
 	m := http.NewServeMux()
 	m.HandleFunc("GET /v1/status", handle(s.status))
 	m.HandleFunc("GET /v1/range", handle(s.read))
@@ -162,8 +174,11 @@
 	m.HandleFunc("GET /v1/config", handle(s.history))
 	m.HandleFunc("POST /v1/config", handle(s.configure))
 	m.HandleFunc("GET /v1/leases", handle(s.leases))
-	m.HandleFunc("GET /v1/out", func(w http.ResponseWriter, r *http.Request) { answer(w, http.StatusOK, d.Outs()) })
-	m.HandleFunc("GET /v1/servers", func(w http.ResponseWriter, r *http.Request) { answer(w, http.StatusOK, d.Servers()) })
+	m.HandleFunc("GET /v1/tasks", handle(s.listTasks))
+	m.HandleFunc("POST /v1/task", handle(s.orderTask))
+	m.HandleFunc("GET /v1/lock", s.lock)
+	m.HandleFunc("GET /v1/out", func(w http.ResponseWriter, r *http.Request) { answer(w, http.StatusOK, p.Daemon.Outs()) })
+	m.HandleFunc("GET /v1/servers", func(w http.ResponseWriter, r *http.Request) { answer(w, http.StatusOK, p.Daemon.Servers()) })
 	s.http = &http.Server{Handler: m, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
 	go s.http.Serve(ln)
 	return s, nil
@@ -194,7 +209,9 @@
 	case errors.Is(err, store.ErrFull):
 		status = http.StatusInsufficientStorage
 	case errors.Is(err, store.ErrMember), errors.Is(err, store.ErrNoLease), errors.Is(err, store.ErrForgotten):
-		status = http.StatusConflict
+		status, f.NoLease = http.StatusConflict, errors.Is(err, store.ErrNoLease)
+	case errors.Is(err, tasks.ErrNoTask):
+		status = http.StatusNotFound
 	case errors.Is(err, replica.ErrNoLeader):
 		w.Header().Set("Retry-After", "1")
 	}
@@ -225,11 +242,11 @@
 }
 
 func (s *Server) status(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
-	st, err := s.e.Status(ctx)
+	st, err := s.Store.Status(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return Status{st, s.d.Kept(), s.d.Start()}, nil
+	return Status{st, s.Daemon.Kept(), s.Daemon.Start()}, nil
 }
 
 func (s *Server) read(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
@@ -249,7 +266,7 @@
 		from, end = q.Get("key"), q.Get("key")+"\x00"
 	}
 	out := Items{Items: []store.Item{}, Stale: q.Get("stale") == "true"}
-	out.Age, err = s.e.View(ctx, out.Stale, func(st *store.State) {
+	out.Age, err = s.Store.View(ctx, out.Stale, func(st *store.State) {
 		st.Range(from, end, func(i store.Item) bool {
 			if out.More = uint64(len(out.Items)) == limit; out.More {
 				return false
@@ -269,19 +286,7 @@
 	if err := decode(w, r, &q); err != nil {
 		return nil, err
 	}
-	c := store.Command{ID: q.ID, Txn: q.Txn, Join: q.Add}
-	if q.Del != 0 {
-		c.Leave = &store.Leave{Member: q.Del}
-	}
-	if q.Grant != 0 {
-		c.Grant = &store.Grant{TTL: q.Grant}
-	}
-	if q.Renew != 0 {
-		c.Renew = &store.Renew{Lease: q.Renew}
-	}
-	if q.End != 0 {
-		c.End = &store.End{Lease: q.End}
-	}
+	c := q.command()
 	set := 0
 	for _, is := range []bool{c.Txn != nil, c.Join != nil, c.Leave != nil, c.Grant != nil, c.Renew != nil, c.End != nil} {
 		if is {
@@ -299,20 +304,38 @@
 			return nil, fmt.Errorf("%w: address: %w", errBad, err)
 		}
 	}
-	res, err := s.e.Do(ctx, c)
+	res, err := s.Store.Do(ctx, c)
 	if err != nil {
 		return nil, err
 	}
 	return Change{Revision: res.Revision, Held: res.Held, Member: res.Member, Lease: res.Lease}, nil
 }
 
+// command is what a request asks for.
+func (q *Request) command() store.Command {
+	c := store.Command{ID: q.ID, Txn: q.Txn, Join: q.Add}
+	if q.Del != 0 {
+		c.Leave = &store.Leave{Member: q.Del}
+	}
+	if q.Grant != 0 {
+		c.Grant = &store.Grant{TTL: q.Grant, Owner: q.Owner}
+	}
+	if q.Renew != 0 {
+		c.Renew = &store.Renew{Lease: q.Renew, Owner: q.Owner}
+	}
+	if q.End != 0 {
+		c.End = &store.End{Lease: q.End, Owner: q.Owner}
+	}
+	return c
+}
+
 func (s *Server) leases(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
 	all := []Lease{}
-	if _, err := s.e.View(ctx, false, func(st *store.State) {
+	if _, err := s.Store.View(ctx, false, func(st *store.State) {
 		at := map[uint64]int{}
 		for _, l := range st.Leases() {
 			at[l.ID] = len(all)
-			all = append(all, Lease{ID: l.ID, TTLms: l.TTL, Keys: []string{}})
+			all = append(all, Lease{ID: l.ID, TTLms: l.TTL, Owner: l.Owner, Keys: []string{}})
 		}
 		st.Range("", "", func(i store.Item) bool {
 			if n, ok := at[i.Lease]; ok && i.Lease != 0 {
@@ -327,14 +350,14 @@
 }
 
 func (s *Server) handOver(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
-	if err := s.e.HandOver(ctx); err != nil {
+	if err := s.Store.HandOver(ctx); err != nil {
 		return nil, err
 	}
 	return struct{}{}, nil
 }
 
 func (s *Server) history(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
-	all, err := s.d.History(ctx)
+	all, err := s.Settings.History(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -349,9 +372,9 @@
 	var v daemon.Version
 	var err error
 	if q.Rollback != 0 {
-		v, err = s.d.Rollback(ctx, q.Rollback)
+		v, err = s.Settings.Rollback(ctx, q.Rollback)
 	} else {
-		v, err = s.d.Put(ctx, q.Settings, q.Note)
+		v, err = s.Settings.Put(ctx, q.Settings, q.Note)
 	}
 	if err != nil {
 		return nil, err
@@ -375,7 +398,7 @@
 		return
 	}
 	if !r.URL.Query().Has("after") { // from now on
-		a, err := s.e.View(r.Context(), false, func(*store.State) {})
+		a, err := s.Store.View(r.Context(), false, func(*store.State) {})
 		if err != nil {
 			fail(w, err)
 			return
@@ -386,7 +409,7 @@
 	c := http.NewResponseController(w)
 	enc := json.NewEncoder(w)
 	for {
-		events, to, err := s.e.Next(r.Context(), r.URL.Query().Get("prefix"), after, 256)
+		events, to, err := s.Store.Next(r.Context(), r.URL.Query().Get("prefix"), after, 256)
 		if err != nil {
 			if !begun {
 				fail(w, err)
@@ -415,7 +438,7 @@
 }
 
 func (s *Server) save(w http.ResponseWriter, r *http.Request) {
-	st, err := s.e.Save(r.Context())
+	st, err := s.Store.Save(r.Context())
 	if err != nil {
 		fail(w, err)
 		return
--- a/internal/store/follow/follow.go
+++ b/internal/store/follow/follow.go
@@ -438,15 +438,22 @@
 
 // ---- Asking ----------------------------------------------------------------
 
-// Do makes a transaction; see engine.Engine.
+// Do makes a transaction, or grants, renews or ends a lease that this daemon owns; see engine.Engine.
 func (f *Follower) Do(ctx context.Context, c store.Command) (store.Result, error) {
-	if c.Txn == nil {
-		return store.Result{}, errors.New("follow: this daemon has no replica, and makes transactions alone")
-	}
 	if c.ID == (store.RequestID{}) {
 		c.ID = store.RequestID{Client: f.client, Seq: f.seq.Add(1)}
 	}
 	q := admin.Request{ID: c.ID, Txn: c.Txn}
+	switch {
+	case c.Grant != nil && c.Grant.Owner != "":
+		q.Grant, q.Owner = c.Grant.TTL, c.Grant.Owner
+	case c.Renew != nil && c.Renew.Owner != "":
+		q.Renew, q.Owner = c.Renew.Lease, c.Renew.Owner
+	case c.End != nil && c.End.Owner != "":
+		q.End, q.Owner = c.End.Lease, c.End.Owner
+	case c.Txn == nil:
+		return store.Result{}, errors.New("follow: this daemon has no replica, and makes transactions and leases of its own alone")
+	}
 	body, err := json.Marshal(q)
 	if err != nil {
 		return store.Result{}, err
@@ -458,7 +465,7 @@
 		reached, err := f.ask(ctx, at, http.MethodPost, "/v1/change", body, &x)
 		if err == nil {
 			f.await(ctx, x.Revision)
-			return store.Result{Revision: x.Revision, Held: x.Held}, nil
+			return store.Result{Revision: x.Revision, Held: x.Held, Lease: x.Lease}, nil
 		}
 		var told *admin.Error
 		if errors.As(err, &told) {
@@ -510,6 +517,9 @@
 	case http.StatusPreconditionFailed:
 		return store.ErrLevel
 	case http.StatusBadRequest, http.StatusConflict:
+		if e.NoLease {
+			return store.ErrNoLease
+		}
 		return e
 	}
 	return nil
--- /dev/null
+++ b/internal/tasks/hold.go
@@ -0,0 +1,285 @@
+package tasks
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"birchmoor/internal/lease"
+	"birchmoor/internal/store"
+)
+
+// Hold is one holding of a task, from when this daemon's turn came until it is lost or released. Any goroutine may use it.
+type Hold struct {
+	r     *Runner
+	want  Want
+	s     *session
+	key   string
+	token uint64
+	since int64
+
+	number  uint64 // of the session that the place is of
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	actions sync.WaitGroup
+	over    sync.Once
+	leaving bool // under the runner's lock: it is entitled to nothing any more
+}
+
+// queue takes a place and waits for its turn.
+func (h *Hold) queue(ctx context.Context, nonce string, waiting func(int, error)) error {
+	r, told, wait := h.r, -1, retryMin
+	var last error
+	say := func(before int, why error) {
+		if waiting != nil && (before != told || why != nil) {
+			told = before
+			waiting(before, why)
+		}
+	}
+	for n := 0; ; {
+		r.mu.Lock()
+		now, changed := r.cfg.Clock(), r.changed
+		if r.closed {
+			r.mu.Unlock()
+			return ErrClosed
+		}
+		live := h.s.core.ID() != 0 && now < h.s.core.Until()
+		switch {
+		case h.key != "" && h.number != h.s.core.Number(): // its session has ended, and the place with it
+			delete(r.holds, h.key)
+			h.key = ""
+			r.mu.Unlock()
+			continue
+		case !live:
+			r.mu.Unlock()
+			say(-1, errors.Join(errors.New("the store does not answer"), last))
+			if err := r.wait(ctx, changed, 0); err != nil {
+				return errors.Join(err, last)
+			}
+			continue
+		}
+		if h.key == "" {
+			n++
+			h.key, h.number = lease.PlaceKey(h.want.Task, r.cfg.Host, fmt.Sprintf("%s%d", nonce, n)), h.s.core.Number()
+			r.holds[h.key] = h
+		}
+		_, before, there := r.table.Find(h.want.Task, h.key)
+		token, holds := r.table.Holds(h.want.Task, h.key)
+		yields := r.table.Yields(h.want.Task, h.key)
+		held, slots := r.table.Held(), max(1, r.table.Slots(h.want.Task))
+		if there && holds && yields == nil {
+			h.token, h.since = token, now
+			h.ctx, h.cancel = context.WithCancelCause(context.Background())
+			r.mu.Unlock()
+			r.wg.Go(h.watch)
+			return nil
+		}
+		id := h.s.core.ID()
+		if there && yields != nil && !errors.Is(yields, lease.ErrPaused) { // behind whom it is given to
+			delete(r.holds, h.key)
+			key := h.key
+			h.key = ""
+			r.mu.Unlock()
+			if err := r.remove(ctx, key); err != nil && ctx.Err() != nil {
+				return ctx.Err()
+			}
+			continue
+		}
+		r.mu.Unlock()
+		if there {
+			switch {
+			case held:
+				say(before, errors.New("the store was restored a moment ago: nobody may act yet"))
+			case yields != nil:
+				say(before, yields)
+			default:
+				say(max(0, before-slots+1), nil)
+			}
+			if err := r.wait(ctx, changed, 0); err != nil {
+				return err
+			}
+			continue
+		}
+		last = r.put(ctx, h, id)
+		if errors.Is(last, lease.ErrSlots) || errors.Is(last, store.ErrFull) || errors.Is(last, store.ErrBadKey) {
+			return last
+		}
+		r.mu.Lock()
+		_, _, there = r.table.Find(h.want.Task, h.key)
+		changed = r.changed
+		r.mu.Unlock()
+		if !there { // the copy will show it, or it is put again: it is the same place
+			if last != nil {
+				say(-1, last)
+			}
+			if err := r.wait(ctx, changed, r.cfg.Clock()+int64(wait)); err != nil {
+				return errors.Join(err, last)
+			}
+			wait = min(2*wait, retryMost)
+		}
+	}
+}
+
+// entitled says until when it may act. The runner's lock is held.
+func (h *Hold) entitled(now int64) (until int64, err error) {
+	if h.leaving {
+		return 0, lease.ErrLost
+	}
+	if h.number != h.s.core.Number() {
+		return 0, fmt.Errorf("%w: the session has ended", lease.ErrLost)
+	}
+	if until = h.s.core.Until(); now >= until {
+		return 0, fmt.Errorf("%w: no renewal was answered in time", lease.ErrLost)
+	}
+	if _, ok := h.r.table.Holds(h.want.Task, h.key); !ok {
+		return 0, fmt.Errorf("%w: its place is gone", lease.ErrLost)
+	}
+	return until, nil
+}
+
+// watch ends the hold's context once it is entitled no more, or is asked to release.
+func (h *Hold) watch() {
+	r := h.r
+	for {
+		r.mu.Lock()
+		changed := r.changed
+		until, err := h.entitled(r.cfg.Clock())
+		if err == nil {
+			err = r.table.Yields(h.want.Task, h.key)
+		}
+		if err == nil && r.closed {
+			err = ErrClosed
+		}
+		r.mu.Unlock()
+		if err != nil {
+			h.cancel(err)
+			return
+		}
+		if err := r.wait(h.ctx, changed, until); err != nil {
+			h.cancel(err)
+			return
+		}
+	}
+}
+
+// Task is what is held.
+func (h *Hold) Task() string { return h.want.Task }
+
+// Token is higher than that of any earlier holder of the same task.
+func (h *Hold) Token() uint64 { return h.token }
+
+// Until is when the entitlement ends unless it is renewed, by the host's boot clock in nanoseconds; 0: it has ended.
+func (h *Hold) Until() int64 {
+	h.r.mu.Lock()
+	defer h.r.mu.Unlock()
+	until, err := h.entitled(h.r.cfg.Clock())
+	if err != nil {
+		return 0
+	}
+	return until
+}
+
+// Renewed is closed once Until is not what it was, or the hold's context has ended.
+func (h *Hold) Renewed(was int64) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for h.ctx.Err() == nil {
+			h.r.mu.Lock()
+			changed := h.r.changed
+			until, err := h.entitled(h.r.cfg.Clock())
+			h.r.mu.Unlock()
+			if err != nil || until != was || h.r.wait(h.ctx, changed, until) != nil {
+				return
+			}
+		}
+	}()
+	return done
+}
+
+// Context ends when the entitlement does, or when the holder is asked to release; its cause says why.
+func (h *Hold) Context() context.Context { return h.ctx }
+
+// Do runs an action that takes at most so long. It does not begin what may not end within the entitlement: it waits for the next
+// renewal, and fails with ErrShort if that does not come, or if the action takes longer than a renewal can give. The action's
+// context ends with the entitlement, and after its time at most.
+//
+// A process that is stopped between Do's look at the clock and the action's effect acts late, whatever Do does: what must not see
+// that checks the token.
+func (h *Hold) Do(ctx context.Context, most time.Duration, f func(ctx context.Context, token uint64) error) error {
+	r := h.r
+	if int64(most) >= h.s.core.Rules().Span()*2/3 {
+		return fmt.Errorf("%w: %v", lease.ErrShort, most)
+	}
+	for {
+		r.mu.Lock()
+		now, changed := r.cfg.Clock(), r.changed
+		until, err := h.entitled(now)
+		if err == nil && h.ctx.Err() != nil {
+			err = context.Cause(h.ctx)
+		}
+		if err != nil {
+			r.mu.Unlock()
+			return err
+		}
+		if now+int64(most) < until {
+			h.actions.Add(1)
+			r.mu.Unlock()
+			defer h.actions.Done()
+			in, cancel := context.WithTimeout(ctx, most)
+			defer cancel()
+			defer context.AfterFunc(h.ctx, cancel)()
+			return f(in, h.token)
+		}
+		r.mu.Unlock()
+		if err := r.wait(ctx, changed, until); err != nil {
+			return err
+		}
+	}
+}
+
+// Txn makes a change of the store that takes effect only while this holder has its place: none does after a later holder's.
+func (h *Hold) Txn(ctx context.Context, t store.Txn) (store.Result, error) {
+	t.If = append([]store.Compare{{Key: h.key, Modified: h.token}}, t.If...)
+	return h.r.store.Do(ctx, store.Command{Txn: &t})
+}
+
+// Release gives it up: it is entitled to nothing from now on, its context ends, actions under way are waited for up to the end of
+// what they were entitled to, and then the next in order has its turn.
+func (h *Hold) Release() {
+	h.over.Do(func() {
+		r := h.r
+		r.mu.Lock()
+		now := r.cfg.Clock()
+		until, _ := h.entitled(now)
+		h.leaving = true
+		key := h.key
+		r.mu.Unlock()
+		if h.cancel != nil {
+			h.cancel(lease.ErrLost)
+			ended := make(chan struct{})
+			go func() { h.actions.Wait(); close(ended) }()
+			t := time.NewTimer(time.Duration(max(0, until-now)))
+			select {
+			case <-ended:
+			case <-t.C: // an action that does not heed its context is held off by its token
+			}
+			t.Stop()
+		}
+		r.mu.Lock()
+		if r.holds[key] == h {
+			delete(r.holds, key) // from now on the session's renewal sweeps it, if this does not come through
+		}
+		r.mu.Unlock()
+		if key != "" {
+			if err := r.remove(r.ctx, key); err != nil && r.ctx.Err() == nil {
+				r.cfg.Log.Debug("a place is not removed yet", "task", h.want.Task, "error", err)
+			}
+		}
+		r.mu.Lock()
+		h.s.users--
+		r.mu.Unlock()
+	})
+}
--- /dev/null
+++ b/internal/tasks/runner.go
@@ -0,0 +1,381 @@
+// Package tasks lets a daemon hold leases for fleet-wide tasks: it sends what package lease asks for to the store, follows the
+// queues by the copy of the store that the daemon has anyway, and runs what is to be run by one or by so many for the whole fleet.
+//
+// One goroutine a session renews it, whatever number of tasks it holds. Nothing on a request's way comes here.
+package tasks
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"birchmoor/internal/daemon"
+	"birchmoor/internal/lease"
+	"birchmoor/internal/store"
+
+	"golang.org/x/sys/unix"
+)
+
+// Config is what a Runner goes by.
+type Config struct {
+	Host  string // of this daemon, which its key says
+	Skew  float64
+	Log   *slog.Logger
+	Clock func() int64 // Boottime, if nil
+	Plant lease.Plant  // for tests
+	Table lease.TablePlant
+}
+
+// Boottime is the host's clock since its start, in nanoseconds, which goes on while the host sleeps and is the same for all its
+// processes.
+func Boottime() int64 {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(err) // Linux has it since 2.6.39
+	}
+	return t.Nano()
+}
+
+const (
+	sessionsMost = 8 // lengths of sessions at once
+	retryMin     = 20 * time.Millisecond
+	retryMost    = time.Second
+	marginPart   = 50 // of the TTL is given away, at least
+	marginLeast  = 20 * time.Millisecond
+)
+
+// Errors of a Runner.
+var (
+	ErrSessions = fmt.Errorf("%d lengths of leases are in use at this daemon already", sessionsMost)
+	ErrClosed   = errors.New("the daemon is ending")
+)
+
+// Runner holds leases for one daemon. Any goroutine may use it.
+type Runner struct {
+	cfg   Config
+	store daemon.Store
+	ctx   context.Context
+	stop  context.CancelFunc
+	wg    sync.WaitGroup
+
+	mu       sync.Mutex
+	table    *lease.Table
+	sessions map[int64]*session
+	holds    map[string]*Hold // by the key of the place
+	loops    map[string]*loop // tasks that this daemon runs, by name
+	came     map[string]int64 // when the copy first showed a place or what a task did, by key
+	changed  chan struct{}    // closed when anything of this has changed
+	closed   bool
+}
+
+type session struct {
+	core  *lease.Session
+	ttl   time.Duration
+	users int
+	wake  chan struct{}
+}
+
+// New returns a Runner that holds nothing.
+func New(cfg Config) *Runner {
+	if cfg.Clock == nil {
+		cfg.Clock = Boottime
+	}
+	if cfg.Skew == 0 {
+		cfg.Skew = lease.DefaultSkew
+	}
+	r := &Runner{cfg: cfg, table: lease.NewTable(cfg.Table), sessions: map[int64]*session{}, holds: map[string]*Hold{},
+		loops: map[string]*loop{}, came: map[string]int64{}, changed: make(chan struct{})}
+	r.ctx, r.stop = context.WithCancel(context.Background())
+	return r
+}
+
+// Attach gives the copy of the store, once it is open and before anything else but the hooks is called.
+func (r *Runner) Attach(s daemon.Store) { r.store = s }
+
+// Run waits until ctx ends. With Attach, Event and Reset it makes a Runner a part of a daemon.
+func (r *Runner) Run(ctx context.Context) { <-ctx.Done() }
+
+// Event is told of each change that the copy shows. It does not wait.
+func (r *Runner) Event(e store.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.table.Event(e) {
+		return
+	}
+	if e.Deleted {
+		delete(r.came, e.Item.Key)
+	} else if _, seen := r.came[e.Item.Key]; !seen || e.Item.Version > 1 {
+		r.came[e.Item.Key] = r.cfg.Clock()
+	}
+	r.went()
+}
+
+// Reset is told of a whole copy. It does not wait.
+func (r *Runner) Reset(s *store.State) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	was := r.table.Cluster()
+	if r.table.Reset(s); was != 0 && was != s.Cluster() {
+		for _, x := range r.sessions { // they are of a store that is gone
+			x.core.Drop()
+		}
+	}
+	for key := range r.came {
+		if _, there := s.Get(key); !there {
+			delete(r.came, key)
+		}
+	}
+	r.went()
+}
+
+// went wakes all who wait for a change. The lock is held.
+func (r *Runner) went() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// Close releases what is held and ends the sessions, so that others need not wait for their time. It waits for the actions under
+// way, up to the end of their entitlement.
+func (r *Runner) Close() {
+	r.mu.Lock()
+	r.closed = true
+	var holds []*Hold
+	for _, h := range r.holds {
+		holds = append(holds, h)
+	}
+	r.went()
+	r.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, h := range holds {
+		wg.Go(h.Release)
+	}
+	wg.Wait()
+	r.stop()
+	r.wg.Wait()
+}
+
+// session returns the one of a length, which is begun if there is none. The lock is held.
+func (r *Runner) session(ttl time.Duration) (*session, error) {
+	ms := ttl.Milliseconds()
+	if ms < lease.TTLLeast || ms > lease.TTLMost {
+		return nil, fmt.Errorf("%v is not within %v and %v", ttl, lease.TTLLeast*time.Millisecond, lease.TTLMost*time.Millisecond)
+	}
+	if s := r.sessions[ms]; s != nil {
+		return s, nil
+	}
+	if r.closed {
+		return nil, ErrClosed
+	}
+	if len(r.sessions) >= sessionsMost {
+		return nil, ErrSessions
+	}
+	rules := lease.Rules{TTL: ms * 1e6, Skew: r.cfg.Skew, Margin: max(ms*1e6/marginPart, int64(marginLeast))}
+	s := &session{core: lease.NewSession(rules, r.cfg.Plant), ttl: ttl, wake: make(chan struct{}, 1)}
+	r.sessions[ms] = s
+	r.wg.Go(func() { r.renew(s, ms) })
+	return s, nil
+}
+
+// renew keeps one session until nobody has used it for as long as it lasts.
+func (r *Runner) renew(s *session, ms int64) {
+	var idle int64 // since when
+	for {
+		r.mu.Lock()
+		now := r.cfg.Clock()
+		if s.users > 0 {
+			idle = 0
+		} else if idle == 0 {
+			idle = now
+		}
+		over := r.ctx.Err() != nil || idle != 0 && now-idle > int64(s.ttl)
+		if over {
+			delete(r.sessions, ms)
+			id := s.core.ID()
+			s.core.Drop()
+			r.mu.Unlock()
+			r.end(id)
+			return
+		}
+		ask, due := s.core.Next(now)
+		id := s.core.ID()
+		r.mu.Unlock()
+		if ask == lease.AskNothing {
+			t := time.NewTimer(time.Duration(due - now))
+			select {
+			case <-t.C:
+			case <-s.wake:
+			case <-r.ctx.Done():
+			}
+			t.Stop()
+			continue
+		}
+		c := store.Command{Grant: &store.Grant{TTL: uint64(ms), Owner: r.cfg.Host}}
+		if ask == lease.AskRenew {
+			c = store.Command{Renew: &store.Renew{Lease: id, Owner: r.cfg.Host}}
+		}
+		wait, cancel := context.WithTimeout(r.ctx, max(s.ttl/2, 200*time.Millisecond))
+		res, err := r.store.Do(wait, c)
+		cancel()
+		o := lease.Done
+		switch {
+		case errors.Is(err, store.ErrNoLease):
+			o = lease.Gone
+		case err != nil:
+			o = lease.Unknown
+		}
+		r.mu.Lock()
+		before := s.core.Number()
+		s.core.Answered(r.cfg.Clock(), o, res.Lease)
+		r.went()
+		var orphans []string
+		if o == lease.Done && s.core.Number() == before {
+			orphans = r.orphans(s)
+		}
+		r.mu.Unlock()
+		if o == lease.Gone {
+			r.cfg.Log.Warn("the session of this daemon's leases has ended", "ttl", s.ttl)
+		}
+		for _, key := range orphans {
+			_ = r.remove(r.ctx, key) // or at the next renewal
+		}
+	}
+}
+
+// orphans are places of a session that nobody here has a use for: the answer to their putting was lost, or the one to their
+// removal. They would keep the next in order waiting. The lock is held.
+func (r *Runner) orphans(s *session) (keys []string) {
+	for _, p := range r.table.Of(r.cfg.Host, s.core.ID()) {
+		if r.holds[p.Key] == nil {
+			keys = append(keys, p.Key)
+		}
+	}
+	return keys
+}
+
+// end ends a session at the store, if it can be reached: else it falls silent.
+func (r *Runner) end(id uint64) {
+	if id == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), time.Second)
+	defer cancel()
+	_, _ = r.store.Do(ctx, store.Command{End: &store.End{Lease: id, Owner: r.cfg.Host}})
+}
+
+// remove takes a place away.
+func (r *Runner) remove(ctx context.Context, key string) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	_, err := r.store.Do(ctx, store.Command{Txn: &store.Txn{Owner: r.cfg.Host, Then: []store.Op{{Key: key, Delete: true}}}})
+	return err
+}
+
+// Want says what is to be held.
+type Want struct {
+	Task  string
+	Slots int           // that hold it at once; all who want it must say the same. 0: one
+	TTL   time.Duration // after which another may have it when this daemon falls silent
+	Note  string        // for people
+}
+
+const noteMost = 256
+
+func (w *Want) check() error {
+	if err := lease.Name(w.Task); err != nil {
+		return fmt.Errorf("%q: %w", w.Task, err)
+	}
+	if w.Slots == 0 {
+		w.Slots = 1
+	}
+	if w.Slots < 1 || w.Slots > lease.SlotsMost {
+		return fmt.Errorf("%d slots are not within 1 and %d", w.Slots, lease.SlotsMost)
+	}
+	if len(w.Note) > noteMost {
+		return fmt.Errorf("the note has more than %d bytes", noteMost)
+	}
+	return nil
+}
+
+// Acquire waits in the task's queue until this daemon holds it, or ctx ends. Waiting is told of the place in the queue as it
+// changes, if it is not nil; it must not wait. The Hold must be released.
+func (r *Runner) Acquire(ctx context.Context, w Want, waiting func(before int, why error)) (*Hold, error) {
+	if err := w.check(); err != nil {
+		return nil, err
+	}
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	s, err := r.session(w.TTL)
+	if err != nil {
+		r.mu.Unlock()
+		return nil, err
+	}
+	s.users++
+	r.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+	h := &Hold{r: r, want: w, s: s}
+	if err := h.queue(ctx, hex.EncodeToString(b[:]), waiting); err != nil {
+		h.Release()
+		return nil, err
+	}
+	return h, nil
+}
+
+// wait waits for a change, or until an instant of the clock; 0 is none.
+func (r *Runner) wait(ctx context.Context, changed chan struct{}, until int64) error {
+	var at <-chan time.Time
+	if until != 0 {
+		t := time.NewTimer(time.Duration(until - r.cfg.Clock()))
+		defer t.Stop()
+		at = t.C
+	}
+	select {
+	case <-changed:
+	case <-at:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-r.ctx.Done():
+		return ErrClosed
+	}
+	return nil
+}
+
+// put writes the place of a hold once, with the task's number of slots if nobody has said it yet.
+func (r *Runner) put(ctx context.Context, h *Hold, id uint64) error {
+	r.mu.Lock()
+	slots := r.table.Slots(h.want.Task)
+	r.mu.Unlock()
+	if slots != 0 && slots != h.want.Slots {
+		return fmt.Errorf("%w: %d, and not %d", lease.ErrSlots, slots, h.want.Slots)
+	}
+	value, err := json.Marshal(lease.Word{Session: id, TTL: h.want.TTL.Milliseconds(), Note: h.want.Note})
+	if err != nil {
+		return err
+	}
+	t := &store.Txn{Owner: r.cfg.Host, If: []store.Compare{{Key: h.key}}, Then: []store.Op{{Key: h.key, Value: value, Lease: id}},
+		Bounds: []store.Bound{{Prefix: lease.PlacePrefix + h.want.Task + "/", Most: lease.PlacesMost}}}
+	if slots == 0 {
+		conf, err := json.Marshal(lease.Conf{Slots: h.want.Slots})
+		if err != nil {
+			return err
+		}
+		t.If = append(t.If, store.Compare{Key: lease.ConfPrefix + h.want.Task})
+		t.Then = append(t.Then, store.Op{Key: lease.ConfPrefix + h.want.Task, Value: conf})
+		t.Bounds = append(t.Bounds, store.Bound{Prefix: lease.ConfPrefix, Most: lease.TasksMost})
+	}
+	wait, cancel := context.WithTimeout(ctx, max(h.want.TTL/2, time.Second))
+	defer cancel()
+	_, err = r.store.Do(wait, store.Command{Txn: t})
+	return err // one that did not hold is looked at by the copy
+}
--- /dev/null
+++ b/internal/tasks/show.go
@@ -0,0 +1,155 @@
+package tasks
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"birchmoor/internal/lease"
+	"birchmoor/internal/store"
+)
+
+// Place is one in a task's queue as people see it.
+type Place struct {
+	Host    string `json:"host"`
+	Token   uint64 `json:"token"`
+	Holds   bool   `json:"holds"`
+	TTLMs   int64  `json:"ttl_ms"`
+	Note    string `json:"note,omitempty"`
+	AgeMs   int64  `json:"age_ms"`            // since the copy showed it; -1: before this start
+	Here    bool   `json:"here,omitempty"`    // it is this daemon's
+	UntilMs int64  `json:"left_ms,omitempty"` // of this daemon's entitlement, unless it is renewed
+}
+
+// Info is a task as people see it.
+type Info struct {
+	Task   string      `json:"task"`
+	Slots  int         `json:"slots"`
+	Order  lease.Order `json:"order"`
+	Places []Place     `json:"places"`         // the holders first
+	Why    string      `json:"why,omitempty"`  // there is no holder
+	Last   *Report     `json:"last,omitempty"` // what it did last
+	LastMs int64       `json:"last_age_ms"`    // since the copy showed that; -1: before this start
+	Here   string      `json:"here,omitempty"` // what this daemon does about it
+}
+
+// List shows all tasks, or those of one name, as the store has them.
+func (r *Runner) List(ctx context.Context, name string) ([]Info, error) {
+	last := map[string]*Report{}
+	if _, err := r.store.View(ctx, false, func(s *store.State) {
+		s.Range(DonePrefix, store.PrefixEnd(DonePrefix), func(i store.Item) bool {
+			var x Report
+			if json.Unmarshal(i.Value, &x) == nil {
+				last[strings.TrimPrefix(i.Key, DonePrefix)] = &x
+			}
+			return true
+		})
+	}); err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Clock()
+	age := func(key string) int64 {
+		if at, ok := r.came[key]; ok {
+			return (now - at) / 1e6
+		}
+		return -1
+	}
+	names := map[string]bool{}
+	for _, n := range r.table.Tasks() {
+		names[n] = true
+	}
+	for n := range last {
+		names[n] = true
+	}
+	for n := range r.loops {
+		names[n] = true
+	}
+	all := []Info{}
+	for _, n := range slices.Sorted(maps.Keys(names)) {
+		if name != "" && n != name {
+			continue
+		}
+		i := Info{Task: n, Slots: r.table.Slots(n), Places: []Place{}, Last: last[n], LastMs: age(DonePrefix + n)}
+		i.Order, _ = r.table.Order(n)
+		holders := 0
+		for _, p := range r.table.Places(n) {
+			_, holds := r.table.Holds(n, p.Key)
+			x := Place{Host: p.Host, Token: p.Token, Holds: holds && !i.Order.Pause, TTLMs: p.TTL, Note: p.Note, AgeMs: age(p.Key)}
+			if h := r.holds[p.Key]; h != nil {
+				x.Here = true
+				if until, err := h.entitled(now); err == nil {
+					x.UntilMs = (until - now) / 1e6
+				}
+			}
+			if x.Holds {
+				holders++
+			}
+			i.Places = append(i.Places, x)
+		}
+		if l := r.loops[n]; l != nil {
+			i.Here = l.state(now)
+		}
+		switch {
+		case holders > 0:
+		case r.table.Held():
+			i.Why = "the store was restored a moment ago"
+		case i.Order.Pause:
+			i.Why = "it is paused"
+			if i.Order.By != "" {
+				i.Why += " by " + i.Order.By
+			}
+		case len(i.Places) == 0:
+			i.Why = "nobody wants it"
+		}
+		all = append(all, i)
+	}
+	return all, nil
+}
+
+// state says what this daemon does about a task that it runs.
+func (l *loop) state(now int64) string {
+	s := "waits"
+	switch {
+	case l.hold != nil:
+		s = fmt.Sprintf("holds it, %d done, the last %v ago", l.done, time.Duration(now-l.last).Round(time.Millisecond))
+	case l.off > now:
+		s = fmt.Sprintf("is held off for another %v", time.Duration(l.off-now).Round(time.Second))
+	case l.before >= 0:
+		s = fmt.Sprintf("waits, %d before it", l.before)
+	}
+	if l.err != nil {
+		s += ": " + l.err.Error()
+	}
+	return s
+}
+
+// ErrNoTask says that nothing is known of a task.
+var ErrNoTask = errors.New("no such task")
+
+// Tell puts an operator's order on a task, in place of the one before; an empty one takes it away.
+func (r *Runner) Tell(ctx context.Context, task string, o lease.Order) error {
+	if err := lease.Name(task); err != nil {
+		return fmt.Errorf("%q: %w", task, err)
+	}
+	if len(o.Note)+len(o.By)+len(o.Host) > 3*noteMost {
+		return fmt.Errorf("the order has more than %d bytes", 3*noteMost)
+	}
+	op := store.Op{Key: lease.OrderPrefix + task, Delete: true}
+	if o.Pause || o.Host != "" {
+		b, err := json.Marshal(o)
+		if err != nil {
+			return err
+		}
+		op = store.Op{Key: op.Key, Value: b}
+	}
+	_, err := r.store.Do(ctx, store.Command{Txn: &store.Txn{Then: []store.Op{op},
+		Bounds: []store.Bound{{Prefix: lease.OrderPrefix, Most: lease.TasksMost}}}})
+	return err
+}
--- /dev/null
+++ b/internal/tasks/task.go
@@ -0,0 +1,179 @@
+package tasks
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"birchmoor/internal/lease"
+	"birchmoor/internal/store"
+)
+
+// DonePrefix is that of the keys that say what a task did last: task/done/TASK.
+const DonePrefix = lease.Prefix + "done/"
+
+// Task is what one holder, or so many, does for the whole fleet.
+type Task struct {
+	Want
+	Every    time.Duration // between two actions
+	Most     time.Duration // of an action
+	Progress time.Duration // without an action that succeeds the holder gives it up,
+	HoldDown time.Duration // and does not ask for it again for so long
+	Do       func(ctx context.Context, h *Hold) error
+}
+
+// Report is what a task did last, as the store has it.
+type Report struct {
+	Token uint64 `json:"token"`
+	Host  string `json:"host"`
+	Done  uint64 `json:"done"` // actions that succeeded, of this holding
+	Error string `json:"error,omitempty"`
+}
+
+// loop is a task that this daemon runs.
+type loop struct {
+	task   Task
+	hold   *Hold
+	done   uint64
+	last   int64 // when an action last succeeded, or the holding began
+	off    int64 // until when it does not ask for the task; 0: it does
+	err    error // of the last action, or why there is none
+	before int   // that hold or wait before this daemon; -1: it has no place
+}
+
+const reportEvery = 10 * time.Second
+
+// Take takes part in a task until ctx ends.
+func (r *Runner) Take(ctx context.Context, t Task) error {
+	if err := t.check(); err != nil {
+		return err
+	}
+	l := &loop{task: t, before: -1}
+	r.mu.Lock()
+	if r.loops[t.Task] != nil {
+		r.mu.Unlock()
+		return fmt.Errorf("%s: runs here already", t.Task)
+	}
+	r.loops[t.Task] = l
+	r.mu.Unlock()
+	for ctx.Err() == nil && r.ctx.Err() == nil {
+		h, err := r.Acquire(ctx, t.Want, func(before int, why error) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			l.before, l.err = before, why
+		})
+		if err != nil {
+			r.mu.Lock()
+			l.before, l.err = -1, err
+			r.mu.Unlock()
+			if pause(ctx, retryMost) != nil {
+				break
+			}
+			continue
+		}
+		r.cfg.Log.Info("this daemon holds a task", "task", t.Task, "token", h.Token())
+		r.note(l, h)
+		err = r.work(ctx, l, h)
+		h.Release()
+		r.note(l, nil)
+		r.cfg.Log.Info("this daemon holds a task no more", "task", t.Task, "token", h.Token(), "why", err)
+		if errors.Is(err, lease.ErrHeldOff) {
+			r.mu.Lock()
+			l.off = r.cfg.Clock() + int64(t.HoldDown)
+			l.err = err
+			r.mu.Unlock()
+			if pause(ctx, t.HoldDown) != nil {
+				break
+			}
+			r.mu.Lock()
+			l.off = 0
+			r.mu.Unlock()
+		}
+	}
+	r.mu.Lock()
+	delete(r.loops, t.Task)
+	r.mu.Unlock()
+	return ctx.Err()
+}
+
+func (t *Task) check() error {
+	if t.Every <= 0 || t.Most <= 0 || t.Progress < t.Every || t.Do == nil {
+		return fmt.Errorf("%s: every, most and progress are to be positive, and progress no less than every", t.Task)
+	}
+	return t.Want.check()
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// note says who holds a loop's task here.
+func (r *Runner) note(l *loop, h *Hold) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l.hold, l.done, l.err, l.before = h, 0, nil, -1
+	l.last = r.cfg.Clock()
+}
+
+// work acts for as long as it holds the task, and says why it ended.
+func (r *Runner) work(ctx context.Context, l *loop, h *Hold) error {
+	var reported int64
+	for {
+		err := h.Do(ctx, l.task.Most, func(in context.Context, _ uint64) error { return l.task.Do(in, h) })
+		now := r.cfg.Clock()
+		r.mu.Lock()
+		if l.err = err; err == nil {
+			l.done++
+			l.last = now
+		}
+		stuck, done := now-l.last > int64(l.task.Progress), l.done
+		r.mu.Unlock()
+		if err != nil && h.ctx.Err() == nil && ctx.Err() == nil {
+			r.cfg.Log.Warn("an action of a task failed", "task", l.task.Task, "error", err)
+		}
+		if reported == 0 || now-reported > int64(reportEvery) || err != nil {
+			reported = now
+			r.report(ctx, h, done, err)
+		}
+		if stuck {
+			return fmt.Errorf("%w: nothing was done for %v: %w", lease.ErrHeldOff, l.task.Progress, err)
+		}
+		t := time.NewTimer(l.task.Every)
+		select {
+		case <-t.C:
+		case <-h.ctx.Done():
+			t.Stop()
+			return context.Cause(h.ctx)
+		case <-ctx.Done():
+			t.Stop()
+			return ctx.Err()
+		}
+	}
+}
+
+// report tells the store what a task did, conditional on the token.
+func (r *Runner) report(ctx context.Context, h *Hold, done uint64, err error) {
+	x := Report{Token: h.token, Host: r.cfg.Host, Done: done}
+	if err != nil {
+		x.Error = err.Error()
+		x.Error = x.Error[:min(len(x.Error), noteMost)]
+	}
+	b, bad := json.Marshal(x)
+	if bad != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if _, err := h.Txn(ctx, store.Txn{Owner: r.cfg.Host, Then: []store.Op{{Key: DonePrefix + h.want.Task, Value: b}}}); err != nil {
+		r.cfg.Log.Debug("what a task did is not told", "task", h.want.Task, "error", err)
+	}
+}
