Add lock and task commands, and a bench of processes that judges two holders at once

lock runs a command under a task: token and deadline in its environment, TERM and KILL to it and all that it started before another may hold the task, also while lock is stopped (a keeper process has the deadlines on a pipe) or killed. Exit codes tell the command's own, not got (124), lost (125) and not run (126) apart. task list, show, pause, resume and move are for people.

internal/lab/tasklab runs locks around actors at daemons as processes. A stand-in judges in one clock: at its half that checks tokens nothing may take effect after a higher token, at the other only what the bench itself had stopped. Links are cut one way now, and a follower's to each replica apart.

--- /dev/null
+++ b/cmd/birchmoor/lock.go
@@ -0,0 +1,231 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"time"
+
+	"birchmoor/internal/keeper"
+	"birchmoor/internal/store/admin"
+	"birchmoor/internal/tasks"
+)
+
+// Exit codes of lock, beside those of the command that it runs.
+const (
+	exitNotGot = 124
+	exitLost   = 125
+	exitNotRun = 126
+)
+
+// exitError ends the program with a code of its own.
+type exitError struct {
+	code int
+	err  error // told on standard error, or nil
+}
+
+func (e *exitError) Error() string { return fmt.Sprint(e.err) }
+
+type lockCommand struct {
+	Socket  string        `help:"Socket of a running daemon." default:"store.sock" env:"BIRCHMOOR_STORE" placeholder:"PATH"`
+	Name    string        `arg:"" help:"Task that is held while the command runs."`
+	TTL     time.Duration `help:"When this host falls silent another may have it after this; 300ms to 1m." default:"5s"`
+	Slots   int           `help:"So many hold it at once; all who want it say the same." default:"1"`
+	Wait    time.Duration `help:"For it, at most; 0: for ever." default:"0s"`
+	JSON    bool          `help:"Tell on standard error what happens to the lock, as lines of JSON."`
+	Command []string      `arg:"" passthrough:"" help:"The command, behind --."`
+}
+
+func (k *lockCommand) Help() string {
+	return `Waits until the daemon at the socket holds the task for this command, runs it, and releases the task when the command and all that
+it started have ended. What is left of that when the command ends is killed. In the command's environment are
+
+  BIRCHMOOR_TASK    the task
+  BIRCHMOOR_TOKEN   a number above that of any earlier holder: what is acted upon is to turn lower ones away
+  BIRCHMOOR_UNTIL   until when it was held as the command began, in nanoseconds of the boot clock; it is renewed meanwhile
+
+When the lock cannot be kept, the command and all that it started get SIGTERM, and SIGKILL before another may hold it.
+
+Exit codes: the command's own; 128 and the signal that ended it; 124 not got in time, 125 lost, 126 the command cannot be run, 2 bad
+input, 130 on Ctrl-C.
+
+Examples:
+  birchmoor lock nightly --wait 30s -- ./report.sh
+  birchmoor lock restarts --slots 2 -- systemctl restart app`
+}
+
+func (k *lockCommand) Run(ctx context.Context, c *console) error {
+	if len(k.Command) > 0 && k.Command[0] == "--" {
+		k.Command = k.Command[1:]
+	}
+	if len(k.Command) == 0 {
+		return errors.New("no command is given")
+	}
+	if _, err := exec.LookPath(k.Command[0]); err != nil {
+		return &exitError{exitNotRun, err}
+	}
+	if err := keeper.Adopt(); err != nil {
+		return err
+	}
+	defer keeper.Clear()
+	wait, cancel := ctx, context.CancelFunc(func() {})
+	if k.Wait > 0 {
+		wait, cancel = context.WithTimeout(ctx, k.Wait)
+	}
+	defer cancel()
+	host, _ := os.Hostname() // for people alone
+	want := tasks.Want{Task: k.Name, Slots: k.Slots, TTL: k.TTL, Note: fmt.Sprintf("lock: %.120s (pid %d, %.40s)", strings.Join(k.Command, " "), os.Getpid(), host)}
+	hold, drop := context.WithCancel(context.WithoutCancel(ctx)) // the connection, by which it is held
+	defer drop()
+	lines, failed := make(chan admin.LockLine, 16), make(chan error, 1)
+	go func() {
+		failed <- admin.Dial(k.Socket).Lock(hold, want, func(l admin.LockLine) error {
+			select {
+			case lines <- l:
+				return nil
+			case <-hold.Done():
+				return hold.Err()
+			}
+		})
+	}()
+	told := ""
+	say := func(l admin.LockLine, text string) {
+		switch {
+		case k.JSON:
+			b, _ := encode(l)
+			fmt.Fprintf(c.err, "%s\n", b)
+		case text != told:
+			fmt.Fprintln(c.err, "birchmoor:", text)
+		}
+		told = text
+	}
+	for {
+		select {
+		case <-wait.Done():
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			return &exitError{exitNotGot, fmt.Errorf("%s: not got within %v%s", k.Name, k.Wait, strings.TrimPrefix(": "+told, ": "+k.Name))}
+		case err := <-failed:
+			var told *admin.Error
+			if errors.As(err, &told) && told.Status == 400 {
+				return err
+			}
+			return &exitError{exitNotGot, fmt.Errorf("%s: the daemon at %s: %w", k.Name, k.Socket, err)}
+		case l := <-lines:
+			switch {
+			case l.Over:
+				return &exitError{exitNotGot, fmt.Errorf("%s: %s", k.Name, l.Why)}
+			case l.Token == 0:
+				if l.Before != nil {
+					text := fmt.Sprintf("%s: waits, %d before it", k.Name, *l.Before)
+					if l.Why != "" {
+						text = fmt.Sprintf("%s: waits: %s", k.Name, l.Why)
+					}
+					say(l, text)
+				}
+			default:
+				if k.JSON {
+					say(l, "")
+				}
+				return k.hold(ctx, l, lines, failed, say)
+			}
+		}
+	}
+}
+
+// hold runs the command for as long as the lock is held.
+func (k *lockCommand) hold(ctx context.Context, l admin.LockLine, lines <-chan admin.LockLine, failed <-chan error, say func(admin.LockLine, string)) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	out, pipe, err := os.Pipe()
+	if err != nil {
+		return err
+	}
+	defer pipe.Close()
+	// No exec.CommandContext: the keeper ends with its command.
+	cmd := exec.Command(self, append([]string{"keeper", "--grace", min(time.Second, k.TTL/8).String(), "--early", max(30*time.Millisecond, k.TTL/25).String(),
+		"--"}, k.Command...)...)
+	cmd.Env = append(os.Environ(), "BIRCHMOOR_TASK="+k.Name, fmt.Sprintf("BIRCHMOOR_TOKEN=%d", l.Token), fmt.Sprintf("BIRCHMOOR_UNTIL=%d", l.Until))
+	cmd.Stdin, cmd.Stdout, cmd.Stderr, cmd.ExtraFiles = os.Stdin, os.Stdout, os.Stderr, []*os.File{out}
+	if err := keeper.PutOff(pipe, l.Until); err != nil {
+		return err
+	}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	out.Close()
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	stop := ctx.Done()
+	var lost error
+	for {
+		select {
+		case <-ended:
+			code := cmd.ProcessState.ExitCode()
+			switch {
+			case ctx.Err() != nil:
+				return ctx.Err()
+			case lost != nil:
+				return &exitError{exitLost, fmt.Errorf("%s is lost: %w", k.Name, lost)}
+			case code == exitLost:
+				return &exitError{exitLost, fmt.Errorf("%s is lost: it was not renewed in time", k.Name)}
+			case code < 0:
+				return &exitError{exitLost, fmt.Errorf("%s: what kept the command was killed", k.Name)}
+			case code != 0:
+				return &exitError{code, nil}
+			}
+			return nil
+		case <-stop:
+			stop = nil
+			_ = keeper.End(pipe) // one that is gone ends
+		case err := <-failed:
+			failed = nil
+			lost = fmt.Errorf("the daemon: %w", err)
+			_ = keeper.End(pipe)
+		case l := <-lines:
+			if l.Over {
+				lost = errors.New(l.Why)
+				_ = keeper.End(pipe)
+			} else if l.Until > 0 {
+				_ = keeper.PutOff(pipe, l.Until)
+			}
+			if say != nil && k.JSON {
+				say(l, "")
+			}
+		}
+	}
+}
+
+// keeperCommand is how lock runs itself around the command, so that the command is ended in time also while lock is stopped, and
+// does not outlive it.
+type keeperCommand struct {
+	Grace   time.Duration `required:""`
+	Early   time.Duration `required:""`
+	Command []string      `arg:"" passthrough:""`
+}
+
+func (k *keeperCommand) Run() error {
+	if len(k.Command) > 0 && k.Command[0] == "--" {
+		k.Command = k.Command[1:]
+	}
+	syscall.CloseOnExec(3)
+	code, why := keeper.Command{Args: k.Command, Env: os.Environ(), Grace: k.Grace, Early: k.Early, Clock: tasks.Boottime}.Run(os.NewFile(3, "deadlines"))
+	switch {
+	case errors.Is(why, keeper.ErrLate), errors.Is(why, keeper.ErrAlone):
+		return &exitError{exitLost, nil}
+	case errors.Is(why, keeper.ErrTold):
+		return &exitError{code, nil}
+	case why != nil:
+		return &exitError{exitNotRun, why}
+	case code != 0:
+		return &exitError{code, nil}
+	}
+	return nil
+}
--- a/cmd/birchmoor/main.go
+++ b/cmd/birchmoor/main.go
@@ -1,6 +1,6 @@
 // Command birchmoor is the product's command line: the lab, and what operators run by hand.
 //
-// Exit codes: 0 for success, 1 for a run that missed its figures or broke a rule, 2 for bad input, 130 on Ctrl-C.
+// Exit codes: 0 for success, 1 for a run that missed its figures or broke a rule, 2 for bad input, 130 on Ctrl-C; lock has more.
 package main
 
 import (
@@ -27,6 +27,10 @@
 	Run     daemonCommand  `cmd:"" help:"Serve as the daemon: the sidecar and the replicated store, as an operator file says."`
 	Check   checkCommand   `cmd:"" help:"Name every fault of an operator file."`
 	Store   storeCommands  `cmd:"" help:"Ask a running daemon's store, and tell it."`
+	Task    taskCommands   `cmd:"" help:"Tasks that one daemon, or so many, do for the whole fleet."`
+	Lock    lockCommand    `cmd:"" help:"Run a command that the fleet runs once at a time."`
+	Keeper  keeperCommand  `cmd:"" hidden:""`
+	Actor   actorCommand   `cmd:"" hidden:""`
 	Config  configCommands `cmd:"" help:"The settings of the data path that the store holds."`
 	DNS     dnsCommands    `cmd:"" help:"Ask a name server, or the DNS front of a sidecar."`
 	Keys    keysCommands   `cmd:"" help:"Make and rotate the keys by which replicas of the store know each other."`
@@ -61,9 +65,15 @@
 		parsed.BindTo(ctx, (*context.Context)(nil))
 		err = parsed.Run(&console{out: out, err: errs})
 	}
+	var own *exitError
 	switch {
 	case err == nil:
 		return 0
+	case errors.As(err, &own):
+		if own.err != nil {
+			fmt.Fprintln(errs, "birchmoor:", own.err)
+		}
+		return own.code
 	case errors.Is(err, errMissed):
 		return exitMissed
 	case ctx.Err() != nil:
--- /dev/null
+++ b/cmd/birchmoor/task.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os/user"
+	"text/tabwriter"
+	"time"
+
+	"birchmoor/internal/lease"
+	"birchmoor/internal/store/admin"
+	"birchmoor/internal/tasks"
+)
+
+func encode(v any) ([]byte, error) { return json.Marshal(v) }
+
+type taskCommands struct {
+	List    taskList    `cmd:"" help:"List the fleet's tasks, and who holds them."`
+	Show    taskShow    `cmd:"" help:"Show one task with all who wait for it."`
+	Pause   taskPause   `cmd:"" help:"Have nobody hold a task until it is resumed."`
+	Resume  taskResume  `cmd:"" help:"Take back what pause or move said."`
+	Move    taskMove    `cmd:"" help:"Have a host hold a task whenever it asks for it."`
+	Torture taskTorture `cmd:"" help:"Kill, stop and cut daemons as processes under holders of a task, and look for two who act at once."`
+}
+
+type taskList struct{ socketFlag }
+
+// shown asks for tasks.
+func (s *socketFlag) shown(ctx context.Context, c *console, name string, show func([]tasks.Info) error) error {
+	return s.call(ctx, c, func(ctx context.Context, a *admin.Client) error {
+		all, err := a.Tasks(ctx, name)
+		var told *admin.Error
+		if errors.As(err, &told) && told.Status == 404 {
+			fmt.Fprintln(c.err, err)
+			return errMissed
+		}
+		if err != nil {
+			return err
+		}
+		return show(all)
+	})
+}
+
+// holderOf says who holds a task, or why nobody does.
+func holderOf(i tasks.Info) (host, token string) {
+	n := 0
+	for _, p := range i.Places {
+		if p.Holds {
+			if n++; n == 1 {
+				host, token = p.Host, fmt.Sprint(p.Token)
+			}
+		}
+	}
+	switch {
+	case n == 0:
+		return "-", "-"
+	case n > 1:
+		return fmt.Sprintf("%s and %d more", host, n-1), "-"
+	}
+	return host, token
+}
+
+func lastOf(i tasks.Info) string {
+	switch {
+	case i.Last == nil:
+		return "-"
+	case i.Last.Error != "":
+		return fmt.Sprintf("failed %s ago: %s", ageOf(i.LastMs), i.Last.Error)
+	}
+	return fmt.Sprintf("%d done, told %s ago", i.Last.Done, ageOf(i.LastMs))
+}
+
+func (k *taskList) Run(ctx context.Context, c *console) error {
+	return k.shown(ctx, c, "", func(all []tasks.Info) error {
+		return k.print(c, all, func(w *tabwriter.Writer) {
+			fmt.Fprintln(w, "TASK\tHOLDER\tTOKEN\tSLOTS\tPLACES\tLAST\tNOTE")
+			for _, i := range all {
+				host, token := holderOf(i)
+				note := i.Why
+				if note == "" && i.Order.Host != "" {
+					note = "given to " + i.Order.Host
+				}
+				fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\t%s\n", i.Task, host, token, max(1, i.Slots), len(i.Places), lastOf(i), note)
+			}
+		})
+	})
+}
+
+type taskShow struct {
+	socketFlag
+	Task string `arg:"" help:"Its name."`
+}
+
+func (k *taskShow) Run(ctx context.Context, c *console) error {
+	return k.shown(ctx, c, k.Task, func(all []tasks.Info) error {
+		return k.print(c, all[0], func(w *tabwriter.Writer) {
+			i := all[0]
+			host, token := holderOf(i)
+			for _, x := range [][2]any{{"task", i.Task}, {"holder", host}, {"token", token}, {"slots", max(1, i.Slots)}, {"last", lastOf(i)}} {
+				fmt.Fprintf(w, "%v\t%v\n", x[0], x[1])
+			}
+			if i.Why != "" {
+				fmt.Fprintf(w, "why none\t%s\n", i.Why)
+			}
+			if i.Order.Host != "" {
+				fmt.Fprintf(w, "given to\t%s, by %s\n", i.Order.Host, i.Order.By)
+			}
+			if i.Here != "" {
+				fmt.Fprintf(w, "this daemon\t%s\n", i.Here)
+			}
+			fmt.Fprintln(w, "\nHOST\tTOKEN\tSTATE\tSINCE\tENTITLED FOR\tTTL\tNOTE")
+			for _, p := range i.Places {
+				state, left := "waits", "-"
+				if p.Holds {
+					state = "holds"
+				}
+				if p.UntilMs > 0 {
+					left = (time.Duration(p.UntilMs) * time.Millisecond).String()
+				}
+				fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%v\t%s\n", p.Host, p.Token, state, ageOf(p.AgeMs), left, time.Duration(p.TTLMs)*time.Millisecond, p.Note)
+			}
+		})
+	})
+}
+
+// order puts an order on a task.
+func (s *socketFlag) order(ctx context.Context, c *console, task string, o lease.Order) error {
+	if u, err := user.Current(); err == nil {
+		o.By = u.Username // for people alone
+	}
+	return s.call(ctx, c, func(ctx context.Context, a *admin.Client) error {
+		if err := a.OrderTask(ctx, admin.Order{Task: task, Order: o}); err != nil {
+			return s.failed(ctx, c, err, "")
+		}
+		if s.JSON {
+			return json.NewEncoder(c.out).Encode(o)
+		}
+		return nil
+	})
+}
+
+type taskPause struct {
+	socketFlag
+	Task string `arg:"" help:"Its name."`
+	Note string `help:"Why, for others." placeholder:"TEXT"`
+}
+
+func (k *taskPause) Help() string {
+	return `Its holder is asked to release it, and ends what it does; one that hears nothing loses it with its session. The task stays
+paused until it is resumed; "task list" shows it, and by whom.`
+}
+
+func (k *taskPause) Run(ctx context.Context, c *console) error {
+	return k.order(ctx, c, k.Task, lease.Order{Pause: true, Note: k.Note})
+}
+
+type taskResume struct {
+	socketFlag
+	Task string `arg:"" help:"Its name."`
+}
+
+func (k *taskResume) Run(ctx context.Context, c *console) error {
+	return k.order(ctx, c, k.Task, lease.Order{})
+}
+
+type taskMove struct {
+	socketFlag
+	Task string `arg:"" help:"Its name."`
+	Host string `arg:"" help:"Daemon that is to hold it."`
+	Note string `help:"Why, for others." placeholder:"TEXT"`
+}
+
+func (k *taskMove) Help() string {
+	return `The holder, and those who wait before the host, go behind it, once it has asked for the task; until then nothing changes. This
+holds until "task resume": the host has the task whenever it wants it.`
+}
+
+func (k *taskMove) Run(ctx context.Context, c *console) error {
+	return k.order(ctx, c, k.Task, lease.Order{Host: k.Host, Note: k.Note})
+}
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,200 @@
+// Package keeper runs a command that must be over by a deadline which is put off again and again, and that must not outlive the one
+// who puts it off. It ends the command with all that it started, whether or not that left its group: the keeper is the reaper of its
+// descendants (PR_SET_CHILD_SUBREAPER), so that none gets away from it by its parent's death.
+//
+// The deadlines come as lines on a pipe, so that a keeper finds the other end's death by the pipe's end, and goes by what it was last
+// told when the other end is stopped.
+package keeper
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Command is what is run.
+type Command struct {
+	Args  []string
+	Env   []string
+	Grace time.Duration // between SIGTERM and SIGKILL, at most
+	Early time.Duration // SIGKILL comes so long before the deadline, at the latest
+	Clock func() int64  // of the deadlines
+}
+
+// How a command ended.
+var (
+	ErrLate  = errors.New("its time was up")
+	ErrAlone = errors.New("who keeps it in time is gone")
+	ErrTold  = errors.New("it was told to end")
+)
+
+// Lines of the pipe: a deadline in nanoseconds, or this.
+const lineEnd = "end"
+
+// PutOff writes a deadline to a keeper's pipe.
+func PutOff(w io.Writer, until int64) error { return line(w, strconv.FormatInt(until, 10)) }
+
+// End tells a keeper to end its command.
+func End(w io.Writer) error { return line(w, lineEnd) }
+
+func line(w io.Writer, s string) error {
+	_, err := io.WriteString(w, s+"\n")
+	return err
+}
+
+// Adopt has orphans of this process's descendants become its children.
+func Adopt() error { return unix.Prctl(unix.PR_SET_CHILD_SUBREAPER, 1, 0, 0, 0) }
+
+// Run runs the command until it ends by itself, or must. The first deadline is to be on the pipe already. It returns the command's
+// exit code, 128 and the number of the signal if that ended it, and why it was ended if it was. Nothing that it started is left.
+func (c Command) Run(pipe io.Reader) (code int, why error) {
+	if err := Adopt(); err != nil {
+		return 0, err
+	}
+	lines := bufio.NewScanner(pipe)
+	if !lines.Scan() {
+		return 0, ErrAlone
+	}
+	until, err := strconv.ParseInt(lines.Text(), 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("deadline: %w", err)
+	}
+	type told struct {
+		until int64
+		why   error
+	}
+	news := make(chan told)
+	go func() {
+		for lines.Scan() {
+			n, err := strconv.ParseInt(lines.Text(), 10, 64)
+			if err != nil {
+				news <- told{why: ErrTold}
+				continue
+			}
+			news <- told{until: n}
+		}
+		news <- told{why: ErrAlone}
+	}()
+	cmd := exec.Command(c.Args[0], c.Args[1:]...)
+	cmd.Env, cmd.Stdin, cmd.Stdout, cmd.Stderr = c.Env, os.Stdin, os.Stdout, os.Stderr
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if c.Clock() >= until-int64(c.Early) {
+		return 0, ErrLate
+	}
+	if err := cmd.Start(); err != nil {
+		return 0, err
+	}
+	defer Clear()
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	for termed := false; ; {
+		now, kill := c.Clock(), until-int64(c.Early)
+		term := kill - int64(c.Grace)
+		if why == nil && now >= term {
+			why = ErrLate
+		}
+		if why != nil && !termed {
+			termed = true
+			signal(syscall.SIGTERM)
+			kill = min(kill, now+int64(c.Grace))
+			until = kill + int64(c.Early) // and no longer, whatever else is told
+		}
+		if termed && now >= kill || why == ErrAlone {
+			Clear()
+		}
+		next := term
+		if termed {
+			next = kill
+		}
+		t := time.NewTimer(max(time.Millisecond, time.Duration(next-now)))
+		select {
+		case <-ended:
+			t.Stop()
+			return exitOf(cmd.ProcessState), why
+		case x := <-news:
+			if x.why != nil && (why == nil || x.why == ErrAlone) {
+				why = x.why
+			}
+			if x.until > until && !termed {
+				until = x.until
+			}
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+func exitOf(s *os.ProcessState) int {
+	if s == nil { // Clear was there first
+		return 128 + int(syscall.SIGKILL)
+	}
+	if w, ok := s.Sys().(syscall.WaitStatus); ok && w.Signaled() {
+		return 128 + int(w.Signal())
+	}
+	return s.ExitCode()
+}
+
+// signal sends a signal to all descendants.
+func signal(s syscall.Signal) (n int) {
+	for _, pid := range descendants() {
+		if syscall.Kill(pid, s) == nil {
+			n++
+		}
+	}
+	return n
+}
+
+// Clear kills all descendants, and those that they start meanwhile, until there are none.
+func Clear() {
+	for signal(syscall.SIGKILL) > 0 {
+		for { // orphans come to this process, which has to wait for them
+			var w syscall.WaitStatus
+			pid, err := syscall.Wait4(-1, &w, syscall.WNOHANG, nil)
+			if pid <= 0 || err != nil {
+				break
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// descendants are the processes below this one that are not dead yet.
+func descendants() (below []int) {
+	stats, _ := filepath.Glob("/proc/[0-9]*/stat")
+	children := map[int][]int{}
+	for _, path := range stats {
+		b, err := os.ReadFile(path)
+		if err != nil {
+			continue // it is gone
+		}
+		// The name in brackets may hold anything.
+		head, rest, ok := strings.Cut(string(b), " (")
+		at := strings.LastIndex(rest, ") ")
+		if !ok || at < 0 {
+			continue
+		}
+		fields := strings.Fields(rest[at+2:])
+		pid, bad := strconv.Atoi(head)
+		if bad != nil || len(fields) < 2 || fields[0] == "Z" || fields[0] == "X" {
+			continue
+		}
+		if parent, err := strconv.Atoi(fields[1]); err == nil {
+			children[parent] = append(children[parent], pid)
+		}
+	}
+	for list := children[os.Getpid()]; len(list) > 0; list = list[1:] {
+		below = append(below, list[0])
+		list = append(list, children[list[0]]...)
+	}
+	return below
+}
--- a/internal/lab/fleetlab/fleet.go
+++ b/internal/lab/fleetlab/fleet.go
@@ -37,6 +37,8 @@
 	Starts   bool // discovery tells when servers start
 	Seed     uint64
 	Wait     time.Duration // of a follower without a disk for its first copy; 0: as daemons do
+	Bare     bool          // daemons run no sidecar
+	Store    string        // lines of [store] besides
 }
 
 // settings is a small site: one class that is safe to repeat, and servers that are cold for 10 s.
@@ -131,7 +133,8 @@
 	mgmt     string
 	peer     string // of the replica, through the relay
 	serve    string
-	in       *relay.Link
+	in       *relay.Link            // what comes to the replica from other replicas
+	links    map[string]*relay.Link // of a follower, to each replica by its name
 	board    *board
 	Client   *admin.Client
 	Known    []discovery.Instance // with which it is configured: its list of a start
@@ -202,6 +205,9 @@
 		if d.in != nil {
 			d.in.Close()
 		}
+		for _, l := range d.links {
+			l.Close()
+		}
 		d.board.close()
 	}
 	for _, s := range f.Servers {
@@ -242,11 +248,20 @@
 			return nil, err
 		}
 	}
-	file := fmt.Sprintf("[store]\nname = %q\ndir = %q\nsocket = %q\nplain = true\n", d.name, d.name, d.name+".sock")
+	file := f.cfg.Store + "\n"
+	file = fmt.Sprintf("[store]\nname = %q\ndir = %q\nsocket = %q\nplain = true\n", d.name, d.name, d.name+".sock") + file
 	if follower {
 		var all []string
+		d.links = map[string]*relay.Link{}
 		for _, r := range f.Daemons[:f.cfg.Replicas] {
-			all = append(all, r.name+"="+r.serve)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				return nil, err
+			}
+			l := relay.New(r.serve, f.cfg.Seed+uint64(100*i+r.Number), relay.Conditions{})
+			l.Listen(ln)
+			d.links[r.name] = l
+			all = append(all, r.name+"="+ln.Addr().String())
 		}
 		text, _ := json.Marshal(all) // TOML writes such lists as JSON does
 		file += fmt.Sprintf("follow = %s\n", text)
@@ -296,7 +311,10 @@
 		args = []string{"sidecar"}
 	}
 	cmd := exec.Command(d.f.cfg.Program, args...)
-	cmd.Env = append(append(os.Environ(), "ROUTER_CONFIG="+d.path(".json"), "TMPDIR="+tmp), d.f.cfg.Env...)
+	cmd.Env = append(append(os.Environ(), "TMPDIR="+tmp), d.f.cfg.Env...)
+	if !d.f.cfg.Bare {
+		cmd.Env = append(cmd.Env, "ROUTER_CONFIG="+d.path(".json"))
+	}
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // none is left when this process is killed
 	if err := cmd.Start(); err != nil {
@@ -355,9 +373,44 @@
 	return string(b)
 }
 
-// Ready waits until the sidecar takes requests.
+// Name is the daemon's.
+func (d *Daemon) Name() string { return d.name }
+
+// Follower says whether it has no replica.
+func (d *Daemon) Follower() bool { return d.follower }
+
+// Signal sends a signal to the process, if there is one.
+func (d *Daemon) Signal(s syscall.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cmd != nil {
+		_ = d.cmd.Process.Signal(s) // it may have ended
+	}
+}
+
+// Links changes all links by which the daemon hears others: a replica's incoming ones, a follower's to each replica.
+func (d *Daemon) Links(change func(*relay.Conditions)) {
+	if d.in != nil {
+		d.in.Set(change)
+	}
+	for _, l := range d.links {
+		l.Set(change)
+	}
+}
+
+// Ready waits until the sidecar takes requests, or without one until the operators' socket answers.
 func (d *Daemon) Ready(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if d.f.cfg.Bare {
+			if _, err := d.Client.Status(ctx); err == nil {
+				return nil
+			}
+			if d.ended() {
+				return fmt.Errorf("%s has ended:\n%s", d.name, d.Log())
+			}
+			time.Sleep(2 * time.Millisecond)
+			continue
+		}
 		resp, err := http.Get("http://" + d.listen + "/-/ready")
 		if err == nil {
 			resp.Body.Close()
--- a/internal/lab/relay/relay.go
+++ b/internal/lab/relay/relay.go
@@ -19,11 +19,21 @@
 	Stall     time.Duration // for up to this
 	Bandwidth int           // bytes a second in each direction; 0 for no bound
 	Hole      bool          // what is sent is lost, with no word; connections that lost something break when it ends
+	HoleTo    bool          // as Hole, of what goes to the target alone
+	HoleBack  bool          // as Hole, of what comes back alone
 	Split     int           // bytes a write at most; 0 for no bound
 	Pause     time.Duration // between the pieces of a split write
 	HalfClose bool          // the end of sending on one side is not passed on
 }
 
+// lost says whether what goes to the target, or what comes back, is lost.
+func (c *Conditions) lost(back bool) bool {
+	if back {
+		return c.Hole || c.HoleBack
+	}
+	return c.Hole || c.HoleTo
+}
+
 const (
 	chunkMost  = 16 << 10
 	chunksMost = 64 // on their way in a direction: beyond that the sender waits
@@ -82,10 +92,10 @@
 // Set changes the conditions, also for connections that are open.
 func (l *Link) Set(change func(*Conditions)) {
 	l.mu.Lock()
-	was := l.now.Hole
+	was := l.now
 	change(&l.now)
 	var broken []*pair
-	if was && !l.now.Hole {
+	if was.lost(false) && !l.now.lost(false) || was.lost(true) && !l.now.lost(true) {
 		for p := range l.conns {
 			if p.lost {
 				broken = append(broken, p)
@@ -214,8 +224,8 @@
 		l.mu.Unlock()
 	}()
 	ended := make(chan bool, 2) // whether the direction ended cleanly
-	go func() { ended <- l.pump(p, near, far) }()
-	go func() { ended <- l.pump(p, far, near) }()
+	go func() { ended <- l.pump(p, near, far, false) }()
+	go func() { ended <- l.pump(p, far, near, true) }()
 	if !<-ended {
 		p.reset()
 		<-ended
@@ -232,7 +242,7 @@
 }
 
 // pump carries one direction. Reading goes on while earlier chunks are on their way.
-func (l *Link) pump(p *pair, from, to net.Conn) (clean bool) {
+func (l *Link) pump(p *pair, from, to net.Conn, back bool) (clean bool) {
 	chunks := make(chan chunk, chunksMost)
 	go func() {
 		defer close(chunks)
@@ -262,12 +272,12 @@
 		if !sleep(p.ctx, time.Until(c.due)) {
 			return false
 		}
-		if len(c.data) > 0 && !l.write(p, to, c.data) {
+		if len(c.data) > 0 && !l.write(p, to, c.data, back) {
 			return false
 		}
 		if c.err != nil {
 			now := l.conditions()
-			if now.Hole {
+			if now.lost(back) {
 				l.lose(p)
 				<-p.ctx.Done() // the other side hears nothing of it
 				return false
@@ -285,10 +295,10 @@
 }
 
 // write passes data on as the conditions of this moment have it.
-func (l *Link) write(p *pair, to net.Conn, data []byte) bool {
+func (l *Link) write(p *pair, to net.Conn, data []byte, back bool) bool {
 	for len(data) > 0 {
 		c := l.conditions()
-		if c.Hole {
+		if c.lost(back) {
 			l.lose(p)
 			return true
 		}
--- /dev/null
+++ b/internal/lab/tasklab/torture.go
@@ -0,0 +1,441 @@
+// Package tasklab runs holders of a task as processes, each a birchmoor lock around an actor, at daemons that are processes too, and
+// kills, stops and cuts them. A stand-in that the actors act upon judges, in one clock and without knowing how leases work:
+//
+//   - at its half that checks tokens no action takes effect after one with a higher token, whatever was done to whom;
+//   - at its half that checks nothing none does either, but for actors that the bench stopped itself between two of their
+//     instructions: no lease can prevent that, and they are counted.
+package tasklab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"birchmoor/internal/lab/fleetlab"
+	"birchmoor/internal/lab/relay"
+	"birchmoor/internal/lease"
+	"birchmoor/internal/store/admin"
+)
+
+// Torture says what is done.
+type Torture struct {
+	Program  string
+	Env      []string
+	Dir      string
+	Replicas int
+	Follow   int
+	Holders  int // at each daemon, waiting or holding
+	TTL      time.Duration
+	For      time.Duration
+	Blows    int           // in place of For: so many of Faults in turn, each once those before it are over
+	Every    time.Duration // between two blows, on average
+	Seed     uint64
+	Fence    lease.FencePlant
+	Store    string // lines of [store] besides, such as a planted fault
+	Say      func(string)
+}
+
+// Tortured is what came of it.
+type Tortured struct {
+	Acts     int            `json:"acts"`
+	Holders  int            `json:"holders"` // that acted, one after the other
+	Late     int            `json:"late"`    // actions of actors that the bench had stopped, after a higher token
+	Blows    map[string]int `json:"blows"`
+	Broken   []string       `json:"broken"`
+	P50Ms    float64        `json:"gap_p50_ms"` // without an action, from one holder to the next
+	P99Ms    float64        `json:"gap_p99_ms"`
+	WorstMs  float64        `json:"gap_worst_ms"`
+	Schedule []string       `json:"schedule"` // of blows, by time
+}
+
+// actor is one lock with what it runs.
+type actor struct {
+	who string
+	d   *fleetlab.Daemon
+
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	log   *os.File
+	over  bool
+	stops int
+}
+
+type run struct {
+	*Torture
+	fleet  *fleetlab.Fleet
+	at     *Standin
+	actors []*actor
+	wg     sync.WaitGroup
+	r      *Tortured
+	rng    *rand.Rand
+	dir    string
+}
+
+// Run tortures.
+func (t *Torture) Run(ctx context.Context) (r *Tortured, err error) {
+	dir, err := os.MkdirTemp(t.Dir, "tasks-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	x := &run{Torture: t, r: &Tortured{Blows: map[string]int{}}, rng: rand.New(rand.NewPCG(t.Seed, 0x7461736b)), dir: dir}
+	if x.at, err = newStandin(filepath.Join(dir, "fence"), t.Fence); err != nil {
+		return nil, err
+	}
+	defer x.at.Close()
+	if x.fleet, err = fleetlab.Begin(ctx, fleetlab.Config{Program: t.Program, Args: []string{"run", "--config"}, Env: t.Env, Dir: dir, Replicas: t.Replicas,
+		Follow: t.Follow, Seed: t.Seed, Bare: true, Store: t.Store}); err != nil {
+		return nil, err
+	}
+	defer x.fleet.End()
+	for _, d := range x.fleet.Daemons {
+		for i := range t.Holders {
+			x.actors = append(x.actors, &actor{who: fmt.Sprintf("%s.%d", d.Name(), i), d: d})
+		}
+	}
+	begun := time.Now()
+	defer func() {
+		for _, a := range x.actors {
+			a.end()
+		}
+		x.wg.Wait()
+		x.tell(r)
+	}()
+	for _, a := range x.actors {
+		x.wg.Go(func() { x.keepActing(a) })
+	}
+	if err := x.goesOn(ctx, 1, 0); err != nil {
+		return x.r, err
+	}
+	for n := 0; ; n++ {
+		if t.Blows > 0 && n >= t.Blows || t.Blows == 0 && time.Since(begun) >= t.For {
+			return x.r, nil
+		}
+		if t.Blows == 0 {
+			wait := t.Every/2 + time.Duration(x.rng.Int64N(int64(t.Every)))
+			select {
+			case <-ctx.Done():
+				return x.r, ctx.Err()
+			case <-time.After(wait):
+			}
+		}
+		f := Faults[n%len(Faults)]
+		if t.Blows == 0 {
+			f = Faults[x.rng.IntN(len(Faults))]
+		}
+		_, held, before := x.at.now()
+		what, end := f.strike(x)
+		x.r.Blows[f.Name]++
+		x.r.Schedule = append(x.r.Schedule, fmt.Sprintf("%v %s %s", time.Since(begun).Round(time.Millisecond), f.Name, what))
+		if err := end(ctx); err != nil {
+			return x.r, fmt.Errorf("%s %s: %w", f.Name, what, err)
+		}
+		next := uint64(0)
+		if f.ends {
+			next = held + 1
+		}
+		if err := x.goesOn(ctx, before+1, next); err != nil {
+			return x.r, fmt.Errorf("after %s %s: %w", f.Name, what, err)
+		}
+		if t.Say != nil {
+			holder, token, acts := x.at.now()
+			broken, late := x.at.judge()
+			t.Say(fmt.Sprintf("%v: %s %s; %d acts, %s holds with %d, %d late of stopped actors, %d broken", time.Since(begun).Round(time.Second), f.Name, what, acts,
+				holder, token, late, len(broken)))
+		}
+	}
+}
+
+// tell sums up.
+func (x *run) tell(r *Tortured) {
+	if r == nil {
+		return
+	}
+	_, _, r.Acts = x.at.now()
+	r.Broken, r.Late = x.at.judge()
+	gaps := x.at.Gaps()
+	r.Holders = len(gaps) + 1
+	if n := len(gaps); n > 0 {
+		ms := func(d time.Duration) float64 { return float64(d) / 1e6 }
+		r.P50Ms, r.P99Ms, r.WorstMs = ms(gaps[n/2]), ms(gaps[n*99/100]), ms(gaps[n-1])
+	}
+}
+
+// goesOn waits until there are so many actions, and some of so high a token.
+func (x *run) goesOn(ctx context.Context, acts int, token uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, 60*time.Second)
+	defer cancel()
+	for {
+		if _, high, now := x.at.now(); now >= acts && high >= token {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(errors.New("nobody acts"), ctx.Err(), errors.New(x.logs()))
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// logs are the ends of what all wrote.
+func (x *run) logs() string {
+	var b strings.Builder
+	for _, a := range x.actors {
+		text, _ := os.ReadFile(filepath.Join(x.dir, a.who+".log"))
+		fmt.Fprintf(&b, "%s: %s\n", a.who, tail(string(text)))
+	}
+	for _, d := range x.fleet.Daemons {
+		fmt.Fprintf(&b, "%s: %s\n", d.Name(), tail(d.Log()))
+	}
+	return b.String()
+}
+
+func tail(s string) string { return s[max(0, len(s)-800):] }
+
+// keepActing runs one lock after the other, each with an actor.
+func (x *run) keepActing(a *actor) {
+	log, err := os.OpenFile(filepath.Join(x.dir, a.who+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return
+	}
+	defer log.Close()
+	for n := 0; ; n++ {
+		who := fmt.Sprintf("%s.%d", a.who, n)
+		cmd := exec.Command(x.Program, "lock", "task", "--socket", a.d.Socket(), "--ttl", x.TTL.String(), "--", x.Program, "actor", x.at.URL, who)
+		cmd.Env = append(os.Environ(), x.Env...)
+		cmd.Stdout, cmd.Stderr = log, log
+		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+		a.mu.Lock()
+		if a.over {
+			a.mu.Unlock()
+			return
+		}
+		if err := cmd.Start(); err != nil {
+			a.mu.Unlock()
+			return
+		}
+		a.cmd = cmd
+		a.mu.Unlock()
+		_ = cmd.Wait()                    // how it ended shows in its log
+		time.Sleep(20 * time.Millisecond) // a daemon that is away refuses at once
+	}
+}
+
+// end ends the lock for good.
+func (a *actor) end() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.over = true
+	if a.cmd != nil {
+		_ = a.cmd.Process.Signal(syscall.SIGCONT)
+		_ = a.cmd.Process.Signal(syscall.SIGTERM)
+	}
+}
+
+// signal sends a signal to the lock's process alone.
+func (a *actor) signal(s syscall.Signal) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.cmd != nil {
+		_ = a.cmd.Process.Signal(s)
+	}
+}
+
+// holding is the actor whose lock holds, and the name by which it acts.
+func (x *run) holding() (*actor, string) {
+	who, _, _ := x.at.now()
+	for _, a := range x.actors {
+		if strings.HasPrefix(who, a.who+".") {
+			return a, who
+		}
+	}
+	return x.actors[0], who
+}
+
+// leader is the replica that leads, or the first.
+func (x *run) leader() *fleetlab.Daemon {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for _, d := range x.fleet.Daemons[:x.Replicas] {
+		if s, err := d.Client.Status(ctx); err == nil && s.Leading {
+			return d
+		}
+	}
+	return x.fleet.Daemons[0]
+}
+
+// Fault is one kind of blow.
+type Fault struct {
+	Name   string
+	About  string
+	ends   bool // the holder's entitlement, whatever kind of daemon it is at
+	strike func(x *run) (what string, end func(context.Context) error)
+}
+
+// again starts daemons and waits for them.
+func again(ds ...*fleetlab.Daemon) func(context.Context) error {
+	return func(ctx context.Context) error {
+		for _, d := range ds {
+			if err := d.Start(); err != nil {
+				return err
+			}
+		}
+		ctx, cancel := context.WithTimeout(ctx, 60*time.Second)
+		defer cancel()
+		for _, d := range ds {
+			if err := d.Ready(ctx); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+// after waits, and then does.
+func (x *run) after(d time.Duration, f func()) func(context.Context) error {
+	return func(ctx context.Context) error {
+		select {
+		case <-time.After(d):
+		case <-ctx.Done():
+		}
+		f()
+		return nil
+	}
+}
+
+func (x *run) long() time.Duration { return x.TTL * 3 / 2 }
+
+// cut changes the links of the daemon at which the task is held for one and a half TTL.
+func (x *run) cut(change func(c *relay.Conditions, on bool)) (string, func(context.Context) error) {
+	a, _ := x.holding()
+	a.d.Links(func(c *relay.Conditions) { change(c, true) })
+	return a.d.Name(), x.after(x.long(), func() { a.d.Links(func(c *relay.Conditions) { change(c, false) }) })
+}
+
+// Faults are all kinds of blows.
+var Faults = []Fault{
+	{"holder-killed", "the daemon at which the task is held is killed", true, func(x *run) (string, func(context.Context) error) {
+		a, _ := x.holding()
+		a.d.Kill()
+		return a.d.Name(), again(a.d)
+	}},
+	{"holder-stopped", "the daemon at which the task is held is stopped for 1.5 TTL and continued", true, func(x *run) (string, func(context.Context) error) {
+		a, _ := x.holding()
+		a.d.Signal(syscall.SIGSTOP)
+		return a.d.Name(), x.after(x.long(), func() { a.d.Signal(syscall.SIGCONT) })
+	}},
+	{"answers-cut", "the holder's daemon is not heard, and hears", false, func(x *run) (string, func(context.Context) error) {
+		return x.cut(func(c *relay.Conditions, on bool) { c.HoleTo = on })
+	}},
+	{"renewals-cut", "the holder's daemon is heard, and hears nothing", false, func(x *run) (string, func(context.Context) error) {
+		return x.cut(func(c *relay.Conditions, on bool) { c.HoleBack = on })
+	}},
+	{"leader-killed", "the store's leader is killed", false, func(x *run) (string, func(context.Context) error) {
+		d := x.leader()
+		d.Kill()
+		return d.Name(), again(d)
+	}},
+	{"actor-stopped", "what the lock runs is stopped for 1.5 TTL, with all that keeps it in time, and continued", true, func(x *run) (string, func(context.Context) error) {
+		a, who := x.holding()
+		x.at.mayBeLate(who)
+		pids := below(a.pid())
+		for _, pid := range pids {
+			syscall.Kill(pid, syscall.SIGSTOP)
+		}
+		return who, x.after(x.long(), func() {
+			for _, pid := range pids {
+				syscall.Kill(pid, syscall.SIGCONT)
+			}
+		})
+	}},
+	{"lock-stopped", "the lock is stopped for 1.5 TTL, and its actor is not", false, func(x *run) (string, func(context.Context) error) {
+		a, who := x.holding()
+		a.signal(syscall.SIGSTOP)
+		return who, x.after(x.long(), func() { a.signal(syscall.SIGCONT) })
+	}},
+	{"lock-killed", "the lock is killed outright", true, func(x *run) (string, func(context.Context) error) {
+		a, who := x.holding()
+		a.signal(syscall.SIGKILL)
+		return who, x.after(0, func() {})
+	}},
+	{"leader-stopped", "the store's leader is stopped for 1.5 TTL and continued", false, func(x *run) (string, func(context.Context) error) {
+		d := x.leader()
+		d.Signal(syscall.SIGSTOP)
+		return d.Name(), x.after(x.long(), func() { d.Signal(syscall.SIGCONT) })
+	}},
+	{"all-killed", "all daemons are killed", false, func(x *run) (string, func(context.Context) error) {
+		for _, d := range x.fleet.Daemons {
+			d.Kill()
+		}
+		return "", again(x.fleet.Daemons...)
+	}},
+	{"moved", "operators give the task to another host", true, func(x *run) (string, func(context.Context) error) {
+		a, _ := x.holding()
+		to := x.fleet.Daemons[0]
+		for _, d := range x.fleet.Daemons {
+			if d != a.d {
+				to = d
+			}
+		}
+		at := x.fleet.Daemons[0] // a replica: followers' operators may not
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		err := at.Client.OrderTask(ctx, admin.Order{Task: "task", Order: lease.Order{Host: to.Name(), By: "the bench"}})
+		return to.Name(), func(ctx context.Context) error {
+			defer cancel()
+			if err != nil {
+				return err
+			}
+			return x.goesOn(ctx, 1, x.at.top()+1)
+		}
+	}},
+	{"slow", "all links are slow and lossy by stalls for 1.5 TTL", false, func(x *run) (string, func(context.Context) error) {
+		set := func(now relay.Conditions) {
+			for _, d := range x.fleet.Daemons {
+				d.Links(func(c *relay.Conditions) { *c = now })
+			}
+		}
+		set(relay.Conditions{Delay: 20 * time.Millisecond, Jitter: 0.9, Stalls: 0.05, Stall: x.TTL / 2})
+		return "", x.after(x.long(), func() { set(relay.Conditions{}) })
+	}},
+}
+
+func (a *actor) pid() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.cmd == nil {
+		return 0
+	}
+	return a.cmd.Process.Pid
+}
+
+// below lists a process and all below it.
+func below(pid int) []int {
+	if pid == 0 {
+		return nil
+	}
+	all := []int{pid}
+	for i := 0; i < len(all); i++ {
+		tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/children", all[i]))
+		for _, path := range tasks {
+			b, err := os.ReadFile(path)
+			if err != nil {
+				continue
+			}
+			for _, f := range strings.Fields(string(b)) {
+				var n int
+				if _, err := fmt.Sscan(f, &n); err == nil {
+					all = append(all, n)
+				}
+			}
+		}
+	}
+	return all
+}
