Prove leases in simulation under planted faults, and by all interleavings to a depth

Holders are actors in the store's simulation: each with a clock of its own rate (0.9 to 1.1, as the hosts'), a copy that may be old, answers that are late or lost, stopped at any step, killed and started. Judged in true time by what a holder itself knows: entitled at once, token order where checked, late acts where not unless its process was stopped, and that someone acts a second after the last fault.

--- a/cmd/birchmoor/task.go
+++ b/cmd/birchmoor/task.go
@@ -22,6 +22,8 @@
 	Pause   taskPause   `cmd:"" help:"Have nobody hold a task until it is resumed."`
 	Resume  taskResume  `cmd:"" help:"Take back what pause or move said."`
 	Move    taskMove    `cmd:"" help:"Have a host hold a task whenever it asks for it."`
+	Sim     taskSim     `cmd:"" help:"Play holders of tasks in the store's simulation, many seeds."`
+	Check   taskCheck   `cmd:"" help:"Enumerate all interleavings of two holders and the store, up to a depth."`
 	Torture taskTorture `cmd:"" help:"Kill, stop and cut daemons as processes under holders of a task, and look for two who act at once."`
 }
 
--- /dev/null
+++ b/cmd/birchmoor/tasksim.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"sync"
+
+	"birchmoor/internal/lab/leasemodel"
+	"birchmoor/internal/lab/storesim"
+)
+
+type taskSim struct {
+	Seeds    int    `help:"So many." default:"100"`
+	Seed     uint64 `help:"The first." default:"0"`
+	Plant    string `help:"Put a fault in, and count the seeds until it is found; list names them, all tries each." placeholder:"NAME"`
+	Replicas int    `help:"At the start." default:"3"`
+	Holders  int    `help:"Daemons that want tasks." default:"5"`
+	Faults   int    `help:"Faults of the store's that are caused in a run, beside those of holders." default:"24"`
+	Gap      int    `help:"Milliseconds of virtual time between two of them." default:"300"`
+	JSON     bool   `help:"A line of JSON for each run."`
+}
+
+func (k *taskSim) Help() string {
+	return `Daemons hold tasks of a cluster in virtual time, each by a clock of its own rate, stopped at any step, killed, with answers that are late
+or lost, while replicas crash, lose disks and links, and change. Judged in true time: nobody is entitled beside another, and nothing
+takes effect after a higher token. Exit code 1 if a promise was broken; with --plant, if the fault was not found.
+
+Examples:
+  birchmoor task sim --seeds 2000
+  birchmoor task sim --plant all --seeds 300
+  birchmoor task sim --seed 17 --seeds 1 --json`
+}
+
+func (k *taskSim) Run(ctx context.Context, c *console) error {
+	o := storesim.Options{Replicas: k.Replicas, Faults: k.Faults, Gap: k.Gap, Holders: k.Holders, Clients: 1, Ops: 20}
+	if k.Plant == "" {
+		return k.play(ctx, c, o, "")
+	}
+	missed := false
+	for _, f := range storesim.HolderFaults {
+		if k.Plant == "list" {
+			fmt.Fprintf(c.out, "%-22s %s\n", f.Name, f.About)
+			continue
+		}
+		if f.Name != k.Plant && k.Plant != "all" {
+			continue
+		}
+		x := o
+		x.Holder, x.Planted = f.Plant, f.Replica
+		if err := k.play(ctx, c, x, f.Name); err != nil {
+			if err != errMissed {
+				return err
+			}
+			missed = true
+		}
+		if k.Plant != "all" {
+			return nil
+		}
+	}
+	switch {
+	case missed:
+		return errMissed
+	case k.Plant != "list" && k.Plant != "all":
+		return fmt.Errorf("--plant %q is not a fault: list names them", k.Plant)
+	}
+	return nil
+}
+
+// play runs seeds side by side, and takes them in order. With a fault it ends with the first seed that finds it.
+func (k *taskSim) play(ctx context.Context, c *console, o storesim.Options, plant string) error {
+	type turn chan storesim.Result
+	turns := make(chan turn, 2*runtime.NumCPU())
+	stop, cancel := context.WithCancel(ctx)
+	var working sync.WaitGroup
+	defer working.Wait()
+	defer cancel()
+	go func() {
+		defer close(turns)
+		room := make(chan struct{}, runtime.NumCPU())
+		for i := range uint64(max(0, k.Seeds)) {
+			t := make(turn, 1)
+			select {
+			case turns <- t:
+			case <-stop.Done():
+				return
+			}
+			room <- struct{}{}
+			working.Go(func() {
+				t <- storesim.Run(k.Seed+i, o)
+				<-room
+			})
+		}
+	}()
+	enc, broken, n := json.NewEncoder(c.out), 0, 0
+	var sum storesim.Result
+	for t := range turns {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		r := <-t
+		n++
+		sum.Acts, sum.Late, sum.Crashes, sum.Elected, sum.Entries = sum.Acts+r.Acts, sum.Late+r.Late, sum.Crashes+r.Crashes, sum.Elected+r.Elected, sum.Entries+r.Entries
+		if k.JSON {
+			if err := enc.Encode(r); err != nil {
+				return err
+			}
+		}
+		if len(r.Broken) == 0 {
+			continue
+		}
+		if broken++; plant != "" {
+			fmt.Fprintf(c.out, "%s: found by seed %d, after %d: %s\n", plant, r.Seed, n, r.Broken[0])
+			return nil
+		}
+		fmt.Fprintf(c.err, "seed %d: %q\n", r.Seed, r.Broken)
+	}
+	if plant != "" {
+		fmt.Fprintf(c.out, "%s: not found in %d seeds\n", plant, n)
+		return errMissed
+	}
+	fmt.Fprintf(c.err, "%d seeds, %d broken: %d acts, %d late by processes that had been stopped; %d crashes of replicas, %d leaders, %d entries\n", n, broken, sum.Acts,
+		sum.Late, sum.Crashes, sum.Elected, sum.Entries)
+	if broken > 0 {
+		return errMissed
+	}
+	return nil
+}
+
+type taskCheck struct {
+	Depth int  `help:"Steps." default:"10"`
+	JSON  bool `help:"A line of JSON for each choice of clocks."`
+}
+
+func (k *taskCheck) Help() string {
+	return `All interleavings of two holders and the store, up to the depth, with each choice of whose clock runs fast: lost, doubled and late
+messages, another leader, releases that cross renewals. Depth 12 takes some 20 s and 1 GB each. Exit code 1 if two are entitled at once.`
+}
+
+func (k *taskCheck) Run(ctx context.Context, c *console) error {
+	broken := false
+	for n := range 8 {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		o := leasemodel.Options{Depth: k.Depth, Store: n&1 != 0, A: n&2 != 0, B: n&4 != 0}
+		r := leasemodel.Run(o)
+		broken = broken || r.Broken != nil
+		if k.JSON {
+			if err := json.NewEncoder(c.out).Encode(r); err != nil {
+				return err
+			}
+			continue
+		}
+		fmt.Fprintf(c.out, "fast: store %v, A %v, B %v: %d states, %d steps between them, to depth %d: %q\n", o.Store, o.A, o.B, r.States, r.Steps, r.Depth, r.Broken)
+	}
+	if broken {
+		return errMissed
+	}
+	return nil
+}
--- a/internal/lab/storesim/faults.go
+++ b/internal/lab/storesim/faults.go
@@ -268,6 +268,7 @@
 		}
 		if same {
 			w.settledServers()
+			w.settledHolders()
 			w.over = true
 			return
 		}
--- a/internal/lab/storesim/storesim.go
+++ b/internal/lab/storesim/storesim.go
@@ -37,7 +37,9 @@
 	Gap      int // milliseconds between two of them; 300
 	Planted  replica.Planted
 	Watch    Watch // a fault of daemons
-	Mixed    bool  // hosts begin with a build of level 1 of commands, and go to this one and back in turn
+	Holders  int   // daemons that hold tasks; none unless it is told
+	Holder   HolderPlant
+	Mixed    bool // hosts begin with a build of level 1 of commands, and go to this one and back in turn
 }
 
 func (o *Options) fill() {
@@ -70,6 +72,8 @@
 	Sent     int      `json:"sent"`   // requests to servers
 	Raised   int64    `json:"raised"` // when the cluster came to level 2, in virtual ms; 0: never
 	Steps    int      `json:"steps"`  // changes of a host's build
+	Acts     int      `json:"acts"`   // of holders of tasks
+	Late     int      `json:"late"`   // of those, after a higher token, by processes that had been stopped
 	Entries  uint64   `json:"entries"`
 	Micros   int64    `json:"virtual_us"`
 	Events   int      `json:"events"`
@@ -86,26 +90,28 @@
 )
 
 type world struct {
-	o      Options
-	q      *evq.Queue
-	rng    *rand.Rand
-	r      Result
-	hosts  []*host
-	log    map[uint64]uint64 // entries applied anywhere, by index
-	top    uint64
-	leader map[uint64]int // of a term
-	states map[uint64]uint64
-	links  map[[2]int]*link
-	clean  bool // no faults any more
-	net    netFaults
-	cl     []*client
-	ops    []*outs
-	sum    *xxhash.Digest
-	kinds  map[string]bool
-	leases []*leaseUser
-	over   bool
-	s      servers
-	level  uint64 // of commands that the cluster uses, by the log
+	o       Options
+	q       *evq.Queue
+	rng     *rand.Rand
+	r       Result
+	hosts   []*host
+	log     map[uint64]uint64 // entries applied anywhere, by index
+	top     uint64
+	leader  map[uint64]int // of a term
+	states  map[uint64]uint64
+	links   map[[2]int]*link
+	clean   bool // no faults any more
+	net     netFaults
+	cl      []*client
+	ops     []*outs
+	sum     *xxhash.Digest
+	kinds   map[string]bool
+	leases  []*leaseUser
+	over    bool
+	holders []*daemonSim
+	acted   *things
+	s       servers
+	level   uint64 // of commands that the cluster uses, by the log
 }
 
 type netFaults struct{ loss, double, delayed float64 }
@@ -206,6 +212,7 @@
 		w.ops = append(w.ops, u)
 		w.q.After(begin, u.next)
 	}
+	w.beginHolders(begin)
 	b := &bounds{w: w, id: 500}
 	w.q.After(begin, b.next)
 	if w.o.Mixed {
--- a/internal/lease/fence.go
+++ b/internal/lease/fence.go
@@ -33,6 +33,9 @@
 // ErrFence says that a fence has no room for another task, or cannot keep what it has seen.
 var ErrFence = errors.New("the fence cannot keep the token")
 
+// NewFence returns one that remembers for as long as it lives.
+func NewFence(p FencePlant) *Fence { return &Fence{plant: p} }
+
 // OpenFence reads what an earlier one at this path has seen.
 func OpenFence(path string, p FencePlant) (*Fence, error) {
 	f := &Fence{path: path, plant: p}
--- a/internal/lease/table.go
+++ b/internal/lease/table.go
@@ -76,6 +76,7 @@
 	tasks   map[string]*queue
 	held    bool // HoldKey is there
 	plant   TablePlant
+	counted map[string]uint64 // with ForgetTokens
 	cluster uint64
 }
 
@@ -232,6 +233,15 @@
 	case IgnoreOrder:
 		before = 0
 	}
+	if t.plant == ForgetTokens {
+		if t.counted == nil {
+			t.counted = map[string]uint64{}
+		}
+		if t.counted[key] == 0 {
+			t.counted[key] = uint64(len(t.counted)) + 1
+		}
+		p.Token = t.counted[key]
+	}
 	return p.Token, before < max(1, t.Slots(task))
 }
 
--- a/internal/store/replica/members.go
+++ b/internal/store/replica/members.go
@@ -22,6 +22,9 @@
 		clear(n.ending)
 		for _, l := range n.state.Leases() {
 			n.keep(l.ID)
+			if n.cfg.Planted&LeaseRest != 0 {
+				n.deadline[l.ID] -= (n.deadline[l.ID] - n.now) * 3 / 4
+			}
 		}
 	}
 	if n.lead != lead && lead != 0 {
--- a/internal/store/replica/replica.go
+++ b/internal/store/replica/replica.go
@@ -70,6 +70,7 @@
 	SkipCheck                           // an empty disk is let in under an old name
 	EagerReturn                         // a server may serve again at one copy's word
 	AnyLevel                            // a command is sent although a voter does not know its level
+	LeaseRest                           // a new leader takes leases to have been renewed long before it led
 )
 
 func (c *Config) fill() {
