--- a/cmd/birchmoor/lock.go
+++ b/cmd/birchmoor/lock.go
@@ -132,14 +132,14 @@
 				if k.JSON {
 					say(l, "")
 				}
-				return k.hold(ctx, l, lines, failed, say)
+				return k.hold(ctx, l, lines, failed, say, drop)
 			}
 		}
 	}
 }
 
 // hold runs the command for as long as the lock is held.
-func (k *lockCommand) hold(ctx context.Context, l admin.LockLine, lines <-chan admin.LockLine, failed <-chan error, say func(admin.LockLine, string)) error {
+func (k *lockCommand) hold(ctx context.Context, l admin.LockLine, lines <-chan admin.LockLine, failed <-chan error, say func(admin.LockLine, string), drop func()) error {
 	self, err := os.Executable()
 	if err != nil {
 		return err
@@ -150,11 +150,11 @@
 	}
 	defer pipe.Close()
 	// No exec.CommandContext: the keeper ends with its command.
-	cmd := exec.Command(self, append([]string{"keeper", "--grace", min(time.Second, k.TTL/8).String(), "--early", max(30*time.Millisecond, k.TTL/25).String(),
+	cmd := exec.Command(self, append([]string{"keeper", "--grace", min(time.Second, k.TTL/8).String(), "--early=" + plantedEarly(max(30*time.Millisecond, k.TTL/25)).String(),
 		"--"}, k.Command...)...)
 	cmd.Env = append(os.Environ(), "BIRCHMOOR_TASK="+k.Name, fmt.Sprintf("BIRCHMOOR_TOKEN=%d", l.Token), fmt.Sprintf("BIRCHMOOR_UNTIL=%d", l.Until))
 	cmd.Stdin, cmd.Stdout, cmd.Stderr, cmd.ExtraFiles = os.Stdin, os.Stdout, os.Stderr, []*os.File{out}
-	if err := keeper.PutOff(pipe, l.Until); err != nil {
+	if err := keeper.PutOff(pipe, plantedUntil(l.Until)); err != nil {
 		return err
 	}
 	if err := cmd.Start(); err != nil {
@@ -191,10 +191,13 @@
 			_ = keeper.End(pipe)
 		case l := <-lines:
 			if l.Over {
-				lost = errors.New(l.Why)
+				if lost = errors.New(l.Why); plantedRelease() {
+					drop()
+					time.Sleep(time.Second)
+				}
 				_ = keeper.End(pipe)
 			} else if l.Until > 0 {
-				_ = keeper.PutOff(pipe, l.Until)
+				_ = keeper.PutOff(pipe, plantedUntil(l.Until))
 			}
 			if say != nil && k.JSON {
 				say(l, "")
--- /dev/null
+++ b/cmd/birchmoor/plant.go
@@ -0,0 +1,17 @@
+//go:build !planted
+
+package main
+
+import (
+	"time"
+
+	"birchmoor/internal/lease"
+)
+
+// What a program that is built with the tag "planted" does wrong; this one does not.
+const isPlanted = false
+
+func plantedTable() lease.TablePlant             { return lease.TableNone }
+func plantedEarly(d time.Duration) time.Duration { return d }
+func plantedUntil(until int64) int64             { return until }
+func plantedRelease() bool                       { return false }
--- /dev/null
+++ b/cmd/birchmoor/plant_on.go
@@ -0,0 +1,43 @@
+//go:build planted
+
+package main
+
+import (
+	"os"
+	"time"
+
+	"birchmoor/internal/lab/tasklab"
+	"birchmoor/internal/lease"
+)
+
+// Faults for the bench between processes to find, chosen by an environment variable.
+const isPlanted = true
+
+func planted(name string) bool { return os.Getenv(tasklab.PlantEnv) == name }
+
+// order-ignored: whoever has a place acts.
+func plantedTable() lease.TablePlant {
+	if planted("order-ignored") {
+		return lease.IgnoreOrder
+	}
+	return lease.TableNone
+}
+
+// deadline-ignored: the keeper does not end the command when its time is up.
+func plantedUntil(until int64) int64 {
+	if planted("deadline-ignored") {
+		return until + int64(time.Hour)
+	}
+	return until
+}
+
+// kept-late: the keeper ends the command two seconds after its time.
+func plantedEarly(d time.Duration) time.Duration {
+	if planted("kept-late") {
+		return -2 * time.Second
+	}
+	return d
+}
+
+// released-first: lock gives the task up before its command has ended.
+func plantedRelease() bool { return planted("released-first") }
--- a/cmd/birchmoor/run.go
+++ b/cmd/birchmoor/run.go
@@ -90,7 +90,7 @@
 			return err
 		}
 	}
-	settings, runner := daemon.NewSettings(s.Name, check, log), tasks.New(tasks.Config{Host: s.Name, Skew: s.Skew, Log: log})
+	settings, runner := daemon.NewSettings(s.Name, check, log), tasks.New(tasks.Config{Host: s.Name, Skew: s.Skew, Log: log, Table: plantedTable()})
 	d := daemon.New(s.Name, log, settings, runner)
 	d.SweepByOne()
 	if err := d.Journal(s.Dir); err != nil {
--- a/cmd/birchmoor/tasklab.go
+++ b/cmd/birchmoor/tasklab.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"time"
@@ -19,6 +20,7 @@
 	Holders  int           `help:"Locks at each daemon." default:"2"`
 	TTL      time.Duration `help:"Of the locks." default:"2s"`
 	Seed     uint64        `help:"Of what is done to whom." default:"1"`
+	Plant    string        `help:"A fault of the program, which must be built with -tags planted: order-ignored, deadline-ignored, kept-late, released-first." placeholder:"NAME"`
 	JSON     bool          `help:"As JSON."`
 }
 
@@ -35,8 +37,11 @@
 	if err != nil {
 		return err
 	}
+	if k.Plant != "" && !isPlanted {
+		return errors.New("--plant: this program was not built with -tags planted")
+	}
 	t := tasklab.Torture{Program: self, Dir: k.Dir, Replicas: k.Replicas, Follow: k.Follow, Holders: k.Holders, TTL: k.TTL, For: k.For, Every: k.Every,
-		Seed: k.Seed, Say: func(s string) { fmt.Fprintln(c.err, s) }}
+		Seed: k.Seed, Plant: k.Plant, Say: func(s string) { fmt.Fprintln(c.err, s) }}
 	r, err := t.Run(ctx)
 	if r != nil && k.JSON {
 		if bad := json.NewEncoder(c.out).Encode(r); bad != nil {
@@ -46,6 +51,11 @@
 		fmt.Fprintf(c.out, "%d acts of %d holders, %d late of stopped actors, blows %v; without an action between two holders p50 %.0f ms, p99 %.0f, worst %.0f; broken: %q\n",
 			r.Acts, r.Holders, r.Late, r.Blows, r.P50Ms, r.P99Ms, r.WorstMs, r.Broken)
 	}
+	if r != nil && !k.JSON {
+		for _, a := range r.After {
+			fmt.Fprintf(c.out, "after %s (%d): p50 %.0f ms, p99 %.0f, worst %.0f until the next acted\n", a.Blow, a.N, a.P50Ms, a.P99Ms, a.WorstMs)
+		}
+	}
 	if err != nil {
 		return err
 	}
