--- a/cmd/birchmoor/task.go
+++ b/cmd/birchmoor/task.go
@@ -24,6 +24,7 @@
 	Move    taskMove    `cmd:"" help:"Have a host hold a task whenever it asks for it."`
 	Sim     taskSim     `cmd:"" help:"Play holders of tasks in the store's simulation, many seeds."`
 	Check   taskCheck   `cmd:"" help:"Enumerate all interleavings of two holders and the store, up to a depth."`
+	Measure taskMeasure `cmd:"" help:"What leases cost the store, by the size of the fleet."`
 	Torture taskTorture `cmd:"" help:"Kill, stop and cut daemons as processes under holders of a task, and look for two who act at once."`
 }
 
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -250,3 +250,46 @@
 		}
 	})
 }
+
+// A restored state gives no revision or id again that the old cluster may have given, keeps none of its leases, and holds tasks off.
+func TestRenewGivesNothingAgain(t *testing.T) {
+	s := New(1, DefaultLimits)
+	s.Found("a", "a", 1)
+	apply := func(c *Command) Result {
+		r := s.Apply(s.Index()+1, c)
+		if r.Err != nil {
+			t.Fatal(r.Err)
+		}
+		return r
+	}
+	apply(&Command{Raise: &Raise{Level: Level}})
+	own := apply(&Command{Grant: &Grant{TTL: 5000, Owner: "h"}})
+	apply(&Command{Txn: &Txn{Owner: "h", Then: []Op{{Key: "k", Lease: own.Lease}}}})
+	for _, c := range []*Command{{Renew: &Renew{Lease: own.Lease, Owner: "x"}}, {Renew: &Renew{Lease: own.Lease}}, {End: &End{Lease: own.Lease, Owner: "x"}},
+		{Txn: &Txn{Owner: "x", Then: []Op{{Key: "j", Lease: own.Lease}}}}} {
+		if r := s.Apply(s.Index()+1, c); !errors.Is(r.Err, ErrNoLease) {
+			t.Errorf("what is another's lease: %v", r.Err)
+		}
+	}
+	before, last := s.Revision(), s.LastID()
+	s.Renew(2, before+1_000_000)
+	s.Lay("hold", nil, 60_000)
+	if _, there := s.Get("k"); there || s.Revision() <= before+1_000_000 || s.LastID() <= last+1_000_000-1 {
+		t.Errorf("revision %d, last id %d", s.Revision(), s.LastID())
+	}
+	s.Found("b", "b", 2)
+	var b bytes.Buffer
+	if err := s.Save(&b); err != nil {
+		t.Fatal(err)
+	}
+	again, err := Load(&b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, there := again.Get("hold"); !there || len(again.Leases()) != 1 || again.Revision() != s.Revision() {
+		t.Errorf("after a save: %d leases, revision %d", len(again.Leases()), again.Revision())
+	}
+	if r := again.Apply(1, &Command{Txn: &Txn{Then: []Op{{Key: "n"}}}}); r.Revision <= s.Revision() {
+		t.Errorf("revision %d after %d", r.Revision, s.Revision())
+	}
+}
