Put settings in force in steps, driven by the holder of a task

Need: settings came in force at all daemons at once, and nothing in the program was driven by one for all over its loss.

--- a/cmd/birchmoor/config.go
+++ b/cmd/birchmoor/config.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
+	"os/user"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"birchmoor/internal/daemon"
+	"birchmoor/internal/rollout"
 	"birchmoor/internal/store/admin"
 )
 
@@ -17,6 +20,7 @@
 	Put      configPut      `cmd:"" help:"Have settings checked by every replica, and put in force everywhere."`
 	Get      configGet      `cmd:"" help:"Print the settings in force, or those of a version."`
 	History  configHistory  `cmd:"" help:"List the versions."`
+	Plan     configPlan     `cmd:"" help:"How settings that come in force in steps stand, or call them off."`
 	Rollback configRollback `cmd:"" help:"Put the settings of an earlier version in force again."`
 }
 
@@ -24,6 +28,20 @@
 	socketFlag
 	File string `arg:"" type:"existingfile" help:"JSON file with the settings object of the data path."`
 	Note string `help:"Why, for the history."`
+
+	Steps  string        `help:"Put them in force in steps, such as 1,10%,all: a number of daemons, a part of them, all." placeholder:"STEPS"`
+	Settle time.Duration `help:"Each step for so long at least, before the next." default:"30s"`
+	Follow bool          `help:"Wait until the steps have ended." default:"true" negatable:""`
+}
+
+func (k *configPut) Help() string {
+	return `With --steps one daemon drives: each step is judged by what sidecars' clients were answered, and all is taken back if fewer are served with
+the new settings than with the old, by 0.05, or a daemon does not tell. When the one who drives dies, another goes on where it stood.
+
+Exit code 1 if they were taken back. Ctrl-C ends the waiting, not the steps: see config plan.
+
+Example:
+  birchmoor config put settings.json --steps 1,10%,all --settle 1m`
 }
 
 func (k *configPut) Run(ctx context.Context, c *console) error {
@@ -35,7 +53,94 @@
 	if err := json.Unmarshal(text, &any); err != nil {
 		return fmt.Errorf("%s: %w", k.File, err)
 	}
-	return configure(ctx, c, &k.socketFlag, admin.Config{Settings: any, Note: k.Note})
+	if k.Steps == "" {
+		return configure(ctx, c, &k.socketFlag, admin.Config{Settings: any, Note: k.Note})
+	}
+	steps, err := rollout.Parse(k.Steps)
+	if err != nil {
+		return err
+	}
+	if err := k.call(ctx, c, func(ctx context.Context, a *admin.Client) error {
+		if _, err := a.Configure(ctx, admin.Config{Settings: any, Note: k.Note, Steps: steps, SettleMs: k.Settle.Milliseconds()}); err != nil {
+			return k.failed(ctx, c, err, "")
+		}
+		return nil
+	}); err != nil || !k.Follow {
+		return err
+	}
+	return k.follow(ctx, c)
+}
+
+// follow waits until a plan has ended.
+func (k *configPut) follow(ctx context.Context, c *console) error {
+	told := -2
+	for {
+		var p rollout.Plan
+		err := k.call(ctx, c, func(ctx context.Context, a *admin.Client) (err error) {
+			p, err = a.Plan(ctx)
+			return err
+		})
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case err != nil:
+			fmt.Fprintf(c.err, "birchmoor: the daemon does not say how it goes: %v\n", err)
+		case p.State != rollout.Running:
+			if err := k.print(c, p, func(w *tabwriter.Writer) { fmt.Fprintf(w, "%s: %s\n", p.State, p.Why) }); err != nil {
+				return err
+			}
+			if p.State != rollout.Done {
+				return errMissed
+			}
+			return nil
+		case p.Step != told:
+			if told = p.Step; p.Step >= 0 {
+				fmt.Fprintf(c.err, "birchmoor: step %v: %d daemons; %s\n", p.Steps[p.Step], len(p.Hosts), p.Why)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
+type configPlan struct {
+	socketFlag
+	CallOff bool `help:"Take it back."`
+}
+
+func (k *configPlan) Run(ctx context.Context, c *console) error {
+	return k.call(ctx, c, func(ctx context.Context, a *admin.Client) error {
+		if k.CallOff {
+			by := "operators"
+			if u, err := user.Current(); err == nil {
+				by = u.Username
+			}
+			if _, err := a.Configure(ctx, admin.Config{CallOff: by}); err != nil {
+				return k.failed(ctx, c, err, "")
+			}
+		}
+		p, err := a.Plan(ctx)
+		var told *admin.Error
+		if errors.As(err, &told) && told.Status == 404 {
+			fmt.Fprintln(c.err, err)
+			return errMissed
+		}
+		if err != nil {
+			return err
+		}
+		return k.print(c, p, func(w *tabwriter.Writer) {
+			at := "none yet"
+			if p.Step >= 0 {
+				at = fmt.Sprintf("%v, %d of %d: %d daemons", p.Steps[p.Step], p.Step+1, len(p.Steps), len(p.Hosts))
+			}
+			for _, x := range [][2]any{{"state", p.State}, {"step", at}, {"settle", time.Duration(p.Settle) * time.Millisecond}, {"judged by", p.Why}, {"driver's token", p.Token},
+				{"by", p.By}, {"note", p.Note}} {
+				fmt.Fprintf(w, "%v\t%v\n", x[0], x[1])
+			}
+		})
+	})
 }
 
 func configure(ctx context.Context, c *console, s *socketFlag, q admin.Config) error {
--- a/cmd/birchmoor/run.go
+++ b/cmd/birchmoor/run.go
@@ -141,8 +141,9 @@
 			}
 		}
 	})
+	working.Go(func() { _ = runner.Take(ctx, drive(settings, time.Duration(s.Lease))) })
 	log.Info("the store runs", "replica", s.Name, "listen", s.Listen, "serve", s.Serve, "follows", s.Follow, "socket", s.Socket)
-	x = &extras{reload: settings.Reload(), shared: d, fleet: d, settings: settings.Current}
+	x = &extras{reload: settings.Reload(), shared: d, fleet: d, settings: settings.Current, figure: settings.Figure}
 	return x, func() {
 		runner.Close() // while the store still takes what is given up
 		cancel()
@@ -155,12 +156,22 @@
 
 // sweep is the task of ending what nobody has told for long.
 func sweep(d *daemon.Daemon, ttl time.Duration) tasks.Task {
-	return tasks.Task{Want: tasks.Want{Task: "sweep", TTL: ttl, Note: "ends drains, starts and pictures that nobody tells any more"},
+	return tasks.Task{Want: tasks.Want{Task: daemon.FleetTask, TTL: ttl, Note: "ends drains, starts and pictures that nobody tells any more"},
 		Every: sweepEvery, Most: ttl / 2, Progress: 6 * sweepEvery, HoldDown: 6 * sweepEvery,
 		Do: func(ctx context.Context, _ *tasks.Hold) error { return d.Sweep(ctx) }}
 }
 
-const sweepEvery = 10 * time.Second
+const (
+	sweepEvery = 10 * time.Second
+	driveEvery = 250 * time.Millisecond
+)
+
+// drive is the task of taking settings that come in force in steps further, or back.
+func drive(settings *daemon.Settings, ttl time.Duration) tasks.Task {
+	return tasks.Task{Want: tasks.Want{Task: daemon.RolloutTask, TTL: ttl, Note: "drives settings that come in force in steps"}, Every: driveEvery, Most: ttl / 2,
+		Progress: time.Minute, HoldDown: time.Minute,
+		Do: func(ctx context.Context, h *tasks.Hold) error { return settings.Drive(ctx, h.Token(), h.Txn) }}
+}
 
 // closer is a copy of the store, a replica's or a follower's.
 type closer interface {
--- a/cmd/birchmoor/sidecar.go
+++ b/cmd/birchmoor/sidecar.go
@@ -1,13 +1,19 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"log/slog"
+	"net"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -15,6 +21,7 @@
 	"birchmoor/internal/capture"
 	"birchmoor/internal/config"
 	"birchmoor/internal/core"
+	"birchmoor/internal/daemon"
 	"birchmoor/internal/maintenance"
 	"birchmoor/internal/operator"
 	"birchmoor/internal/sidecar"
@@ -53,6 +60,7 @@
 	shared   maintenance.Shared
 	fleet    sidecar.Fleet
 	settings func() json.RawMessage // in the place of the file's, unless nil
+	figure   func(daemon.Figures)   // is given what tells how clients were answered, unless nil
 }
 
 func (x *extras) read() (*config.Config, error) {
@@ -73,6 +81,10 @@
 		return err
 	}
 	h.Shared, h.Fleet, h.Read = x.shared, x.fleet, x.read
+	if x.figure != nil && h.Mgmt != nil {
+		at := h.Mgmt.Addr().String()
+		x.figure(func() (uint64, uint64, error) { return answered(at) })
+	}
 	if f.Keep != nil {
 		if err := os.MkdirAll(f.Keep.Dir, 0o755); err != nil {
 			return err
@@ -125,3 +137,34 @@
 			"segments", n.Segments.Load(), "lost", n.Lost.Load())
 	}, nil
 }
+
+// answered asks a sidecar's second address what its clients were answered: served, or refused and failed.
+func answered(at string) (served, not uint64, err error) {
+	c, err := net.DialTimeout("tcp", at, time.Second)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(time.Second))
+	if _, err := io.WriteString(c, "stats\n"); err != nil {
+		return 0, 0, err
+	}
+	lines := bufio.NewScanner(c)
+	for lines.Scan() {
+		name, value, ok := strings.Cut(lines.Text(), "} ")
+		if lines.Text() == "END" {
+			return served, not, nil
+		}
+		n, err := strconv.ParseUint(value, 10, 64)
+		if !ok || err != nil {
+			continue
+		}
+		switch name, _, _ = strings.Cut(name, "{"); name {
+		case "app_answered_total":
+			served += n
+		case "app_deferred_total", "app_errored_total":
+			not += n
+		}
+	}
+	return 0, 0, errors.Join(errors.New("the figures are not whole"), lines.Err())
+}
--- a/cmd/birchmoor/tasklab.go
+++ b/cmd/birchmoor/tasklab.go
@@ -25,6 +25,7 @@
 	Holders  int           `help:"Locks at each daemon." default:"2"`
 	TTL      time.Duration `help:"Of the locks." default:"2s"`
 	Seed     uint64        `help:"Of what is done to whom." default:"1"`
+	Only     string        `help:"Blows of this kind alone, each once all is calm, to measure the time until the next holder acts: holder-killed, holder-stopped, moved and others." placeholder:"KIND"`
 	Plant    string        `help:"A fault of the program, which must be built with -tags planted: order-ignored, deadline-ignored, kept-late, released-first." placeholder:"NAME"`
 	JSON     bool          `help:"As JSON."`
 }
@@ -46,7 +47,7 @@
 		return errors.New("--plant: this program was not built with -tags planted")
 	}
 	t := tasklab.Torture{Program: self, Dir: k.Dir, Replicas: k.Replicas, Follow: k.Follow, Holders: k.Holders, TTL: k.TTL, For: k.For, Every: k.Every,
-		Seed: k.Seed, Plant: k.Plant, Say: func(s string) { fmt.Fprintln(c.err, s) }}
+		Seed: k.Seed, Plant: k.Plant, Only: k.Only, Say: func(s string) { fmt.Fprintln(c.err, s) }}
 	r, err := t.Run(ctx)
 	if r != nil && k.JSON {
 		if bad := json.NewEncoder(c.out).Encode(r); bad != nil {
@@ -89,8 +90,8 @@
 }
 
 func (k *taskMeasure) Help() string {
-	return `What leases cost the store: entries of the log a second of fleets in which every daemon keeps its session and takes part in the
-sweeping, without and with tasks held at one daemon. Daemons are processes without sidecars.`
+	return `What leases cost the store: entries of the log a second of fleets in which every daemon keeps its session and has a place
+in both of its own tasks, without and with tasks held at one daemon. Daemons are processes without sidecars.`
 }
 
 // taskCost is what leases cost the store of a fleet.
@@ -163,7 +164,10 @@
 		return float64(after.Applied-before.Applied) / time.Since(begun).Seconds(), err
 	}
 	const ttl = 5 * time.Second // the daemons' default
-	if err := until("every daemon's place", func(list []tasks.Info) bool { return len(list) == 1 && len(list[0].Places) == n }); err != nil {
+	const ownTasks = 2          // in which each daemon has a place
+	if err := until("every daemon's place", func(list []tasks.Info) bool {
+		return len(list) == ownTasks && len(list[0].Places) == n && len(list[1].Places) == n
+	}); err != nil {
 		return nil, err
 	}
 	formula := 3 * float64(n) / ttl.Seconds()
@@ -181,7 +185,7 @@
 			_ = f.Daemons[n-1].Client.Lock(hold, tasks.Want{Task: fmt.Sprintf("task%d", i), TTL: ttl}, func(admin.LockLine) error { return nil }) // until it is dropped
 		})
 	}
-	if err := until("all tasks' holders", func(list []tasks.Info) bool { return len(list) == 1+k.Tasks }); err != nil {
+	if err := until("all tasks' holders", func(list []tasks.Info) bool { return len(list) == ownTasks+k.Tasks }); err != nil {
 		return nil, err
 	}
 	if rate, err = entries(); err != nil {
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -50,6 +50,7 @@
 	current json.RawMessage // or nil
 	version uint64          // its revision
 	pending *candidate      // to be checked
+	steps   stepping
 }
 
 type candidate struct {
@@ -65,10 +66,13 @@
 // Reload is told when settings have changed.
 func (x *Settings) Reload() chan os.Signal { return x.reload }
 
-// Current are those of the store, or nil.
+// Current are those of the store for this daemon, or nil.
 func (x *Settings) Current() json.RawMessage {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if x.steps.plan.Runs(x.name) && x.steps.text != nil {
+		return x.steps.text
+	}
 	return x.current
 }
 
@@ -93,17 +97,37 @@
 			x.take(i, false)
 		}
 	}
+	x.resetPlan(s)
 }
 
-// Run is of Part: it checks candidates.
+// Run is of Part: it checks candidates, and tells how a plan goes here.
 func (x *Settings) Run(ctx context.Context) {
+	t := time.NewTicker(reportEvery)
+	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-x.wake:
 			x.judge(ctx)
+		case <-t.C:
 		}
+		x.report(ctx)
+	}
+}
+
+// poke has Run look at what is new. signal has the sidecar read its settings anew.
+func (x *Settings) poke() {
+	select {
+	case x.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (x *Settings) signal() {
+	select {
+	case x.reload <- syscall.SIGHUP:
+	default: // one is owed already, and will read the newest
 	}
 }
 
@@ -118,18 +142,14 @@
 		if deleted {
 			x.current = nil
 		}
-		select {
-		case x.reload <- syscall.SIGHUP:
-		default: // one is owed already, and will read the newest
-		}
+		x.signal()
 	case keyCandidate:
 		if x.pending = nil; !deleted {
 			x.pending = &candidate{i.Modified, i.Value}
-			select {
-			case x.wake <- struct{}{}:
-			default:
-			}
+			x.poke()
 		}
+	default:
+		x.takePlan(i, deleted)
 	}
 }
 
@@ -178,20 +198,20 @@
 	Revision uint64          `json:"revision,omitempty"`
 }
 
-// Put has settings checked by every replica and, if all agree, commits them as the next version. It returns that.
-func (x *Settings) Put(ctx context.Context, settings json.RawMessage, note string) (Version, error) {
+// candidate has settings checked by every replica, and returns the revision of the candidate that they agreed on. It is to be
+// deleted by the change that puts it in force; one of a daemon that went away goes with its lease.
+func (x *Settings) candidate(ctx context.Context, settings json.RawMessage) (id uint64, err error) {
 	if !json.Valid(settings) {
-		return Version{}, errors.New("settings: not JSON")
+		return 0, errors.New("settings: not JSON")
 	}
 	if x.check != nil {
 		if err := x.check(settings); err != nil {
-			return Version{}, err
+			return 0, err
 		}
 	}
-	// A candidate of another who went away is let go after a while: it is held by a lease.
 	held, err := x.store.Do(ctx, store.Command{Grant: &store.Grant{TTL: uint64(candidateFor.Milliseconds())}})
 	if err != nil {
-		return Version{}, err
+		return 0, err
 	}
 	r, err := x.store.Do(ctx, store.Command{Txn: &store.Txn{If: []store.Compare{{Key: keyCandidate}},
 		Then: []store.Op{{Key: keyVerdict, Delete: true, End: store.PrefixEnd(keyVerdict)}, {Key: keyCandidate, Value: settings, Lease: held.Lease}}}})
@@ -199,37 +219,63 @@
 		err = errors.New("other settings are being put")
 	}
 	if err != nil {
-		return Version{}, err
+		return 0, err
 	}
-	id := r.Revision
-	if err := x.verdicts(ctx, id, r.Revision); err != nil {
+	if err := x.verdicts(ctx, r.Revision, r.Revision); err != nil {
 		_, end := x.store.Do(ctx, store.Command{End: &store.End{Lease: held.Lease}})
-		return Version{}, errors.Join(err, end)
+		return 0, errors.Join(err, end)
+	}
+	return r.Revision, nil
+}
+
+// nextVersion is the number of the next version, and what is in force.
+func nextVersion(s *store.State) (next uint64, now store.Item) {
+	next = 1
+	s.Range(keyHistory, store.PrefixEnd(keyHistory), func(i store.Item) bool {
+		n, _ := strconv.ParseUint(strings.TrimPrefix(i.Key, keyHistory), 10, 64)
+		next = max(next, n+1)
+		return true
+	})
+	now, _ = s.Get(keyCurrent)
+	return next, now
+}
+
+// ops put a version in force, and let the oldest go.
+func (v Version) ops() ([]store.Op, error) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return nil, err
 	}
-	var next uint64 = 1
+	ops := []store.Op{{Key: keyCurrent, Value: v.Settings}, {Key: historyKey(v.Version), Value: b}}
+	if v.Version > historyKept {
+		ops = append(ops, store.Op{Key: historyKey(0), Delete: true, End: historyKey(v.Version - historyKept + 1)})
+	}
+	return ops, nil
+}
+
+// Put has settings checked by every replica and, if all agree, commits them as the next version. It returns that.
+func (x *Settings) Put(ctx context.Context, settings json.RawMessage, note string) (Version, error) {
+	plan, err := x.noPlan(ctx)
+	if err != nil {
+		return Version{}, err
+	}
+	id, err := x.candidate(ctx, settings)
+	if err != nil {
+		return Version{}, err
+	}
+	var next uint64
 	var old store.Item
-	if _, err := x.store.View(ctx, false, func(s *store.State) {
-		s.Range(keyHistory, store.PrefixEnd(keyHistory), func(i store.Item) bool {
-			n, _ := strconv.ParseUint(strings.TrimPrefix(i.Key, keyHistory), 10, 64)
-			next = max(next, n+1)
-			return true
-		})
-		old, _ = s.Get(keyCurrent)
-	}); err != nil {
+	if _, err := x.store.View(ctx, false, func(s *store.State) { next, old = nextVersion(s) }); err != nil {
 		return Version{}, err
 	}
 	v := Version{Version: next, Settings: settings, By: x.name, Note: note, At: time.Now().UTC().Truncate(time.Second)}
-	b, err := json.Marshal(v)
+	ops, err := v.ops()
 	if err != nil {
 		return Version{}, err
 	}
-	ops := []store.Op{{Key: keyCurrent, Value: settings}, {Key: historyKey(next), Value: b},
-		{Key: keyCandidate, Delete: true}, {Key: keyVerdict, Delete: true, End: store.PrefixEnd(keyVerdict)}}
-	if next > historyKept {
-		ops = append(ops, store.Op{Key: historyKey(0), Delete: true, End: historyKey(next - historyKept + 1)})
-	}
-	r, err = x.store.Do(ctx, store.Command{Txn: &store.Txn{If: []store.Compare{{Key: keyCandidate, Modified: id},
-		{Key: keyCurrent, Modified: old.Modified}}, Then: ops}})
+	ops = append(ops, store.Op{Key: keyCandidate, Delete: true}, store.Op{Key: keyVerdict, Delete: true, End: store.PrefixEnd(keyVerdict)})
+	r, err := x.store.Do(ctx, store.Command{Txn: &store.Txn{If: []store.Compare{{Key: keyCandidate, Modified: id},
+		{Key: keyCurrent, Modified: old.Modified}, {Key: keyPlan, Modified: plan}}, Then: ops}})
 	if err == nil && !r.Held {
 		err = errors.New("the settings were changed meanwhile")
 	}
--- /dev/null
+++ b/internal/daemon/steps.go
@@ -0,0 +1,308 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"birchmoor/internal/lease"
+	"birchmoor/internal/rollout"
+	"birchmoor/internal/store"
+)
+
+// Settings may come in force in steps. The plan and its settings are keys of the store; each daemon finds by them whether it runs the
+// new settings, and tells how its clients are answered. One daemon drives: the holder of the task RolloutTask, whose every change of
+// the plan is conditional on its place and on the plan that it judged. After its loss the next goes on where the plan stands, and lets
+// the step settle anew.
+const (
+	keyPlan    = "config/plan"
+	keyStepped = "config/stepped" // the plan's settings
+	keyReport  = "config/report/" // HOST
+
+	// RolloutTask is the task of driving a plan.
+	RolloutTask = "rollout"
+	// FleetTask is the task that every daemon takes part in: who has a place in its queue is there.
+	FleetTask = "sweep"
+
+	reportEvery = 250 * time.Millisecond // at least; a quarter of the settling time otherwise
+)
+
+// Errors of plans.
+var (
+	ErrPlan   = errors.New("other settings are coming in force in steps")
+	ErrNoPlan = errors.New("no settings are coming in force in steps")
+)
+
+// ReportKey is where a daemon tells how a plan goes with it.
+func ReportKey(host string) string { return keyReport + host }
+
+// Figures are what a sidecar's clients were answered since its start: served, or refused and failed.
+type Figures func() (served, not uint64, err error)
+
+// stepping is this daemon's part in a plan.
+type stepping struct {
+	plan    rollout.Plan
+	set     uint64 // its revision; 0: there is none
+	text    json.RawMessage
+	figures Figures
+
+	told   rollout.Report // last
+	toldAt time.Time
+	base   [2]uint64 // figures when this daemon came to the step
+	from   [2]uint64 // the plan and step of base
+
+	seen   uint64 // the revision of the plan that this daemon, if it drives, first saw
+	seenAt time.Time
+}
+
+// Figure gives what tells the answers of this daemon's sidecar.
+func (x *Settings) Figure(f Figures) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.steps.figures = f
+}
+
+// takePlan takes a change of the plan's keys, and has the sidecar read its settings anew if they are others. The lock is held.
+func (x *Settings) takePlan(i store.Item, deleted bool) {
+	was := x.steps.plan.Runs(x.name)
+	switch i.Key {
+	case keyPlan:
+		x.steps.plan, x.steps.set = rollout.Plan{}, 0
+		if !deleted && json.Unmarshal(i.Value, &x.steps.plan) == nil {
+			x.steps.set = i.Modified
+		}
+	case keyStepped:
+		if x.steps.text = nil; !deleted {
+			x.steps.text = i.Value
+		}
+	default:
+		return
+	}
+	if was != x.steps.plan.Runs(x.name) {
+		x.signal()
+	}
+	x.poke()
+}
+
+// resetPlan takes the plan of a whole copy. The lock is held.
+func (x *Settings) resetPlan(s *store.State) {
+	for _, key := range []string{keyStepped, keyPlan} {
+		i, there := s.Get(key)
+		i.Key = key
+		x.takePlan(i, !there)
+	}
+}
+
+// report tells how the plan goes here, if there is one.
+func (x *Settings) report(ctx context.Context) {
+	x.mu.Lock()
+	st := &x.steps
+	plan, text, figures := st.plan, st.text, st.figures
+	every := max(reportEvery, time.Duration(plan.Settle)*time.Millisecond/4)
+	due := st.told.Plan != plan.ID || st.told.Step != plan.Step || time.Since(st.toldAt) >= every
+	x.mu.Unlock()
+	if plan.State != rollout.Running || plan.Step < 0 || !due {
+		return
+	}
+	r := rollout.Report{Plan: plan.ID, Step: plan.Step}
+	if plan.Runs(x.name) && x.check != nil && text != nil {
+		if err := x.check(text); err != nil {
+			r.Error = err.Error()
+		}
+	}
+	if figures != nil {
+		served, not, err := figures()
+		if err != nil {
+			x.log.Warn("how settings do here is not known", "error", err)
+			return
+		}
+		x.mu.Lock()
+		if at := [2]uint64{plan.ID, uint64(plan.Step)}; st.from != at {
+			st.from, st.base = at, [2]uint64{served, not}
+		}
+		r.Served, r.Not = served-min(served, st.base[0]), not-min(not, st.base[1]) // a sidecar that began anew counts from nothing
+		x.mu.Unlock()
+	}
+	b, err := json.Marshal(r)
+	if err != nil {
+		return
+	}
+	wait, cancel := context.WithTimeout(ctx, writeWait)
+	defer cancel()
+	if _, err := x.store.Do(wait, store.Command{Txn: &store.Txn{Owner: x.name, If: []store.Compare{{Key: keyPlan, Modified: x.planSet()}},
+		Then: []store.Op{{Key: ReportKey(x.name), Value: b}}}}); err != nil {
+		return // it is told again
+	}
+	x.mu.Lock()
+	st.told, st.toldAt = r, time.Now()
+	x.mu.Unlock()
+}
+
+func (x *Settings) planSet() uint64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.steps.set
+}
+
+// Begin has settings checked by every replica, and come in force in steps.
+func (x *Settings) Begin(ctx context.Context, settings json.RawMessage, steps []rollout.Step, settle time.Duration, note string) (rollout.Plan, error) {
+	p := rollout.Plan{State: rollout.Running, Steps: steps, Settle: settle.Milliseconds(), Step: -1, By: x.name, Note: note}
+	if err := p.Check(); err != nil {
+		return p, err
+	}
+	set, err := x.noPlan(ctx)
+	if err != nil {
+		return p, err
+	}
+	id, err := x.candidate(ctx, settings)
+	if err != nil {
+		return p, err
+	}
+	p.ID = id
+	b, err := json.Marshal(p)
+	if err != nil {
+		return p, err
+	}
+	r, err := x.store.Do(ctx, store.Command{Txn: &store.Txn{If: []store.Compare{{Key: keyCandidate, Modified: id}, {Key: keyPlan, Modified: set}},
+		Then: []store.Op{{Key: keyPlan, Value: b}, {Key: keyStepped, Value: settings}, {Key: keyCandidate, Delete: true},
+			{Key: keyReport, Delete: true, End: store.PrefixEnd(keyReport)}, {Key: keyVerdict, Delete: true, End: store.PrefixEnd(keyVerdict)}}}})
+	if err == nil && !r.Held {
+		err = ErrPlan
+	}
+	return p, err
+}
+
+// noPlan is the revision of a plan that has ended, 0 if there never was one, and an error if one is running.
+func (x *Settings) noPlan(ctx context.Context) (set uint64, err error) {
+	p, set, err := x.Plan(ctx)
+	if errors.Is(err, ErrNoPlan) {
+		return set, nil
+	}
+	if err == nil && p.State == rollout.Running {
+		err = ErrPlan
+	}
+	return set, err
+}
+
+// Plan is the newest plan and its revision. That there never was one is ErrNoPlan.
+func (x *Settings) Plan(ctx context.Context) (p rollout.Plan, set uint64, err error) {
+	var bad error = ErrNoPlan
+	_, err = x.store.View(ctx, false, func(s *store.State) {
+		if i, there := s.Get(keyPlan); there {
+			set, bad = i.Modified, json.Unmarshal(i.Value, &p)
+		}
+	})
+	return p, set, errors.Join(err, bad)
+}
+
+// CallOff takes a running plan back.
+func (x *Settings) CallOff(ctx context.Context, by string) error {
+	p, set, err := x.Plan(ctx)
+	if err == nil && p.State != rollout.Running {
+		err = ErrNoPlan
+	}
+	if err != nil {
+		return err
+	}
+	p.State, p.Why = rollout.Back, "called off by "+by
+	return x.change(ctx, &p, set, nil, func(ctx context.Context, t store.Txn) (store.Result, error) {
+		return x.store.Do(ctx, store.Command{Txn: &t})
+	})
+}
+
+// change writes a plan in the place of the one with a revision.
+func (x *Settings) change(ctx context.Context, p *rollout.Plan, set uint64, more []store.Op, do func(context.Context, store.Txn) (store.Result, error)) error {
+	b, err := json.Marshal(p)
+	if err != nil {
+		return err
+	}
+	ops := append([]store.Op{{Key: keyPlan, Value: b}}, more...)
+	if p.State != rollout.Running {
+		ops = append(ops, store.Op{Key: keyStepped, Delete: true}, store.Op{Key: keyReport, Delete: true, End: store.PrefixEnd(keyReport)})
+	}
+	r, err := do(ctx, store.Txn{If: []store.Compare{{Key: keyPlan, Modified: set}}, Then: ops})
+	if err == nil && !r.Held {
+		err = ErrMeanwhile
+	}
+	return err
+}
+
+// Drive takes the plan a step further, or back, if it is time. do makes a transaction that takes effect only while this daemon
+// holds RolloutTask, with that token.
+func (x *Settings) Drive(ctx context.Context, token uint64, do func(context.Context, store.Txn) (store.Result, error)) error {
+	var p rollout.Plan
+	var set, next uint64
+	var text json.RawMessage
+	var old store.Item
+	var bad error
+	reports, fleet := map[string]rollout.Report{}, map[string]bool{}
+	if _, err := x.store.View(ctx, false, func(s *store.State) {
+		i, there := s.Get(keyPlan)
+		if !there {
+			return
+		}
+		set, bad = i.Modified, json.Unmarshal(i.Value, &p)
+		if i, there := s.Get(keyStepped); there {
+			text = i.Value
+		}
+		s.Range(keyReport, store.PrefixEnd(keyReport), func(i store.Item) bool {
+			var r rollout.Report
+			if json.Unmarshal(i.Value, &r) == nil {
+				reports[strings.TrimPrefix(i.Key, keyReport)] = r
+			}
+			return true
+		})
+		places := lease.PlacePrefix + FleetTask + "/"
+		s.Range(places, store.PrefixEnd(places), func(i store.Item) bool {
+			if _, host, _, ok := lease.ParsePlace(i.Key); ok {
+				fleet[host] = true
+			}
+			return true
+		})
+		next, old = nextVersion(s)
+	}); err != nil || bad != nil || set == 0 || p.State != rollout.Running {
+		return errors.Join(err, bad)
+	}
+	now := time.Now()
+	x.mu.Lock()
+	if x.steps.seen != set {
+		x.steps.seen, x.steps.seenAt = set, now
+	}
+	settled := now.Sub(x.steps.seenAt)
+	x.mu.Unlock()
+	var all []string
+	for host := range fleet {
+		all = append(all, host)
+	}
+	verdict, why := rollout.GoOn, ""
+	if p.Step >= 0 {
+		verdict, why = p.Judge(settled.Milliseconds(), all, reports)
+	}
+	p.Token = token
+	switch {
+	case verdict == rollout.Wait:
+		return nil
+	case verdict == rollout.TakeBack:
+		p.State, p.Why = rollout.Back, fmt.Sprintf("step %v: %s", p.Steps[p.Step], why)
+		x.log.Warn("settings are taken back", "step", p.Steps[p.Step], "why", why)
+		return x.change(ctx, &p, set, nil, do)
+	case p.Step < len(p.Steps)-1:
+		p.Step++
+		p.Hosts, p.Why = rollout.Among(p.Steps[p.Step], all, p.ID), why
+		x.log.Info("settings go a step further", "step", p.Steps[p.Step], "daemons", len(p.Hosts), "because", why)
+		return x.change(ctx, &p, set, nil, do)
+	}
+	p.State, p.Why = rollout.Done, why
+	v := Version{Version: next, Settings: text, By: p.By, Note: p.Note, At: time.Now().UTC().Truncate(time.Second)}
+	ops, err := v.ops()
+	if err != nil {
+		return err
+	}
+	return x.change(ctx, &p, set, ops, func(ctx context.Context, t store.Txn) (store.Result, error) {
+		t.If = append(t.If, store.Compare{Key: keyCurrent, Modified: old.Modified})
+		return do(ctx, t)
+	})
+}
--- a/internal/lab/fleetlab/fleet.go
+++ b/internal/lab/fleetlab/fleet.go
@@ -15,6 +15,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -47,6 +48,9 @@
 	"ask-within":10000000},"limits":{"cancel":true,"probes":false,"most-tries":3,"most-held":1000,"dial-timeout":1000000},
 	"reporting":{"how":"none"},"tenants":[{"name":"acme","allowance-per-s":100.0,"share":1.0}]}`
 
+// Settings are those that daemons' sidecars are started with, as JSON, with edits as pairs of old and new text.
+func Settings(edits ...string) string { return strings.NewReplacer(edits...).Replace(settings) }
+
 // Fleet is what runs.
 type Fleet struct {
 	cfg     Config
--- a/internal/lab/tasklab/torture.go
+++ b/internal/lab/tasklab/torture.go
@@ -41,6 +41,7 @@
 	For      time.Duration
 	Blows    int           // in place of For: so many of Faults in turn, each once those before it are over
 	Every    time.Duration // between two blows, on average
+	Only     string        // blows of this kind alone, each after a calm in which all that the one before did has ended
 	Seed     uint64
 	Fence    lease.FencePlant
 	Plant    string // a fault of the program, which must be built with the tag "planted"
@@ -152,6 +153,20 @@
 		if t.Blows == 0 {
 			f = Faults[x.rng.IntN(len(Faults))]
 		}
+		if t.Only != "" {
+			at := slices.IndexFunc(Faults, func(f Fault) bool { return f.Name == t.Only })
+			if at < 0 {
+				return x.r, fmt.Errorf("%q is not a kind of blow", t.Only)
+			}
+			f = Faults[at]
+			if err := x.after(t.TTL+4*time.Second, func() {})(ctx); err != nil { // sessions of the dead have ended by then
+				return x.r, err
+			}
+			_, _, acts := x.at.now()
+			if err := x.goesOn(ctx, acts+1, 0); err != nil {
+				return x.r, err
+			}
+		}
 		_, held, before := x.at.now()
 		struck := time.Since(x.at.begun)
 		what, end := f.strike(x)
--- a/internal/store/admin/admin.go
+++ b/internal/store/admin/admin.go
@@ -17,6 +17,7 @@
 
 	"birchmoor/internal/daemon"
 	"birchmoor/internal/keys"
+	"birchmoor/internal/rollout"
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/engine"
 	"birchmoor/internal/store/policy"
@@ -113,6 +114,9 @@
 	Settings json.RawMessage `json:"settings,omitempty"`
 	Rollback uint64          `json:"rollback,omitempty"`
 	Note     string          `json:"note,omitempty"`
+	Steps    []rollout.Step  `json:"steps,omitempty"` // in which they come in force; none: at once
+	SettleMs int64           `json:"settle_ms,omitempty"`
+	CallOff  string          `json:"call_off,omitempty"` // the plan that is running, by whom
 }
 
 // Store is what a Server shows: a replica, or the copy of a daemon that has none.
@@ -173,6 +177,7 @@
 	m.HandleFunc("POST /v1/handover", handle(s.handOver))
 	m.HandleFunc("GET /v1/config", handle(s.history))
 	m.HandleFunc("POST /v1/config", handle(s.configure))
+	m.HandleFunc("GET /v1/plan", handle(s.plan))
 	m.HandleFunc("GET /v1/leases", handle(s.leases))
 	m.HandleFunc("GET /v1/tasks", handle(s.listTasks))
 	m.HandleFunc("POST /v1/task", handle(s.orderTask))
@@ -210,7 +215,7 @@
 		status = http.StatusInsufficientStorage
 	case errors.Is(err, store.ErrMember), errors.Is(err, store.ErrNoLease), errors.Is(err, store.ErrForgotten):
 		status, f.NoLease = http.StatusConflict, errors.Is(err, store.ErrNoLease)
-	case errors.Is(err, tasks.ErrNoTask):
+	case errors.Is(err, tasks.ErrNoTask), errors.Is(err, daemon.ErrNoPlan):
 		status = http.StatusNotFound
 	case errors.Is(err, replica.ErrNoLeader):
 		w.Header().Set("Retry-After", "1")
@@ -371,6 +376,13 @@
 	}
 	var v daemon.Version
 	var err error
+	switch {
+	case q.CallOff != "":
+		return v, s.Settings.CallOff(ctx, q.CallOff)
+	case len(q.Steps) > 0:
+		_, err = s.Settings.Begin(ctx, q.Settings, q.Steps, time.Duration(q.SettleMs)*time.Millisecond, q.Note)
+		return v, err
+	}
 	if q.Rollback != 0 {
 		v, err = s.Settings.Rollback(ctx, q.Rollback)
 	} else {
@@ -383,6 +395,11 @@
 	return v, nil
 }
 
+func (s *Server) plan(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
+	p, _, err := s.Settings.Plan(ctx)
+	return p, err
+}
+
 // watch sends events as lines of JSON for as long as the connection lasts.
 func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
 	select {
@@ -542,6 +559,11 @@
 	return all, c.call(ctx, "GET", "/v1/config", nil, nil, &all)
 }
 
+// Plan is the newest of settings that come, or came, in force in steps.
+func (c *Client) Plan(ctx context.Context) (p rollout.Plan, err error) {
+	return p, c.call(ctx, "GET", "/v1/plan", nil, nil, &p)
+}
+
 // Out lists the servers that are out.
 func (c *Client) Out(ctx context.Context) (all []policy.Out, err error) {
 	return all, c.call(ctx, "GET", "/v1/out", nil, nil, &all)
--- a/internal/store/admin/outer.go
+++ b/internal/store/admin/outer.go
@@ -243,6 +243,9 @@
 	if _, host, _, ok := lease.ParsePlace(op.Key); ok {
 		return host == owner && (op.Delete || op.Lease != 0 && len(op.Value) <= lease.ValueMost)
 	}
+	if op.Key == daemon.ReportKey(owner) && owner != "" {
+		return !op.Delete && op.Lease == 0 && len(op.Value) <= lease.ValueMost
+	}
 	for _, prefix := range []string{lease.ConfPrefix, tasks.DonePrefix} {
 		if task, ok := strings.CutPrefix(op.Key, prefix); ok {
 			return owner != "" && lease.Name(task) == nil && !op.Delete && op.Lease == 0 && len(op.Value) <= lease.ValueMost
