Cut links between any two replicas, lose disks, and replay and shrink schedules

A replica reaches others where "via" in [store] says, so that the bench has each link between two of them in its hand, each way; a follower's to each replica were apart before. New blows: the leader does not hear one replica, a replica that followers follow is cut off and goes on answering, a follower starts with an empty disk, or with its disk as it was 1.5 TTL ago.

Each blow of a schedule is drawn for itself; task torture prints the schedule, plays one (--play), leaves blows out while the rest still breaks a promise (--shrink), and keeps schedule, history and the daemons' logs merged by time of a run that broke one (--keep).

Shards of a task (Runner.TakeShards): a lease each, wished for by rendezvous hashing. Tested: three daemons share twelve, one goes, at most eight move.

--- a/cmd/birchmoor/run.go
+++ b/cmd/birchmoor/run.go
@@ -73,6 +73,13 @@
 	limits.Total = s.TotalMB << 20
 	cfg := engine.Config{Name: s.Name, Dir: s.Dir, Address: s.Address, Join: s.Join, Limits: limits, Tick: time.Duration(s.Tick),
 		Elect: s.Elect, Log: log}
+	for _, text := range s.Via {
+		if cfg.Via == nil {
+			cfg.Via = map[string]string{}
+		}
+		name, addr, _ := strings.Cut(text, "=")
+		cfg.Via[name] = addr
+	}
 	if s.Keys != "" {
 		if cfg.Keys, err = keys.Open(s.Keys, s.Name); err != nil {
 			return nil, nil, err
--- a/cmd/birchmoor/tasklab.go
+++ b/cmd/birchmoor/tasklab.go
@@ -26,6 +26,9 @@
 	TTL      time.Duration `help:"Of the locks." default:"2s"`
 	Seed     uint64        `help:"Of what is done to whom." default:"1"`
 	Only     string        `help:"Blows of this kind alone, each once all is calm, to measure the time until the next holder acts: holder-killed, holder-stopped, moved and others." placeholder:"KIND"`
+	Play     string        `help:"Play this schedule in place of one drawn from the seed." type:"existingfile" placeholder:"FILE"`
+	Keep     string        `help:"When a promise broke, leave schedule, history and logs in a folder here." type:"existingdir" placeholder:"DIR"`
+	Shrink   bool          `help:"When a promise broke, leave blows out for as long as one still breaks, and print the rest as a schedule."`
 	Plant    string        `help:"A fault of the program, which must be built with -tags planted: order-ignored, deadline-ignored, kept-late, released-first." placeholder:"NAME"`
 	JSON     bool          `help:"As JSON."`
 }
@@ -47,8 +50,28 @@
 		return errors.New("--plant: this program was not built with -tags planted")
 	}
 	t := tasklab.Torture{Program: self, Dir: k.Dir, Replicas: k.Replicas, Follow: k.Follow, Holders: k.Holders, TTL: k.TTL, For: k.For, Every: k.Every,
-		Seed: k.Seed, Plant: k.Plant, Only: k.Only, Say: func(s string) { fmt.Fprintln(c.err, s) }}
+		Seed: k.Seed, Plant: k.Plant, Only: k.Only, Keep: k.Keep, Say: func(s string) { fmt.Fprintln(c.err, s) }}
+	if k.Play != "" {
+		b, err := os.ReadFile(k.Play)
+		if err == nil {
+			err = json.Unmarshal(b, &t.Play)
+		}
+		if err != nil {
+			return fmt.Errorf("%s: %w", k.Play, err)
+		}
+	}
 	r, err := t.Run(ctx)
+	if r != nil && r.Kept != "" {
+		fmt.Fprintln(c.err, "kept in", r.Kept)
+	}
+	if k.Shrink && err == nil && len(r.Broken) > 0 {
+		e := json.NewEncoder(c.out)
+		e.SetIndent("", " ")
+		if err := e.Encode(t.Shrink(ctx, r.Schedule, 2)); err != nil {
+			return err
+		}
+		return errMissed
+	}
 	if r != nil && k.JSON {
 		if bad := json.NewEncoder(c.out).Encode(r); bad != nil {
 			return bad
--- a/cmd/birchmoor/tasksim.go
+++ b/cmd/birchmoor/tasksim.go
@@ -19,6 +19,8 @@
 	Holders  int    `help:"Daemons that want tasks." default:"5"`
 	Faults   int    `help:"Faults of the store's that are caused in a run, beside those of holders." default:"24"`
 	Gap      int    `help:"Milliseconds of virtual time between two of them." default:"300"`
+	TTL      int    `help:"Milliseconds of holders' sessions." default:"400"`
+	Calm     bool   `help:"No faults, to count the entries of the log."`
 	JSON     bool   `help:"A line of JSON for each run."`
 }
 
@@ -34,7 +36,7 @@
 }
 
 func (k *taskSim) Run(ctx context.Context, c *console) error {
-	o := storesim.Options{Replicas: k.Replicas, Faults: k.Faults, Gap: k.Gap, Holders: k.Holders, Clients: 1, Ops: 20}
+	o := storesim.Options{Replicas: k.Replicas, Faults: k.Faults, Gap: k.Gap, Holders: k.Holders, Clients: 1, Ops: 20, HoldTTL: k.TTL, Calm: k.Calm}
 	if k.Plant == "" {
 		return k.play(ctx, c, o, "")
 	}
@@ -102,6 +104,7 @@
 		r := <-t
 		n++
 		sum.Acts, sum.Late, sum.Crashes, sum.Elected, sum.Entries = sum.Acts+r.Acts, sum.Late+r.Late, sum.Crashes+r.Crashes, sum.Elected+r.Elected, sum.Entries+r.Entries
+		sum.Micros += r.Micros
 		if k.JSON {
 			if err := enc.Encode(r); err != nil {
 				return err
@@ -120,8 +123,8 @@
 		fmt.Fprintf(c.out, "%s: not found in %d seeds\n", plant, n)
 		return errMissed
 	}
-	fmt.Fprintf(c.err, "%d seeds, %d broken: %d acts, %d late by processes that had been stopped; %d crashes of replicas, %d leaders, %d entries\n", n, broken, sum.Acts,
-		sum.Late, sum.Crashes, sum.Elected, sum.Entries)
+	fmt.Fprintf(c.err, "%d seeds, %d broken: %d acts, %d late by processes that had been stopped; %d crashes of replicas, %d leaders, %d entries in %.0f s of virtual time\n", n, broken, sum.Acts,
+		sum.Late, sum.Crashes, sum.Elected, sum.Entries, float64(sum.Micros)/1e6)
 	if broken > 0 {
 		return errMissed
 	}
--- a/internal/lab/fleetlab/fleet.go
+++ b/internal/lab/fleetlab/fleet.go
@@ -57,6 +57,14 @@
 	dir     string
 	Daemons []*Daemon
 	Servers []*Server
+	doors   []door // of replicas
+}
+
+// door is where other replicas reach one: all that comes in goes through one relay, and what each sends through one of its own
+// before that.
+type door struct {
+	listen, address string
+	in              *relay.Link
 }
 
 // Arrival is a request as a server counted it.
@@ -137,7 +145,7 @@
 	peer     string // of the replica, through the relay
 	serve    string
 	in       *relay.Link            // what comes to the replica from other replicas
-	links    map[string]*relay.Link // of a follower, to each replica by its name
+	links    map[string]*relay.Link // by which it reaches each replica, by name
 	board    *board
 	Client   *admin.Client
 	Known    []discovery.Instance // with which it is configured: its list of a start
@@ -172,6 +180,19 @@
 		f.Servers = append(f.Servers, s)
 		list = append(list, s.now)
 	}
+	for i := range cfg.Replicas {
+		to, err := free()
+		if err != nil {
+			return f, err
+		}
+		in, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return f, err
+		}
+		l := relay.New(to, cfg.Seed+uint64(i), relay.Conditions{})
+		l.Listen(in)
+		f.doors = append(f.doors, door{to, in.Addr().String(), l})
+	}
 	for i := range cfg.Replicas + cfg.Follow {
 		d, err := f.prepare(i, i >= cfg.Replicas, list)
 		if err != nil {
@@ -205,14 +226,14 @@
 func (f *Fleet) End() {
 	for _, d := range f.Daemons {
 		d.Kill()
-		if d.in != nil {
-			d.in.Close()
-		}
 		for _, l := range d.links {
 			l.Close()
 		}
 		d.board.close()
 	}
+	for _, x := range f.doors {
+		x.in.Close()
+	}
 	for _, s := range f.Servers {
 		s.CloseClientConnections()
 		s.Close()
@@ -243,7 +264,7 @@
 }
 
 func (f *Fleet) prepare(i int, follower bool, list []discovery.Instance) (*Daemon, error) {
-	d := &Daemon{Number: i, f: f, name: fmt.Sprintf("d%d", i), follower: follower, Known: list, board: newBoard(list)}
+	d := &Daemon{links: map[string]*relay.Link{}, Number: i, f: f, name: fmt.Sprintf("d%d", i), follower: follower, Known: list, board: newBoard(list)}
 	d.Client = admin.Dial(d.path(".sock"))
 	for _, to := range []*string{&d.listen, &d.mgmt, &d.serve} {
 		var err error
@@ -254,16 +275,12 @@
 	file := fmt.Sprintf("[store]\nname = %q\ndir = %q\nsocket = %q\nplain = true\n", d.name, d.name, d.name+".sock")
 	if follower {
 		var all []string
-		d.links = map[string]*relay.Link{}
 		for _, r := range f.Daemons[:f.cfg.Replicas] {
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			addr, err := d.link(r.name, r.serve, f.cfg.Seed+uint64(100*i+r.Number))
 			if err != nil {
 				return nil, err
 			}
-			l := relay.New(r.serve, f.cfg.Seed+uint64(100*i+r.Number), relay.Conditions{})
-			l.Listen(ln)
-			d.links[r.name] = l
-			all = append(all, r.name+"="+ln.Addr().String())
+			all = append(all, r.name+"="+addr)
 		}
 		text, _ := json.Marshal(all) // TOML writes such lists as JSON does
 		file += fmt.Sprintf("follow = %s\n", text)
@@ -271,21 +288,37 @@
 			file += fmt.Sprintf("wait = %q\n", f.cfg.Wait)
 		}
 	} else {
-		to, err := free()
-		if err != nil {
-			return nil, err
-		}
-		in, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
+		own := f.doors[i]
+		d.in, d.peer = own.in, own.address
+		var via []string
+		for n, to := range f.doors {
+			if n == i {
+				continue
+			}
+			name := fmt.Sprintf("d%d", n)
+			addr, err := d.link(name, to.address, f.cfg.Seed+uint64(100*i+n))
+			if err != nil {
+				return nil, err
+			}
+			via = append(via, name+"="+addr)
 		}
-		d.in, d.peer = relay.New(to, f.cfg.Seed+uint64(i), relay.Conditions{}), in.Addr().String()
-		d.in.Listen(in)
-		file += fmt.Sprintf("listen = %q\naddress = %q\nserve = %q\njoin = %v\ntick = \"20ms\"\n", to, d.peer, d.serve, i > 0)
+		text, _ := json.Marshal(via)
+		file += fmt.Sprintf("listen = %q\naddress = %q\nserve = %q\njoin = %v\ntick = \"20ms\"\nvia = %s\n", own.listen, d.peer, d.serve, i > 0, text)
 	}
 	return d, os.WriteFile(d.path(".toml"), []byte(file), 0o600)
 }
 
+// link makes a relay by which the daemon reaches another.
+func (d *Daemon) link(name, to string, seed uint64) (addr string, err error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	d.links[name] = relay.New(to, seed, relay.Conditions{})
+	d.links[name].Listen(ln)
+	return ln.Addr().String(), nil
+}
+
 func (d *Daemon) path(of string) string { return filepath.Join(d.f.dir, d.name+of) }
 
 // Start runs the process. Its temporary folder is new: what outlives it is the store's.
@@ -390,7 +423,7 @@
 	}
 }
 
-// Links changes all links by which the daemon hears others: a replica's incoming ones, a follower's to each replica.
+// Links changes all links by which the daemon reaches others, and what comes in to a replica.
 func (d *Daemon) Links(change func(*relay.Conditions)) {
 	if d.in != nil {
 		d.in.Set(change)
@@ -400,6 +433,40 @@
 	}
 }
 
+// Unheard has what the daemon sends to others lost, or go on; it hears them. Replicas send on connections of their own.
+func (d *Daemon) Unheard(on bool) {
+	for _, l := range d.links {
+		l.Set(func(c *relay.Conditions) { c.HoleTo = on })
+	}
+}
+
+// Deafen has what others send to the daemon lost, or go on; they hear it.
+func (d *Daemon) Deafen(on bool) {
+	if d.in != nil {
+		d.in.Set(func(c *relay.Conditions) { c.HoleTo = on })
+		return
+	}
+	for _, l := range d.links {
+		l.Set(func(c *relay.Conditions) { c.HoleBack = on })
+	}
+}
+
+// Between has what one replica sends to another lost, or go on.
+func (d *Daemon) Between(to *Daemon, on bool) {
+	if l := d.links[to.name]; l != nil {
+		l.Set(func(c *relay.Conditions) { c.HoleTo = on })
+	}
+}
+
+// Copy is the file of a follower's copy, as it is on its disk; Put puts one there in the place of the newer one, while the daemon
+// does not run.
+func (d *Daemon) Copy() ([]byte, error) { return os.ReadFile(filepath.Join(d.Dir(), "copy")) }
+
+// Put is of Copy.
+func (d *Daemon) Put(copied []byte) error {
+	return os.WriteFile(filepath.Join(d.Dir(), "copy"), copied, 0o600)
+}
+
 // Ready waits until the sidecar takes requests, or without one until the operators' socket answers.
 func (d *Daemon) Ready(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/internal/lab/storesim/holders.go
+++ b/internal/lab/storesim/holders.go
@@ -40,7 +40,6 @@
 )
 
 const (
-	holdTTL    = 400 * milli
 	holdSkew   = 0.25 // hosts' and holders' clocks run at 0.9 to 1.1
 	holdMargin = 2 * milli
 	actMost    = 60 * milli
@@ -63,6 +62,7 @@
 // daemonSim is one holder's process.
 type daemonSim struct {
 	w       *world
+	number  int
 	name    string
 	pace    float64
 	origin  int64
@@ -93,15 +93,18 @@
 		w.restartThing(t.name)
 	}
 	for i := range w.o.Holders {
-		d := &daemonSim{w: w, name: fmt.Sprintf("h%d", i), rng: w.rng}
+		d := &daemonSim{w: w, number: i, name: fmt.Sprintf("h%d", i), rng: w.rng}
 		w.holders = append(w.holders, d)
 		w.q.After(begin+w.rng.Int64N(100*milli), d.start)
 	}
-	if w.o.Holders > 0 {
+	if w.o.Holders > 0 && w.o.Faults > 0 {
 		w.q.After(begin, w.troubleHolders)
 	}
 }
 
+// holdTTL is for how long sessions of holders last.
+func (w *world) holdTTL() int64 { return int64(w.o.HoldTTL) * milli }
+
 // restartThing starts what is acted upon anew: what it kept on its disk is there, unless that is the fault.
 func (w *world) restartThing(task string) {
 	f := lease.NewFence(w.acted.plant)
@@ -125,7 +128,7 @@
 				d = x
 			}
 		}
-		d.stopped = w.q.Now() + w.rng.Int64N(3*holdTTL)
+		d.stopped = w.q.Now() + w.rng.Int64N(3*w.holdTTL())
 		d.stops++
 	case 2:
 		d.start() // killed, and started at once
@@ -138,7 +141,7 @@
 	w := d.w
 	d.boot++
 	d.pace, d.origin, d.stopped = 0.9+0.2*w.rng.Float64(), w.q.Now()-w.rng.Int64N(second), 0
-	d.session = lease.NewSession(lease.Rules{TTL: holdTTL, Skew: holdSkew, Margin: holdMargin}, w.o.Holder.Session)
+	d.session = lease.NewSession(lease.Rules{TTL: w.holdTTL(), Skew: holdSkew, Margin: holdMargin}, w.o.Holder.Session)
 	d.table, d.seen, d.wants = lease.NewTable(w.o.Holder.Table), 0, map[string]*wantSim{}
 	for _, t := range holdTasks {
 		d.wants[t.name] = &wantSim{task: t.name, slots: t.slots}
@@ -174,7 +177,7 @@
 func (d *daemonSim) send(c store.Command, f func(replica.Done)) {
 	w := d.w
 	d.seq++
-	c.ID = store.RequestID{Client: 5000 + uint64(d.boot)<<16 + uint64(d.name[1]), Seq: d.seq}
+	c.ID = store.RequestID{Client: 1<<32 + uint64(d.number)<<16 + uint64(d.boot), Seq: d.seq}
 	answered := false
 	answer := func(x replica.Done) {
 		if !answered {
@@ -182,10 +185,10 @@
 			f(x)
 		}
 	}
-	d.step(holdTTL/2, func() { answer(replica.Done{Err: replica.ErrUnknown}) })
+	d.step(d.w.holdTTL()/2, func() { answer(replica.Done{Err: replica.ErrUnknown}) })
 	way := func() int64 {
 		if !w.clean && w.rng.IntN(8) == 0 {
-			return w.rng.Int64N(holdTTL)
+			return w.rng.Int64N(w.holdTTL())
 		}
 		return 200 + w.rng.Int64N(3*milli)
 	}
@@ -213,7 +216,7 @@
 		d.step(max(milli, int64(float64(due-d.now())/d.pace)), d.renew)
 		return
 	case lease.AskGrant:
-		d.send(store.Command{Grant: &store.Grant{TTL: uint64(holdTTL / milli), Owner: d.name}}, d.renewed)
+		d.send(store.Command{Grant: &store.Grant{TTL: uint64(d.w.holdTTL() / milli), Owner: d.name}}, d.renewed)
 	case lease.AskRenew:
 		d.send(store.Command{Renew: &store.Renew{Lease: id, Owner: d.name}}, d.renewed)
 	}
@@ -250,7 +253,7 @@
 // copy has the daemon see a host's state now and then, never one that is older than what it has.
 func (d *daemonSim) copy() {
 	w := d.w
-	if h := w.up(); h != nil && h.node.State().Revision() >= d.seen {
+	if h := w.up(); h != nil && h.node.State().Revision() >= d.seen && (h.node.State().Revision() > d.seen || d.seen == 0) {
 		d.seen = h.node.State().Revision()
 		d.table.Reset(h.node.State())
 	}
--- a/internal/lab/storesim/storesim.go
+++ b/internal/lab/storesim/storesim.go
@@ -38,6 +38,8 @@
 	Planted  replica.Planted
 	Watch    Watch // a fault of daemons
 	Holders  int   // daemons that hold tasks; none unless it is told
+	HoldTTL  int   // milliseconds of their sessions; 400
+	Calm     bool  // no faults at all
 	Holder   HolderPlant
 	Mixed    bool // hosts begin with a build of level 1 of commands, and go to this one and back in turn
 }
@@ -46,11 +48,14 @@
 	for _, x := range []struct {
 		v *int
 		d int
-	}{{&o.Replicas, 3}, {&o.Clients, 4}, {&o.Keys, 4}, {&o.Ops, 60}, {&o.Faults, 24}, {&o.Gap, 300}} {
+	}{{&o.Replicas, 3}, {&o.Clients, 4}, {&o.Keys, 4}, {&o.Ops, 60}, {&o.Faults, 24}, {&o.Gap, 300}, {&o.HoldTTL, 400}} {
 		if *x.v == 0 {
 			*x.v = x.d
 		}
 	}
+	if o.Calm {
+		o.Faults = 0
+	}
 }
 
 // Result is what a run came to.
@@ -190,7 +195,7 @@
 	w.beginServers(begin)
 	first := w.addHost()
 	if err := replica.Found(first.disk, 7, "r0", "r0", store.Limits{Key: 64, Value: 256, Total: 1 << 20, Ops: 16, Events: 200,
-		History: 1 << 16, Leases: 64, Results: 20000, Members: 7}); err != nil {
+		History: 1 << 16, Leases: 64 + 2*w.o.Holders, Results: 20000, Members: 7}); err != nil {
 		panic(err)
 	}
 	first.start()
@@ -226,7 +231,7 @@
 }
 
 func (w *world) run() {
-	long := 1 + int(int64(w.o.Faults)*w.gap()/mostRun)
+	long := 1 + int(int64(w.o.Faults)*w.gap()/mostRun) + w.o.Holders/4
 	done := func() bool {
 		w.r.Events++
 		return w.over || w.q.Now() > mostRun*int64(long) || w.r.Events > mostEvents*long
--- a/internal/lab/tasklab/torture.go
+++ b/internal/lab/tasklab/torture.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -45,6 +46,8 @@
 	Seed     uint64
 	Fence    lease.FencePlant
 	Plant    string // a fault of the program, which must be built with the tag "planted"
+	Play     []Blow // these blows in place of drawn ones
+	Keep     string // a folder for what is known of a run that broke a promise
 	Say      func(string)
 }
 
@@ -58,8 +61,9 @@
 	P50Ms    float64        `json:"gap_p50_ms"` // without an action, from one holder to the next
 	P99Ms    float64        `json:"gap_p99_ms"`
 	WorstMs  float64        `json:"gap_worst_ms"`
-	Schedule []string       `json:"schedule"` // of blows, by time
-	After    []After        `json:"after"`    // by kind of blow, of those that end the holding
+	Schedule []Blow         `json:"schedule"`
+	Kept     string         `json:"kept,omitempty"` // folder with what is known of a run that broke a promise
+	After    []After        `json:"after"`          // by kind of blow, of those that end the holding
 }
 
 // After is how long nobody but the old holder acted after a blow.
@@ -71,6 +75,100 @@
 	WorstMs float64 `json:"worst_ms"`
 }
 
+// Blow is one of a schedule.
+type Blow struct {
+	GapMs int64  `json:"gap_ms"` // after the one before was over
+	Fault string `json:"fault"`
+	Draw  uint64 `json:"draw"` // of what else is chosen
+
+	AtMs int64  `json:"at_ms,omitempty"` // when it came, and to whom: for readers
+	What string `json:"what,omitempty"`
+}
+
+// blow is the nth of a run, and whether there is one. Each is drawn for itself: one that is left out changes no other.
+func (t *Torture) blow(n int, run time.Duration) (Blow, bool) {
+	rng := rand.New(rand.NewPCG(t.Seed, uint64(n)))
+	b := Blow{GapMs: t.Every.Milliseconds()/2 + rng.Int64N(max(1, t.Every.Milliseconds())), Fault: Faults[rng.IntN(len(Faults))].Name, Draw: rng.Uint64()}
+	switch {
+	case t.Play != nil:
+		if n < len(t.Play) {
+			b = t.Play[n]
+		}
+		return b, n < len(t.Play)
+	case t.Blows > 0:
+		b.GapMs, b.Fault = 0, Faults[n%len(Faults)].Name
+		return b, n < t.Blows
+	case t.Only != "":
+		b.Fault = t.Only
+	}
+	return b, run < t.For
+}
+
+// Shrink leaves blows out of a schedule for as long as the rest still breaks a promise, each try played up to so many times, and
+// returns the smallest that did (Zeller's ddmin, 1999). Runs of processes differ: what it returns broke one at least once.
+func (t *Torture) Shrink(ctx context.Context, all []Blow, tries int) []Blow {
+	breaks := func(part []Blow) bool {
+		for range tries {
+			x := *t
+			x.Play, x.Keep = part, ""
+			if r, err := x.Run(ctx); r != nil && err == nil && len(r.Broken) > 0 {
+				return true
+			}
+		}
+		return false
+	}
+	for parts := 2; len(all) > 1 && ctx.Err() == nil; {
+		size, smaller := (len(all)+parts-1)/parts, false
+		for from := 0; from < len(all) && !smaller; from += size {
+			rest := slices.Delete(slices.Clone(all), from, min(from+size, len(all)))
+			if t.Say != nil {
+				t.Say(fmt.Sprintf("shrinking: %d of %d blows", len(rest), len(all)))
+			}
+			if smaller = breaks(rest); smaller {
+				all = rest
+			}
+		}
+		switch {
+		case smaller:
+			parts = max(2, parts-1)
+		case parts >= len(all):
+			return all
+		default:
+			parts = min(2*parts, len(all))
+		}
+	}
+	return all
+}
+
+// keep writes the schedule, what the stand-in saw, and the logs of all daemons merged by time.
+func (x *run) keep(r *Tortured) error {
+	dir, err := os.MkdirTemp(x.Keep, fmt.Sprintf("broken-%d-", x.Seed))
+	if err != nil {
+		return err
+	}
+	r.Kept = dir
+	x.at.mu.Lock()
+	history := map[string]any{"changes": x.at.changes, "late": x.at.late, "order": x.at.order, "stopped": x.at.stopped, "broken": r.Broken}
+	x.at.mu.Unlock()
+	var lines []string
+	for _, d := range x.fleet.Daemons {
+		for line := range strings.Lines(d.Log()) {
+			lines = append(lines, fmt.Sprintf("%-30s %s %s", strings.TrimPrefix(strings.SplitN(line+" ", " ", 2)[0], "time="), d.Name(), strings.TrimSuffix(line, "\n")))
+		}
+	}
+	slices.Sort(lines) // times are of one host, in one form
+	for name, v := range map[string]any{"schedule.json": r.Schedule, "history.json": history} {
+		b, err := json.MarshalIndent(v, "", " ")
+		if err == nil {
+			err = os.WriteFile(filepath.Join(dir, name), append(b, '\n'), 0o600)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return os.WriteFile(filepath.Join(dir, "daemons.log"), []byte(strings.Join(lines, "\n")+"\n"), 0o600)
+}
+
 // actor is one lock with what it runs.
 type actor struct {
 	who string
@@ -105,7 +203,7 @@
 	if t.Plant != "" {
 		t.Env = append(slices.Clone(t.Env), PlantEnv+"="+t.Plant)
 	}
-	x := &run{Torture: t, r: &Tortured{Blows: map[string]int{}}, rng: rand.New(rand.NewPCG(t.Seed, 0x7461736b)), dir: dir, waits: map[string][]time.Duration{}}
+	x := &run{Torture: t, r: &Tortured{Blows: map[string]int{}}, dir: dir, waits: map[string][]time.Duration{}}
 	if x.at, err = newStandin(filepath.Join(dir, "fence"), t.Fence); err != nil {
 		return nil, err
 	}
@@ -130,6 +228,9 @@
 		}
 		x.wg.Wait()
 		x.tell(r)
+		if r != nil && t.Keep != "" && (len(r.Broken) > 0 || err != nil) {
+			err = errors.Join(err, x.keep(r))
+		}
 	}()
 	for _, a := range x.actors {
 		x.wg.Go(func() { x.keepActing(a) })
@@ -138,27 +239,22 @@
 		return x.r, err
 	}
 	for n := 0; ; n++ {
-		if t.Blows > 0 && n >= t.Blows || t.Blows == 0 && time.Since(begun) >= t.For {
+		blow, more := t.blow(n, time.Since(begun))
+		if !more {
 			return x.r, nil
 		}
-		if t.Blows == 0 {
-			wait := t.Every/2 + time.Duration(x.rng.Int64N(int64(t.Every)))
-			select {
-			case <-ctx.Done():
-				return x.r, ctx.Err()
-			case <-time.After(wait):
-			}
+		at := slices.IndexFunc(Faults, func(f Fault) bool { return f.Name == blow.Fault })
+		if at < 0 {
+			return x.r, fmt.Errorf("%q is not a kind of blow", blow.Fault)
 		}
-		f := Faults[n%len(Faults)]
-		if t.Blows == 0 {
-			f = Faults[x.rng.IntN(len(Faults))]
+		f := Faults[at]
+		x.rng = rand.New(rand.NewPCG(blow.Draw, 0x7461736b))
+		select {
+		case <-ctx.Done():
+			return x.r, ctx.Err()
+		case <-time.After(time.Duration(blow.GapMs) * time.Millisecond):
 		}
 		if t.Only != "" {
-			at := slices.IndexFunc(Faults, func(f Fault) bool { return f.Name == t.Only })
-			if at < 0 {
-				return x.r, fmt.Errorf("%q is not a kind of blow", t.Only)
-			}
-			f = Faults[at]
 			if err := x.after(t.TTL+4*time.Second, func() {})(ctx); err != nil { // sessions of the dead have ended by then
 				return x.r, err
 			}
@@ -171,7 +267,8 @@
 		struck := time.Since(x.at.begun)
 		what, end := f.strike(x)
 		x.r.Blows[f.Name]++
-		x.r.Schedule = append(x.r.Schedule, fmt.Sprintf("%v %s %s", time.Since(begun).Round(time.Millisecond), f.Name, what))
+		blow.AtMs, blow.What = time.Since(begun).Milliseconds(), what
+		x.r.Schedule = append(x.r.Schedule, blow)
 		if err := end(ctx); err != nil {
 			return x.r, fmt.Errorf("%s %s: %w", f.Name, what, err)
 		}
@@ -380,11 +477,19 @@
 
 func (x *run) long() time.Duration { return x.TTL * 3 / 2 }
 
-// cut changes the links of the daemon at which the task is held for one and a half TTL.
-func (x *run) cut(change func(c *relay.Conditions, on bool)) (string, func(context.Context) error) {
+// cut cuts the daemon at which the task is held for one and a half TTL.
+func (x *run) cut(set func(d *fleetlab.Daemon, on bool)) (string, func(context.Context) error) {
 	a, _ := x.holding()
-	a.d.Links(func(c *relay.Conditions) { change(c, true) })
-	return a.d.Name(), x.after(x.long(), func() { a.d.Links(func(c *relay.Conditions) { change(c, false) }) })
+	set(a.d, true)
+	return a.d.Name(), x.after(x.long(), func() { set(a.d, false) })
+}
+
+// follower is one without a replica, nil if there is none.
+func (x *run) follower() *fleetlab.Daemon {
+	if x.Follow == 0 {
+		return nil
+	}
+	return x.fleet.Daemons[x.Replicas+x.rng.IntN(x.Follow)]
 }
 
 // Faults are all kinds of blows.
@@ -400,10 +505,10 @@
 		return a.d.Name(), x.after(x.long(), func() { a.d.Signal(syscall.SIGCONT) })
 	}},
 	{"answers-cut", "the holder's daemon is not heard, and hears", false, func(x *run) (string, func(context.Context) error) {
-		return x.cut(func(c *relay.Conditions, on bool) { c.HoleTo = on })
+		return x.cut((*fleetlab.Daemon).Unheard)
 	}},
 	{"renewals-cut", "the holder's daemon is heard, and hears nothing", false, func(x *run) (string, func(context.Context) error) {
-		return x.cut(func(c *relay.Conditions, on bool) { c.HoleBack = on })
+		return x.cut((*fleetlab.Daemon).Deafen)
 	}},
 	{"leader-killed", "the store's leader is killed", false, func(x *run) (string, func(context.Context) error) {
 		d := x.leader()
@@ -467,6 +572,44 @@
 			return at.Client.OrderTask(ctx, admin.Order{Task: "task"})
 		}
 	}},
+	{"pair-cut", "the leader does not hear one other replica, and is heard by it", false, func(x *run) (string, func(context.Context) error) {
+		lead := x.leader()
+		other := x.fleet.Daemons[(lead.Number+1)%x.Replicas]
+		other.Between(lead, true)
+		return other.Name() + " to " + lead.Name(), x.after(x.long(), func() { other.Between(lead, false) })
+	}},
+	{"replica-cut", "a replica that followers may follow is cut off from the others, and goes on answering", false, func(x *run) (string, func(context.Context) error) {
+		d := x.fleet.Daemons[x.rng.IntN(x.Replicas)]
+		d.Unheard(true)
+		d.Deafen(true)
+		return d.Name(), x.after(x.long(), func() { d.Unheard(false); d.Deafen(false) })
+	}},
+	{"disk-lost", "a follower is killed and starts with an empty disk", false, func(x *run) (string, func(context.Context) error) {
+		d := x.follower()
+		if d == nil {
+			return "nobody", x.after(0, func() {})
+		}
+		d.Kill()
+		err := d.Lose()
+		return d.Name(), func(ctx context.Context) error { return errors.Join(err, again(d)(ctx)) }
+	}},
+	{"disk-old", "a follower is killed and starts with its disk as it was", false, func(x *run) (string, func(context.Context) error) {
+		d := x.follower()
+		if d == nil {
+			return "nobody", x.after(0, func() {})
+		}
+		old, err := d.Copy()
+		if err != nil {
+			return d.Name() + ", which has none", x.after(0, func() {})
+		}
+		return d.Name(), func(ctx context.Context) error {
+			// Holders come and go meanwhile.
+			if err := x.after(x.long(), d.Kill)(ctx); err != nil {
+				return err
+			}
+			return errors.Join(d.Put(old), again(d)(ctx))
+		}
+	}},
 	{"slow", "all links are slow and lossy by stalls for 1.5 TTL", false, func(x *run) (string, func(context.Context) error) {
 		set := func(now relay.Conditions) {
 			for _, d := range x.fleet.Daemons {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -68,6 +68,7 @@
 	Socket  string   `toml:"socket"`  // where operators reach it
 	Listen  string   `toml:"listen"`  // where other replicas do; empty: one copy alone
 	Address string   `toml:"address"` // by which they do, if it is not Listen
+	Via     []string `toml:"via"`     // NAME=ADDRESS: where this replica reaches another, if it is not where all do
 	Join    bool     `toml:"join"`    // an empty disk waits to be taken into a cluster
 	Keys    string   `toml:"keys"`    // folder with ca.pem and NAME.key
 	Plain   bool     `toml:"plain"`   // TCP without keys, on loopback alone
@@ -207,6 +208,17 @@
 				bad("store.plain", "is for loopback addresses alone")
 			}
 		}
+		for i, v := range s.Via {
+			key := fmt.Sprintf("store.via[%d]", i)
+			name, addr, found := strings.Cut(v, "=")
+			if _, _, err := net.SplitHostPort(addr); !found || keys.CheckName(name) != nil || err != nil {
+				bad(key, fmt.Sprintf("%q is not of the form NAME=HOST:PORT", v))
+			} else if s.Plain && !loopback(addr) {
+				bad("store.plain", "is for loopback addresses alone")
+			} else if s.Listen == "" {
+				bad(key, "is for a replica that others reach")
+			}
+		}
 		met := map[string]bool{}
 		for i, f := range s.Follow {
 			key := fmt.Sprintf("store.follow[%d]", i)
--- a/internal/store/engine/engine.go
+++ b/internal/store/engine/engine.go
@@ -38,8 +38,9 @@
 	Address string // by which others reach it; of Listener, if empty
 	Join    bool   // an empty disk waits to be taken in; else it founds a cluster of its own
 	Limits  store.Limits
-	Keys    *keys.Pair   // nil: plain TCP on loopback
-	Listen  net.Listener // nil: one copy alone, reached by no one
+	Via     map[string]string // where this replica reaches others, by name, if it is not where all do
+	Keys    *keys.Pair        // nil: plain TCP on loopback
+	Listen  net.Listener      // nil: one copy alone, reached by no one
 	Tick    time.Duration
 	Elect   int // ticks
 	Log     *slog.Logger
@@ -352,6 +353,11 @@
 			all[m.ID] = [2]string{m.Name, m.Address}
 		}
 	}
+	for id, p := range all {
+		if via := e.cfg.Via[p[0]]; via != "" {
+			all[id] = [2]string{p[0], via}
+		}
+	}
 	if sum != e.peers {
 		e.peers = sum
 		e.net.Peers(all)
--- a/internal/tasks/task.go
+++ b/internal/tasks/task.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
+	"sync"
 	"time"
 
 	"birchmoor/internal/lease"
@@ -177,3 +179,73 @@
 		r.cfg.Log.Debug("what a task did is not told", "task", h.want.Task, "error", err)
 	}
 }
+
+// TakeShards takes part in a task of n shards until ctx ends: TASK.0 and so on, each a task of its own with its own lease and token.
+// Which of them this daemon wants follows from who takes part (lease.Shards), by its copy of the store; that two reckon otherwise for a
+// while has one wait for the other. do is told which shard it is to act for.
+func (r *Runner) TakeShards(ctx context.Context, t Task, n int, do func(ctx context.Context, h *Hold, shard int) error) error {
+	t.Do = func(context.Context, *Hold) error { return nil }
+	if err := t.check(); err != nil {
+		return err
+	}
+	if n < 1 || n > shardsMost {
+		return fmt.Errorf("%s: %d shards are not within 1 and %d", t.Task, n, shardsMost)
+	}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for ctx.Err() == nil && r.ctx.Err() == nil {
+		member := t.Want
+		member.Slots = lease.SlotsMost // all who take part hold it
+		h, err := r.Acquire(ctx, member, nil)
+		if err != nil {
+			if pause(ctx, retryMost) != nil {
+				break
+			}
+			continue
+		}
+		off := context.AfterFunc(ctx, func() { h.cancel(ctx.Err()) })
+		held := map[int]context.CancelFunc{}
+		for ctx.Err() == nil && h.ctx.Err() == nil {
+			r.mu.Lock()
+			changed := r.changed
+			var members []string
+			for _, p := range r.table.Places(t.Task) {
+				members = append(members, p.Key)
+			}
+			r.mu.Unlock()
+			want := lease.Shards(t.Task, n, members, h.key)
+			for shard, cancel := range held {
+				if !slices.Contains(want, shard) {
+					cancel()
+					delete(held, shard)
+				}
+			}
+			for _, shard := range want {
+				if held[shard] != nil {
+					continue
+				}
+				in, cancel := context.WithCancel(ctx)
+				held[shard] = cancel
+				one := t
+				one.Task, one.Slots = fmt.Sprintf("%s.%d", t.Task, shard), 1
+				one.Do = func(ctx context.Context, h *Hold) error { return do(ctx, h, shard) }
+				wg.Go(func() {
+					for in.Err() == nil && r.Take(in, one) != nil {
+						_ = pause(in, retryMin) // an earlier taking of the same shard is about to end
+					}
+				})
+			}
+			if r.wait(h.ctx, changed, 0) != nil {
+				break
+			}
+		}
+		off()
+		for _, cancel := range held {
+			cancel()
+		}
+		h.Release()
+	}
+	return ctx.Err()
+}
+
+const shardsMost = 256
--- a/internal/tasks/tasks_test.go
+++ b/internal/tasks/tasks_test.go
@@ -228,3 +228,67 @@
 	cancel()
 	wg.Wait()
 }
+
+// Shards of one task are held by all who take part, each by one at a time; when one goes, the others have its shards and keep most of
+// their own.
+func TestShards(t *testing.T) {
+	all := hosts(t, "a", "b", "c")
+	const shards = 12
+	var mu sync.Mutex
+	by, moved := map[int]string{}, 0
+	var acting [shards]atomic.Int32
+	task := Task{Want: want("index", 1), Every: time.Millisecond, Most: 5 * time.Second, Progress: time.Hour, HoldDown: time.Second}
+	var wg sync.WaitGroup
+	stop := map[string]context.CancelFunc{}
+	for _, r := range all {
+		ctx, cancel := context.WithCancel(t.Context())
+		stop[r.cfg.Host] = cancel
+		wg.Go(func() {
+			r.TakeShards(ctx, task, shards, func(_ context.Context, _ *Hold, shard int) error {
+				if n := acting[shard].Add(1); n != 1 {
+					t.Errorf("%d act upon shard %d", n, shard)
+				}
+				mu.Lock()
+				if was := by[shard]; was != r.cfg.Host {
+					if by[shard] = r.cfg.Host; was != "" {
+						moved++
+					}
+				}
+				mu.Unlock()
+				acting[shard].Add(-1)
+				return nil
+			})
+		})
+	}
+	spread := func(most int, hosts ...string) func() bool {
+		return func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			count := map[string]int{}
+			for _, h := range by {
+				count[h]++
+			}
+			for _, h := range hosts {
+				if count[h] == 0 || count[h] > most {
+					return false
+				}
+			}
+			return len(by) == shards && len(count) == len(hosts)
+		}
+	}
+	proctest.Until(t, "an even share for three", spread(4, "a", "b", "c"))
+	mu.Lock()
+	moved = 0
+	mu.Unlock()
+	stop["c"]()
+	proctest.Until(t, "an even share for two", spread(6, "a", "b"))
+	mu.Lock()
+	if moved > 8 {
+		t.Errorf("%d of %d shards moved when one of three went", moved, shards)
+	}
+	mu.Unlock()
+	for _, cancel := range stop {
+		cancel()
+	}
+	wg.Wait()
+}
