--- a/cmd/birchmoor/tasklab.go
+++ b/cmd/birchmoor/tasklab.go
@@ -29,6 +29,7 @@
 	Play     string        `help:"Play this schedule in place of one drawn from the seed." type:"existingfile" placeholder:"FILE"`
 	Keep     string        `help:"When a promise broke, leave schedule, history and logs in a folder here." type:"existingdir" placeholder:"DIR"`
 	Shrink   bool          `help:"When a promise broke, leave blows out for as long as one still breaks, and print the rest as a schedule."`
+	Old      string        `help:"An older build of this program, for daemons to be started with now and then." type:"existingfile" placeholder:"FILE"`
 	Plant    string        `help:"A fault of the program, which must be built with -tags planted: order-ignored, deadline-ignored, kept-late, released-first." placeholder:"NAME"`
 	JSON     bool          `help:"As JSON."`
 }
@@ -50,7 +51,7 @@
 		return errors.New("--plant: this program was not built with -tags planted")
 	}
 	t := tasklab.Torture{Program: self, Dir: k.Dir, Replicas: k.Replicas, Follow: k.Follow, Holders: k.Holders, TTL: k.TTL, For: k.For, Every: k.Every,
-		Seed: k.Seed, Plant: k.Plant, Only: k.Only, Keep: k.Keep, Say: func(s string) { fmt.Fprintln(c.err, s) }}
+		Seed: k.Seed, Plant: k.Plant, Only: k.Only, Keep: k.Keep, Old: k.Old, Say: func(s string) { fmt.Fprintln(c.err, s) }}
 	if k.Play != "" {
 		b, err := os.ReadFile(k.Play)
 		if err == nil {
--- a/internal/lab/fleetlab/fleet.go
+++ b/internal/lab/fleetlab/fleet.go
@@ -24,6 +24,8 @@
 	"birchmoor/internal/lab/relay"
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/admin"
+
+	"golang.org/x/sys/unix"
 )
 
 // Config says what is run.
@@ -150,6 +152,7 @@
 	Client   *admin.Client
 	Known    []discovery.Instance // with which it is configured: its list of a start
 	plain    bool                 // the next start is of the sidecar alone
+	Build    string               // the program of the next starts, in place of the fleet's
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -345,7 +348,11 @@
 	if d.plain {
 		args = []string{"sidecar"}
 	}
-	cmd := exec.Command(d.f.cfg.Program, args...)
+	program := d.f.cfg.Program
+	if d.Build != "" {
+		program = d.Build
+	}
+	cmd := exec.Command(program, args...)
 	cmd.Env = append(append(os.Environ(), "TMPDIR="+tmp), d.f.cfg.Env...)
 	if !d.f.cfg.Bare {
 		cmd.Env = append(cmd.Env, "ROUTER_CONFIG="+d.path(".json"))
@@ -423,6 +430,21 @@
 	}
 }
 
+// Full has every write of the process that would make a file longer fail, as on a disk without room (EFBIG in the place of ENOSPC),
+// or succeed again.
+func (d *Daemon) Full(on bool) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cmd == nil {
+		return nil
+	}
+	room := unix.Rlimit{Cur: unix.RLIM_INFINITY, Max: unix.RLIM_INFINITY}
+	if on {
+		room.Cur = 0
+	}
+	return unix.Prlimit(d.cmd.Process.Pid, unix.RLIMIT_FSIZE, &room, nil)
+}
+
 // Links changes all links by which the daemon reaches others, and what comes in to a replica.
 func (d *Daemon) Links(change func(*relay.Conditions)) {
 	if d.in != nil {
--- a/internal/lab/tasklab/torture.go
+++ b/internal/lab/tasklab/torture.go
@@ -46,6 +46,7 @@
 	Seed     uint64
 	Fence    lease.FencePlant
 	Plant    string // a fault of the program, which must be built with the tag "planted"
+	Old      string // an older build of the program, for the blow of that name
 	Play     []Blow // these blows in place of drawn ones
 	Keep     string // a folder for what is known of a run that broke a promise
 	Say      func(string)
@@ -610,6 +611,32 @@
 			return errors.Join(d.Put(old), again(d)(ctx))
 		}
 	}},
+	{"disk-full", "the leader's disk has no room for 1.5 TTL, after which it is started again", false, func(x *run) (string, func(context.Context) error) {
+		d := x.leader()
+		err := d.Full(true)
+		return d.Name(), func(ctx context.Context) error {
+			if err := x.after(x.long(), d.Kill)(ctx); err != nil {
+				return err
+			}
+			return errors.Join(err, again(d)(ctx))
+		}
+	}},
+	{"old-build", "a daemon is started with the older build, if there is one, which the cluster has left behind, and then with its own", false, func(x *run) (string, func(context.Context) error) {
+		if x.Old == "" {
+			return "nobody", x.after(0, func() {})
+		}
+		d := x.fleet.Daemons[x.rng.IntN(len(x.fleet.Daemons))]
+		d.Kill()
+		d.Build = x.Old
+		err := d.Start()
+		return d.Name(), func(ctx context.Context) error {
+			if err := x.after(x.long(), d.Kill)(ctx); err != nil {
+				return err
+			}
+			d.Build = ""
+			return errors.Join(err, again(d)(ctx))
+		}
+	}},
 	{"slow", "all links are slow and lossy by stalls for 1.5 TTL", false, func(x *run) (string, func(context.Context) error) {
 		set := func(now relay.Conditions) {
 			for _, d := range x.fleet.Daemons {
