Judge whether a learner is heard by its own record, not at the tick that raft clears its

Checked: its progress was StateReplicate with match 597 of 597, its disk known, no change of members pending, no joint configuration, no messages lost any more (all faults were over for 70 s). What failed was RecentActive alone: raft's leader clears it for all every election time-out, to find at the next whether a quorum was heard; tend looked for what it owes every election time-out as well, and once the two fell on one tick they did so for ever. The lines are those of owed and HandOver in internal/store/replica/members.go; a real cluster could have kept a replica from voting, or left a handover without a follower, until another election.

Changed: a replica notes when it last heard each other.

--- a/internal/store/replica/members.go
+++ b/internal/store/replica/members.go
@@ -122,6 +122,13 @@
 	}
 }
 
+// hears says whether another replica sent something within the time of an election. raft's own word for it, RecentActive, is taken back
+// every so many ticks, and a leader that looks at those very ticks never finds it.
+func (n *Node) hears(id uint64) bool {
+	at, ever := n.heard[id]
+	return ever && n.now-at < int64(n.cfg.ElectTicks)
+}
+
 // owed is the next step from who votes to who the state says are members.
 func (n *Node) owed() *raftpb.ConfChange {
 	st := n.raw.Status()
@@ -136,7 +143,7 @@
 		switch {
 		case !in:
 			return change(raftpb.ConfChangeAddLearnerNode, m.ID)
-		case p.IsLearner && m.Disk != 0 && p.RecentActive && p.State == tracker.StateReplicate &&
+		case p.IsLearner && m.Disk != 0 && n.hears(m.ID) && p.State == tracker.StateReplicate &&
 			p.Match+64 >= st.HardState.GetCommit():
 			return change(raftpb.ConfChangeAddNode, m.ID)
 		}
@@ -145,6 +152,7 @@
 	for id := range st.Progress {
 		if _, ok := n.state.Member(id); !ok {
 			gone = append(gone, id)
+			delete(n.heard, id)
 		}
 	}
 	slices.Sort(gone)
@@ -184,7 +192,7 @@
 	}
 	var best, at uint64
 	n.raw.WithProgress(func(id uint64, t raft.ProgressType, p tracker.Progress) {
-		if id != n.self.Member && t == raft.ProgressTypePeer && p.RecentActive && (p.Match > at || best == 0) {
+		if id != n.self.Member && t == raft.ProgressTypePeer && n.hears(id) && (p.Match > at || best == 0) {
 			best, at = id, p.Match
 		}
 	})
@@ -233,7 +241,7 @@
 	for _, m := range n.state.Members() {
 		p := Peer{Member: m, Leads: m.ID == n.lead}
 		if pr, ok := st.Progress[m.ID]; ok {
-			p.Match, p.Active = pr.Match, pr.RecentActive || m.ID == n.self.Member
+			p.Match, p.Active = pr.Match, n.hears(m.ID) || m.ID == n.self.Member
 		}
 		if m.ID == n.self.Member {
 			s.Name = m.Name
--- a/internal/store/replica/replica.go
+++ b/internal/store/replica/replica.go
@@ -140,6 +140,7 @@
 	round   uint64
 	ready   []*round // confirmed, until their index is applied
 
+	heard    map[uint64]int64 // when each other replica last sent something
 	deadline map[uint64]int64 // of leases, while this one leads
 	ending   map[uint64]int64 // when the end of a lease was proposed
 	placed   bool             // our own place was confirmed
@@ -211,7 +212,7 @@
 		return nil, errors.New("the disk belongs to no cluster yet")
 	}
 	n := &Node{cfg: cfg, self: saved.Identity, disk: disk, waiting: map[store.RequestID]*wait{},
-		asked: map[uint64]*round{}, deadline: map[uint64]int64{}, ending: map[uint64]int64{}}
+		asked: map[uint64]*round{}, heard: map[uint64]int64{}, deadline: map[uint64]int64{}, ending: map[uint64]int64{}}
 	n.log = &logStore{MemoryStorage: raft.NewMemoryStorage(), disk: disk, hard: saved.Hard, fail: n.fail}
 	if saved.Snapshot.Index == 0 {
 		// A member that was just taken in: it knows nothing, not even who the others are, until the leader tells.
@@ -357,6 +358,9 @@
 			n.rest()
 		}
 	}
+	if _, ok := n.state.Member(m.GetFrom()); ok {
+		n.heard[m.GetFrom()] = n.now
+	}
 	err := guard(func() error { return n.raw.Step(m) })
 	if err != nil && !errors.Is(err, raft.ErrStepPeerNotFound) && !errors.Is(err, raft.ErrProposalDropped) {
 		n.fail(err)
