--- a/internal/lab/storesim/watch.go
+++ b/internal/lab/storesim/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"birchmoor/internal/store"
@@ -336,6 +337,9 @@
 
 // settledServers says, once faults are over for long enough, whether every drain that anyone hears binds at all.
 func (w *world) settledServers() {
+	if !slices.ContainsFunc(w.members(), func(h *host) bool { return !h.alone() }) {
+		return // the members that are left run no sidecar: nobody hears of servers
+	}
 	for i, p := range w.s.now {
 		if !p.drains {
 			continue
