Have links to a daemon that does not run refuse, as it would, and write no empty list

Seen in the checks of a landing: a fleet of one replica did not come to vote (its file had "via = null"), and a change with no replica was told as unknown in place of unchanged, since a follower's link took the connection.

--- a/internal/lab/fleetlab/fleet.go
+++ b/internal/lab/fleetlab/fleet.go
@@ -60,6 +60,7 @@
 	Daemons []*Daemon
 	Servers []*Server
 	doors   []door // of replicas
+	ends    []end  // of links
 }
 
 // door is where other replicas reach one: all that comes in goes through one relay, and what each sends through one of its own
@@ -305,21 +306,53 @@
 			}
 			via = append(via, name+"="+addr)
 		}
-		text, _ := json.Marshal(via)
-		file += fmt.Sprintf("listen = %q\naddress = %q\nserve = %q\njoin = %v\ntick = \"20ms\"\nvia = %s\n", own.listen, d.peer, d.serve, i > 0, text)
+		file += fmt.Sprintf("listen = %q\naddress = %q\nserve = %q\njoin = %v\ntick = \"20ms\"\n", own.listen, d.peer, d.serve, i > 0)
+		if len(via) > 0 {
+			text, _ := json.Marshal(via)
+			file += fmt.Sprintf("via = %s\n", text)
+		}
 	}
 	return d, os.WriteFile(d.path(".toml"), []byte(file), 0o600)
 }
 
 // link makes a relay by which the daemon reaches another.
 func (d *Daemon) link(name, to string, seed uint64) (addr string, err error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if addr, err = free(); err != nil {
+		return "", err
+	}
+	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return "", err
 	}
 	d.links[name] = relay.New(to, seed, relay.Conditions{})
 	d.links[name].Listen(ln)
-	return ln.Addr().String(), nil
+	d.f.ends = append(d.f.ends, end{name, addr, d.links[name]})
+	return addr, nil
+}
+
+// end is where a link to a daemon listens: it refuses while that does not run, as the daemon itself would.
+type end struct {
+	to, addr string
+	link     *relay.Link
+}
+
+// listens has the links to a daemon take connections, or refuse them.
+func (f *Fleet) listens(to string, on bool) error {
+	for _, e := range f.ends {
+		if e.to != to {
+			continue
+		}
+		e.link.Refuse()
+		if !on {
+			continue
+		}
+		ln, err := net.Listen("tcp", e.addr)
+		if err != nil {
+			return err
+		}
+		e.link.Listen(ln)
+	}
+	return nil
 }
 
 func (d *Daemon) path(of string) string { return filepath.Join(d.f.dir, d.name+of) }
@@ -359,6 +392,9 @@
 	}
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // none is left when this process is killed
+	if err := d.f.listens(d.name, true); err != nil {
+		return err
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -394,6 +430,7 @@
 	if cmd != nil {
 		_ = cmd.Process.Signal(syscall.SIGKILL) // which it may have done without
 		<-over
+		_ = d.f.listens(d.name, false) // nothing is asked of it
 	}
 }
 
@@ -535,7 +572,7 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	return fmt.Errorf("replica %d does not come to vote: %w", i, errors.Join(last, ctx.Err()))
+	return fmt.Errorf("replica %d does not come to vote: %w\n%s", i, errors.Join(last, ctx.Err()), f.Daemons[i].Log())
 }
 
 // Ask sends one request through the daemon's sidecar, and says whether it was served.
