Keep a lock's task until its command has ended, also when lock is killed

Seen by reading: the daemon gave a task up as soon as the lock's connection was gone, and when it was itself stopped in order, while the keeper was still ending the command. The lines are the ends of lock() in internal/store/admin/tasks.go.

Changed: lock says when its command and all that it started have ended (POST /v1/unlock); without that word the daemon keeps the task until the time that it last told, by which the keeper has killed all. It counts as an action under way, so that a daemon that ends waits for it as well. A planted fault that nothing used is gone.

--- a/cmd/birchmoor/lock.go
+++ b/cmd/birchmoor/lock.go
@@ -169,6 +169,13 @@
 		select {
 		case <-ended:
 			code := cmd.ProcessState.ExitCode()
+			keeper.Clear() // what is left if the keeper was killed: only then may another have it
+			if said, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second); failed != nil {
+				_ = admin.Dial(k.Socket).Unlock(said, k.Name, l.Token) // or it has it once the time is up
+				cancel()
+			} else {
+				cancel()
+			}
 			switch {
 			case ctx.Err() != nil:
 				return ctx.Err()
--- a/internal/lease/session.go
+++ b/internal/lease/session.go
@@ -95,9 +95,8 @@
 	switch {
 	case o == Done && (ask == AskRenew || id != 0):
 		if ask == AskGrant {
-			if s.id = id; s.plant != KeepThroughGrant || s.number == 0 {
-				s.number++
-			}
+			s.id = id
+			s.number++
 		}
 		s.until, s.due, s.fails = max(s.until, sent+s.rules.Span()), sent+every, 0
 	case o == Gone && ask == AskRenew && s.plant == RenewAfterEnd:
--- a/internal/store/admin/admin.go
+++ b/internal/store/admin/admin.go
@@ -13,6 +13,7 @@
 	"net/url"
 	"os"
 	"strconv"
+	"sync"
 	"time"
 
 	"birchmoor/internal/daemon"
@@ -149,6 +150,7 @@
 	ln      net.Listener
 	watches chan struct{}
 	locks   chan struct{}
+	held    sync.Map // by lockKey, of what ends it
 }
 
 // Listen makes the socket and serves it. A socket that a process that is gone left behind is replaced.
@@ -182,6 +184,7 @@
 	m.HandleFunc("GET /v1/tasks", handle(s.listTasks))
 	m.HandleFunc("POST /v1/task", handle(s.orderTask))
 	m.HandleFunc("GET /v1/lock", s.lock)
+	m.HandleFunc("POST /v1/unlock", handle(s.unlock))
 	m.HandleFunc("GET /v1/out", func(w http.ResponseWriter, r *http.Request) { answer(w, http.StatusOK, p.Daemon.Outs()) })
 	m.HandleFunc("GET /v1/servers", func(w http.ResponseWriter, r *http.Request) { answer(w, http.StatusOK, p.Daemon.Servers()) })
 	s.http = &http.Server{Handler: m, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
--- a/internal/store/admin/tasks.go
+++ b/internal/store/admin/tasks.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"birchmoor/internal/lease"
@@ -122,17 +123,25 @@
 			return
 		}
 	}
+	// Until the client says that its command has ended, or its time as it was told is up, the command may be at it: also when the
+	// connection is gone, and when this daemon ends.
+	told := int64(0)
+	ended := s.unlocked(want.Task, h.Token())
 	defer h.Release()
-	for told := int64(0); ; {
+	defer h.Busy()()
+	defer func() {
+		t := time.NewTimer(time.Duration(told - tasks.Boottime()))
+		defer t.Stop()
+		select {
+		case <-ended:
+		case <-t.C:
+		}
+		s.held.Delete(lockKey{want.Task, h.Token()})
+	}()
+	for {
 		until := h.Until()
 		if h.Context().Err() != nil {
 			_ = send(LockLine{Over: true, Why: context.Cause(h.Context()).Error(), Until: told})
-			t := time.NewTimer(time.Duration(told - tasks.Boottime()))
-			defer t.Stop()
-			select { // the holder ends what it does, and then the connection
-			case <-r.Context().Done():
-			case <-t.C:
-			}
 			return
 		}
 		if until != told {
@@ -143,12 +152,43 @@
 		}
 		select {
 		case <-h.Renewed(told):
+		case <-ended:
+			return
 		case <-r.Context().Done():
 			return
 		}
 	}
 }
 
+// lockKey names a lock that is held through the socket.
+type lockKey struct {
+	task  string
+	token uint64
+}
+
+// unlocked is closed once the client says that what it did under a lock has ended.
+func (s *Server) unlocked(task string, token uint64) <-chan struct{} {
+	ended := make(chan struct{})
+	s.held.Store(lockKey{task, token}, sync.OnceFunc(func() { close(ended) }))
+	return ended
+}
+
+func (s *Server) unlock(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
+	token, err := number(r.URL.Query(), "token")
+	if err != nil {
+		return nil, err
+	}
+	if end, ok := s.held.Load(lockKey{r.URL.Query().Get("task"), token}); ok {
+		end.(func())()
+	}
+	return struct{}{}, nil
+}
+
+// Unlock says that what was done under a lock has ended. Without it the daemon waits for the time that it last told.
+func (c *Client) Unlock(ctx context.Context, task string, token uint64) error {
+	return c.call(ctx, "POST", "/v1/unlock", url.Values{"task": {task}, "token": {strconv.FormatUint(token, 10)}}, nil, &struct{}{})
+}
+
 // Tasks lists all tasks, or those of a name.
 func (c *Client) Tasks(ctx context.Context, name string) (all []tasks.Info, err error) {
 	return all, c.call(ctx, "GET", "/v1/tasks", url.Values{"task": {name}}, nil, &all)
--- a/internal/tasks/hold.go
+++ b/internal/tasks/hold.go
@@ -240,6 +240,12 @@
 	}
 }
 
+// Busy notes an action that runs elsewhere, until the function that it returns is called: a release waits for it like for one of Do.
+func (h *Hold) Busy() (done func()) {
+	h.actions.Add(1)
+	return h.actions.Done
+}
+
 // Txn makes a change of the store that takes effect only while this holder has its place: none does after a later holder's.
 func (h *Hold) Txn(ctx context.Context, t store.Txn) (store.Result, error) {
 	t.If = append([]store.Compare{{Key: h.key, Modified: h.token}}, t.If...)
