Make the daemon a small frame over parts: bans, drains, starts and memory stand alone

Each is a part now, with its own lock, queue of owed writes and clock (desk.go), what it watches and what it tells the sidecar; the frame only passes on the copy's changes, the log's end, a quorum's word and sweeping (daemon.go). A guard holds the keys of its own part alone (policy.Guard.Only).

--- a/cmd/birchmoor/run.go
+++ b/cmd/birchmoor/run.go
@@ -98,16 +98,17 @@
 		}
 	}
 	settings, runner := daemon.NewSettings(s.Name, check, log), tasks.New(tasks.Config{Host: s.Name, Skew: s.Skew, Log: log, Table: plantedTable()})
-	d := daemon.New(s.Name, log, settings, runner)
+	servers := daemon.NewServers(s.Name, log)
+	d := daemon.New(log, append(servers.Parts(), settings, runner)...)
 	d.SweepByOne()
-	if err := d.Journal(s.Dir); err != nil {
+	if err := servers.Journal(s.Dir); err != nil {
 		return nil, nil, err
 	}
 	var e closer
 	if len(s.Follow) > 0 {
-		e, err = openFollower(s, d, settings, cfg.Keys, log)
+		e, err = openFollower(s, d, servers, settings, cfg.Keys, log)
 	} else {
-		e, err = openReplica(s, d, settings, cfg)
+		e, err = openReplica(s, d, servers, settings, cfg)
 	}
 	if err != nil {
 		return nil, nil, err
@@ -115,7 +116,7 @@
 	if err := os.MkdirAll(filepath.Dir(s.Socket), 0o700); err != nil {
 		return nil, nil, errors.Join(err, e.Close())
 	}
-	a, err := admin.Listen(s.Socket, admin.Parts{Store: e, Daemon: d, Settings: settings, Tasks: runner})
+	a, err := admin.Listen(s.Socket, admin.Parts{Store: e, Daemon: servers, Settings: settings, Tasks: runner})
 	if err != nil {
 		return nil, nil, errors.Join(err, e.Close())
 	}
@@ -125,7 +126,7 @@
 		if err != nil {
 			return nil, nil, errors.Join(fmt.Errorf("store: %w", err), a.Close(), e.Close())
 		}
-		o, err := admin.ServeFollowers(ln, e.(*engine.Engine), d, cfg.Keys)
+		o, err := admin.ServeFollowers(ln, e.(*engine.Engine), servers, cfg.Keys)
 		if err != nil {
 			return nil, nil, errors.Join(err, ln.Close(), a.Close(), e.Close())
 		}
@@ -150,7 +151,7 @@
 	})
 	working.Go(func() { _ = runner.Take(ctx, drive(settings, time.Duration(s.Lease))) })
 	log.Info("the store runs", "replica", s.Name, "listen", s.Listen, "serve", s.Serve, "follows", s.Follow, "socket", s.Socket)
-	x = &extras{reload: settings.Reload(), shared: d, fleet: d, settings: settings.Current, figure: settings.Figure}
+	x = &extras{reload: settings.Reload(), shared: servers, fleet: servers, settings: settings.Current, figure: settings.Figure}
 	return x, func() {
 		runner.Close() // while the store still takes what is given up
 		cancel()
@@ -187,7 +188,7 @@
 }
 
 // openReplica starts a replica, and notes what its daemon starts with.
-func openReplica(s *operator.Store, d *daemon.Daemon, settings *daemon.Settings, cfg engine.Config) (closer, error) {
+func openReplica(s *operator.Store, d *daemon.Daemon, servers *daemon.Servers, settings *daemon.Settings, cfg engine.Config) (closer, error) {
 	d.Hook(&cfg)
 	var written time.Time
 	if info, err := os.Stat(filepath.Join(s.Dir, disk.Name)); err == nil {
@@ -211,13 +212,13 @@
 	if err != nil {
 		return nil, errors.Join(err, e.Close())
 	}
-	d.Opened(from, a.Revision, written, settings.Current() != nil)
+	servers.Opened(from, a.Revision, written, settings.Current() != nil)
 	return e, nil
 }
 
 // openFollower starts a copy of others' replicas.
-func openFollower(s *operator.Store, d *daemon.Daemon, settings *daemon.Settings, pair *keys.Pair, log *slog.Logger) (closer, error) {
-	cfg := follow.Config{Name: s.Name, Dir: s.Dir, Keys: pair, Wait: time.Duration(s.Wait), Log: log, Age: d.PictureAge}
+func openFollower(s *operator.Store, d *daemon.Daemon, servers *daemon.Servers, settings *daemon.Settings, pair *keys.Pair, log *slog.Logger) (closer, error) {
+	cfg := follow.Config{Name: s.Name, Dir: s.Dir, Keys: pair, Wait: time.Duration(s.Wait), Log: log, Age: servers.PictureAge}
 	for _, text := range s.Follow {
 		name, addr, _ := strings.Cut(text, "=")
 		cfg.Replicas = append(cfg.Replicas, follow.Replica{Name: name, Addr: addr})
@@ -234,7 +235,7 @@
 	if err != nil {
 		from = "nothing"
 	}
-	d.Opened(from, a.Revision, written, settings.Current() != nil)
+	servers.Opened(from, a.Revision, written, settings.Current() != nil)
 	return f, nil
 }
 
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -20,7 +20,8 @@
 // side is a daemon with a sidecar that notes what binds.
 type side struct {
 	settings *Settings
-	d        *Daemon
+	frame    *Daemon
+	d        *Servers
 	e        *engine.Engine
 	addr     string
 	stop     context.CancelFunc
@@ -77,16 +78,17 @@
 	}
 	log := slog.New(slog.DiscardHandler)
 	s.settings = NewSettings(name, check, log)
-	s.d = New(name, log, s.settings)
+	s.d = NewServers(name, log)
+	s.frame = New(log, append(s.d.Parts(), s.settings)...)
 	cfg := engine.Config{Name: name, Dir: dir, Join: join, Listen: ln, Tick: 10 * time.Millisecond, Elect: 20, Disk: disk.Options{NoSync: true}}
-	s.d.Hook(&cfg)
+	s.frame.Hook(&cfg)
 	if s.e, err = engine.Open(cfg); err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	s.d.Attach(s.e)
-	wg.Go(func() { s.d.Run(ctx) })
+	s.frame.Attach(s.e)
+	wg.Go(func() { s.frame.Run(ctx) })
 	s.stop = sync.OnceFunc(func() { cancel(); s.e.Kill(); wg.Wait() })
 	s.d.Begin(s.agree)
 	t.Cleanup(s.stop)
--- a/internal/daemon/drains.go
+++ b/internal/daemon/drains.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"strings"
 	"time"
 
@@ -21,16 +22,29 @@
 	drainsMost  = 4096 // processes that drain, by this daemon's discovery
 )
 
-// drains is a daemon's part in them. The daemon's lock guards it.
-type drains struct {
-	bind  func(ctx context.Context, p discovery.Process, drains bool) error
-	dirty map[policy.Process]bool
-	turns *policy.Turns // by key
+// Drains are the processes that drain by any daemon's discovery. It is a Part; any goroutine may use it.
+type Drains struct {
+	desk
+	guard   *policy.Guard
+	bind    func(ctx context.Context, p discovery.Process, drains bool) error
+	dirty   map[policy.Process]bool // that the sidecar is to be told of
+	came    arrivals
+	turns   *policy.Turns // by key
+	journal *journal      // nil where nothing is kept
 }
 
-func newDrains(by string) drains {
-	return drains{dirty: map[policy.Process]bool{}, turns: policy.NewTurns(by, policy.TurnRules{Spread: int64(drainSpread),
-		Renew: int64(drainRenew), Keep: int64(drainKept), Most: drainsMost})}
+// NewDrains returns those of the daemon of a name.
+func NewDrains(name string, log *slog.Logger) *Drains {
+	d := &Drains{desk: newDesk(name, log), guard: policy.NewGuard(name), dirty: map[policy.Process]bool{}, came: arrivals{},
+		turns: policy.NewTurns(name, policy.TurnRules{Spread: int64(drainSpread), Renew: int64(drainRenew), Keep: int64(drainKept), Most: drainsMost})}
+	d.guard.Only(ofDrains)
+	return d
+}
+
+// ofDrains says whether a server that is out is a process that drains.
+func ofDrains(kind policy.Kind, server string) bool {
+	_, ok := policy.ParseProcess(server)
+	return ok && kind == policy.Drain
 }
 
 func drainKey(p policy.Process) string { return policy.Key(policy.Drain, p.Server()) }
@@ -44,8 +58,100 @@
 	return policy.ParseProcess(server)
 }
 
+// touch notes that the sidecar is to be told of a key. The lock is held.
+func (d *Drains) touch(key string) {
+	if p, ok := drainOf(key); ok {
+		d.dirty[p] = true
+	}
+}
+
+// Event is of Part.
+func (d *Drains) Event(e store.Event) {
+	p, ok := drainOf(e.Item.Key)
+	if !ok {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now, key := d.now(time.Now()), drainKey(p)
+	d.guard.Applied(e)
+	d.came.event(now, e)
+	d.dirty[p] = true
+	d.wakeAt(d.turns.Told(now, key, e.Revision, e.Deleted), now)
+	d.note(key)
+	d.poke()
+}
+
+// stale notes that all that is out is to be told to the sidecar again. The lock is held.
+func (d *Drains) stale() {
+	for _, o := range d.guard.All() {
+		d.touch(policy.Key(o.Kind, o.Server))
+	}
+}
+
+// Reset is of Part.
+func (d *Drains) Reset(s *store.State) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stale()
+	if err := d.guard.Reset(s); err != nil {
+		d.log.Error("the store's copy is not acted on", "error", err)
+		return
+	}
+	d.stale()
+	d.came.reset(s)
+	drained := wordsOf(s, policy.Key(policy.Drain, ""))
+	d.turns.Found(d.now(time.Now()), drained)
+	for key := range drained {
+		d.note(key)
+	}
+	d.poke()
+}
+
+// Unsettled is of Tail.
+func (d *Drains) Unsettled(c *store.Command) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, key := range d.guard.Unsettled(c) {
+		d.touch(key)
+	}
+}
+
+// Settled is of Tail.
+func (d *Drains) Settled() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, key := range d.guard.Settled() {
+		d.touch(key)
+		d.note(key)
+	}
+	d.poke()
+}
+
+// Run is of Part.
+func (d *Drains) Run(ctx context.Context) {
+	if d.journal != nil {
+		done := make(chan struct{})
+		go func() { defer close(done); d.journal.run(ctx.Done()) }()
+		defer func() { <-done }()
+	}
+	d.work(ctx, d.owed, func(ctx context.Context) {
+		d.speak(time.Now())
+		d.tell(ctx)
+	})
+}
+
+func (d *Drains) owed() {
+	d.mu.Lock()
+	owed := d.guard.Owed()
+	d.mu.Unlock()
+	for _, op := range owed {
+		d.queue(op)
+	}
+}
+
 // Known lists the processes that drained by the store's copy here: a start knows them before it serves.
-func (d *Daemon) Known() []discovery.Process {
+func (d *Drains) Known() []discovery.Process {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var all []discovery.Process
@@ -56,37 +162,37 @@
 }
 
 // Bind gives the way in which what others heard binds in the sidecar.
-func (d *Daemon) Bind(bind func(ctx context.Context, p discovery.Process, drains bool) error) {
+func (d *Drains) Bind(bind func(ctx context.Context, p discovery.Process, drains bool) error) {
 	d.mu.Lock()
-	d.drains.bind = bind
+	d.bind = bind
 	for _, p := range d.guard.Draining() {
-		d.drains.dirty[p] = true
+		d.dirty[p] = true
 	}
 	d.mu.Unlock()
 	d.poke()
 }
 
 // Heard takes what this sidecar's discovery says of a process. It does not wait.
-func (d *Daemon) Heard(p discovery.Process, drains bool) {
+func (d *Drains) Heard(p discovery.Process, drains bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	key, now := drainKey(policy.Process(p)), d.now(time.Now())
 	defer d.note(key)
 	if !drains {
-		d.drains.turns.Unhear(key)
+		d.turns.Unhear(key)
 		return
 	}
-	due, full := d.drains.turns.Hear(now, key)
+	due, full := d.turns.Hear(now, key)
 	if full {
 		d.log.Error("other daemons are not told of a drain: too many processes drain", "id", p.ID, "most", drainsMost)
 	}
 	d.wakeAt(due, now)
 }
 
-// speakDrains writes what it is this daemon's turn to tell.
-func (d *Daemon) speakDrains(now int64) {
+// speak writes what it is this daemon's turn to tell.
+func (d *Drains) speak(now time.Time) {
 	d.mu.Lock()
-	keys, _ := d.drains.turns.Due(now)
+	keys, _ := d.turns.Due(d.now(now))
 	var ops []store.Op
 	for _, key := range keys {
 		p, _ := drainOf(key)
@@ -103,15 +209,26 @@
 	}
 }
 
-// writeDrain proposes a drain, if nobody has written it since. What was ended meanwhile is an error: it is owed again.
-func (d *Daemon) writeDrain(ctx context.Context, p policy.Process, op store.Op) error {
+// queue leaves a word of the guard's to be written; if there is no room it stays owed.
+func (d *Drains) queue(op store.Op) {
+	d.owe(write{key: op.Key, wrote: func(ok bool) {
+		d.guard.Wrote(op.Key, ok)
+		d.note(op.Key)
+	}, do: func(ctx context.Context) error {
+		p, _ := drainOf(op.Key)
+		return d.propose(ctx, p, op)
+	}})
+}
+
+// propose writes a drain, if nobody has written it since. What was ended meanwhile is an error: it is owed again.
+func (d *Drains) propose(ctx context.Context, p policy.Process, op store.Op) error {
 	d.mu.Lock()
 	agreed, over := d.guard.Agreed(p), !d.guard.Pending(op.Key)
 	d.mu.Unlock()
 	if over {
 		return nil
 	}
-	r, err := d.engine.Do(ctx, store.Command{Txn: &store.Txn{If: []store.Compare{{Key: op.Key, Modified: agreed}}, Then: []store.Op{op}}})
+	r, err := d.store.Do(ctx, store.Command{Txn: &store.Txn{If: []store.Compare{{Key: op.Key, Modified: agreed}}, Then: []store.Op{op}}})
 	if err != nil || r.Held {
 		return err
 	}
@@ -123,41 +240,36 @@
 	return nil
 }
 
-// drainEvent notes a change of the store. The daemon's lock is held.
-func (d *Daemon) drainEvent(now int64, p policy.Process, e store.Event) {
-	key := drainKey(p)
-	d.drains.dirty[p] = true
-	d.wakeAt(d.drains.turns.Told(now, key, e.Revision, e.Deleted), now)
-	d.note(key)
-}
-
-// tellDrains makes bind in the sidecar what has changed.
-func (d *Daemon) tellDrains(ctx context.Context) {
+// tell makes bind in the sidecar what has changed.
+func (d *Drains) tell(ctx context.Context) {
 	d.mu.Lock()
-	bind := d.drains.bind
+	bind := d.bind
 	if bind == nil {
 		d.mu.Unlock()
 		return
 	}
 	now := map[policy.Process]bool{}
-	for p := range d.drains.dirty {
+	for p := range d.dirty {
 		now[p] = d.guard.Drains(p)
 	}
-	clear(d.drains.dirty)
+	clear(d.dirty)
 	d.mu.Unlock()
 	for p, drains := range now {
 		if err := bind(ctx, discovery.Process(p), drains); err != nil && ctx.Err() == nil {
 			d.log.Error("what daemons heard of a drain does not bind here", "id", p.ID, "drains", drains, "error", err)
 			d.mu.Lock()
-			d.drains.dirty[p] = true
+			d.dirty[p] = true
 			d.mu.Unlock()
 		}
 	}
 }
 
-// drainsOver ends what nobody has told for long. The daemon's lock is held.
-func (d *Daemon) drainsOver(now int64) (ends []*store.Txn) {
-	_, over := d.drains.turns.Due(now)
+// Over is of Sweeper.
+func (d *Drains) Over(now time.Time) (ends []*store.Txn) {
+	d.speak(now)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, over := d.turns.Due(d.now(now))
 	for _, key := range over {
 		p, _ := drainOf(key)
 		if t, err := d.guard.Return(policy.Drain, p.Server()); err == nil {
@@ -166,3 +278,10 @@
 	}
 	return ends
 }
+
+// Outs lists the processes that drain, by whose word and how old that is.
+func (d *Drains) Outs() []policy.Out {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.came.age(d.now(time.Now()), d.guard.All())
+}
--- a/internal/daemon/drains_test.go
+++ b/internal/daemon/drains_test.go
@@ -58,7 +58,7 @@
 	// Long after, who hears it tells it again, and what nobody hears is over, with the word of the quorum.
 	later := time.Now().Add(drainKept + time.Minute)
 	for all[0].d.is(two) { // what b found in its log without knowing that it was agreed on it tells again, once
-		all[0].d.tidy(ctx, later)
+		all[0].frame.sweep(ctx, later)
 	}
 	for _, s := range []*side{all[0], b} {
 		s.until(t, fmt.Sprint(two), false)
@@ -67,12 +67,12 @@
 	for changes(one) < 2 { // until it is told again
 	}
 	all[0].d.Heard(one, false)
-	all[0].d.tidy(ctx, time.Now().Add(drainKept/2))
+	all[0].frame.sweep(ctx, time.Now().Add(drainKept/2))
 	if changes(one) == 0 {
 		t.Error("a drain ended while it may matter")
 	}
 	for all[0].d.is(one) {
-		all[0].d.tidy(ctx, later)
+		all[0].frame.sweep(ctx, later)
 	}
 	b.until(t, fmt.Sprint(one), false)
 	if known := b.d.Known(); len(known) != 0 {
@@ -98,7 +98,7 @@
 	b.until(t, fmt.Sprint(p), true)
 }
 
-func (d *Daemon) is(p discovery.Process) bool {
+func (d *Drains) is(p discovery.Process) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.guard.Drains(policy.Process(p))
--- a/internal/daemon/journal.go
+++ b/internal/daemon/journal.go
@@ -25,7 +25,7 @@
 	journalGrown = 4        // once it is so many times what it says
 )
 
-// journal keeps which drains bind. The daemon's lock guards held; the rest belongs to its goroutine.
+// journal keeps which drains bind. The part's lock guards held; the rest belongs to its goroutine.
 type journal struct {
 	path  string
 	held  map[string]bool // as queued
@@ -38,9 +38,9 @@
 	failing bool
 }
 
-// Journal has the daemon keep its drains in a file within dir, and binds those that an earlier process kept there. It is to be
+// Journal has drains kept in a file within dir, and binds those that an earlier process kept there. It is to be
 // called before the store is opened. A file that is not readable is an error, and is left as it is.
-func (d *Daemon) Journal(dir string) error {
+func (d *Drains) Journal(dir string) error {
 	j := &journal{path: filepath.Join(dir, journalName), held: map[string]bool{}, lines: make(chan string, journalQueue), log: d.log,
 		binds: map[string]bool{}}
 	text, err := os.ReadFile(j.path)
@@ -69,15 +69,15 @@
 	return nil
 }
 
-// note keeps whether a drain binds here now. The daemon's lock is held. It does not wait: where the queue is full the line is
+// note keeps whether a drain binds here now. The part's lock is held. It does not wait: where the queue is full the line is
 // left out, and comes with the next change of that drain.
-func (d *Daemon) note(key string) {
+func (d *Drains) note(key string) {
 	j := d.journal
 	if j == nil {
 		return
 	}
 	p, _ := drainOf(key)
-	binds := d.drains.turns.Hears(key) || d.guard.Drains(policy.Process(p))
+	binds := d.turns.Hears(key) || d.guard.Drains(policy.Process(p))
 	if binds == j.held[key] {
 		return
 	}
--- a/internal/daemon/journal_test.go
+++ b/internal/daemon/journal_test.go
@@ -17,8 +17,8 @@
 // says otherwise; then it is told. A line that the process died in, and lines that are none, are passed over.
 func TestAKilledDaemonKnowsWhatItHeard(t *testing.T) {
 	dir := t.TempDir()
-	begin := func() (d *Daemon, kill func()) {
-		d = New("a", slog.New(slog.DiscardHandler))
+	begin := func() (d *Drains, kill func()) {
+		d = NewDrains("a", slog.New(slog.DiscardHandler))
 		if err := d.Journal(dir); err != nil {
 			t.Fatal(err)
 		}
@@ -57,7 +57,7 @@
 		t.Errorf("kept: %q, %v", text, err)
 	}
 	if err := os.Chmod(path, 0); err == nil && os.Getuid() != 0 {
-		if err := New("a", slog.New(slog.DiscardHandler)).Journal(dir); err == nil {
+		if err := NewDrains("a", slog.New(slog.DiscardHandler)).Journal(dir); err == nil {
 			t.Error("a file that cannot be read is passed over")
 		}
 	}
@@ -66,7 +66,7 @@
 // The file stays small however many drains come and go.
 func TestTheJournalIsBounded(t *testing.T) {
 	dir := t.TempDir()
-	d := New("a", slog.New(slog.DiscardHandler))
+	d := NewDrains("a", slog.New(slog.DiscardHandler))
 	if err := d.Journal(dir); err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/daemon/memory.go
@@ -0,0 +1,215 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"birchmoor/balancer"
+	"birchmoor/internal/recovery"
+	"birchmoor/internal/snapshot"
+	"birchmoor/internal/store"
+	"birchmoor/internal/store/policy"
+)
+
+// What the decision modules know is kept in the store, so that a host that lost its disk, or a new one, does not start blind.
+// Each sidecar puts its own picture, as often as the bytes of all allow (policy.PictureWait); one that nobody has put for
+// picturesKept is ended by whoever finds it.
+const picturesKept = 10 * time.Minute
+
+// Memory is what the decision modules of all know, as the store keeps it: their pictures. It is a Part; any goroutine may use it.
+type Memory struct {
+	desk
+	turns    *policy.Turns // for their ends alone
+	all      map[string]picture
+	bytes    int
+	proved   int64 // when a quorum last confirmed the copy; 0: not since the start
+	recalled []Recalled
+}
+
+type picture struct {
+	value  []byte
+	at     int64 // when it was put at the earliest, by this daemon's clock; 0: not known
+	agreed uint64
+}
+
+// NewMemory returns that of the daemon of a name.
+func NewMemory(name string, log *slog.Logger) *Memory {
+	return &Memory{desk: newDesk(name, log), all: map[string]picture{}, turns: policy.NewTurns(name, policy.TurnRules{Spread: 1, Keep: int64(picturesKept)})}
+}
+
+// Run is of Part: sidecars put their pictures by Keep.
+func (k *Memory) Run(ctx context.Context) { <-ctx.Done() }
+
+// Proved is of Prover.
+func (k *Memory) Proved(ago time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.proved = max(k.proved, k.now(time.Now())-int64(ago))
+}
+
+func (k *Memory) set(key string, p picture, gone bool) {
+	if was, ok := k.all[key]; ok {
+		k.bytes -= len(was.value)
+		delete(k.all, key)
+	}
+	if !gone {
+		k.all[key] = p
+		k.bytes += len(p.value)
+	}
+}
+
+// Event is of Part. A picture may have been put at any time since a quorum last confirmed the copy.
+func (k *Memory) Event(e store.Event) {
+	if !strings.HasPrefix(e.Item.Key, policy.PicturePrefix) {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.set(e.Item.Key, picture{e.Item.Value, k.proved, e.Revision}, e.Deleted)
+	k.turns.Told(k.now(time.Now()), e.Item.Key, e.Revision, e.Deleted)
+}
+
+// Reset is of Part.
+func (k *Memory) Reset(s *store.State) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for key := range k.all {
+		if _, ok := s.Get(key); !ok {
+			k.set(key, picture{}, true)
+		}
+	}
+	s.Range(policy.PicturePrefix, store.PrefixEnd(policy.PicturePrefix), func(i store.Item) bool {
+		if k.all[i.Key].agreed != i.Modified {
+			k.set(i.Key, picture{i.Value, 0, i.Modified}, false)
+		}
+		return true
+	})
+	k.turns.Found(k.now(time.Now()), wordsOf(s, policy.PicturePrefix))
+}
+
+// Over is of Sweeper: it ends those that nobody has put for long.
+func (k *Memory) Over(now time.Time) (ends []*store.Txn) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_, over := k.turns.Due(k.now(now))
+	for _, key := range over {
+		ends = append(ends, &store.Txn{If: []store.Compare{{Key: key, Modified: k.all[key].agreed}}, Then: []store.Op{{Key: key, Delete: true}}})
+	}
+	return ends
+}
+
+// Pictures are those of a protocol that a sidecar may believe at its start.
+func (k *Memory) Pictures(sidecar, protocol string) (all []recovery.Candidate) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.now(time.Now())
+	for key, p := range k.all {
+		of, its, ok := policy.ParsePicture(key)
+		if !ok || its != protocol {
+			continue
+		}
+		v, err := policy.DecodePicture(p.value)
+		var kept *snapshot.Kept
+		if err == nil {
+			kept, err = snapshot.Decode(v.Known)
+		}
+		if err != nil {
+			k.log.Warn("a picture in the store is passed over", "key", key, "error", err)
+			continue
+		}
+		c := recovery.Candidate{From: "the store: " + of, Kept: kept, Own: of == sidecar}
+		here := snapshot.Now()
+		switch {
+		case p.at != 0:
+			c.Age, c.Sure = balancer.Micros(now-p.at)/1000, true
+		default:
+			c.Age, c.Sure = here.Since(kept.Clock), here.Boot != "" && here.Boot == kept.Clock.Boot
+		}
+		all = append(all, c)
+	}
+	return all
+}
+
+// Recalled notes what of them a sidecar's decision module went on from at its start, and how many servers that knew.
+func (k *Memory) Recalled(protocol string, c recovery.Choice, servers int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.recalled = append(k.recalled, Recalled{protocol, c.From, c.Of, servers, time.Duration(c.Age) * time.Microsecond})
+}
+
+// recalls lists them.
+func (k *Memory) recalls() []Recalled {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Clone(k.recalled)
+}
+
+// held is how many there are, and their bytes.
+func (k *Memory) held() (n, bytes int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.all), k.bytes
+}
+
+// PictureAges are those that this daemon saw come: how long ago.
+func (k *Memory) PictureAges() map[string]time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now, all := k.now(time.Now()), map[string]time.Duration{}
+	for key, p := range k.all {
+		if p.at != 0 {
+			all[key] = time.Duration(now - p.at)
+		}
+	}
+	return all
+}
+
+// PictureAge takes the word of another daemon's clock on how long ago a picture was put, where this one did not see it come.
+func (k *Memory) PictureAge(key string, age time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if p, ok := k.all[key]; ok && p.at == 0 && age >= 0 {
+		p.at = k.now(time.Now()) - int64(age)
+		k.all[key] = p
+	}
+}
+
+// Keep puts a sidecar's pictures in the store until ctx ends.
+func (k *Memory) Keep(ctx context.Context, sidecar, protocol string, take func(context.Context) ([]byte, error), paused func() bool) {
+	key := policy.PictureKey(sidecar, protocol)
+	failing := false
+	for {
+		k.mu.Lock()
+		wait := time.Duration(policy.PictureWait(k.bytes))
+		k.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+		if paused() {
+			continue
+		}
+		err := k.keep(ctx, key, take)
+		if err != nil && ctx.Err() == nil && !failing && !errors.Is(err, store.ErrLevel) {
+			k.log.Warn("the store does not keep what is known here", "key", key, "error", err)
+		}
+		failing = err != nil
+	}
+}
+
+// keep puts one.
+func (k *Memory) keep(ctx context.Context, key string, take func(context.Context) ([]byte, error)) error {
+	known, err := take(ctx)
+	if err != nil {
+		return err
+	}
+	c, cancel := context.WithTimeout(ctx, writeWait)
+	defer cancel()
+	_, err = k.store.Do(c, store.Command{Txn: policy.Picture{By: k.name, Known: known}.Put(key)})
+	return err
+}
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -2,10 +2,11 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"slices"
+	"sync"
 	"time"
 
-	"birchmoor/internal/recovery"
 	"birchmoor/internal/snapshot"
 	"birchmoor/internal/store/policy"
 )
@@ -23,24 +24,44 @@
 	Agreed    bool   `json:"agreed"`            // the store has it; if not, it is this daemon's word alone
 }
 
-// Servers lists all that this copy and this daemon know of servers.
-func (d *Daemon) Servers() []Fact {
-	outs := d.Outs()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.now(time.Now())
+// Servers are the parts that tell of servers, seen together: what a sidecar has of them (sidecar.Fleet, maintenance.Shared) and what
+// people do.
+type Servers struct {
+	*Bans
+	*Drains
+	*Starts
+	*Memory
+
+	mu    sync.Mutex
+	began Began
+}
+
+// NewServers returns those of the daemon of a name.
+func NewServers(name string, log *slog.Logger) *Servers {
+	return &Servers{Bans: NewBans(name, log), Drains: NewDrains(name, log), Starts: NewStarts(name, log), Memory: NewMemory(name, log)}
+}
+
+// Parts are those of a Daemon.
+func (s *Servers) Parts() []Part { return []Part{s.Bans, s.Drains, s.Starts, s.Memory} }
+
+// Outs lists the servers that are out, by whose word and how old that is.
+func (s *Servers) Outs() []policy.Out {
+	all := append(s.Bans.Outs(), s.Drains.Outs()...)
+	slices.SortFunc(all, func(a, b policy.Out) int { return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Kind, b.Kind)) })
+	return all
+}
+
+// List lists all that this copy and this daemon know of servers.
+func (s *Servers) List() []Fact {
 	var all []Fact
-	for _, o := range outs {
+	for _, o := range s.Outs() {
 		f := Fact{ID: o.Server, What: "banned", By: o.By, AgeMs: o.AgeMs, Agreed: o.Agreed}
 		if p, ok := drainOf(policy.Key(o.Kind, o.Server)); ok {
 			f.ID, f.Addr, f.StartedMs, f.What = p.ID, p.Addr, p.StartedMs, "drains"
 		}
 		all = append(all, f)
 	}
-	d.starts.words.Cold(now, func(p policy.Process, ago, left int64, who string, agreed bool) {
-		all = append(all, Fact{ID: p.ID, Addr: p.Addr, StartedMs: p.StartedMs, What: "began", By: who, AgeMs: ago / 1e6, LeftMs: left / 1e6, Agreed: agreed})
-	})
-	all = append(all, d.kept.facts(now)...)
+	all = append(append(all, s.Starts.facts()...), s.Memory.facts()...)
 	slices.SortFunc(all, func(a, b Fact) int {
 		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Addr, b.Addr), cmp.Compare(a.StartedMs, b.StartedMs), cmp.Compare(a.What, b.What))
 	})
@@ -48,7 +69,10 @@
 }
 
 // facts adds up what the pictures tell: by whom a server is known, and held to be cold.
-func (k *pictures) facts(now int64) []Fact {
+func (k *Memory) facts() []Fact {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.now(time.Now())
 	type server struct {
 		id, addr string
 		start    int64
@@ -116,33 +140,27 @@
 	Age      time.Duration `json:"age_ns"`
 }
 
-// Recalled notes it.
-func (d *Daemon) Recalled(protocol string, c recovery.Choice, servers int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.start.Recalled = append(d.start.Recalled, Recalled{protocol, c.From, c.Of, servers, time.Duration(c.Age) * time.Microsecond})
-}
-
 // Opened notes what this daemon started with, and whether that has settings. written is when its disk was, zero if there was none.
-func (d *Daemon) Opened(from string, revision uint64, written time.Time, settings bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.start = Began{From: from, Recalled: d.start.Recalled, Revision: revision, Out: len(d.guard.All()), Starts: d.starts.words.Len(), Pictures: len(d.kept.all),
-		Settings: settings}
+func (s *Servers) Opened(from string, revision uint64, written time.Time, settings bool) {
+	b := Began{From: from, Revision: revision, Out: len(s.Outs()), Starts: s.Starts.count(), Settings: settings}
+	b.Pictures, _ = s.Memory.held()
 	if !written.IsZero() {
-		d.start.Age = time.Since(written).Round(time.Millisecond).String()
+		b.Age = time.Since(written).Round(time.Millisecond).String()
 	}
-	d.log.Info("what the store knows at the start", "from", from, "revision", revision, "out", d.start.Out, "starts", d.start.Starts,
-		"pictures", d.start.Pictures, "age", d.start.Age)
+	s.mu.Lock()
+	s.began = b
+	s.mu.Unlock()
+	s.Bans.log.Info("what the store knows at the start", "from", from, "revision", revision, "out", b.Out, "starts", b.Starts,
+		"pictures", b.Pictures, "age", b.Age)
 }
 
-// Start returns it.
-func (d *Daemon) Start() Began {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	s := d.start
-	s.Recalled = slices.Clone(s.Recalled)
-	return s
+// Start is what this daemon knew when it started.
+func (s *Servers) Start() Began {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.began
+	b.Recalled = s.Memory.recalls()
+	return b
 }
 
 // Kept is how much this daemon holds of what daemons tell each other.
@@ -155,8 +173,8 @@
 }
 
 // Kept returns it.
-func (d *Daemon) Kept() Kept {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return Kept{Out: len(d.guard.All()), Starts: d.starts.words.Len(), Pictures: len(d.kept.all), Bytes: d.kept.bytes, Owed: len(d.writes)}
+func (s *Servers) Kept() Kept {
+	k := Kept{Out: len(s.Outs()), Starts: s.Starts.count(), Owed: len(s.Bans.writes) + len(s.Drains.writes) + len(s.Starts.writes)}
+	k.Pictures, k.Bytes = s.Memory.held()
+	return k
 }
--- a/internal/daemon/starts.go
+++ b/internal/daemon/starts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"birchmoor/internal/core"
@@ -17,113 +18,133 @@
 	startsMost  = policy.StartsMost
 )
 
-// starts is a daemon's part in them. The daemon's lock guards it.
-type starts struct {
+// Starts are the processes of servers that began of late, by any daemon's word. It is a Part; any goroutine may use it.
+type Starts struct {
+	desk
 	words *policy.Starts
 	turns *policy.Turns
 	bind  func(ctx context.Context, s core.Start) error
-	dirty map[policy.Process]bool
-	full  bool // and said so
+	dirty map[policy.Process]bool // that the sidecar is to be told of
 }
 
-func newStarts(by string) starts {
-	return starts{words: policy.NewStarts(by, startsMost), dirty: map[policy.Process]bool{},
-		turns: policy.NewTurns(by, policy.TurnRules{Spread: int64(startSpread), Keep: 1 << 62, Most: startsMost})}
+// NewStarts returns those of the daemon of a name.
+func NewStarts(name string, log *slog.Logger) *Starts {
+	return &Starts{desk: newDesk(name, log), words: policy.NewStarts(name, startsMost), dirty: map[policy.Process]bool{},
+		turns: policy.NewTurns(name, policy.TurnRules{Spread: int64(startSpread), Keep: 1 << 62, Most: startsMost})}
+}
+
+// Run is of Part.
+func (d *Starts) Run(ctx context.Context) {
+	d.work(ctx, func() {}, func(ctx context.Context) {
+		d.speak(time.Now())
+		d.tell(ctx)
+	})
 }
 
 // Began takes what this daemon's sidecar saw begin, so long ago, and cold for so long. It does not wait.
-func (d *Daemon) Began(p discovery.Process, ago, cold time.Duration) {
+func (d *Starts) Began(p discovery.Process, ago, cold time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now(time.Now())
-	if !d.starts.words.See(now, policy.Process(p), int64(ago), int64(cold)) {
+	if !d.words.See(now, policy.Process(p), int64(ago), int64(cold)) {
 		return
 	}
-	due, _ := d.starts.turns.Hear(now, policy.StartKey(policy.Process(p)))
+	due, _ := d.turns.Hear(now, policy.StartKey(policy.Process(p)))
 	d.wakeAt(due, now)
 }
 
 // Begun lists the processes that are cold yet, as far as is known here.
-func (d *Daemon) Begun() []core.Start {
+func (d *Starts) Begun() []core.Start {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var all []core.Start
-	d.starts.words.Cold(d.now(time.Now()), func(p policy.Process, ago, _ int64, _ string, _ bool) {
+	d.words.Cold(d.now(time.Now()), func(p policy.Process, ago, _ int64, _ string, _ bool) {
 		all = append(all, core.Start{Process: discovery.Process(p), Ago: time.Duration(ago)})
 	})
 	return all
 }
 
 // Warm gives the way in which others' word that a process began counts in the sidecar.
-func (d *Daemon) Warm(begun func(ctx context.Context, s core.Start) error) {
+func (d *Starts) Warm(begun func(ctx context.Context, s core.Start) error) {
 	d.mu.Lock()
-	d.starts.bind = begun
+	d.bind = begun
 	d.mu.Unlock()
+	d.poke()
 }
 
-func (d *Daemon) startEvent(now int64, e store.Event) {
+// Event is of Part.
+func (d *Starts) Event(e store.Event) {
 	if _, ok := policy.ParseStart(e.Item.Key); !ok {
 		return
 	}
-	if p, news := d.starts.words.Applied(now, e, 0); news {
-		d.starts.dirty[p] = true
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now(time.Now())
+	if p, news := d.words.Applied(now, e, 0); news {
+		d.dirty[p] = true
 		d.poke()
 	}
-	d.starts.turns.Told(now, e.Item.Key, e.Revision, e.Deleted)
+	d.turns.Told(now, e.Item.Key, e.Revision, e.Deleted)
 }
 
-// resetStarts takes a whole copy. How long ago its words were written is not known: each counts as new, so that a process is
+// Reset is of Part. How long ago its words were written is not known: each counts as new, so that a process is
 // held to be colder than it is and never warmer.
-func (d *Daemon) resetStarts(now int64, s *store.State) {
+func (d *Starts) Reset(s *store.State) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now(time.Now())
 	s.Range(policy.StartPrefix, store.PrefixEnd(policy.StartPrefix), func(i store.Item) bool {
-		if p, news := d.starts.words.Applied(now, store.Event{Revision: i.Modified, Item: i}, 0); news {
-			d.starts.dirty[p] = true
+		if p, news := d.words.Applied(now, store.Event{Revision: i.Modified, Item: i}, 0); news {
+			d.dirty[p] = true
 		}
 		return true
 	})
-	d.starts.turns.Found(now, wordsOf(s, policy.StartPrefix))
+	d.turns.Found(now, wordsOf(s, policy.StartPrefix))
+	d.poke()
 }
 
-func (d *Daemon) speakStarts(now int64) {
+// speak writes what it is this daemon's turn to tell.
+func (d *Starts) speak(at time.Time) {
+	now := d.now(at)
 	d.mu.Lock()
-	keys, _ := d.starts.turns.Due(now)
+	keys, _ := d.turns.Due(now)
 	var txns []*store.Txn
 	for _, key := range keys {
 		p, _ := policy.ParseStart(key)
-		if t := d.starts.words.Write(now, p); t != nil {
+		if t := d.words.Write(now, p); t != nil {
 			txns = append(txns, t)
 		} else {
-			d.starts.turns.Unhear(key) // it is over
+			d.turns.Unhear(key) // it is over
 		}
 	}
 	d.mu.Unlock()
 	for _, t := range txns {
 		d.owe(write{key: t.Then[0].Key, do: func(ctx context.Context) error {
-			_, err := d.engine.Do(ctx, store.Command{Txn: t})
+			_, err := d.store.Do(ctx, store.Command{Txn: t})
 			return err
 		}, wrote: func(ok bool) {
 			if ok { // by this daemon or, if the comparison did not hold, by another
-				d.starts.turns.Unhear(t.Then[0].Key)
+				d.turns.Unhear(t.Then[0].Key)
 				return
 			}
 			now := d.now(time.Now())
-			d.wakeAt(d.starts.turns.Again(now, int64(owedEvery), t.Then[0].Key), now)
+			d.wakeAt(d.turns.Again(now, int64(owedEvery), t.Then[0].Key), now)
 		}})
 	}
 }
 
-// tellStarts has what others said count in the sidecar.
-func (d *Daemon) tellStarts(ctx context.Context) {
+// tell has what others said count in the sidecar.
+func (d *Starts) tell(ctx context.Context) {
 	d.mu.Lock()
-	bind, now := d.starts.bind, d.now(time.Now())
+	bind, now := d.bind, d.now(time.Now())
 	var news []core.Start
-	for p := range d.starts.dirty {
-		if ago, _, ok := d.starts.words.Of(now, p); ok && bind != nil {
+	for p := range d.dirty {
+		if ago, _, ok := d.words.Of(now, p); ok && bind != nil {
 			news = append(news, core.Start{Process: discovery.Process(p), Ago: time.Duration(ago)})
 		}
 	}
 	if bind != nil {
-		clear(d.starts.dirty)
+		clear(d.dirty)
 	}
 	d.mu.Unlock()
 	for _, s := range news {
@@ -133,13 +154,33 @@
 	}
 }
 
-// startsOver ends what matters no more. The daemon's lock is held.
-func (d *Daemon) startsOver(now int64) (ends []*store.Txn) {
-	for _, p := range d.starts.words.Over(now) {
-		d.starts.turns.Unhear(policy.StartKey(p))
-		if t := d.starts.words.End(p); t != nil {
+// Over is of Sweeper: it ends what matters no more.
+func (d *Starts) Over(now time.Time) (ends []*store.Txn) {
+	d.speak(now)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.words.Over(d.now(now)) {
+		d.turns.Unhear(policy.StartKey(p))
+		if t := d.words.End(p); t != nil {
 			ends = append(ends, t)
 		}
 	}
 	return ends
 }
+
+// facts are what is known of them.
+func (d *Starts) facts() (all []Fact) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.words.Cold(d.now(time.Now()), func(p policy.Process, ago, left int64, who string, agreed bool) {
+		all = append(all, Fact{ID: p.ID, Addr: p.Addr, StartedMs: p.StartedMs, What: "began", By: who, AgeMs: ago / 1e6, LeftMs: left / 1e6, Agreed: agreed})
+	})
+	return all
+}
+
+// count is how many are cold yet.
+func (d *Starts) count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.words.Len()
+}
--- a/internal/daemon/starts_test.go
+++ b/internal/daemon/starts_test.go
@@ -64,7 +64,7 @@
 	}
 	later := time.Now().Add(time.Hour + time.Minute)
 	for all[2].version(t, policy.StartKey(policy.Process(one))) > 0 {
-		b.d.tidy(deadline(t), later)
+		b.frame.sweep(deadline(t), later)
 	}
 }
 
@@ -121,7 +121,7 @@
 		t.Errorf("%+v", got)
 	}
 	for later := time.Now().Add(picturesKept + time.Minute); b.version(t, key) > 0; { // nobody puts it any more
-		b.d.tidy(deadline(t), later)
+		b.frame.sweep(deadline(t), later)
 	}
 	if len(b.d.Pictures("me", "")) != 0 {
 		t.Error("it is still held")
--- a/internal/store/admin/admin.go
+++ b/internal/store/admin/admin.go
@@ -138,7 +138,7 @@
 // Parts are what a Server answers for.
 type Parts struct {
 	Store    Store
-	Daemon   *daemon.Daemon
+	Daemon   *daemon.Servers
 	Settings *daemon.Settings
 	Tasks    *tasks.Runner
 }
@@ -186,7 +186,7 @@
 	m.HandleFunc("GET /v1/lock", s.lock)
 	m.HandleFunc("POST /v1/unlock", handle(s.unlock))
 	m.HandleFunc("GET /v1/out", func(w http.ResponseWriter, r *http.Request) { answer(w, http.StatusOK, p.Daemon.Outs()) })
-	m.HandleFunc("GET /v1/servers", func(w http.ResponseWriter, r *http.Request) { answer(w, http.StatusOK, p.Daemon.Servers()) })
+	m.HandleFunc("GET /v1/servers", func(w http.ResponseWriter, r *http.Request) { answer(w, http.StatusOK, p.Daemon.List()) })
 	s.http = &http.Server{Handler: m, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
 	go s.http.Serve(ln)
 	return s, nil
--- a/internal/store/admin/admin_test.go
+++ b/internal/store/admin/admin_test.go
@@ -28,7 +28,8 @@
 	t.Helper()
 	log := slog.New(slog.DiscardHandler)
 	settings, runner := daemon.NewSettings("a", nil, log), tasks.New(tasks.Config{Host: "a", Log: log})
-	d := daemon.New("a", log, settings, runner)
+	servers := daemon.NewServers("a", log)
+	d := daemon.New(log, append(servers.Parts(), settings, runner)...)
 	cfg := engine.Config{Name: "a", Dir: t.TempDir(), Tick: 5 * time.Millisecond, Disk: disk.Options{NoSync: true},
 		Limits: store.Limits{Key: 64, Value: 256, Total: 1 << 20, Ops: 8, Events: 20, History: 1 << 16, Leases: 4, Results: 100, Members: 3}}
 	d.Hook(&cfg)
@@ -38,7 +39,7 @@
 	}
 	d.Attach(e)
 	path := filepath.Join(t.TempDir(), "s.sock")
-	s, err := Listen(path, Parts{Store: e, Daemon: d, Settings: settings, Tasks: runner})
+	s, err := Listen(path, Parts{Store: e, Daemon: servers, Settings: settings, Tasks: runner})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -46,7 +47,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	o, err := ServeFollowers(ln, e, d, nil)
+	o, err := ServeFollowers(ln, e, servers, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/store/admin/outer.go
+++ b/internal/store/admin/outer.go
@@ -53,14 +53,14 @@
 // Outer answers followers.
 type Outer struct {
 	e       *engine.Engine
-	d       *daemon.Daemon
+	d       *daemon.Servers
 	http    *http.Server
 	slots   chan struct{}
 	changes chan struct{}
 }
 
 // ServeFollowers serves a listener, which Close closes. Without keys it is for loopback alone.
-func ServeFollowers(ln net.Listener, e *engine.Engine, d *daemon.Daemon, pair *keys.Pair) (*Outer, error) {
+func ServeFollowers(ln net.Listener, e *engine.Engine, d *daemon.Servers, pair *keys.Pair) (*Outer, error) {
 	if a, ok := ln.Addr().(*net.TCPAddr); pair == nil && (!ok || !a.IP.IsLoopback()) {
 		return nil, fmt.Errorf("store: plain TCP on %s, which is not a loopback address", ln.Addr())
 	}
--- a/internal/store/policy/policy.go
+++ b/internal/store/policy/policy.go
@@ -75,6 +75,7 @@
 	words map[string]*word // by key
 	floor uint64
 	eager bool
+	only  func(kind Kind, server string) bool // the others are another's; nil: all
 }
 
 type word struct {
@@ -93,12 +94,21 @@
 // NewGuard returns the guard of a daemon that knows nothing yet.
 func NewGuard(by string) *Guard { return &Guard{by: by, words: map[string]*word{}} }
 
+// Only has the guard hold some servers alone; the words of others pass it by. It is called before anything else.
+func (g *Guard) Only(only func(kind Kind, server string) bool) { g.only = only }
+
 // PlantEagerReturn has a server serve again at this daemon's own word: a fault for tests.
 func (g *Guard) PlantEagerReturn() { g.eager = true }
 
 // Key is that of a server that is out.
 func Key(kind Kind, server string) string { return Prefix + string(kind) + "/" + server }
 
+// parse reads a key that is this guard's.
+func (g *Guard) parse(key string) (Kind, string, bool) {
+	kind, server, ok := parse(key)
+	return kind, server, ok && (g.only == nil || g.only(kind, server))
+}
+
 func parse(key string) (Kind, string, bool) {
 	rest, ok := strings.CutPrefix(key, Prefix)
 	kind, server, found := strings.Cut(rest, "/")
@@ -118,7 +128,7 @@
 // proposed, and Wrote called with what became of it.
 func (g *Guard) Hear(kind Kind, server string) (*store.Op, error) {
 	key := Key(kind, server)
-	if _, _, ok := parse(key); !ok {
+	if _, _, ok := g.parse(key); !ok {
 		return nil, ErrName
 	}
 	w := g.words[key]
@@ -196,7 +206,7 @@
 		return false
 	}
 	g.floor = e.Revision
-	_, server, ok := parse(e.Item.Key)
+	_, server, ok := g.parse(e.Item.Key)
 	if !ok {
 		return false
 	}
@@ -241,7 +251,7 @@
 		g.tidy(key, w)
 	}
 	s.Range(Prefix, store.PrefixEnd(Prefix), func(i store.Item) bool {
-		if _, _, ok := parse(i.Key); ok && g.words[i.Key] == nil {
+		if _, _, ok := g.parse(i.Key); ok && g.words[i.Key] == nil {
 			g.words[i.Key] = &word{agreed: i.Modified, by: MarkOf(i.Value).By}
 		}
 		return true
@@ -257,7 +267,7 @@
 		return nil
 	}
 	for _, o := range slices.Concat(c.Txn.Then, c.Txn.Else) {
-		if _, _, ok := parse(o.Key); !ok || o.Delete {
+		if _, _, ok := g.parse(o.Key); !ok || o.Delete {
 			continue
 		}
 		w := g.words[o.Key]
