--- a/cmd/birchmoor/lock.go
+++ b/cmd/birchmoor/lock.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"birchmoor/internal/keeper"
+	"birchmoor/internal/operate"
 	"birchmoor/internal/store/admin"
 	"birchmoor/internal/tasks"
 )
@@ -81,9 +82,9 @@
 	want := tasks.Want{Task: k.Name, Slots: k.Slots, TTL: k.TTL, Note: fmt.Sprintf("lock: %.120s (pid %d, %.40s)", strings.Join(k.Command, " "), os.Getpid(), host)}
 	hold, drop := context.WithCancel(context.WithoutCancel(ctx)) // the connection, by which it is held
 	defer drop()
-	lines, failed := make(chan admin.LockLine, 16), make(chan error, 1)
+	lines, failed := make(chan operate.LockLine, 16), make(chan error, 1)
 	go func() {
-		failed <- admin.Dial(k.Socket).Lock(hold, want, func(l admin.LockLine) error {
+		failed <- operate.Dial(k.Socket).Lock(hold, want, func(l operate.LockLine) error {
 			select {
 			case lines <- l:
 				return nil
@@ -93,7 +94,7 @@
 		})
 	}()
 	told := ""
-	say := func(l admin.LockLine, text string) {
+	say := func(l operate.LockLine, text string) {
 		switch {
 		case k.JSON:
 			b, _ := encode(l)
@@ -139,7 +140,7 @@
 }
 
 // hold runs the command for as long as the lock is held.
-func (k *lockCommand) hold(ctx context.Context, l admin.LockLine, lines <-chan admin.LockLine, failed <-chan error, say func(admin.LockLine, string), drop func()) error {
+func (k *lockCommand) hold(ctx context.Context, l operate.LockLine, lines <-chan operate.LockLine, failed <-chan error, say func(operate.LockLine, string), drop func()) error {
 	self, err := os.Executable()
 	if err != nil {
 		return err
@@ -171,7 +172,7 @@
 			code := cmd.ProcessState.ExitCode()
 			keeper.Clear() // what is left if the keeper was killed: only then may another have it
 			if said, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second); failed != nil {
-				_ = admin.Dial(k.Socket).Unlock(said, k.Name, l.Token) // or it has it once the time is up
+				_ = operate.Dial(k.Socket).Unlock(said, k.Name, l.Token) // or it has it once the time is up
 				cancel()
 			} else {
 				cancel()
--- a/cmd/birchmoor/run.go
+++ b/cmd/birchmoor/run.go
@@ -18,6 +18,7 @@
 	"birchmoor/internal/config"
 	"birchmoor/internal/daemon"
 	"birchmoor/internal/keys"
+	"birchmoor/internal/operate"
 	"birchmoor/internal/operator"
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/admin"
@@ -116,7 +117,8 @@
 	if err := os.MkdirAll(filepath.Dir(s.Socket), 0o700); err != nil {
 		return nil, nil, errors.Join(err, e.Close())
 	}
-	a, err := admin.Listen(s.Socket, admin.Parts{Store: e, Daemon: servers, Settings: settings, Tasks: runner})
+	parts := operate.Parts{Servers: servers, Settings: settings, Tasks: runner}
+	a, err := operate.Listen(s.Socket, e, parts)
 	if err != nil {
 		return nil, nil, errors.Join(err, e.Close())
 	}
@@ -126,7 +128,7 @@
 		if err != nil {
 			return nil, nil, errors.Join(fmt.Errorf("store: %w", err), a.Close(), e.Close())
 		}
-		o, err := admin.ServeFollowers(ln, e.(*engine.Engine), servers, cfg.Keys)
+		o, err := admin.ServeFollowers(ln, e.(*engine.Engine), parts.Followers(), cfg.Keys)
 		if err != nil {
 			return nil, nil, errors.Join(err, ln.Close(), a.Close(), e.Close())
 		}
--- a/cmd/birchmoor/store.go
+++ b/cmd/birchmoor/store.go
@@ -22,6 +22,7 @@
 	"birchmoor/internal/lab/storebench"
 	"birchmoor/internal/lab/storesim"
 	"birchmoor/internal/lease"
+	"birchmoor/internal/operate"
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/admin"
 	"birchmoor/internal/store/disk"
@@ -63,7 +64,7 @@
 
 // call asks the daemon, for at most the time that was given, and says on standard error that it waits if that takes
 // long.
-func (s *socketFlag) call(ctx context.Context, c *console, f func(context.Context, *admin.Client) error) error {
+func (s *socketFlag) call(ctx context.Context, c *console, f func(context.Context, *operate.Client) error) error {
 	if s.Timeout < timeoutLeast || s.Timeout > timeoutMost {
 		return fmt.Errorf("--timeout: %v is not within %v and %v", s.Timeout, timeoutLeast, timeoutMost)
 	}
@@ -73,7 +74,7 @@
 		fmt.Fprintf(c.err, "birchmoor: no answer yet; waiting for %v in all\n", s.Timeout)
 	})
 	defer say.Stop()
-	a := admin.Dial(s.Socket)
+	a := operate.Dial(s.Socket)
 	a.Timeout = s.Timeout
 	return f(ctx, a)
 }
@@ -123,7 +124,7 @@
 type storeStatus struct{ socketFlag }
 
 func (k *storeStatus) Run(ctx context.Context, c *console) error {
-	return k.call(ctx, c, func(ctx context.Context, a *admin.Client) error {
+	return k.call(ctx, c, func(ctx context.Context, a *operate.Client) error {
 		s, err := a.Status(ctx)
 		if err != nil {
 			return err
@@ -176,7 +177,7 @@
 type storeMembers struct{ socketFlag }
 
 func (k *storeMembers) Run(ctx context.Context, c *console) error {
-	return k.call(ctx, c, func(ctx context.Context, a *admin.Client) error {
+	return k.call(ctx, c, func(ctx context.Context, a *operate.Client) error {
 		s, err := a.Status(ctx)
 		if err != nil {
 			return err
@@ -210,7 +211,7 @@
 		}
 		r.ID = store.RequestID{Client: binary.BigEndian.Uint64(b[:]) >> 1, Seq: 1}
 	}
-	return s.call(ctx, c, func(ctx context.Context, a *admin.Client) error {
+	return s.call(ctx, c, func(ctx context.Context, a *operate.Client) error {
 		x, err := a.Change(ctx, r)
 		if err != nil {
 			return s.failed(ctx, c, err, fmt.Sprintf("%d-%d", r.ID.Client, r.ID.Seq))
@@ -277,7 +278,7 @@
 type storeOut struct{ socketFlag }
 
 func (k *storeOut) Run(ctx context.Context, c *console) error {
-	return k.call(ctx, c, func(ctx context.Context, a *admin.Client) error {
+	return k.call(ctx, c, func(ctx context.Context, a *operate.Client) error {
 		all, err := a.Out(ctx)
 		if err != nil {
 			return err
@@ -313,7 +314,7 @@
 }
 
 func (k *storeServers) Run(ctx context.Context, c *console) error {
-	return k.call(ctx, c, func(ctx context.Context, a *admin.Client) error {
+	return k.call(ctx, c, func(ctx context.Context, a *operate.Client) error {
 		all, err := a.Servers(ctx)
 		if err != nil {
 			return err
@@ -347,7 +348,7 @@
 type storeHandover struct{ socketFlag }
 
 func (k *storeHandover) Run(ctx context.Context, c *console) error {
-	return k.call(ctx, c, func(ctx context.Context, a *admin.Client) error {
+	return k.call(ctx, c, func(ctx context.Context, a *operate.Client) error {
 		if err := a.HandOver(ctx); err != nil {
 			return k.failed(ctx, c, err, "")
 		}
@@ -380,7 +381,7 @@
 	} else {
 		q.Set("key", k.Key)
 	}
-	return k.call(ctx, c, func(ctx context.Context, a *admin.Client) error {
+	return k.call(ctx, c, func(ctx context.Context, a *operate.Client) error {
 		i, err := a.Range(ctx, q)
 		if err != nil {
 			return err
@@ -468,7 +469,7 @@
 		q.Set("after", strconv.FormatUint(*k.After, 10))
 	}
 	enc := json.NewEncoder(c.out)
-	return admin.Dial(k.Socket).Watch(ctx, q, func(e store.Event) error {
+	return operate.Dial(k.Socket).Watch(ctx, q, func(e store.Event) error {
 		if k.JSON {
 			return enc.Encode(e)
 		}
@@ -497,7 +498,7 @@
 		return err
 	}
 	defer os.Remove(f.Name()) // without effect once renamed
-	revision, err := admin.Dial(k.Socket).Save(ctx, f)
+	revision, err := operate.Dial(k.Socket).Save(ctx, f)
 	if err == nil {
 		_, err = f.Seek(0, io.SeekStart)
 	}
--- a/cmd/birchmoor/task.go
+++ b/cmd/birchmoor/task.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"birchmoor/internal/lease"
+	"birchmoor/internal/operate"
 	"birchmoor/internal/store/admin"
 	"birchmoor/internal/tasks"
 )
@@ -32,7 +33,7 @@
 
 // shown asks for tasks.
 func (s *socketFlag) shown(ctx context.Context, c *console, name string, show func([]tasks.Info) error) error {
-	return s.call(ctx, c, func(ctx context.Context, a *admin.Client) error {
+	return s.call(ctx, c, func(ctx context.Context, a *operate.Client) error {
 		all, err := a.Tasks(ctx, name)
 		var told *admin.Error
 		if errors.As(err, &told) && told.Status == 404 {
@@ -133,8 +134,8 @@
 	if u, err := user.Current(); err == nil {
 		o.By = u.Username // for people alone
 	}
-	return s.call(ctx, c, func(ctx context.Context, a *admin.Client) error {
-		if err := a.OrderTask(ctx, admin.Order{Task: task, Order: o}); err != nil {
+	return s.call(ctx, c, func(ctx context.Context, a *operate.Client) error {
+		if err := a.OrderTask(ctx, operate.Order{Task: task, Order: o}); err != nil {
 			return s.failed(ctx, c, err, "")
 		}
 		if s.JSON {
--- a/cmd/birchmoor/tasklab.go
+++ b/cmd/birchmoor/tasklab.go
@@ -12,7 +12,7 @@
 
 	"birchmoor/internal/lab/fleetlab"
 	"birchmoor/internal/lab/tasklab"
-	"birchmoor/internal/store/admin"
+	"birchmoor/internal/operate"
 	"birchmoor/internal/tasks"
 )
 
@@ -206,7 +206,7 @@
 	defer drop()
 	for i := range k.Tasks {
 		wg.Go(func() {
-			_ = f.Daemons[n-1].Client.Lock(hold, tasks.Want{Task: fmt.Sprintf("task%d", i), TTL: ttl}, func(admin.LockLine) error { return nil }) // until it is dropped
+			_ = f.Daemons[n-1].Client.Lock(hold, tasks.Want{Task: fmt.Sprintf("task%d", i), TTL: ttl}, func(operate.LockLine) error { return nil }) // until it is dropped
 		})
 	}
 	if err := until("all tasks' holders", func(list []tasks.Info) bool { return len(list) == ownTasks+k.Tasks }); err != nil {
--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -39,6 +39,9 @@
 // ReportKey is where a daemon tells how a plan goes with it.
 func ReportKey(host string) string { return keyReport + host }
 
+// May says whether an operation is a daemon's own to make: its report of how a plan goes with it.
+func May(op store.Op, owner string) bool { return op.Key == ReportKey(owner) && lease.Puts(op, owner) }
+
 // Figures are what a sidecar's clients were answered since its start: served, or refused and failed.
 type Figures func() (served, not uint64, err error)
 
--- a/internal/lab/fleetlab/fleet.go
+++ b/internal/lab/fleetlab/fleet.go
@@ -22,6 +22,7 @@
 
 	"birchmoor/internal/discovery"
 	"birchmoor/internal/lab/relay"
+	"birchmoor/internal/operate"
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/admin"
 
@@ -150,7 +151,7 @@
 	in       *relay.Link            // what comes to the replica from other replicas
 	links    map[string]*relay.Link // by which it reaches each replica, by name
 	board    *board
-	Client   *admin.Client
+	Client   *operate.Client
 	Known    []discovery.Instance // with which it is configured: its list of a start
 	plain    bool                 // the next start is of the sidecar alone
 	Build    string               // the program of the next starts, in place of the fleet's
@@ -269,7 +270,7 @@
 
 func (f *Fleet) prepare(i int, follower bool, list []discovery.Instance) (*Daemon, error) {
 	d := &Daemon{links: map[string]*relay.Link{}, Number: i, f: f, name: fmt.Sprintf("d%d", i), follower: follower, Known: list, board: newBoard(list)}
-	d.Client = admin.Dial(d.path(".sock"))
+	d.Client = operate.Dial(d.path(".sock"))
 	for _, to := range []*string{&d.listen, &d.mgmt, &d.serve} {
 		var err error
 		if *to, err = free(); err != nil {
--- a/internal/lease/table.go
+++ b/internal/lease/table.go
@@ -24,8 +24,8 @@
 	TasksMost  = 1024
 	PlacesMost = 2048 // of one task
 	ValueMost  = 4096 // bytes of a place's value
-	TTLLeast   = 300  // milliseconds of a session
-	TTLMost    = 60_000
+	TTLLeast   = store.OwnedLeast // milliseconds of a session
+	TTLMost    = store.OwnedMost
 	SlotsMost  = 256
 )
 
@@ -297,3 +297,17 @@
 	}
 	return own
 }
+
+// May says whether an operation is a daemon's own part in tasks: its places, which go with its lease, and how many may hold a task.
+func May(op store.Op, owner string) bool {
+	if _, host, _, ok := ParsePlace(op.Key); ok {
+		return host == owner && (op.Delete || op.Lease != 0 && len(op.Value) <= ValueMost)
+	}
+	task, ok := strings.CutPrefix(op.Key, ConfPrefix)
+	return ok && Name(task) == nil && Puts(op, owner)
+}
+
+// Puts says whether an operation puts, in a daemon's name, what stays and is short.
+func Puts(op store.Op, owner string) bool {
+	return owner != "" && !op.Delete && op.Lease == 0 && len(op.Value) <= ValueMost
+}
--- /dev/null
+++ b/internal/operate/operate.go
@@ -0,0 +1,161 @@
+// Package operate is how operators reach a running daemon: what the store's socket answers (store/admin), and beside it settings,
+// what is known of servers, and tasks. It stands above the parts of a daemon, which know nothing of it.
+package operate
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"birchmoor/internal/daemon"
+	"birchmoor/internal/lease"
+	"birchmoor/internal/rollout"
+	"birchmoor/internal/store"
+	"birchmoor/internal/store/admin"
+	"birchmoor/internal/store/engine"
+	"birchmoor/internal/store/policy"
+	"birchmoor/internal/tasks"
+)
+
+// Config asks for other settings, or for those of an earlier version.
+type Config struct {
+	Settings json.RawMessage `json:"settings,omitempty"`
+	Rollback uint64          `json:"rollback,omitempty"`
+	Note     string          `json:"note,omitempty"`
+	Steps    []rollout.Step  `json:"steps,omitempty"` // in which they come in force; none: at once
+	SettleMs int64           `json:"settle_ms,omitempty"`
+	CallOff  string          `json:"call_off,omitempty"` // the plan that is running, by whom
+}
+
+// Status is how a copy of the store and what a daemon holds of servers stand.
+type Status struct {
+	engine.Status
+	Daemon daemon.Kept  `json:"daemon"`
+	Began  daemon.Began `json:"began"`
+}
+
+// Parts are what is answered for.
+type Parts struct {
+	Servers  *daemon.Servers
+	Settings *daemon.Settings
+	Tasks    *tasks.Runner
+}
+
+type server struct {
+	Parts
+	locks chan struct{}
+	held  sync.Map // by lockKey, of what ends it
+}
+
+// Listen makes the socket and serves it.
+func Listen(path string, s admin.Store, p Parts) (*admin.Server, error) {
+	x := &server{Parts: p, locks: make(chan struct{}, locksMost)}
+	return admin.Listen(path, admin.Config{Store: s, Calls: x.calls, Status: func(st engine.Status) any {
+		return Status{st, p.Servers.Kept(), p.Servers.Start()}
+	}})
+}
+
+func (s *server) calls(m *admin.Mux) {
+	m.Call("GET /v1/config", s.history)
+	m.Call("POST /v1/config", s.configure)
+	m.Call("GET /v1/plan", s.plan)
+	m.Call("GET /v1/tasks", s.listTasks)
+	m.Call("POST /v1/task", s.orderTask)
+	m.Stream("GET /v1/lock", s.lock)
+	m.Call("POST /v1/unlock", s.unlock)
+	m.Call("GET /v1/out", func(context.Context, http.ResponseWriter, *http.Request) (any, error) { return s.Servers.Outs(), nil })
+	m.Call("GET /v1/servers", func(context.Context, http.ResponseWriter, *http.Request) (any, error) { return s.Servers.List(), nil })
+}
+
+// Followers are the rules for daemons without a replica: each part says what is theirs to write.
+func (p Parts) Followers() admin.Rules {
+	return admin.Rules{Ages: func() map[string]time.Duration { return p.Servers.PictureAges() }, May: func(op store.Op, owner string) bool {
+		return lease.May(op, owner) || tasks.May(op, owner) || daemon.May(op, owner)
+	}}
+}
+
+// missing marks errors of what is not there.
+func missing(err error) error {
+	if errors.Is(err, daemon.ErrNoPlan) {
+		return admin.Missing(err)
+	}
+	return err
+}
+
+func (s *server) history(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
+	all, err := s.Settings.History(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return all, nil
+}
+
+func (s *server) configure(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
+	var q Config
+	if err := admin.Decode(w, r, &q); err != nil {
+		return nil, err
+	}
+	var v daemon.Version
+	var err error
+	switch {
+	case q.CallOff != "":
+		return v, missing(s.Settings.CallOff(ctx, q.CallOff))
+	case len(q.Steps) > 0:
+		_, err = s.Settings.Begin(ctx, q.Settings, q.Steps, time.Duration(q.SettleMs)*time.Millisecond, q.Note)
+		return v, err
+	}
+	if q.Rollback != 0 {
+		v, err = s.Settings.Rollback(ctx, q.Rollback)
+	} else {
+		v, err = s.Settings.Put(ctx, q.Settings, q.Note)
+	}
+	if err != nil {
+		return nil, err
+	}
+	v.Settings = nil
+	return v, nil
+}
+
+func (s *server) plan(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
+	p, _, err := s.Settings.Plan(ctx)
+	return p, missing(err)
+}
+
+// Client asks a daemon.
+type Client struct{ *admin.Client }
+
+// Dial returns a client of the socket at a path.
+func Dial(path string) *Client { return &Client{admin.Dial(path)} }
+
+// Status asks how the store and what the daemon holds stand.
+func (c *Client) Status(ctx context.Context) (s Status, err error) {
+	return s, c.Call(ctx, "GET", "/v1/status", nil, nil, &s)
+}
+
+// Configure puts settings, or those of an earlier version.
+func (c *Client) Configure(ctx context.Context, q Config) (v daemon.Version, err error) {
+	return v, c.Call(ctx, "POST", "/v1/config", nil, q, &v)
+}
+
+// History lists the versions of the settings, the newest first.
+func (c *Client) History(ctx context.Context) (all []daemon.Version, err error) {
+	return all, c.Call(ctx, "GET", "/v1/config", nil, nil, &all)
+}
+
+// Plan is the newest of settings that come, or came, in force in steps.
+func (c *Client) Plan(ctx context.Context) (p rollout.Plan, err error) {
+	return p, c.Call(ctx, "GET", "/v1/plan", nil, nil, &p)
+}
+
+// Out lists the servers that are out.
+func (c *Client) Out(ctx context.Context) (all []policy.Out, err error) {
+	return all, c.Call(ctx, "GET", "/v1/out", nil, nil, &all)
+}
+
+// Servers lists what is known of servers.
+func (c *Client) Servers(ctx context.Context) (all []daemon.Fact, err error) {
+	return all, c.Call(ctx, "GET", "/v1/servers", nil, nil, &all)
+}
--- /dev/null
+++ b/internal/operate/operate_test.go
@@ -0,0 +1,75 @@
+package operate
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"birchmoor/internal/lease"
+	"birchmoor/internal/store"
+)
+
+// A daemon without a replica has places of its own name, and nothing else of tasks or settings.
+func TestWhatIsAFollowersToWrite(t *testing.T) {
+	p := Parts{}
+	for name, x := range map[string]struct {
+		op    store.Op
+		owner string
+		ok    bool
+	}{
+		"a place":                    {store.Op{Key: lease.PlaceKey("one", "f", "1"), Lease: 7}, "f", true},
+		"another's place":            {store.Op{Key: lease.PlaceKey("one", "g", "1"), Lease: 7}, "f", false},
+		"a place for good":           {store.Op{Key: lease.PlaceKey("one", "f", "1")}, "f", false},
+		"a place as nobody":          {store.Op{Key: lease.PlaceKey("one", "f", "1"), Lease: 7}, "", false},
+		"its own removed":            {store.Op{Key: lease.PlaceKey("one", "f", "1"), Delete: true}, "f", true},
+		"another's removed":          {store.Op{Key: lease.PlaceKey("one", "g", "1"), Delete: true}, "f", false},
+		"slots":                      {store.Op{Key: lease.ConfPrefix + "one"}, "f", true},
+		"slots as nobody":            {store.Op{Key: lease.ConfPrefix + "one"}, "", false},
+		"slots removed":              {store.Op{Key: lease.ConfPrefix + "one", Delete: true}, "f", false},
+		"what a task did":            {store.Op{Key: "task/done/one"}, "f", true},
+		"how a plan goes with it":    {store.Op{Key: "config/report/f"}, "f", true},
+		"how one goes with another":  {store.Op{Key: "config/report/g"}, "f", false},
+		"an order of operators'":     {store.Op{Key: lease.OrderPrefix + "one"}, "f", false},
+		"the end of the holding-off": {store.Op{Key: lease.HoldKey, Delete: true}, "f", false},
+		"settings":                   {store.Op{Key: "config/current"}, "f", false},
+	} {
+		if ok := p.Followers().May(x.op, x.owner); ok != x.ok {
+			t.Errorf("%s: %v", name, ok)
+		}
+	}
+}
+
+// Arrows go one way: nothing of the store knows the parts of a daemon, and no part knows how operators reach it.
+func TestImports(t *testing.T) {
+	above := map[string][]string{
+		"../store":  {"daemon", "tasks", "lease", "rollout", "operate"},
+		"../lease":  {"daemon", "tasks", "operate"},
+		"../daemon": {"tasks", "operate"},
+		"../tasks":  {"operate"},
+	}
+	for root, banned := range above {
+		err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			f, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
+			if err != nil {
+				return err
+			}
+			for _, i := range f.Imports {
+				for _, b := range banned {
+					if i.Path.Value == `"birchmoor/internal/`+b+`"` {
+						t.Errorf("%s imports %s", path, b)
+					}
+				}
+			}
+			return nil
+		})
+		if err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/internal/store/admin/tasks.go
+++ b/internal/operate/tasks.go
@@ -1,4 +1,4 @@
-package admin
+package operate
 
 import (
 	"context"
@@ -11,6 +11,7 @@
 	"time"
 
 	"birchmoor/internal/lease"
+	"birchmoor/internal/store/admin"
 	"birchmoor/internal/tasks"
 )
 
@@ -34,18 +35,18 @@
 	Over   bool   `json:"over,omitempty"`   // it is to end now, at Until at the latest
 }
 
-func (s *Server) listTasks(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
+func (s *server) listTasks(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
 	name := r.URL.Query().Get("task")
 	all, err := s.Tasks.List(ctx, name)
 	if err == nil && name != "" && len(all) == 0 {
-		err = fmt.Errorf("%s: %w", name, tasks.ErrNoTask)
+		err = admin.Missing(fmt.Errorf("%s: %w", name, tasks.ErrNoTask))
 	}
 	return all, err
 }
 
-func (s *Server) orderTask(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
+func (s *server) orderTask(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
 	var o Order
-	if err := decode(w, r, &o); err != nil {
+	if err := admin.Decode(w, r, &o); err != nil {
 		return nil, err
 	}
 	if err := s.Tasks.Tell(ctx, o.Task, o.Order); err != nil {
@@ -55,19 +56,19 @@
 }
 
 // lock holds a task for as long as the connection lasts.
-func (s *Server) lock(w http.ResponseWriter, r *http.Request) {
+func (s *server) lock(w http.ResponseWriter, r *http.Request) {
 	select {
 	case s.locks <- struct{}{}:
 		defer func() { <-s.locks }()
 	default:
-		fail(w, fmt.Errorf("%d locks are held or waited for at this daemon already", locksMost))
+		admin.Fail(w, fmt.Errorf("%d locks are held or waited for at this daemon already", locksMost))
 		return
 	}
 	q := r.URL.Query()
-	slots, err := number(q, "slots")
+	slots, err := admin.Number(q, "slots")
 	ttl, bad := time.ParseDuration(q.Get("ttl"))
 	if err != nil || bad != nil {
-		fail(w, fmt.Errorf("%w: slots %q, ttl %q", errBad, q.Get("slots"), q.Get("ttl")))
+		admin.Fail(w, fmt.Errorf("%w: slots %q, ttl %q", admin.ErrBad, q.Get("slots"), q.Get("ttl")))
 		return
 	}
 	want := tasks.Want{Task: q.Get("task"), Slots: int(min(slots, lease.SlotsMost+1)), TTL: ttl, Note: q.Get("note")}
@@ -167,14 +168,14 @@
 }
 
 // unlocked is closed once the client says that what it did under a lock has ended.
-func (s *Server) unlocked(task string, token uint64) <-chan struct{} {
+func (s *server) unlocked(task string, token uint64) <-chan struct{} {
 	ended := make(chan struct{})
 	s.held.Store(lockKey{task, token}, sync.OnceFunc(func() { close(ended) }))
 	return ended
 }
 
-func (s *Server) unlock(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
-	token, err := number(r.URL.Query(), "token")
+func (s *server) unlock(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
+	token, err := admin.Number(r.URL.Query(), "token")
 	if err != nil {
 		return nil, err
 	}
@@ -186,23 +187,23 @@
 
 // Unlock says that what was done under a lock has ended. Without it the daemon waits for the time that it last told.
 func (c *Client) Unlock(ctx context.Context, task string, token uint64) error {
-	return c.call(ctx, "POST", "/v1/unlock", url.Values{"task": {task}, "token": {strconv.FormatUint(token, 10)}}, nil, &struct{}{})
+	return c.Call(ctx, "POST", "/v1/unlock", url.Values{"task": {task}, "token": {strconv.FormatUint(token, 10)}}, nil, &struct{}{})
 }
 
 // Tasks lists all tasks, or those of a name.
 func (c *Client) Tasks(ctx context.Context, name string) (all []tasks.Info, err error) {
-	return all, c.call(ctx, "GET", "/v1/tasks", url.Values{"task": {name}}, nil, &all)
+	return all, c.Call(ctx, "GET", "/v1/tasks", url.Values{"task": {name}}, nil, &all)
 }
 
 // OrderTask puts an operator's order on a task.
 func (c *Client) OrderTask(ctx context.Context, o Order) error {
-	return c.call(ctx, "POST", "/v1/task", nil, o, &struct{}{})
+	return c.Call(ctx, "POST", "/v1/task", nil, o, &struct{}{})
 }
 
 // Lock waits for a task and holds it until ctx ends, f fails or the daemon says that it is over; f is told of each change.
 func (c *Client) Lock(ctx context.Context, w tasks.Want, f func(LockLine) error) error {
 	q := url.Values{"task": {w.Task}, "slots": {strconv.Itoa(w.Slots)}, "ttl": {w.TTL.String()}, "note": {w.Note}}
-	a, err := c.do(ctx, "GET", "/v1/lock", q, nil)
+	a, err := c.Do(ctx, "GET", "/v1/lock", q, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/store/admin/admin.go
+++ b/internal/store/admin/admin.go
@@ -13,17 +13,12 @@
 	"net/url"
 	"os"
 	"strconv"
-	"sync"
 	"time"
 
-	"birchmoor/internal/daemon"
 	"birchmoor/internal/keys"
-	"birchmoor/internal/rollout"
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/engine"
-	"birchmoor/internal/store/policy"
 	"birchmoor/internal/store/replica"
-	"birchmoor/internal/tasks"
 )
 
 const (
@@ -40,7 +35,7 @@
 	if text := r.URL.Query().Get("timeout"); text != "" {
 		var err error
 		if span, err = time.ParseDuration(text); err != nil || span <= 0 || span > waitLimit {
-			return nil, nil, fmt.Errorf("%w: timeout: %q is not a duration within 0 and %v", errBad, text, waitLimit)
+			return nil, nil, fmt.Errorf("%w: timeout: %q is not a duration within 0 and %v", ErrBad, text, waitLimit)
 		}
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), span)
@@ -52,13 +47,13 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel, err := wait(r)
 		if err != nil {
-			fail(w, err)
+			Fail(w, err)
 			return
 		}
 		defer cancel()
 		v, err := f(ctx, w, r)
 		if err != nil {
-			fail(w, err)
+			Fail(w, err)
 			return
 		}
 		answer(w, http.StatusOK, v)
@@ -110,51 +105,44 @@
 	Keys  []string `json:"keys"`
 }
 
-// Config asks for other settings, or for those of an earlier version.
-type Config struct {
-	Settings json.RawMessage `json:"settings,omitempty"`
-	Rollback uint64          `json:"rollback,omitempty"`
-	Note     string          `json:"note,omitempty"`
-	Steps    []rollout.Step  `json:"steps,omitempty"` // in which they come in force; none: at once
-	SettleMs int64           `json:"settle_ms,omitempty"`
-	CallOff  string          `json:"call_off,omitempty"` // the plan that is running, by whom
-}
-
 // Store is what a Server shows: a replica, or the copy of a daemon that has none.
 type Store interface {
-	daemon.Store
+	Do(ctx context.Context, c store.Command) (store.Result, error)
+	View(ctx context.Context, stale bool, f func(*store.State)) (engine.Age, error)
+	Next(ctx context.Context, prefix string, after uint64, most int) ([]store.Event, uint64, error)
 	Status(ctx context.Context) (engine.Status, error)
 	Save(ctx context.Context) (*store.State, error)
 	HandOver(ctx context.Context) error
 }
 
-// Status is how a copy of the store and what a daemon holds of servers stand.
-type Status struct {
-	engine.Status
-	Daemon daemon.Kept  `json:"daemon"`
-	Began  daemon.Began `json:"began"`
-}
-
-// Parts are what a Server answers for.
-type Parts struct {
-	Store    Store
-	Daemon   *daemon.Servers
-	Settings *daemon.Settings
-	Tasks    *tasks.Runner
+// Config says what a Server answers.
+type Config struct {
+	Store  Store
+	Status func(engine.Status) any // what it says of itself; nil: how the store stands
+	Calls  func(*Mux)              // adds what others answer at the same socket; nil: nothing
 }
 
 // Server answers operators.
 type Server struct {
-	Parts
+	cfg     Config
 	http    *http.Server
 	ln      net.Listener
 	watches chan struct{}
-	locks   chan struct{}
-	held    sync.Map // by lockKey, of what ends it
 }
 
+// Mux is what a server answers, by method and path.
+type Mux struct{ m *http.ServeMux }
+
+// Call adds an answer of JSON, or a Fault, within the time that the request gives itself.
+func (m *Mux) Call(pattern string, f func(context.Context, http.ResponseWriter, *http.Request) (any, error)) {
+	m.m.HandleFunc(pattern, handle(f))
+}
+
+// Stream adds what lasts for as long as its connection.
+func (m *Mux) Stream(pattern string, f http.HandlerFunc) { m.m.HandleFunc(pattern, f) }
+
 // Listen makes the socket and serves it. A socket that a process that is gone left behind is replaced.
-func Listen(path string, p Parts) (*Server, error) {
+func Listen(path string, c Config) (*Server, error) {
 	if c, err := net.DialTimeout("unix", path, time.Second); err == nil {
 		c.Close()
 		return nil, fmt.Errorf("another process serves %s", path)
@@ -169,25 +157,22 @@
 	if err := os.Chmod(path, 0o600); err != nil {
 		return nil, errors.Join(err, ln.Close())
 	}
-	s := &Server{Parts: p, ln: ln, watches: make(chan struct{}, watchMost), locks: make(chan struct{}, locksMost)}
-	m := http.NewServeMux()
-	m.HandleFunc("GET /v1/status", handle(s.status))
-	m.HandleFunc("GET /v1/range", handle(s.read))
-	m.HandleFunc("GET /v1/watch", s.watch)
-	m.HandleFunc("GET /v1/snapshot", s.save)
-	m.HandleFunc("POST /v1/change", handle(s.change))
-	m.HandleFunc("POST /v1/handover", handle(s.handOver))
-	m.HandleFunc("GET /v1/config", handle(s.history))
-	m.HandleFunc("POST /v1/config", handle(s.configure))
-	m.HandleFunc("GET /v1/plan", handle(s.plan))
-	m.HandleFunc("GET /v1/leases", handle(s.leases))
-	m.HandleFunc("GET /v1/tasks", handle(s.listTasks))
-	m.HandleFunc("POST /v1/task", handle(s.orderTask))
-	m.HandleFunc("GET /v1/lock", s.lock)
-	m.HandleFunc("POST /v1/unlock", handle(s.unlock))
-	m.HandleFunc("GET /v1/out", func(w http.ResponseWriter, r *http.Request) { answer(w, http.StatusOK, p.Daemon.Outs()) })
-	m.HandleFunc("GET /v1/servers", func(w http.ResponseWriter, r *http.Request) { answer(w, http.StatusOK, p.Daemon.List()) })
-	s.http = &http.Server{Handler: m, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
+	if c.Status == nil {
+		c.Status = func(st engine.Status) any { return st }
+	}
+	s := &Server{cfg: c, ln: ln, watches: make(chan struct{}, watchMost)}
+	m := &Mux{http.NewServeMux()}
+	m.Call("GET /v1/status", s.status)
+	m.Call("GET /v1/range", s.read)
+	m.Stream("GET /v1/watch", s.watch)
+	m.Stream("GET /v1/snapshot", s.save)
+	m.Call("POST /v1/change", s.change)
+	m.Call("POST /v1/handover", s.handOver)
+	m.Call("GET /v1/leases", s.leases)
+	if c.Calls != nil {
+		c.Calls(m)
+	}
+	s.http = &http.Server{Handler: m.m, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
 	go s.http.Serve(ln)
 	return s, nil
 }
@@ -201,7 +186,8 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-func fail(w http.ResponseWriter, err error) {
+// Fail answers with a Fault.
+func Fail(w http.ResponseWriter, err error) {
 	f, status := Fault{Error: err.Error()}, http.StatusServiceUnavailable
 	var unknown *engine.UnknownError
 	var gone *store.ErrCompacted
@@ -210,7 +196,7 @@
 		f.Unknown, status = &unknown.ID, http.StatusGatewayTimeout
 	case errors.As(err, &gone):
 		f.Oldest, status = gone.Oldest, http.StatusGone
-	case errors.Is(err, store.ErrTooLarge), errors.Is(err, store.ErrBadKey), errors.Is(err, errBad):
+	case errors.Is(err, store.ErrTooLarge), errors.Is(err, store.ErrBadKey), errors.Is(err, ErrBad):
 		status = http.StatusBadRequest
 	case errors.Is(err, store.ErrLevel):
 		status = http.StatusPreconditionFailed
@@ -218,7 +204,7 @@
 		status = http.StatusInsufficientStorage
 	case errors.Is(err, store.ErrMember), errors.Is(err, store.ErrNoLease), errors.Is(err, store.ErrForgotten):
 		status, f.NoLease = http.StatusConflict, errors.Is(err, store.ErrNoLease)
-	case errors.Is(err, tasks.ErrNoTask), errors.Is(err, daemon.ErrNoPlan):
+	case errors.As(err, new(missing)):
 		status = http.StatusNotFound
 	case errors.Is(err, replica.ErrNoLeader):
 		w.Header().Set("Retry-After", "1")
@@ -226,40 +212,55 @@
 	answer(w, status, f)
 }
 
-var errBad = errors.New("bad request")
+// missing is an error of something that is not there.
+type missing struct{ error }
+
+func (m missing) Unwrap() error { return m.error }
+
+// Missing marks an error as one of something that is not there, unless there is none.
+func Missing(err error) error {
+	if err == nil {
+		return nil
+	}
+	return missing{err}
+}
+
+// ErrBad says that a request is wrong in itself.
+var ErrBad = errors.New("bad request")
 
-// decode reads a body of bounded length; an unknown key is an error.
-func decode(w http.ResponseWriter, r *http.Request, v any) error {
+// Decode reads a body of bounded length; an unknown key is an error.
+func Decode(w http.ResponseWriter, r *http.Request, v any) error {
 	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyMost))
 	d.DisallowUnknownFields()
 	if err := d.Decode(v); err != nil {
-		return fmt.Errorf("%w: byte %d: %w", errBad, d.InputOffset(), err)
+		return fmt.Errorf("%w: byte %d: %w", ErrBad, d.InputOffset(), err)
 	}
 	return nil
 }
 
-func number(q url.Values, key string) (uint64, error) {
+// Number reads a parameter; one that is not there is 0.
+func Number(q url.Values, key string) (uint64, error) {
 	if q.Get(key) == "" {
 		return 0, nil
 	}
 	v, err := strconv.ParseUint(q.Get(key), 10, 64)
 	if err != nil {
-		return 0, fmt.Errorf("%w: %s: %q is not a number", errBad, key, q.Get(key))
+		return 0, fmt.Errorf("%w: %s: %q is not a number", ErrBad, key, q.Get(key))
 	}
 	return v, nil
 }
 
 func (s *Server) status(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
-	st, err := s.Store.Status(ctx)
+	st, err := s.cfg.Store.Status(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return Status{st, s.Daemon.Kept(), s.Daemon.Start()}, nil
+	return s.cfg.Status(st), nil
 }
 
 func (s *Server) read(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
 	q := r.URL.Query()
-	limit, err := number(q, "limit")
+	limit, err := Number(q, "limit")
 	if err != nil {
 		return nil, err
 	}
@@ -274,7 +275,7 @@
 		from, end = q.Get("key"), q.Get("key")+"\x00"
 	}
 	out := Items{Items: []store.Item{}, Stale: q.Get("stale") == "true"}
-	out.Age, err = s.Store.View(ctx, out.Stale, func(st *store.State) {
+	out.Age, err = s.cfg.Store.View(ctx, out.Stale, func(st *store.State) {
 		st.Range(from, end, func(i store.Item) bool {
 			if out.More = uint64(len(out.Items)) == limit; out.More {
 				return false
@@ -291,7 +292,7 @@
 
 func (s *Server) change(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
 	var q Request
-	if err := decode(w, r, &q); err != nil {
+	if err := Decode(w, r, &q); err != nil {
 		return nil, err
 	}
 	c := q.command()
@@ -302,17 +303,17 @@
 		}
 	}
 	if set != 1 {
-		return nil, fmt.Errorf("%w: one of txn, add, remove, grant, renew and end", errBad)
+		return nil, fmt.Errorf("%w: one of txn, add, remove, grant, renew and end", ErrBad)
 	}
 	if c.Join != nil {
 		if err := keys.CheckName(c.Join.Name); err != nil {
-			return nil, fmt.Errorf("%w: %w", errBad, err)
+			return nil, fmt.Errorf("%w: %w", ErrBad, err)
 		}
 		if _, _, err := net.SplitHostPort(c.Join.Address); err != nil {
-			return nil, fmt.Errorf("%w: address: %w", errBad, err)
+			return nil, fmt.Errorf("%w: address: %w", ErrBad, err)
 		}
 	}
-	res, err := s.Store.Do(ctx, c)
+	res, err := s.cfg.Store.Do(ctx, c)
 	if err != nil {
 		return nil, err
 	}
@@ -339,7 +340,7 @@
 
 func (s *Server) leases(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
 	all := []Lease{}
-	if _, err := s.Store.View(ctx, false, func(st *store.State) {
+	if _, err := s.cfg.Store.View(ctx, false, func(st *store.State) {
 		at := map[uint64]int{}
 		for _, l := range st.Leases() {
 			at[l.ID] = len(all)
@@ -358,69 +359,30 @@
 }
 
 func (s *Server) handOver(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
-	if err := s.Store.HandOver(ctx); err != nil {
+	if err := s.cfg.Store.HandOver(ctx); err != nil {
 		return nil, err
 	}
 	return struct{}{}, nil
 }
 
-func (s *Server) history(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
-	all, err := s.Settings.History(ctx)
-	if err != nil {
-		return nil, err
-	}
-	return all, nil
-}
-
-func (s *Server) configure(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
-	var q Config
-	if err := decode(w, r, &q); err != nil {
-		return nil, err
-	}
-	var v daemon.Version
-	var err error
-	switch {
-	case q.CallOff != "":
-		return v, s.Settings.CallOff(ctx, q.CallOff)
-	case len(q.Steps) > 0:
-		_, err = s.Settings.Begin(ctx, q.Settings, q.Steps, time.Duration(q.SettleMs)*time.Millisecond, q.Note)
-		return v, err
-	}
-	if q.Rollback != 0 {
-		v, err = s.Settings.Rollback(ctx, q.Rollback)
-	} else {
-		v, err = s.Settings.Put(ctx, q.Settings, q.Note)
-	}
-	if err != nil {
-		return nil, err
-	}
-	v.Settings = nil
-	return v, nil
-}
-
-func (s *Server) plan(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
-	p, _, err := s.Settings.Plan(ctx)
-	return p, err
-}
-
 // watch sends events as lines of JSON for as long as the connection lasts.
 func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
 	select {
 	case s.watches <- struct{}{}:
 		defer func() { <-s.watches }()
 	default:
-		fail(w, replica.ErrBusy)
+		Fail(w, replica.ErrBusy)
 		return
 	}
-	after, err := number(r.URL.Query(), "after")
+	after, err := Number(r.URL.Query(), "after")
 	if err != nil {
-		fail(w, err)
+		Fail(w, err)
 		return
 	}
 	if !r.URL.Query().Has("after") { // from now on
-		a, err := s.Store.View(r.Context(), false, func(*store.State) {})
+		a, err := s.cfg.Store.View(r.Context(), false, func(*store.State) {})
 		if err != nil {
-			fail(w, err)
+			Fail(w, err)
 			return
 		}
 		after = a.Revision
@@ -429,10 +391,10 @@
 	c := http.NewResponseController(w)
 	enc := json.NewEncoder(w)
 	for {
-		events, to, err := s.Store.Next(r.Context(), r.URL.Query().Get("prefix"), after, 256)
+		events, to, err := s.cfg.Store.Next(r.Context(), r.URL.Query().Get("prefix"), after, 256)
 		if err != nil {
 			if !begun {
-				fail(w, err)
+				Fail(w, err)
 			} else if r.Context().Err() == nil {
 				f := Fault{Error: err.Error()}
 				var gone *store.ErrCompacted
@@ -458,9 +420,9 @@
 }
 
 func (s *Server) save(w http.ResponseWriter, r *http.Request) {
-	st, err := s.Store.Save(r.Context())
+	st, err := s.cfg.Store.Save(r.Context())
 	if err != nil {
-		fail(w, err)
+		Fail(w, err)
 		return
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
@@ -492,7 +454,8 @@
 
 func (e *Error) Error() string { return e.Fault.Error }
 
-func (c *Client) do(ctx context.Context, method, path string, q url.Values, body io.Reader) (*http.Response, error) {
+// Do asks, and returns what answers well; it is to be closed.
+func (c *Client) Do(ctx context.Context, method, path string, q url.Values, body io.Reader) (*http.Response, error) {
 	if c.Timeout > 0 {
 		all := url.Values{"timeout": {c.Timeout.String()}}
 		maps.Copy(all, q)
@@ -517,14 +480,15 @@
 	return nil, e
 }
 
-func (c *Client) call(ctx context.Context, method, path string, q url.Values, in, out any) error {
+// Call asks for one answer of JSON.
+func (c *Client) Call(ctx context.Context, method, path string, q url.Values, in, out any) error {
 	var body io.Reader
 	if in != nil {
 		r, w := io.Pipe()
 		go func() { w.CloseWithError(json.NewEncoder(w).Encode(in)) }()
 		body = r
 	}
-	a, err := c.do(ctx, method, path, q, body)
+	a, err := c.Do(ctx, method, path, q, body)
 	if err != nil {
 		return err
 	}
@@ -533,58 +497,33 @@
 }
 
 // Status asks how the store stands.
-func (c *Client) Status(ctx context.Context) (s Status, err error) {
-	return s, c.call(ctx, "GET", "/v1/status", nil, nil, &s)
+func (c *Client) Status(ctx context.Context) (s engine.Status, err error) {
+	return s, c.Call(ctx, "GET", "/v1/status", nil, nil, &s)
 }
 
 // Range reads keys; the query is of /v1/range.
 func (c *Client) Range(ctx context.Context, q url.Values) (i Items, err error) {
-	return i, c.call(ctx, "GET", "/v1/range", q, nil, &i)
+	return i, c.Call(ctx, "GET", "/v1/range", q, nil, &i)
 }
 
 // Change asks for a change.
 func (c *Client) Change(ctx context.Context, r Request) (x Change, err error) {
-	return x, c.call(ctx, "POST", "/v1/change", nil, r, &x)
+	return x, c.Call(ctx, "POST", "/v1/change", nil, r, &x)
 }
 
 // Leases lists all leases and their keys.
 func (c *Client) Leases(ctx context.Context) (all []Lease, err error) {
-	return all, c.call(ctx, "GET", "/v1/leases", nil, nil, &all)
-}
-
-// Configure puts settings, or those of an earlier version.
-func (c *Client) Configure(ctx context.Context, q Config) (v daemon.Version, err error) {
-	return v, c.call(ctx, "POST", "/v1/config", nil, q, &v)
-}
-
-// History lists the versions of the settings, the newest first.
-func (c *Client) History(ctx context.Context) (all []daemon.Version, err error) {
-	return all, c.call(ctx, "GET", "/v1/config", nil, nil, &all)
-}
-
-// Plan is the newest of settings that come, or came, in force in steps.
-func (c *Client) Plan(ctx context.Context) (p rollout.Plan, err error) {
-	return p, c.call(ctx, "GET", "/v1/plan", nil, nil, &p)
-}
-
-// Out lists the servers that are out.
-func (c *Client) Out(ctx context.Context) (all []policy.Out, err error) {
-	return all, c.call(ctx, "GET", "/v1/out", nil, nil, &all)
-}
-
-// Servers lists what is known of servers.
-func (c *Client) Servers(ctx context.Context) (all []daemon.Fact, err error) {
-	return all, c.call(ctx, "GET", "/v1/servers", nil, nil, &all)
+	return all, c.Call(ctx, "GET", "/v1/leases", nil, nil, &all)
 }
 
 // HandOver gives leadership away, if the replica has it.
 func (c *Client) HandOver(ctx context.Context) error {
-	return c.call(ctx, "POST", "/v1/handover", nil, nil, &struct{}{})
+	return c.Call(ctx, "POST", "/v1/handover", nil, nil, &struct{}{})
 }
 
 // Save writes the state, and says at which revision.
 func (c *Client) Save(ctx context.Context, w io.Writer) (string, error) {
-	a, err := c.do(ctx, "GET", "/v1/snapshot", nil, nil)
+	a, err := c.Do(ctx, "GET", "/v1/snapshot", nil, nil)
 	if err != nil {
 		return "", err
 	}
@@ -595,7 +534,7 @@
 
 // Watch calls f with changes until ctx ends, f fails or the store says that it cannot go on.
 func (c *Client) Watch(ctx context.Context, q url.Values, f func(store.Event) error) error {
-	a, err := c.do(ctx, "GET", "/v1/watch", q, nil)
+	a, err := c.Do(ctx, "GET", "/v1/watch", q, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/store/admin/admin_test.go
+++ b/internal/store/admin/admin_test.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"net/url"
@@ -15,31 +14,23 @@
 	"testing"
 	"time"
 
-	"birchmoor/internal/daemon"
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/disk"
 	"birchmoor/internal/store/engine"
 	"birchmoor/internal/store/policy"
-	"birchmoor/internal/tasks"
 )
 
 // one is a replica alone with its socket, and where followers reach it.
 func one(t *testing.T) (c *Client, e *engine.Engine, outer string) {
 	t.Helper()
-	log := slog.New(slog.DiscardHandler)
-	settings, runner := daemon.NewSettings("a", nil, log), tasks.New(tasks.Config{Host: "a", Log: log})
-	servers := daemon.NewServers("a", log)
-	d := daemon.New(log, append(servers.Parts(), settings, runner)...)
 	cfg := engine.Config{Name: "a", Dir: t.TempDir(), Tick: 5 * time.Millisecond, Disk: disk.Options{NoSync: true},
 		Limits: store.Limits{Key: 64, Value: 256, Total: 1 << 20, Ops: 8, Events: 20, History: 1 << 16, Leases: 4, Results: 100, Members: 3}}
-	d.Hook(&cfg)
 	e, err := engine.Open(cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
-	d.Attach(e)
 	path := filepath.Join(t.TempDir(), "s.sock")
-	s, err := Listen(path, Parts{Store: e, Daemon: servers, Settings: settings, Tasks: runner})
+	s, err := Listen(path, Config{Store: e})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -47,11 +38,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	o, err := ServeFollowers(ln, e, servers, nil)
+	o, err := ServeFollowers(ln, e, Rules{May: may, Ages: func() map[string]time.Duration { return nil }}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { runner.Close(); o.Close(); s.Close(); e.Kill() })
+	t.Cleanup(func() { o.Close(); s.Close(); e.Kill() })
 	return Dial(path), e, "http://" + ln.Addr().String()
 }
 
--- a/internal/store/admin/outer.go
+++ b/internal/store/admin/outer.go
@@ -7,16 +7,12 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strings"
 	"time"
 
-	"birchmoor/internal/daemon"
 	"birchmoor/internal/keys"
-	"birchmoor/internal/lease"
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/engine"
 	"birchmoor/internal/store/policy"
-	"birchmoor/internal/tasks"
 )
 
 // Followers are daemons without a replica of their own. They reach replicas over TCP with the cluster's keys, or plainly on
@@ -53,18 +49,27 @@
 // Outer answers followers.
 type Outer struct {
 	e       *engine.Engine
-	d       *daemon.Servers
+	rules   Rules
 	http    *http.Server
 	slots   chan struct{}
 	changes chan struct{}
 }
 
+// Rules are what others say of followers.
+type Rules struct {
+	// May says whether an operation of a transaction is a follower's own to make, besides those on what daemons tell each other of
+	// servers. owner is the follower's name if the transaction is made in it.
+	May func(op store.Op, owner string) bool
+	// Ages are how long ago pictures came here, by key.
+	Ages func() map[string]time.Duration
+}
+
 // ServeFollowers serves a listener, which Close closes. Without keys it is for loopback alone.
-func ServeFollowers(ln net.Listener, e *engine.Engine, d *daemon.Servers, pair *keys.Pair) (*Outer, error) {
+func ServeFollowers(ln net.Listener, e *engine.Engine, rules Rules, pair *keys.Pair) (*Outer, error) {
 	if a, ok := ln.Addr().(*net.TCPAddr); pair == nil && (!ok || !a.IP.IsLoopback()) {
 		return nil, fmt.Errorf("store: plain TCP on %s, which is not a loopback address", ln.Addr())
 	}
-	o := &Outer{e: e, d: d, slots: make(chan struct{}, followersMost), changes: make(chan struct{}, changeMost)}
+	o := &Outer{e: e, rules: rules, slots: make(chan struct{}, followersMost), changes: make(chan struct{}, changeMost)}
 	m := http.NewServeMux()
 	m.HandleFunc("GET /v1/copy", o.copy)
 	m.HandleFunc("GET /v1/follow", o.follow)
@@ -87,7 +92,7 @@
 func (o *Outer) copy(w http.ResponseWriter, r *http.Request) {
 	var s *store.State
 	if _, err := o.e.View(r.Context(), true, func(now *store.State) { s = now.Clone() }); err != nil || s == nil {
-		fail(w, errors.Join(errors.New("this replica has no copy yet"), err))
+		Fail(w, errors.Join(errors.New("this replica has no copy yet"), err))
 		return
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
@@ -100,12 +105,12 @@
 	case o.slots <- struct{}{}:
 		defer func() { <-o.slots }()
 	default:
-		fail(w, fmt.Errorf("%d followers are here already", followersMost))
+		Fail(w, fmt.Errorf("%d followers are here already", followersMost))
 		return
 	}
-	after, err := number(r.URL.Query(), "after")
+	after, err := Number(r.URL.Query(), "after")
 	if err != nil {
-		fail(w, err)
+		Fail(w, err)
 		return
 	}
 	enc, c := json.NewEncoder(w), http.NewResponseController(w)
@@ -113,7 +118,7 @@
 		_ = c.SetWriteDeadline(time.Now().Add(waitMost))
 		return enc.Encode(l) == nil
 	}
-	ages := o.d.PictureAges()
+	ages := o.rules.Ages()
 	for {
 		var b Beat
 		a, err := o.e.View(r.Context(), true, func(s *store.State) { b.Cluster = s.Cluster() })
@@ -168,10 +173,10 @@
 // change makes a transaction of a follower.
 func (o *Outer) change(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
 	var q Request
-	if err := decode(w, r, &q); err != nil {
+	if err := Decode(w, r, &q); err != nil {
 		return nil, err
 	}
-	if err := followerMay(&q, hostOf(r, &q)); err != nil {
+	if err := followerMay(&q, hostOf(r, &q), o.rules.May); err != nil {
 		return nil, err
 	}
 	select {
@@ -201,10 +206,10 @@
 }
 
 // followerMay says what of a request is not for a follower of this name. It tells of servers; it has leases of its own, which
-// nobody else renews, and by them places of its own in the queues of tasks.
-func followerMay(q *Request, host string) error {
+// nobody else renews, and what may says besides.
+func followerMay(q *Request, host string, may func(store.Op, string) bool) error {
 	if q.Add != nil || q.Del != 0 {
-		return fmt.Errorf("%w: members are not a follower's to change", errBad)
+		return fmt.Errorf("%w: members are not a follower's to change", ErrBad)
 	}
 	leases := 0
 	for _, n := range []uint64{q.Grant, q.Renew, q.End} {
@@ -215,41 +220,24 @@
 	switch {
 	case q.Txn == nil && leases == 1:
 		if host == "" || q.Owner != host {
-			return fmt.Errorf("%w: a lease of %q is not for %q", errBad, q.Owner, host)
+			return fmt.Errorf("%w: a lease of %q is not for %q", ErrBad, q.Owner, host)
 		}
-		if q.Grant != 0 && (q.Grant < lease.TTLLeast || q.Grant > lease.TTLMost) {
-			return fmt.Errorf("%w: a lease of %d ms is not within %d and %d", errBad, q.Grant, lease.TTLLeast, lease.TTLMost)
+		if q.Grant != 0 && (q.Grant < store.OwnedLeast || q.Grant > store.OwnedMost) {
+			return fmt.Errorf("%w: a lease of %d ms is not within %d and %d", ErrBad, q.Grant, store.OwnedLeast, store.OwnedMost)
 		}
 		return nil
 	case q.Txn == nil || leases > 0:
-		return fmt.Errorf("%w: a follower makes transactions, or changes one lease of its own", errBad)
+		return fmt.Errorf("%w: a follower makes transactions, or changes one lease of its own", ErrBad)
 	}
 	if q.Txn.Owner != "" && q.Txn.Owner != host {
-		return fmt.Errorf("%w: %q is not %q", errBad, host, q.Txn.Owner)
+		return fmt.Errorf("%w: %q is not %q", ErrBad, host, q.Txn.Owner)
 	}
 	for _, ops := range [][]store.Op{q.Txn.Then, q.Txn.Else} {
 		for _, op := range ops {
-			if op.End != "" || !policy.Told(op.Key) && !taskMay(op, q.Txn.Owner) || op.Lease != 0 && policy.Told(op.Key) {
-				return fmt.Errorf("%w: %q is not a follower's to change", errBad, op.Key)
+			if op.End != "" || !policy.Told(op.Key) && !may(op, q.Txn.Owner) || op.Lease != 0 && policy.Told(op.Key) {
+				return fmt.Errorf("%w: %q is not a follower's to change", ErrBad, op.Key)
 			}
 		}
 	}
 	return nil
 }
-
-// taskMay says whether an operation is a daemon's own part in a task: its places, which go with its lease, how many may hold a
-// task, and what it has done.
-func taskMay(op store.Op, owner string) bool {
-	if _, host, _, ok := lease.ParsePlace(op.Key); ok {
-		return host == owner && (op.Delete || op.Lease != 0 && len(op.Value) <= lease.ValueMost)
-	}
-	if op.Key == daemon.ReportKey(owner) && owner != "" {
-		return !op.Delete && op.Lease == 0 && len(op.Value) <= lease.ValueMost
-	}
-	for _, prefix := range []string{lease.ConfPrefix, tasks.DonePrefix} {
-		if task, ok := strings.CutPrefix(op.Key, prefix); ok {
-			return owner != "" && lease.Name(task) == nil && !op.Delete && op.Lease == 0 && len(op.Value) <= lease.ValueMost
-		}
-	}
-	return false
-}
--- a/internal/store/command.go
+++ b/internal/store/command.go
@@ -65,6 +65,12 @@
 	End    string `cbor:"5,keyasint,omitempty" json:"end,omitempty"` // of the range to delete, not itself in it
 }
 
+// Bounds of leases of owners, in milliseconds. Daemons hold to them; a state takes any.
+const (
+	OwnedLeast = 300
+	OwnedMost  = 60_000
+)
+
 // Grant makes a lease.
 type Grant struct {
 	TTL   uint64 `cbor:"1,keyasint"`           // milliseconds
--- a/internal/tasks/task.go
+++ b/internal/tasks/task.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -249,3 +250,9 @@
 }
 
 const shardsMost = 256
+
+// May says whether an operation is a daemon's own to make: what a task that it held did.
+func May(op store.Op, owner string) bool {
+	task, ok := strings.CutPrefix(op.Key, DonePrefix)
+	return ok && lease.Name(task) == nil && lease.Puts(op, owner)
+}
