Have clocks run apart and disks fail their syncs in the bench between processes; judge the store's history

A build for tests runs its boot clock and ticks at the pace that the bench gives its host (0.95 and 1.05 in turn, skew 0.12), and from a signal on its disk fails every sync (/dev/null under its descriptor). What a blow costs is noted for every kind: the time until the next acted, or the longest time in which nobody did. Copies of holders in simulation follow changes as real ones do.

--- a/cmd/birchmoor/lock.go
+++ b/cmd/birchmoor/lock.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"birchmoor/internal/boot"
 	"birchmoor/internal/keeper"
 	"birchmoor/internal/operate"
 	"birchmoor/internal/store/admin"
@@ -227,7 +228,7 @@
 		k.Command = k.Command[1:]
 	}
 	syscall.CloseOnExec(3)
-	code, why := keeper.Command{Args: k.Command, Env: os.Environ(), Grace: k.Grace, Early: k.Early, Clock: tasks.Boottime}.Run(os.NewFile(3, "deadlines"))
+	code, why := keeper.Command{Args: k.Command, Env: os.Environ(), Grace: k.Grace, Early: k.Early, Clock: boot.Clock{Pace: inside.Pace}}.Run(os.NewFile(3, "deadlines"))
 	switch {
 	case errors.Is(why, keeper.ErrLate), errors.Is(why, keeper.ErrAlone):
 		return &exitError{exitLost, nil}
--- a/cmd/birchmoor/plant.go
+++ b/cmd/birchmoor/plant.go
@@ -15,3 +15,5 @@
 func plantedEarly(d time.Duration) time.Duration { return d }
 func plantedUntil(until int64) int64             { return until }
 func plantedRelease() bool                       { return false }
+func plantedSession() lease.Plant                { return lease.PlantNone }
+func plantedStore(c closer) closer               { return c }
--- a/cmd/birchmoor/plant_on.go
+++ b/cmd/birchmoor/plant_on.go
@@ -3,16 +3,21 @@
 package main
 
 import (
+	"context"
 	"os"
 	"time"
 
 	"birchmoor/internal/lab/tasklab"
 	"birchmoor/internal/lease"
+	"birchmoor/internal/store"
+	"birchmoor/internal/store/engine"
 )
 
 // Faults for the bench between processes to find, chosen by an environment variable.
 const isPlanted = true
 
+func init() { inside = tasklab.ReadInside() }
+
 func planted(name string) bool { return os.Getenv(tasklab.PlantEnv) == name }
 
 // order-ignored: whoever has a place acts.
@@ -41,3 +46,25 @@
 
 // released-first: lock gives the task up before its command has ended.
 func plantedRelease() bool { return planted("released-first") }
+
+// rate-ignored: clocks are taken to run at one rate.
+func plantedSession() lease.Plant {
+	if planted("rate-ignored") {
+		return lease.NoSkew
+	}
+	return lease.PlantNone
+}
+
+// read-stale: a read asks nobody where the quorum is.
+func plantedStore(c closer) closer {
+	if planted("read-stale") {
+		return staleStore{c}
+	}
+	return c
+}
+
+type staleStore struct{ closer }
+
+func (s staleStore) View(ctx context.Context, _ bool, f func(*store.State)) (engine.Age, error) {
+	return s.closer.View(ctx, true, f)
+}
--- a/cmd/birchmoor/replay_test.go
+++ b/cmd/birchmoor/replay_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"birchmoor/internal/lab/tasklab"
 	"birchmoor/internal/replay"
 )
 
@@ -15,6 +16,7 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(asProgram) != "" {
+		inside = tasklab.ReadInside()
 		main()
 	}
 	os.Exit(m.Run())
--- a/cmd/birchmoor/run.go
+++ b/cmd/birchmoor/run.go
@@ -15,9 +15,11 @@
 	"syscall"
 	"time"
 
+	"birchmoor/internal/boot"
 	"birchmoor/internal/config"
 	"birchmoor/internal/daemon"
 	"birchmoor/internal/keys"
+	"birchmoor/internal/lab/tasklab"
 	"birchmoor/internal/operate"
 	"birchmoor/internal/operator"
 	"birchmoor/internal/store"
@@ -68,6 +70,9 @@
 	return nil
 }
 
+// inside is what the bench between processes does within this process: builds for tests alone set it.
+var inside tasklab.Inside
+
 // openStore starts a replica, what joins it to a sidecar, and its socket. end stops them.
 func openStore(s *operator.Store, runs bool, hup chan os.Signal, log *slog.Logger) (x *extras, end func(), err error) {
 	limits := store.DefaultLimits
@@ -98,7 +103,11 @@
 			return err
 		}
 	}
-	settings, runner := daemon.NewSettings(s.Name, check, log), tasks.New(tasks.Config{Host: s.Name, Skew: s.Skew, Log: log, Table: plantedTable()})
+	clock := boot.Clock{Pace: inside.Pace}
+	if cfg.Disk.File = inside.File; inside.Pace != 0 {
+		cfg.Tick = clock.Span(int64(cfg.Tick))
+	}
+	settings, runner := daemon.NewSettings(s.Name, check, log), tasks.New(tasks.Config{Host: s.Name, Skew: s.Skew, Log: log, Clock: clock, Table: plantedTable(), Plant: plantedSession()})
 	servers := daemon.NewServers(s.Name, log)
 	d := daemon.New(log, append(servers.Parts(), settings, runner)...)
 	d.SweepByOne()
@@ -117,8 +126,8 @@
 	if err := os.MkdirAll(filepath.Dir(s.Socket), 0o700); err != nil {
 		return nil, nil, errors.Join(err, e.Close())
 	}
-	parts := operate.Parts{Servers: servers, Settings: settings, Tasks: runner}
-	a, err := operate.Listen(s.Socket, e, parts)
+	parts := operate.Parts{Servers: servers, Settings: settings, Tasks: runner, Clock: clock}
+	a, err := operate.Listen(s.Socket, plantedStore(e), parts)
 	if err != nil {
 		return nil, nil, errors.Join(err, e.Close())
 	}
--- a/cmd/birchmoor/task_test.go
+++ b/cmd/birchmoor/task_test.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	x := &tasklab.Torture{Program: self, Env: []string{asProgram + "=1"}, Dir: t.TempDir(), Replicas: 3, Follow: 1, Holders: 1, TTL: 1500 * time.Millisecond,
+	x := &tasklab.Torture{Program: self, Env: []string{asProgram + "=1"}, Dir: t.TempDir(), Replicas: 3, Follow: 1, Holders: 1, TTL: 1500 * time.Millisecond, Inside: true,
 		Blows: blows, Seed: 1, Say: func(s string) { t.Log(s) }}
 	if change != nil {
 		change(x)
@@ -43,7 +43,10 @@
 	if r.Acts == 0 || r.Holders < 4 {
 		t.Errorf("%d acts of %d holders", r.Acts, r.Holders)
 	}
-	t.Logf("%d acts of %d holders, %d late of stopped actors", r.Acts, r.Holders, r.Late)
+	if r.History < 100 {
+		t.Errorf("the history of the store has %d operations", r.History)
+	}
+	t.Logf("%d acts of %d holders, %d late of stopped actors, %d operations of the store", r.Acts, r.Holders, r.Late, r.History)
 }
 
 // A lock gives its command the token, ends it with all that it started, and tells its exit codes apart.
--- a/cmd/birchmoor/tasklab.go
+++ b/cmd/birchmoor/tasklab.go
@@ -30,13 +30,14 @@
 	Keep     string        `help:"When a promise broke, leave schedule, history and logs in a folder here." type:"existingdir" placeholder:"DIR"`
 	Shrink   bool          `help:"When a promise broke, leave blows out for as long as one still breaks, and print the rest as a schedule."`
 	Old      string        `help:"An older build of this program, for daemons to be started with now and then." type:"existingfile" placeholder:"FILE"`
-	Plant    string        `help:"A fault of the program, which must be built with -tags planted: order-ignored, deadline-ignored, kept-late, released-first." placeholder:"NAME"`
+	Plant    string        `help:"A fault of the program, which must be built with -tags planted: order-ignored, deadline-ignored, kept-late, released-first, rate-ignored, read-stale." placeholder:"NAME"`
 	JSON     bool          `help:"As JSON."`
 }
 
 func (k *taskTorture) Help() string {
 	return `Locks run actors that act upon a stand-in, which judges: no action takes effect after one with a higher token where tokens are
-checked, and none anywhere but of actors that were themselves stopped. Exit code 1 if a promise broke.
+checked, and none anywhere but of actors that were themselves stopped; and what is read and written at all daemons is what one
+copy could have given. Built with -tags planted, clocks of hosts run 10% apart, and disks fail their syncs as well. Exit code 1 if a promise broke.
 
 Example:
   birchmoor task torture --for 10m --seed 7 --json`
@@ -51,7 +52,7 @@
 		return errors.New("--plant: this program was not built with -tags planted")
 	}
 	t := tasklab.Torture{Program: self, Dir: k.Dir, Replicas: k.Replicas, Follow: k.Follow, Holders: k.Holders, TTL: k.TTL, For: k.For, Every: k.Every,
-		Seed: k.Seed, Plant: k.Plant, Only: k.Only, Keep: k.Keep, Old: k.Old, Say: func(s string) { fmt.Fprintln(c.err, s) }}
+		Seed: k.Seed, Plant: k.Plant, Only: k.Only, Inside: isPlanted, Keep: k.Keep, Old: k.Old, Say: func(s string) { fmt.Fprintln(c.err, s) }}
 	if k.Play != "" {
 		b, err := os.ReadFile(k.Play)
 		if err == nil {
@@ -78,12 +79,12 @@
 			return bad
 		}
 	} else if r != nil {
-		fmt.Fprintf(c.out, "%d acts of %d holders, %d late of stopped actors, blows %v; without an action between two holders p50 %.0f ms, p99 %.0f, worst %.0f; broken: %q\n",
-			r.Acts, r.Holders, r.Late, r.Blows, r.P50Ms, r.P99Ms, r.WorstMs, r.Broken)
+		fmt.Fprintf(c.out, "%d acts of %d holders, %d late of stopped actors, %d reads and writes of the store, blows %v; held for %.3f of the time; without an action between two holders p50 %.0f ms, p99 %.0f, worst %.0f; broken: %q\n",
+			r.Acts, r.Holders, r.Late, r.History, r.Blows, r.Held, r.P50Ms, r.P99Ms, r.WorstMs, r.Broken)
 	}
 	if r != nil && !k.JSON {
 		for _, a := range r.After {
-			fmt.Fprintf(c.out, "after %s (%d): p50 %.0f ms, p99 %.0f, worst %.0f until the next acted\n", a.Blow, a.N, a.P50Ms, a.P99Ms, a.WorstMs)
+			fmt.Fprintf(c.out, "after %s (%d): p50 %.0f ms, p99 %.0f, worst %.0f until the next acted, or without an action\n", a.Blow, a.N, a.P50Ms, a.P99Ms, a.WorstMs)
 		}
 	}
 	if err != nil {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -19,6 +19,8 @@
 	"syscall"
 	"time"
 
+	"birchmoor/internal/boot"
+
 	"golang.org/x/sys/unix"
 )
 
@@ -28,7 +30,7 @@
 	Env   []string
 	Grace time.Duration // between SIGTERM and SIGKILL, at most
 	Early time.Duration // SIGKILL comes so long before the deadline, at the latest
-	Clock func() int64  // of the deadlines
+	Clock boot.Clock    // of the deadlines
 }
 
 // How a command ended.
@@ -88,7 +90,7 @@
 	cmd := exec.Command(c.Args[0], c.Args[1:]...)
 	cmd.Env, cmd.Stdin, cmd.Stdout, cmd.Stderr = c.Env, os.Stdin, os.Stdout, os.Stderr
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if c.Clock() >= until-int64(c.Early) {
+	if c.Clock.Now() >= until-int64(c.Early) {
 		return 0, ErrLate
 	}
 	if err := cmd.Start(); err != nil {
@@ -98,7 +100,7 @@
 	ended := make(chan error, 1)
 	go func() { ended <- cmd.Wait() }()
 	for termed := false; ; {
-		now, kill := c.Clock(), until-int64(c.Early)
+		now, kill := c.Clock.Now(), until-int64(c.Early)
 		term := kill - int64(c.Grace)
 		if why == nil && now >= term {
 			why = ErrLate
@@ -116,7 +118,7 @@
 		if termed {
 			next = kill
 		}
-		t := time.NewTimer(max(time.Millisecond, time.Duration(next-now)))
+		t := time.NewTimer(max(time.Millisecond, c.Clock.Span(next-now)))
 		select {
 		case <-ended:
 			t.Stop()
--- a/internal/lab/fleetlab/fleet.go
+++ b/internal/lab/fleetlab/fleet.go
@@ -15,6 +15,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -40,8 +41,11 @@
 	Servers  int
 	Starts   bool // discovery tells when servers start
 	Seed     uint64
-	Wait     time.Duration // of a follower without a disk for its first copy; 0: as daemons do
-	Bare     bool          // daemons run no sidecar
+	Wait     time.Duration             // of a follower without a disk for its first copy; 0: as daemons do
+	Bare     bool                      // daemons run no sidecar
+	EnvOf    func(daemon int) []string // and of one daemon's alone
+	Skew     float64                   // of the operator file; 0: none stands there
+	More     string                    // of the operator file, behind [store]
 }
 
 // settings is a small site: one class that is safe to repeat, and servers that are cold for 10 s.
@@ -154,6 +158,7 @@
 	Client   *operate.Client
 	Known    []discovery.Instance // with which it is configured: its list of a start
 	plain    bool                 // the next start is of the sidecar alone
+	Env      []string             // of its processes, besides the bench's own
 	Build    string               // the program of the next starts, in place of the fleet's
 
 	mu   sync.Mutex
@@ -270,6 +275,10 @@
 
 func (f *Fleet) prepare(i int, follower bool, list []discovery.Instance) (*Daemon, error) {
 	d := &Daemon{links: map[string]*relay.Link{}, Number: i, f: f, name: fmt.Sprintf("d%d", i), follower: follower, Known: list, board: newBoard(list)}
+	d.Env = slices.Clone(f.cfg.Env)
+	if f.cfg.EnvOf != nil {
+		d.Env = append(d.Env, f.cfg.EnvOf(i)...)
+	}
 	d.Client = operate.Dial(d.path(".sock"))
 	for _, to := range []*string{&d.listen, &d.mgmt, &d.serve} {
 		var err error
@@ -313,6 +322,10 @@
 			file += fmt.Sprintf("via = %s\n", text)
 		}
 	}
+	if f.cfg.Skew > 0 {
+		file += fmt.Sprintf("skew = %g\n", f.cfg.Skew)
+	}
+	file += f.cfg.More
 	return d, os.WriteFile(d.path(".toml"), []byte(file), 0o600)
 }
 
@@ -387,7 +400,7 @@
 		program = d.Build
 	}
 	cmd := exec.Command(program, args...)
-	cmd.Env = append(append(os.Environ(), "TMPDIR="+tmp), d.f.cfg.Env...)
+	cmd.Env = append(append(os.Environ(), "TMPDIR="+tmp), d.Env...)
 	if !d.f.cfg.Bare {
 		cmd.Env = append(cmd.Env, "ROUTER_CONFIG="+d.path(".json"))
 	}
--- a/internal/lab/storesim/holders.go
+++ b/internal/lab/storesim/holders.go
@@ -254,8 +254,17 @@
 func (d *daemonSim) copy() {
 	w := d.w
 	if h := w.up(); h != nil && h.node.State().Revision() >= d.seen && (h.node.State().Revision() > d.seen || d.seen == 0) {
-		d.seen = h.node.State().Revision()
-		d.table.Reset(h.node.State())
+		s := h.node.State()
+		events, _, err := s.Changes(nil, lease.Prefix, d.seen, 1<<30)
+		if d.seen == 0 || err != nil {
+			d.table.Reset(s)
+		}
+		for i := range events {
+			if d.seen > 0 {
+				d.table.Event(events[i])
+			}
+		}
+		d.seen = s.Revision()
 	}
 	d.step(5*milli+w.rng.Int64N(40*milli), d.copy)
 }
--- a/internal/lab/tasklab/faults.go
+++ b/internal/lab/tasklab/faults.go
@@ -196,6 +196,19 @@
 			return errors.Join(err, again(d)(ctx))
 		}
 	}},
+	{"sync-fails", "the leader's disk fails every sync from now on, after which it is started again; a build for tests alone", false, func(x *run) (string, func(context.Context) error) {
+		if !x.Inside {
+			return "nobody", x.after(0, func() {})
+		}
+		d := x.leader()
+		d.Signal(syscall.SIGUSR1)
+		return d.Name(), func(ctx context.Context) error {
+			if err := x.after(x.long(), d.Kill)(ctx); err != nil {
+				return err
+			}
+			return again(d)(ctx)
+		}
+	}},
 	{"old-build", "a daemon is started with the older build, if there is one, which the cluster has left behind, and then with its own", false, func(x *run) (string, func(context.Context) error) {
 		if x.Old == "" {
 			return "nobody", x.after(0, func() {})
--- a/internal/lab/tasklab/standin.go
+++ b/internal/lab/tasklab/standin.go
@@ -31,6 +31,7 @@
 	acts    int
 	high    uint64         // the highest token that took effect at the half that checks nothing,
 	last    time.Duration  // when it last did,
+	pause   time.Duration  // the longest time between two that did, since calm was called
 	holder  string         // and by whom
 	slots   int            // that act at once
 	taken   uint64         // the highest token that took effect at the half that checks
@@ -88,6 +89,7 @@
 		s.high, s.holder = token, a.Who
 	}
 	if token == s.high {
+		s.pause = max(s.pause, a.At-s.last)
 		s.last = a.At
 	}
 	if !a.Taken {
@@ -109,6 +111,20 @@
 	return s.holder, s.high, s.acts
 }
 
+// calm begins to look for the longest time without an action.
+func (s *Standin) calm() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pause = 0
+}
+
+// paused is what it found.
+func (s *Standin) paused() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pause
+}
+
 // top is the highest token that acted.
 func (s *Standin) top() uint64 {
 	s.mu.Lock()
--- a/internal/lab/tasklab/torture.go
+++ b/internal/lab/tasklab/torture.go
@@ -45,6 +45,7 @@
 	Fence    lease.FencePlant
 	Plant    string // a fault of the program, which must be built with the tag "planted"
 	Old      string // an older build of the program, for the blow of that name
+	Inside   bool   // the program heeds Inside: clocks run apart, and disks fail their syncs
 	Play     []Blow // these blows in place of drawn ones
 	Keep     string // a folder for what is known of a run that broke a promise
 	Say      func(string)
@@ -56,16 +57,19 @@
 	Holders  int            `json:"holders"` // that acted, one after the other
 	Late     int            `json:"late"`    // actions of actors that the bench had stopped, after a higher token
 	Blows    map[string]int `json:"blows"`
+	History  int            `json:"history"` // reads and writes of the store, judged together
+	Held     float64        `json:"held"`    // part of the time in which somebody acted
 	Broken   []string       `json:"broken"`
 	P50Ms    float64        `json:"gap_p50_ms"` // without an action, from one holder to the next
 	P99Ms    float64        `json:"gap_p99_ms"`
 	WorstMs  float64        `json:"gap_worst_ms"`
 	Schedule []Blow         `json:"schedule"`
 	Kept     string         `json:"kept,omitempty"` // folder with what is known of a run that broke a promise
-	After    []After        `json:"after"`          // by kind of blow, of those that end the holding
+	After    []After        `json:"after"`          // by kind of blow
 }
 
-// After is how long nobody but the old holder acted after a blow.
+// After is how long it took after a blow until a next holder acted or, of blows after which the old one may go on, the longest time
+// in which nobody acted.
 type After struct {
 	Blow    string  `json:"blow"`
 	N       int     `json:"n"`
@@ -182,14 +186,16 @@
 
 type run struct {
 	*Torture
-	fleet  *fleetlab.Fleet
-	at     *Standin
-	actors []*actor
-	wg     sync.WaitGroup
-	r      *Tortured
-	rng    *rand.Rand
-	dir    string
-	waits  map[string][]time.Duration
+	fleet   *fleetlab.Fleet
+	at      *Standin
+	history *history
+	begun   time.Time
+	actors  []*actor
+	wg      sync.WaitGroup
+	r       *Tortured
+	rng     *rand.Rand
+	dir     string
+	waits   map[string][]time.Duration
 }
 
 // Run tortures.
@@ -207,17 +213,24 @@
 		return nil, err
 	}
 	defer x.at.Close()
-	if x.fleet, err = fleetlab.Begin(ctx, fleetlab.Config{Program: t.Program, Args: []string{"run", "--config"}, Env: t.Env, Dir: dir, Replicas: t.Replicas,
-		Follow: t.Follow, Seed: t.Seed, Bare: true}); err != nil {
+	c := fleetlab.Config{Program: t.Program, Args: []string{"run", "--config"}, Env: t.Env, Dir: dir, Replicas: t.Replicas,
+		Follow: t.Follow, Seed: t.Seed, Bare: true}
+	if t.Inside { // hosts in turn are 5% fast and slow; from the first start on
+		c.Skew = 0.12
+		c.EnvOf = func(n int) []string { return []string{fmt.Sprintf("%s=%g", PaceEnv, 0.95+0.1*float64(n%2))} }
+	}
+	if x.fleet, err = fleetlab.Begin(ctx, c); err != nil {
 		return nil, err
 	}
 	defer x.fleet.End()
+	x.history = beginHistory(ctx, x.fleet, t.Seed)
 	for _, d := range x.fleet.Daemons {
 		for i := range t.Holders {
 			x.actors = append(x.actors, &actor{who: fmt.Sprintf("%s.%d", d.Name(), i), d: d})
 		}
 	}
 	begun := time.Now()
+	x.begun = begun
 	defer func() {
 		for _, d := range x.fleet.Daemons {
 			d.Signal(syscall.SIGCONT)
@@ -264,6 +277,7 @@
 		}
 		_, held, before := x.at.now()
 		struck := time.Since(x.at.begun)
+		x.at.calm()
 		what, end := f.strike(x)
 		x.r.Blows[f.Name]++
 		blow.AtMs, blow.What = time.Since(begun).Milliseconds(), what
@@ -280,6 +294,8 @@
 		}
 		if f.ends {
 			x.nextAfter(f.Name, held, struck)
+		} else {
+			x.waits[f.Name] = append(x.waits[f.Name], x.at.paused())
 		}
 		if t.Say != nil {
 			holder, token, acts := x.at.now()
@@ -309,7 +325,14 @@
 	}
 	_, _, r.Acts = x.at.now()
 	r.Broken, r.Late = x.at.judge()
-	gaps := x.at.Gaps()
+	more := []string(nil)
+	r.History, more = x.history.judge()
+	r.Broken = append(r.Broken, more...)
+	gaps, without := x.at.Gaps(), time.Duration(0)
+	for _, g := range gaps {
+		without += g
+	}
+	r.Held = 1 - without.Seconds()/time.Since(x.begun).Seconds()
 	r.Holders = len(gaps) + 1
 	r.P50Ms, r.P99Ms, r.WorstMs = spread(gaps)
 	for _, f := range Faults {
@@ -373,7 +396,7 @@
 	for n := 0; ; n++ {
 		who := fmt.Sprintf("%s.%d", a.who, n)
 		cmd := exec.Command(x.Program, "lock", "task", "--socket", a.d.Socket(), "--ttl", x.TTL.String(), "--", x.Program, "actor", x.at.URL, who)
-		cmd.Env = append(os.Environ(), x.Env...)
+		cmd.Env = append(os.Environ(), a.d.Env...)
 		cmd.Stdout, cmd.Stderr = log, log
 		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 		a.mu.Lock()
--- a/internal/lease/table.go
+++ b/internal/lease/table.go
@@ -22,8 +22,8 @@
 // Bounds of what the store keeps.
 const (
 	TasksMost  = 1024
-	PlacesMost = 2048 // of one task
-	ValueMost  = 4096 // bytes of a place's value
+	PlacesMost = 2048             // of one task
+	ValueMost  = 4096             // bytes of a place's value
 	TTLLeast   = store.OwnedLeast // milliseconds of a session
 	TTLMost    = store.OwnedMost
 	SlotsMost  = 256
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"birchmoor/internal/boot"
 	"birchmoor/internal/daemon"
 	"birchmoor/internal/lease"
 	"birchmoor/internal/rollout"
@@ -42,6 +43,7 @@
 	Servers  *daemon.Servers
 	Settings *daemon.Settings
 	Tasks    *tasks.Runner
+	Clock    boot.Clock // of entitlements
 }
 
 type server struct {
--- a/internal/operate/tasks.go
+++ b/internal/operate/tasks.go
@@ -131,7 +131,7 @@
 	defer h.Release()
 	defer h.Busy()()
 	defer func() {
-		t := time.NewTimer(time.Duration(told - tasks.Boottime()))
+		t := time.NewTimer(s.Clock.Span(told - s.Clock.Now()))
 		defer t.Stop()
 		select {
 		case <-ended:
--- a/internal/tasks/hold.go
+++ b/internal/tasks/hold.go
@@ -40,7 +40,7 @@
 	}
 	for n := 0; ; {
 		r.mu.Lock()
-		now, changed := r.cfg.Clock(), r.changed
+		now, changed := r.cfg.Clock.Now(), r.changed
 		if r.closed {
 			r.mu.Unlock()
 			return ErrClosed
@@ -114,7 +114,7 @@
 			if last != nil {
 				say(-1, last)
 			}
-			if err := r.wait(ctx, changed, r.cfg.Clock()+int64(wait)); err != nil {
+			if err := r.wait(ctx, changed, r.cfg.Clock.Now()+int64(wait)); err != nil {
 				return errors.Join(err, last)
 			}
 			wait = min(2*wait, retryMost)
@@ -145,7 +145,7 @@
 	for {
 		r.mu.Lock()
 		changed := r.changed
-		until, err := h.entitled(r.cfg.Clock())
+		until, err := h.entitled(r.cfg.Clock.Now())
 		if err == nil {
 			err = r.table.Yields(h.want.Task, h.key)
 		}
@@ -174,7 +174,7 @@
 func (h *Hold) Until() int64 {
 	h.r.mu.Lock()
 	defer h.r.mu.Unlock()
-	until, err := h.entitled(h.r.cfg.Clock())
+	until, err := h.entitled(h.r.cfg.Clock.Now())
 	if err != nil {
 		return 0
 	}
@@ -189,7 +189,7 @@
 		for h.ctx.Err() == nil {
 			h.r.mu.Lock()
 			changed := h.r.changed
-			until, err := h.entitled(h.r.cfg.Clock())
+			until, err := h.entitled(h.r.cfg.Clock.Now())
 			h.r.mu.Unlock()
 			if err != nil || until != was || h.r.wait(h.ctx, changed, until) != nil {
 				return
@@ -215,7 +215,7 @@
 	}
 	for {
 		r.mu.Lock()
-		now, changed := r.cfg.Clock(), r.changed
+		now, changed := r.cfg.Clock.Now(), r.changed
 		until, err := h.entitled(now)
 		if err == nil && h.ctx.Err() != nil {
 			err = context.Cause(h.ctx)
@@ -258,7 +258,7 @@
 	h.over.Do(func() {
 		r := h.r
 		r.mu.Lock()
-		now := r.cfg.Clock()
+		now := r.cfg.Clock.Now()
 		until, _ := h.entitled(now)
 		h.leaving = true
 		key := h.key
@@ -267,7 +267,7 @@
 			h.cancel(lease.ErrLost)
 			ended := make(chan struct{})
 			go func() { h.actions.Wait(); close(ended) }()
-			t := time.NewTimer(time.Duration(max(0, until-now)))
+			t := time.NewTimer(r.cfg.Clock.Span(max(0, until-now)))
 			select {
 			case <-ended:
 			case <-t.C: // an action that does not heed its context is held off by its token
--- a/internal/tasks/runner.go
+++ b/internal/tasks/runner.go
@@ -15,11 +15,10 @@
 	"sync"
 	"time"
 
+	"birchmoor/internal/boot"
 	"birchmoor/internal/daemon"
 	"birchmoor/internal/lease"
 	"birchmoor/internal/store"
-
-	"golang.org/x/sys/unix"
 )
 
 // Config is what a Runner goes by.
@@ -27,21 +26,11 @@
 	Host  string // of this daemon, which its key says
 	Skew  float64
 	Log   *slog.Logger
-	Clock func() int64 // Boottime, if nil
-	Plant lease.Plant  // for tests
+	Clock boot.Clock
+	Plant lease.Plant // for tests
 	Table lease.TablePlant
 }
 
-// Boottime is the host's clock since its start, in nanoseconds, which goes on while the host sleeps and is the same for all its
-// processes.
-func Boottime() int64 {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		panic(err) // Linux has it since 2.6.39
-	}
-	return t.Nano()
-}
-
 const (
 	sessionsMost = 8 // lengths of sessions at once
 	retryMin     = 20 * time.Millisecond
@@ -83,9 +72,6 @@
 
 // New returns a Runner that holds nothing.
 func New(cfg Config) *Runner {
-	if cfg.Clock == nil {
-		cfg.Clock = Boottime
-	}
 	if cfg.Skew == 0 {
 		cfg.Skew = lease.DefaultSkew
 	}
@@ -111,7 +97,7 @@
 	if e.Deleted {
 		delete(r.came, e.Item.Key)
 	} else if _, seen := r.came[e.Item.Key]; !seen || e.Item.Version > 1 {
-		r.came[e.Item.Key] = r.cfg.Clock()
+		r.came[e.Item.Key] = r.cfg.Clock.Now()
 	}
 	r.went()
 }
@@ -187,7 +173,7 @@
 	var idle int64 // since when
 	for {
 		r.mu.Lock()
-		now := r.cfg.Clock()
+		now := r.cfg.Clock.Now()
 		if s.users > 0 {
 			idle = 0
 		} else if idle == 0 {
@@ -206,7 +192,7 @@
 		id := s.core.ID()
 		r.mu.Unlock()
 		if ask == lease.AskNothing {
-			t := time.NewTimer(time.Duration(due - now))
+			t := time.NewTimer(r.cfg.Clock.Span(due - now))
 			select {
 			case <-t.C:
 			case <-s.wake:
@@ -231,7 +217,7 @@
 		}
 		r.mu.Lock()
 		before := s.core.Number()
-		s.core.Answered(r.cfg.Clock(), o, res.Lease)
+		s.core.Answered(r.cfg.Clock.Now(), o, res.Lease)
 		r.went()
 		var orphans []string
 		if o == lease.Done && s.core.Number() == before {
@@ -336,7 +322,7 @@
 func (r *Runner) wait(ctx context.Context, changed chan struct{}, until int64) error {
 	var at <-chan time.Time
 	if until != 0 {
-		t := time.NewTimer(time.Duration(until - r.cfg.Clock()))
+		t := time.NewTimer(r.cfg.Clock.Span(until - r.cfg.Clock.Now()))
 		defer t.Stop()
 		at = t.C
 	}
--- a/internal/tasks/show.go
+++ b/internal/tasks/show.go
@@ -54,7 +54,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.cfg.Clock()
+	now := r.cfg.Clock.Now()
 	age := func(key string) int64 {
 		if at, ok := r.came[key]; ok {
 			return (now - at) / 1e6
--- a/internal/tasks/task.go
+++ b/internal/tasks/task.go
@@ -84,7 +84,7 @@
 		r.cfg.Log.Info("this daemon holds a task no more", "task", t.Task, "token", h.Token(), "why", err)
 		if errors.Is(err, lease.ErrHeldOff) {
 			r.mu.Lock()
-			l.off = r.cfg.Clock() + int64(t.HoldDown)
+			l.off = r.cfg.Clock.Now() + int64(t.HoldDown)
 			l.err = err
 			r.mu.Unlock()
 			if pause(ctx, t.HoldDown) != nil {
@@ -124,7 +124,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l.hold, l.done, l.err, l.before = h, 0, nil, -1
-	l.last = r.cfg.Clock()
+	l.last = r.cfg.Clock.Now()
 }
 
 // work acts for as long as it holds the task, and says why it ended.
@@ -132,7 +132,7 @@
 	var reported int64
 	for {
 		err := h.Do(ctx, l.task.Most, func(in context.Context, _ uint64) error { return l.task.Do(in, h) })
-		now := r.cfg.Clock()
+		now := r.cfg.Clock.Now()
 		r.mu.Lock()
 		if l.err = err; err == nil {
 			l.done++
