--- a/cmd/birchmoor/tasksim.go
+++ b/cmd/birchmoor/tasksim.go
@@ -20,7 +20,7 @@
 	Faults   int    `help:"Faults of the store's that are caused in a run, beside those of holders." default:"24"`
 	Gap      int    `help:"Milliseconds of virtual time between two of them." default:"300"`
 	TTL      int    `help:"Milliseconds of holders' sessions." default:"400"`
-	Calm     bool   `help:"No faults, to count the entries of the log."`
+	Calm     bool   `help:"No faults: for two gaps, in the second of which the entries and bytes of the log are counted."`
 	JSON     bool   `help:"A line of JSON for each run."`
 }
 
@@ -32,7 +32,8 @@
 Examples:
   birchmoor task sim --seeds 2000
   birchmoor task sim --plant all --seeds 300
-  birchmoor task sim --seed 17 --seeds 1 --json`
+  birchmoor task sim --seed 17 --seeds 1 --json
+  birchmoor task sim --calm --holders 300 --ttl 5000 --gap 20000 --seeds 1`
 }
 
 func (k *taskSim) Run(ctx context.Context, c *console) error {
@@ -104,7 +105,7 @@
 		r := <-t
 		n++
 		sum.Acts, sum.Late, sum.Crashes, sum.Elected, sum.Entries = sum.Acts+r.Acts, sum.Late+r.Late, sum.Crashes+r.Crashes, sum.Elected+r.Elected, sum.Entries+r.Entries
-		sum.Micros += r.Micros
+		sum.Micros, sum.EntriesPerS, sum.BytesPerS = sum.Micros+r.Micros, sum.EntriesPerS+r.EntriesPerS, sum.BytesPerS+r.BytesPerS
 		if k.JSON {
 			if err := enc.Encode(r); err != nil {
 				return err
@@ -125,6 +126,10 @@
 	}
 	fmt.Fprintf(c.err, "%d seeds, %d broken: %d acts, %d late by processes that had been stopped; %d crashes of replicas, %d leaders, %d entries in %.0f s of virtual time\n", n, broken, sum.Acts,
 		sum.Late, sum.Crashes, sum.Elected, sum.Entries, float64(sum.Micros)/1e6)
+	if k.Calm && n > 0 {
+		fmt.Fprintf(c.err, "the log took %.1f entries and %.0f bytes a second; by the formula holders take %.1f entries\n", sum.EntriesPerS/float64(n),
+			sum.BytesPerS/float64(n), 3000*float64(k.Holders)/float64(k.TTL))
+	}
 	if broken > 0 {
 		return errMissed
 	}
--- a/internal/lab/storesim/storesim.go
+++ b/internal/lab/storesim/storesim.go
@@ -81,8 +81,11 @@
 	Late     int      `json:"late"`   // of those, after a higher token, by processes that had been stopped
 	Entries  uint64   `json:"entries"`
 	Micros   int64    `json:"virtual_us"`
-	Events   int      `json:"events"`
-	Trace    uint64   `json:"trace"` // of all that was applied and answered: equal runs have equal ones
+
+	EntriesPerS float64 `json:"entries_per_s,omitempty"` // of a run without faults, once all have settled
+	BytesPerS   float64 `json:"bytes_per_s,omitempty"`
+	Events      int     `json:"events"`
+	Trace       uint64  `json:"trace"` // of all that was applied and answered: equal runs have equal ones
 }
 
 const (
@@ -102,6 +105,7 @@
 	hosts   []*host
 	log     map[uint64]uint64 // entries applied anywhere, by index
 	top     uint64
+	bytes   int            // of all entries
 	leader  map[uint64]int // of a term
 	states  map[uint64]uint64
 	links   map[[2]int]*link
@@ -181,6 +185,9 @@
 	if was, ok := w.log[e.GetIndex()]; ok && was != sum {
 		w.broken("order", "host %d applies another entry %d than was applied before", h.number, e.GetIndex())
 	}
+	if _, before := w.log[e.GetIndex()]; !before {
+		w.bytes += len(e.Data)
+	}
 	w.log[e.GetIndex()] = sum
 	h.level(e)
 	w.top = max(w.top, e.GetIndex())
@@ -194,7 +201,7 @@
 	begin := int64(w.o.Replicas) * 600 * milli
 	w.beginServers(begin)
 	first := w.addHost()
-	if err := replica.Found(first.disk, 7, "r0", "r0", store.Limits{Key: 64, Value: 256, Total: 1 << 20, Ops: 16, Events: 200,
+	if err := replica.Found(first.disk, 7, "r0", "r0", store.Limits{Key: 64, Value: 256, Total: 1 << 20, Ops: 16, Events: max(200, 4*w.o.Holders),
 		History: 1 << 16, Leases: 64 + 2*w.o.Holders, Results: 20000, Members: 7}); err != nil {
 		panic(err)
 	}
@@ -226,6 +233,9 @@
 	for i := range w.o.Faults {
 		w.q.After(begin+int64(i+1)*w.gap()+w.rng.Int64N(200*milli), w.cause)
 	}
+	if w.o.Calm {
+		w.measure(begin)
+	}
 	w.q.After(begin+int64(w.o.Faults+2)*w.gap(), w.heal)
 	w.run()
 }
@@ -243,6 +253,17 @@
 	w.judge()
 }
 
+// measure counts what the log takes in the second half of a run without faults, when all have settled.
+func (w *world) measure(begin int64) {
+	var top uint64
+	var bytes int
+	w.q.After(begin+w.gap(), func() { top, bytes = w.top, w.bytes })
+	w.q.After(begin+2*w.gap()-1, func() {
+		seconds := float64(w.gap()) / float64(second)
+		w.r.EntriesPerS, w.r.BytesPerS = float64(w.top-top)/seconds, float64(w.bytes-bytes)/seconds
+	})
+}
+
 // gap is the time between two faults.
 func (w *world) gap() int64 { return int64(w.o.Gap) * milli }
 
