--- /dev/null
+++ b/cmd/birchmoor/limit.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"birchmoor/internal/limit"
+	"birchmoor/internal/limits"
+	"birchmoor/internal/operate"
+	"birchmoor/internal/store/admin"
+)
+
+type limitCommands struct {
+	List    limitList    `cmd:"" help:"All limits of the fleet: how much, how much of it is out, wanted, refused, and how far over it may be."`
+	Show    limitShow    `cmd:"" help:"One limit with its parts."`
+	Explain limitExplain `cmd:"" help:"Who holds what of a limit or a part of it, and why it counts."`
+	Put     limitPut     `cmd:"" help:"Put limits in force from a file, for all daemons, in the place of those that are."`
+	Check   limitCheck   `cmd:"" help:"Say what is wrong with a file of limits."`
+	Sim     limitSim     `cmd:"" help:"Play fleets that share limits in virtual time, under faults."`
+	Torture limitTorture `cmd:"" help:"Share limits among processes, cut, stop and kill them, and count at the servers."`
+}
+
+// limits asks for limits and prints them.
+func (s *socketFlag) limits(ctx context.Context, c *console, name string, table func(*tabwriter.Writer, *limits.State)) error {
+	return s.call(ctx, c, func(ctx context.Context, a *operate.Client) error {
+		st, err := a.Limits(ctx, name)
+		var told *admin.Error
+		if errors.As(err, &told) && told.Status == 404 {
+			return &exitError{exitMissed, err}
+		}
+		if err != nil {
+			return err
+		}
+		return s.print(c, st, func(w *tabwriter.Writer) {
+			if st.Fault != "" {
+				fmt.Fprintf(w, "NOT IN FORCE HERE: %s\n", st.Fault)
+			}
+			table(w, &st)
+		})
+	})
+}
+
+type limitList struct{ socketFlag }
+
+func (k *limitList) Run(ctx context.Context, c *console) error {
+	return k.limits(ctx, c, "", func(w *tabwriter.Writer, st *limits.State) {
+		fmt.Fprintln(w, "LIMIT\tMOST\tOUT\tWANTED\tLET THROUGH\tREFUSED\tSIDECARS\tWITHOUT THE STORE\tOVER AT MOST")
+		for _, l := range st.Limits {
+			v := sum(l)
+			fmt.Fprintf(w, "%s\t%s %s\t%s\t%s\t%d\t%d\t%d\t%s\t%s\n", l.Name, limit.Text(v.Most), l.Unit(), limit.Text(v.Counts), limit.Text(v.Want), v.Taken, v.Refused, len(v.Of), l.Without, l.Over)
+		}
+		if st.Divider == "" {
+			fmt.Fprintln(w, "nobody divides: shares stay as they are")
+		}
+	})
+}
+
+// sum is the whole of a limit, with what is wanted of its parts.
+func sum(l *limits.LimitState) limit.View {
+	v := l.Parts[0]
+	for _, p := range l.Parts[1:] {
+		v.Want, v.Taken, v.Refused = v.Want+p.Want, v.Taken+p.Taken, v.Refused+p.Refused
+	}
+	return v
+}
+
+type limitShow struct {
+	socketFlag
+	Name string `arg:"" help:"Limit."`
+}
+
+func (k *limitShow) Run(ctx context.Context, c *console) error {
+	return k.limits(ctx, c, k.Name, func(w *tabwriter.Writer, st *limits.State) {
+		l := st.Limits[0]
+		fmt.Fprintf(w, "%s: %s %s, of %s; over at most: %s\n", l.Name, limit.Text(l.Nodes[0].Most), l.Unit(), scope(l.Limit), l.Over)
+		fmt.Fprintf(w, "divided by: %s; a share ends %d ms after its sidecar falls silent\n", orNobody(st.Divider), st.TTLMs)
+		fmt.Fprintln(w, "PART\tMOST\tLEAST\tWEIGHT\tOUT\tOWN SHARES\tWANTED\tLET THROUGH\tREFUSED\tSIDECARS")
+		for i, v := range l.Parts {
+			n := l.Nodes[i]
+			fmt.Fprintf(w, "%s\t%s\t%s\t%g\t%s\t%s\t%s\t%d\t%d\t%d\n", partName(v.Path), limit.Text(v.Most), limit.Text(n.Least), n.Weight, limit.Text(v.Counts), limit.Text(v.Given), limit.Text(v.Want), v.Taken, v.Refused, len(v.Of))
+		}
+	})
+}
+
+func partName(path string) string {
+	if path == "" {
+		return "(the whole)"
+	}
+	return path
+}
+
+func orNobody(s string) string {
+	if s == "" {
+		return "nobody"
+	}
+	return s
+}
+
+func scope(l *limit.Limit) string {
+	var all []string
+	if len(l.Classes) > 0 {
+		all = append(all, "classes "+strings.Join(l.Classes, ", "))
+	}
+	if len(l.Paths) > 0 {
+		all = append(all, "paths "+strings.Join(l.Paths, ", "))
+	}
+	if len(all) == 0 {
+		return "all requests"
+	}
+	return strings.Join(all, "; ")
+}
+
+type limitExplain struct {
+	socketFlag
+	Name string `arg:"" help:"Limit, or LIMIT/PART."`
+}
+
+func (k *limitExplain) Run(ctx context.Context, c *console) error {
+	name, path, _ := strings.Cut(k.Name, "/")
+	var missed error
+	err := k.limits(ctx, c, name, func(w *tabwriter.Writer, st *limits.State) {
+		l := st.Limits[0]
+		for _, v := range l.Parts {
+			if v.Path != path {
+				continue
+			}
+			fmt.Fprintf(w, "%s of %s: %s of %s %s are out with this part and what is under it\n", partName(path), name, limit.Text(v.Counts), limit.Text(v.Most), l.Unit())
+			fmt.Fprintln(w, "SIDECAR\tSESSION\tSHARE\tCOUNTS FOR\tIN USE\tWANTS\tLET THROUGH\tREFUSED\tHEARD\tWHY IT COUNTS")
+			for _, h := range v.Of {
+				fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%s\t%d\t%d\t%v ago\t%s\n", h.Host, h.Session, limit.Text(h.Amount), limit.Text(h.Counts), limit.Text(h.Floor), limit.Text(h.Want), h.Taken, h.Refused,
+					(time.Duration(h.AgeMs) * time.Millisecond).Round(100*time.Millisecond), why(&h))
+			}
+			return
+		}
+		missed = &exitError{exitMissed, fmt.Errorf("%s has no part %q", name, path)}
+	})
+	return errors.Join(err, missed)
+}
+
+func why(h *limit.Holding) string {
+	switch {
+	case h.Gone:
+		return "its sidecar is gone: what that may have begun is waited out"
+	case !h.Seen && h.Was > h.Amount:
+		return "it has not said yet that it goes by the smaller share"
+	case h.Floor > h.Amount:
+		return "so much is in use"
+	}
+	return "it may be spent"
+}
+
+type limitPut struct {
+	socketFlag
+	File string `arg:"" type:"existingfile" help:"File of limits."`
+}
+
+func (k *limitPut) Help() string {
+	return `The file says all limits that there are to be; one that it does not name is no limit any more. What the store holds is replaced at once for all
+daemons: a limit made smaller may be passed by what was out under the old one until every sidecar has seen the new, or its session is over.
+
+Example:
+  birchmoor limit check limits.toml && birchmoor limit put limits.toml`
+}
+
+func (k *limitPut) Run(ctx context.Context, c *console) error {
+	conf, err := readLimits(k.File)
+	if err != nil {
+		return err
+	}
+	return k.call(ctx, c, func(ctx context.Context, a *operate.Client) error {
+		now, err := a.PutLimits(ctx, conf)
+		if err != nil {
+			return err
+		}
+		return k.print(c, now, func(w *tabwriter.Writer) {
+			fmt.Fprintf(w, "version %d of limits is in force: %d\n", now.Version, len(now.Limits))
+		})
+	})
+}
+
+func readLimits(path string) (*limit.Conf, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return limit.Read(path, text)
+}
+
+type limitCheck struct {
+	File string `arg:"" type:"existingfile" help:"File of limits."`
+	JSON bool   `help:"Print them as JSON."`
+}
+
+func (k *limitCheck) Run(c *console) error {
+	conf, err := readLimits(k.File)
+	if err != nil {
+		return err
+	}
+	if k.JSON {
+		return json.NewEncoder(c.out).Encode(conf)
+	}
+	fmt.Fprintf(c.out, "%s: no faults, %d limits\n", k.File, len(conf.Limits))
+	return nil
+}
--- /dev/null
+++ b/cmd/birchmoor/limit_test.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"birchmoor/internal/lab/limitlab"
+	"birchmoor/internal/lab/tasklab"
+	"birchmoor/internal/limit"
+)
+
+// shareLimits shares limits among processes of this binary under so many kinds of blows.
+func shareLimits(t *testing.T, blows int, change func(*limitlab.Torture)) *limitlab.Tortured {
+	t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := &limitlab.Torture{Program: self, Env: []string{asProgram + "=1"}, Dir: t.TempDir(), Replicas: 3, Follow: 5, Blows: blows, Every: time.Millisecond, Seed: 1,
+		Say: func(s string) { t.Log(s) }}
+	if change != nil {
+		change(x)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Minute)
+	defer cancel()
+	r, err := x.Run(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// Eight sidecars over servers that count, each asked for more than there is, and every kind of blow once: no limit is passed, in the whole
+// nor in a part, requests go on after each blow, and every refusal says when to come back.
+func TestLimitsHoldAmongProcesses(t *testing.T) {
+	t.Parallel()
+	r := shareLimits(t, len(limitlab.Faults), nil)
+	if len(r.Broken) > 0 {
+		t.Errorf("%q", r.Broken)
+	}
+	if r.Requests == 0 || r.Refused == 0 || r.NoTime > 0 {
+		t.Errorf("%d let through, %d refused, %d of them without a time", r.Requests, r.Refused, r.NoTime)
+	}
+	for _, s := range r.Seen {
+		t.Logf("%s/%s: %d seen, %.0f of %.1f", s.Limit, s.Part, s.Count, s.Most, s.Bound)
+		if s.Count == 0 {
+			t.Errorf("nothing of %s/%s was let through", s.Limit, s.Part)
+		}
+	}
+}
+
+// Shares that are used after their session's end are seen by the servers.
+func TestServersSeeLimitsPassed(t *testing.T) {
+	t.Parallel()
+	r := shareLimits(t, 0, func(x *limitlab.Torture) {
+		x.Env = append(x.Env, fmt.Sprintf("%s=%d", tasklab.LimitEnv, limit.UseAfterEnd))
+		x.Until = true
+		for n := range uint64(6) {
+			x.Play = append(x.Play, limitlab.Blow{Fault: []string{"cut-off", "split"}[n%2], Draw: n})
+		}
+	})
+	if len(r.Broken) == 0 {
+		t.Errorf("not found: %+v", r.Seen)
+	}
+}
+
+// Limits come from a file, and show; one that is wrong changes nothing and names its line.
+func TestLimitCommands(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	a := newDaemon(t, dir, "a", false, "[limits]\nlease = \"1s\"\n")
+	a.start(t)
+	good, bad := filepath.Join(dir, "good.toml"), filepath.Join(dir, "bad.toml")
+	for path, text := range map[string]string{good: limitlab.Limits, bad: "[limit.x]\nrate = 1.0\nburts = \"1s\"\n"} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if code, _, errs := birchmoor("limit", "put", bad, "--socket", a.socket); code != exitInput || !strings.Contains(errs, "bad.toml:3: limit.x.burts") {
+		t.Errorf("exit code %d: %s", code, errs)
+	}
+	if code, _, errs := birchmoor("limit", "put", good, "--socket", a.socket); code != 0 {
+		t.Fatal(errs)
+	}
+	for _, x := range []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"limit", "list"}, 0, "160 requests a second"},
+		{[]string{"limit", "show", "orders"}, 0, "(the whole)"},
+		{[]string{"limit", "explain", "orders/a"}, 0, "SIDECAR"},
+		{[]string{"limit", "show", "none"}, exitMissed, "no such limit"},
+		{[]string{"limit", "explain", "orders/none"}, exitMissed, "no part"},
+	} {
+		code, out, errs := birchmoor(append(x.args, "--socket", a.socket)...)
+		if code != x.code || !strings.Contains(out+errs, x.want) {
+			t.Errorf("%v: exit code %d: %s%s", x.args, code, out, errs)
+		}
+	}
+	if code, out, _ := birchmoor("limit", "check", good); code != 0 || !strings.Contains(out, "4 limits") {
+		t.Error(out)
+	}
+}
--- /dev/null
+++ b/cmd/birchmoor/limitlab.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"runtime"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"birchmoor/internal/lab/limitlab"
+	"birchmoor/internal/lab/limitsim"
+	"birchmoor/internal/lab/tasklab"
+)
+
+type limitSim struct {
+	Seeds    int     `help:"So many." default:"100"`
+	Seed     uint64  `help:"The first." default:"0"`
+	Sidecars int     `help:"Of the fleet." default:"8"`
+	Faults   int     `help:"That are caused in a run." default:"48"`
+	Load     float64 `help:"What is asked, by what limits let through; 0: 1 or 2 by the seed."`
+	Calm     bool    `help:"No faults, to count what limits cost the store."`
+	Even     bool    `help:"All sidecars ask the same, and it does not move."`
+	Plant    string  `help:"Put a fault in, and count the seeds until it is found; list names them, all tries each." placeholder:"NAME"`
+	JSON     bool    `help:"A line of JSON for each run."`
+}
+
+func (k *limitSim) Help() string {
+	return `Sidecars share a rate with parts, a window, so many at once, and limits that are fair or open without the store, in virtual time: each with a
+clock of its own, stopped, killed, cut one way, with answers that come late or never, while demand moves and comes in bursts. What servers
+see is judged in true time at each request. Exit code 1 if a limit was passed or of no use afterwards; with --plant, if the fault was not found.
+
+Examples:
+  birchmoor limit sim --seeds 500
+  birchmoor limit sim --plant all
+  birchmoor limit sim --sidecars 300 --calm --seeds 2`
+}
+
+func (k *limitSim) Run(ctx context.Context, c *console) error {
+	o := limitsim.Options{Sidecars: k.Sidecars, Faults: k.Faults, Load: k.Load, Calm: k.Calm, Even: k.Even}
+	if k.Sidecars < 1 || k.Sidecars > 5000 {
+		return fmt.Errorf("--sidecars: %d is not within 1 and 5000", k.Sidecars)
+	}
+	if k.Plant == "" {
+		return k.play(ctx, c, o)
+	}
+	missed, known := false, k.Plant == "all" || k.Plant == "list"
+	for _, f := range limitsim.Faults {
+		if k.Plant == "list" {
+			fmt.Fprintf(c.out, "%-22s %s\n", f.Name, f.About)
+		}
+		if k.Plant != "all" && k.Plant != f.Name {
+			continue
+		}
+		known = true
+		o.Plant = f.Plant
+		found := ""
+		for i := range uint64(k.Seeds) {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			if r := limitsim.Run(k.Seed+i, o); len(r.Broken) > 0 {
+				found = fmt.Sprintf("found by seed %d, after %d: %s", r.Seed, i+1, r.Broken[0])
+				break
+			}
+		}
+		if found == "" {
+			found, missed = fmt.Sprintf("not found in %d seeds", k.Seeds), true
+		}
+		fmt.Fprintf(c.out, "%s: %s\n", f.Name, found)
+	}
+	switch {
+	case !known:
+		return fmt.Errorf("--plant %q is not a fault: list names them", k.Plant)
+	case missed:
+		return errMissed
+	}
+	return nil
+}
+
+// play runs seeds side by side, and tells them in order.
+func (k *limitSim) play(ctx context.Context, c *console, o limitsim.Options) error {
+	results := make([]chan limitsim.Result, k.Seeds)
+	room := make(chan struct{}, runtime.NumCPU())
+	var working sync.WaitGroup
+	defer working.Wait()
+	for i := range results {
+		results[i] = make(chan limitsim.Result, 1)
+	}
+	stop, cancel := context.WithCancel(ctx)
+	defer cancel()
+	working.Go(func() {
+		for i := range results {
+			select {
+			case room <- struct{}{}:
+			case <-stop.Done():
+				return
+			}
+			working.Go(func() {
+				results[i] <- limitsim.Run(k.Seed+uint64(i), o)
+				<-room
+			})
+		}
+	})
+	broken, enc := 0, json.NewEncoder(c.out)
+	var asked, let, stops, kills, cuts, dividers int
+	var near, use, entries, bytes float64
+	for _, one := range results {
+		var r limitsim.Result
+		select {
+		case r = <-one:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if k.JSON {
+			if err := enc.Encode(r); err != nil {
+				return err
+			}
+		}
+		asked, let, stops, kills, cuts, dividers = asked+r.Asked, let+r.Let, stops+r.Stops, kills+r.Kills, cuts+r.Cuts, dividers+r.Dividers
+		near, use, entries, bytes = max(near, r.Near), use+r.Use, entries+r.EntriesS, bytes+r.BytesS
+		if len(r.Broken) > 0 {
+			broken++
+			fmt.Fprintf(c.err, "seed %d: %q\n", r.Seed, r.Broken)
+		}
+	}
+	n := float64(max(1, k.Seeds))
+	fmt.Fprintf(c.err, "%d seeds, %d broken: %d asked, %d let through; %d stops, %d kills, %d cuts, %d dividers; servers saw %.2f of a strict limit at most; once calm %.2f of the rate was used, and the log took %.0f entries and %.0f bytes a second\n",
+		k.Seeds, broken, asked, let, stops, kills, cuts, dividers, near, use/n, entries/n, bytes/n)
+	if broken > 0 {
+		return errMissed
+	}
+	return nil
+}
+
+type limitTorture struct {
+	Dir      string        `help:"Folder for what it writes." default:"." type:"existingdir"`
+	For      time.Duration `help:"Long." default:"1m"`
+	Every    time.Duration `help:"A blow, on average." default:"1s"`
+	Replicas int           `help:"Daemons with a replica." default:"3"`
+	Follow   int           `help:"Daemons without one." default:"5"`
+	Seed     uint64        `help:"Of what is done to whom." default:"1"`
+	Plant    int           `help:"A fault of shares, by its number in package limit; for programs built with -tags planted." placeholder:"N"`
+	Play     string        `help:"Play this schedule in place of one drawn from the seed." type:"existingfile" placeholder:"FILE"`
+	JSON     bool          `help:"As JSON."`
+}
+
+func (k *limitTorture) Help() string {
+	return `Sidecars as processes are asked for more than four limits let through, while they are killed, stopped, cut and slowed; servers count what
+comes, by limit and part, and hold it against the formula of docs/limits.md. Exit code 1 if a bound was passed.
+
+Example:
+  birchmoor limit torture --for 10m --seed 7 --json`
+}
+
+func (k *limitTorture) Run(ctx context.Context, c *console) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	if k.Plant != 0 && !isPlanted {
+		return errors.New("--plant: this program was not built with -tags planted")
+	}
+	t := limitlab.Torture{Program: self, Dir: k.Dir, Replicas: k.Replicas, Follow: k.Follow, For: k.For, Every: k.Every, Seed: k.Seed,
+		Say: func(s string) { fmt.Fprintln(c.err, s) }}
+	if k.Plant != 0 {
+		t.Env = []string{fmt.Sprintf("%s=%d", tasklab.LimitEnv, k.Plant)}
+	}
+	if k.Play != "" {
+		b, err := os.ReadFile(k.Play)
+		if err == nil {
+			err = json.Unmarshal(b, &t.Play)
+		}
+		if err != nil {
+			return fmt.Errorf("%s: %w", k.Play, err)
+		}
+	}
+	r, err := t.Run(ctx)
+	if r != nil && k.JSON {
+		if bad := json.NewEncoder(c.out).Encode(r); bad != nil {
+			return bad
+		}
+	} else if r != nil {
+		w := tabwriter.NewWriter(c.out, 0, 4, 2, ' ', 0)
+		fmt.Fprintln(w, "LIMIT\tPART\tSEEN\tMOST IN WINDOW\tBOUND\tNEAR")
+		for _, s := range r.Seen {
+			fmt.Fprintf(w, "%s\t%s\t%d\t%.0f\t%.1f\t%.2f\n", s.Limit, partName(s.Part), s.Count, s.Most, s.Bound, s.Near)
+		}
+		if bad := w.Flush(); bad != nil {
+			return bad
+		}
+		fmt.Fprintf(c.out, "%d requests, %d refused (%d without a time), blows %v; %.2f of the rate used once calm; broken: %q\n", r.Requests, r.Refused, r.NoTime, r.Blows, r.Use, r.Broken)
+	}
+	if err == nil && len(r.Broken) > 0 {
+		return errMissed
+	}
+	return err
+}
--- a/cmd/birchmoor/main.go
+++ b/cmd/birchmoor/main.go
@@ -28,6 +28,7 @@
 	Check   checkCommand   `cmd:"" help:"Name every fault of an operator file."`
 	Store   storeCommands  `cmd:"" help:"Ask a running daemon's store, and tell it."`
 	Task    taskCommands   `cmd:"" help:"Tasks that one daemon, or so many, do for the whole fleet."`
+	Limit   limitCommands  `cmd:"" help:"Limits that hold for the whole fleet."`
 	Lock    lockCommand    `cmd:"" help:"Run a command that the fleet runs once at a time."`
 	Keeper  keeperCommand  `cmd:"" hidden:""`
 	Actor   actorCommand   `cmd:"" hidden:""`
--- a/cmd/birchmoor/run.go
+++ b/cmd/birchmoor/run.go
@@ -20,6 +20,7 @@
 	"birchmoor/internal/daemon"
 	"birchmoor/internal/keys"
 	"birchmoor/internal/lab/tasklab"
+	"birchmoor/internal/limits"
 	"birchmoor/internal/operate"
 	"birchmoor/internal/operator"
 	"birchmoor/internal/store"
@@ -58,7 +59,7 @@
 	if f.Store == nil {
 		return serve(ctx, f, &extras{reload: hup}, log)
 	}
-	x, end, err := openStore(f.Store, runs, hup, log)
+	x, end, err := openStore(f, runs, hup, log)
 	if err != nil {
 		return err
 	}
@@ -74,10 +75,10 @@
 var inside tasklab.Inside
 
 // openStore starts a replica, what joins it to a sidecar, and its socket. end stops them.
-func openStore(s *operator.Store, runs bool, hup chan os.Signal, log *slog.Logger) (x *extras, end func(), err error) {
-	limits := store.DefaultLimits
-	limits.Total = s.TotalMB << 20
-	cfg := engine.Config{Name: s.Name, Dir: s.Dir, Address: s.Address, Join: s.Join, Limits: limits, Tick: time.Duration(s.Tick),
+func openStore(f *operator.File, runs bool, hup chan os.Signal, log *slog.Logger) (x *extras, end func(), err error) {
+	s, bounds := f.Store, store.DefaultLimits
+	bounds.Total = s.TotalMB << 20
+	cfg := engine.Config{Name: s.Name, Dir: s.Dir, Address: s.Address, Join: s.Join, Limits: bounds, Tick: time.Duration(s.Tick),
 		Elect: s.Elect, Log: log}
 	for _, text := range s.Via {
 		if cfg.Via == nil {
@@ -109,7 +110,14 @@
 	}
 	settings, runner := daemon.NewSettings(s.Name, check, log), tasks.New(tasks.Config{Host: s.Name, Skew: s.Skew, Log: log, Clock: clock, Table: plantedTable(), Plant: plantedSession()})
 	servers := daemon.NewServers(s.Name, log)
-	d := daemon.New(log, append(servers.Parts(), settings, runner)...)
+	parts := append(servers.Parts(), settings, runner)
+	var shared *limits.Limits
+	if l := f.Limits; l != nil {
+		shared = limits.New(limits.Config{Host: s.Name, TTL: time.Duration(l.Lease), Tell: time.Duration(l.Tell), Each: time.Duration(l.Each), Skew: s.Skew, Clock: clock, Log: log,
+			Plant: inside.Limit}, runner)
+		parts = append(parts, shared)
+	}
+	d := daemon.New(log, parts...)
 	d.SweepByOne()
 	if err := servers.Journal(s.Dir); err != nil {
 		return nil, nil, err
@@ -126,8 +134,8 @@
 	if err := os.MkdirAll(filepath.Dir(s.Socket), 0o700); err != nil {
 		return nil, nil, errors.Join(err, e.Close())
 	}
-	parts := operate.Parts{Servers: servers, Settings: settings, Tasks: runner, Clock: clock}
-	a, err := operate.Listen(s.Socket, plantedStore(e), parts)
+	answers := operate.Parts{Servers: servers, Settings: settings, Tasks: runner, Limits: shared, Clock: clock}
+	a, err := operate.Listen(s.Socket, plantedStore(e), answers)
 	if err != nil {
 		return nil, nil, errors.Join(err, e.Close())
 	}
@@ -137,7 +145,7 @@
 		if err != nil {
 			return nil, nil, errors.Join(fmt.Errorf("store: %w", err), a.Close(), e.Close())
 		}
-		o, err := admin.ServeFollowers(ln, e.(*engine.Engine), parts.Followers(), cfg.Keys)
+		o, err := admin.ServeFollowers(ln, e.(*engine.Engine), answers.Followers(), cfg.Keys)
 		if err != nil {
 			return nil, nil, errors.Join(err, ln.Close(), a.Close(), e.Close())
 		}
@@ -161,8 +169,14 @@
 		}
 	})
 	working.Go(func() { _ = runner.Take(ctx, drive(settings, time.Duration(s.Lease))) })
+	if shared != nil && len(s.Follow) == 0 {
+		working.Go(func() { _ = runner.Take(ctx, shared.Divide()) })
+	}
 	log.Info("the store runs", "replica", s.Name, "listen", s.Listen, "serve", s.Serve, "follows", s.Follow, "socket", s.Socket)
 	x = &extras{reload: settings.Reload(), shared: servers, fleet: servers, settings: settings.Current, figure: settings.Figure}
+	if shared != nil {
+		x.limits = shared
+	}
 	return x, func() {
 		runner.Close() // while the store still takes what is given up
 		cancel()
--- a/cmd/birchmoor/sidecar.go
+++ b/cmd/birchmoor/sidecar.go
@@ -60,6 +60,7 @@
 	shared   maintenance.Shared
 	fleet    sidecar.Fleet
 	settings func() json.RawMessage // in the place of the file's, unless nil
+	limits   core.Limiter           // of the fleet, unless nil
 	figure   func(daemon.Figures)   // is given what tells how clients were answered, unless nil
 }
 
@@ -80,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	h.Shared, h.Fleet, h.Read = x.shared, x.fleet, x.read
+	h.Shared, h.Fleet, h.Limits, h.Read = x.shared, x.fleet, x.limits, x.read
 	if x.figure != nil && h.Mgmt != nil {
 		at := h.Mgmt.Addr().String()
 		x.figure(func() (uint64, uint64, error) { return answered(at) })
--- a/cmd/birchmoor/store_test.go
+++ b/cmd/birchmoor/store_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -21,17 +20,12 @@
 	stop                  func()
 }
 
-func newDaemon(t *testing.T, dir, name string, join bool) *replicaUnderTest {
+func newDaemon(t *testing.T, dir, name string, join bool, more ...string) *replicaUnderTest {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	d := &replicaUnderTest{file: filepath.Join(dir, name+".toml"), socket: filepath.Join(dir, name+".sock"), address: ln.Addr().String()}
-	ln.Close()
+	d := &replicaUnderTest{file: filepath.Join(dir, name+".toml"), socket: filepath.Join(dir, name+".sock"), address: proctest.Address(t)}
 	text := fmt.Sprintf("[store]\nname = %q\ndir = %q\nsocket = %q\nlisten = %q\nplain = true\njoin = %v\ntick = \"10ms\"\n",
 		name, filepath.Join(dir, name), d.socket, d.address, join)
-	if err := os.WriteFile(d.file, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(d.file, []byte(text+strings.Join(more, "")), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
--- a/cmd/birchmoor/task_test.go
+++ b/cmd/birchmoor/task_test.go
@@ -36,6 +36,7 @@
 // Three replicas and a follower, a lock at each, and every kind of blow once: the stand-in that checks tokens sees them in order, the one
 // that checks nothing sees two act at once only where what acted was stopped itself; after each blow somebody acts.
 func TestTwoHoldersNeverActAtOnce(t *testing.T) {
+	t.Parallel()
 	r := torture(t, len(tasklab.Faults), nil)
 	if len(r.Broken) > 0 {
 		t.Errorf("%q", r.Broken)
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -41,6 +41,7 @@
 	Verdict    Verdict
 	RetryAfter time.Duration // refused only; 0 is no advice
 	Reply      *Reply        // served only
+	Ran        bool          // an attempt has begun to go out: it may have run
 	Flowed     func(FlowEnd) // is told how an answer that flows ended; nil for one that is whole
 }
 
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -623,8 +623,11 @@
 
 // finish gives a request its one final answer; nothing new goes out for it.
 func (l *Loop) finish(c *Call, a Answer) {
-	c.Answer <- a // room for one, and ended guards it
 	l.end(c)
+	for _, x := range c.attempts {
+		a.Ran = a.Ran || x.gate.state.Load() == gatePassed
+	}
+	c.Answer <- a // room for one, and ended guards it
 }
 
 // end marks a request as over and keeps in what has not gone out yet.
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -49,6 +49,7 @@
 	bodies  *budget.Budget // bytes of bodies that are held
 	closing atomic.Bool
 	socket  handover.Socket
+	limits  core.Limiter // or nil
 
 	mu       sync.Mutex
 	ln       net.Listener
@@ -62,6 +63,9 @@
 	return s
 }
 
+// Limit has requests let through by l alone. It is called before Open.
+func (s *Server) Limit(l core.Limiter) { s.limits = l }
+
 // Open begins to accept connections. It is told if that ends unasked.
 func (s *Server) Open(broken func(error)) error {
 	ln, err := s.socket.Listen()
@@ -169,6 +173,16 @@
 	if !s.clients.take(c) {
 		return false
 	}
+	ran := true // where nobody says otherwise
+	if s.limits != nil {
+		ended, no := s.limits.Take(asked(k, r))
+		if no != nil {
+			return s.limited(c, k, r, no)
+		}
+		if ended != nil {
+			defer func() { ended(ran) }()
+		}
+	}
 	var gone, sent <-chan error
 	if up := k.Out.(*message).upload; up != nil {
 		sent = up.ended
@@ -187,10 +201,13 @@
 					s.halfBody(c, fault)
 					return false
 				}
-				return s.early(c, k, <-k.Answer)
+				a := <-k.Answer
+				ran = a.Ran
+				return s.early(c, k, a)
 			}
 			gone = s.whole(c)
 		case a := <-k.Answer:
+			ran = a.Ran
 			if gone == nil {
 				// The last byte may have gone out just before.
 				select {
@@ -223,6 +240,37 @@
 	}
 }
 
+// asked is what limits read of a request.
+func asked(k *core.Call, r *http.Request) *core.Asked {
+	a := &core.Asked{Class: k.Class, Path: r.URL.Path, Header: r.Header.Get}
+	if k.In.HasHint {
+		a.CostMs = k.In.Hint
+	}
+	most := 0.0
+	for _, c := range k.View.Settings.Classes {
+		most = max(most, c.Worth)
+	}
+	if a.Worth = 1; most > 0 {
+		a.Worth = k.View.Settings.Classes[k.In.Class].Worth / most
+	}
+	return a
+}
+
+// limited refuses a request that a limit of the fleet has no room for: it was not taken.
+func (s *Server) limited(c *client, k *core.Call, r *http.Request, no *core.Limited) bool {
+	s.figures.Limited(no.Limit).Inc()
+	s.figures.Class(k.Class).Deferred.Inc()
+	a := newResponse(http.StatusTooManyRequests, "limited: "+no.Limit)
+	a.header.Set("Retry-After", strconv.FormatFloat(no.RetryAfter.Seconds(), 'f', 3, 64))
+	last := r.Close || s.closing.Load()
+	if up := k.Out.(*message).upload; up != nil { // its body still comes
+		c.write(a, true)
+		c.linger(up.body, LongMost, bodyStart)
+		return false
+	}
+	return c.write(a, last) && s.clients.rest(c) && !last
+}
+
 // whole notes that a request has come whole, and watches its client.
 func (s *Server) whole(c *client) <-chan error {
 	c.paced.wait = 0
--- a/internal/lab/fleetlab/fleet.go
+++ b/internal/lab/fleetlab/fleet.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"birchmoor/internal/discovery"
+	"birchmoor/internal/lab/address"
 	"birchmoor/internal/lab/relay"
 	"birchmoor/internal/operate"
 	"birchmoor/internal/store"
@@ -43,6 +44,7 @@
 	Seed     uint64
 	Wait     time.Duration             // of a follower without a disk for its first copy; 0: as daemons do
 	Bare     bool                      // daemons run no sidecar
+	Handle   http.Handler              // what servers do, in place of counting and answering at once
 	EnvOf    func(daemon int) []string // and of one daemon's alone
 	Skew     float64                   // of the operator file; 0: none stands there
 	More     string                    // of the operator file, behind [store]
@@ -86,6 +88,7 @@
 type Server struct {
 	*httptest.Server
 	Number int
+	handle http.Handler // or nil
 
 	mu    sync.Mutex
 	now   discovery.Instance
@@ -95,6 +98,10 @@
 }
 
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.handle != nil {
+		s.handle.ServeHTTP(w, r)
+		return
+	}
 	at := time.Now()
 	var from int
 	fmt.Sscanf(r.Header.Get("X-From"), "%d", &from)
@@ -180,7 +187,7 @@
 	}()
 	var list []discovery.Instance
 	for i := range cfg.Servers {
-		s := &Server{Number: i, last: map[int]time.Time{}, count: map[int]int{}}
+		s := &Server{Number: i, handle: cfg.Handle, last: map[int]time.Time{}, count: map[int]int{}}
 		s.Server = httptest.NewServer(s)
 		s.now = discovery.Instance{ID: fmt.Sprintf("slot-%d", i), Addr: s.Listener.Addr().String(), Zone: "a", Kind: "m", Cell: 1,
 			Lifecycle: "up", Weight: 1}
@@ -191,7 +198,7 @@
 		list = append(list, s.now)
 	}
 	for i := range cfg.Replicas {
-		to, err := free()
+		to, err := address.Free()
 		if err != nil {
 			return f, err
 		}
@@ -251,28 +258,6 @@
 	os.RemoveAll(f.dir)
 }
 
-// given are addresses that were handed out: the system may offer one again before who has it listens there.
-var given sync.Map
-
-// free is an address that nobody listens at. It is not of 127.0.0.1, whose ports all connections on loopback come from: one
-// of them could take it before the daemon does.
-func free() (string, error) {
-	for range 1000 {
-		ln, err := net.Listen("tcp", "127.0.0.2:0")
-		if err != nil {
-			return "", err
-		}
-		addr := ln.Addr().String()
-		if err := ln.Close(); err != nil {
-			return "", err
-		}
-		if _, before := given.LoadOrStore(addr, true); !before {
-			return addr, nil
-		}
-	}
-	return "", errors.New("no port on 127.0.0.2 is free")
-}
-
 func (f *Fleet) prepare(i int, follower bool, list []discovery.Instance) (*Daemon, error) {
 	d := &Daemon{links: map[string]*relay.Link{}, Number: i, f: f, name: fmt.Sprintf("d%d", i), follower: follower, Known: list, board: newBoard(list)}
 	d.Env = slices.Clone(f.cfg.Env)
@@ -282,7 +267,7 @@
 	d.Client = operate.Dial(d.path(".sock"))
 	for _, to := range []*string{&d.listen, &d.mgmt, &d.serve} {
 		var err error
-		if *to, err = free(); err != nil {
+		if *to, err = address.Free(); err != nil {
 			return nil, err
 		}
 	}
@@ -331,7 +316,7 @@
 
 // link makes a relay by which the daemon reaches another.
 func (d *Daemon) link(name, to string, seed uint64) (addr string, err error) {
-	if addr, err = free(); err != nil {
+	if addr, err = address.Free(); err != nil {
 		return "", err
 	}
 	ln, err := net.Listen("tcp", addr)
@@ -589,6 +574,9 @@
 	return fmt.Errorf("replica %d does not come to vote: %w\n%s", i, errors.Join(last, ctx.Err()), f.Daemons[i].Log())
 }
 
+// Listen is where its sidecar's clients connect.
+func (d *Daemon) Listen() string { return d.listen }
+
 // Ask sends one request through the daemon's sidecar, and says whether it was served.
 func (d *Daemon) Ask(ctx context.Context, c *http.Client, id string) bool {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.listen+"/look/1", nil)
--- a/internal/lab/tasklab/faults.go
+++ b/internal/lab/tasklab/faults.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"birchmoor/internal/lab/fleetlab"
-	"birchmoor/internal/lab/relay"
 	"birchmoor/internal/lease"
 	"birchmoor/internal/operate"
 )
@@ -20,46 +19,25 @@
 	strike func(x *run) (what string, end func(context.Context) error)
 }
 
-// again starts daemons and waits for them.
-func again(ds ...*fleetlab.Daemon) func(context.Context) error {
-	return func(ctx context.Context) error {
-		for _, d := range ds {
-			if err := d.Start(); err != nil {
-				return err
-			}
-		}
-		ctx, cancel := context.WithTimeout(ctx, 60*time.Second)
-		defer cancel()
-		for _, d := range ds {
-			if err := d.Ready(ctx); err != nil {
-				return err
-			}
-		}
-		return nil
-	}
+func (x *run) after(d time.Duration, f func()) func(context.Context) error {
+	return fleetlab.After(d, f)
 }
 
-// after waits, and then does.
-func (x *run) after(d time.Duration, f func()) func(context.Context) error {
-	return func(ctx context.Context) error {
-		select {
-		case <-time.After(d):
-		case <-ctx.Done():
-		}
-		f()
-		return nil
+// at has a blow done to the daemon at which the task is held, for one and a half TTL.
+func at(b fleetlab.Blow) func(x *run) (string, func(context.Context) error) {
+	return func(x *run) (string, func(context.Context) error) {
+		a, _ := x.holding()
+		return b(x.fleet, a.d, x.long())
 	}
 }
 
-func (x *run) long() time.Duration { return x.TTL * 3 / 2 }
-
-// cut cuts the daemon at which the task is held for one and a half TTL.
-func (x *run) cut(set func(d *fleetlab.Daemon, on bool)) (string, func(context.Context) error) {
-	a, _ := x.holding()
-	set(a.d, true)
-	return a.d.Name(), x.after(x.long(), func() { set(a.d, false) })
+// lead has a blow done to the store's leader.
+func lead(b fleetlab.Blow) func(x *run) (string, func(context.Context) error) {
+	return func(x *run) (string, func(context.Context) error) { return b(x.fleet, x.fleet.Leader(), x.long()) }
 }
 
+func (x *run) long() time.Duration { return x.TTL * 3 / 2 }
+
 // follower is one without a replica, nil if there is none.
 func (x *run) follower() *fleetlab.Daemon {
 	if x.Follow == 0 {
@@ -70,27 +48,11 @@
 
 // Faults are all kinds of blows.
 var Faults = []Fault{
-	{"holder-killed", "the daemon at which the task is held is killed", true, func(x *run) (string, func(context.Context) error) {
-		a, _ := x.holding()
-		a.d.Kill()
-		return a.d.Name(), again(a.d)
-	}},
-	{"holder-stopped", "the daemon at which the task is held is stopped for 1.5 TTL and continued", true, func(x *run) (string, func(context.Context) error) {
-		a, _ := x.holding()
-		a.d.Signal(syscall.SIGSTOP)
-		return a.d.Name(), x.after(x.long(), func() { a.d.Signal(syscall.SIGCONT) })
-	}},
-	{"answers-cut", "the holder's daemon is not heard, and hears", false, func(x *run) (string, func(context.Context) error) {
-		return x.cut((*fleetlab.Daemon).Unheard)
-	}},
-	{"renewals-cut", "the holder's daemon is heard, and hears nothing", false, func(x *run) (string, func(context.Context) error) {
-		return x.cut((*fleetlab.Daemon).Deafen)
-	}},
-	{"leader-killed", "the store's leader is killed", false, func(x *run) (string, func(context.Context) error) {
-		d := x.leader()
-		d.Kill()
-		return d.Name(), again(d)
-	}},
+	{"holder-killed", "the daemon at which the task is held is killed", true, at(fleetlab.Killed)},
+	{"holder-stopped", "the daemon at which the task is held is stopped for 1.5 TTL and continued", true, at(fleetlab.Stopped)},
+	{"answers-cut", "the holder's daemon is not heard, and hears", false, at(fleetlab.Mute)},
+	{"renewals-cut", "the holder's daemon is heard, and hears nothing", false, at(fleetlab.Deaf)},
+	{"leader-killed", "the store's leader is killed", false, lead(fleetlab.Killed)},
 	{"actor-stopped", "what the lock runs is stopped for 1.5 TTL, with all that keeps it in time, and continued", false, func(x *run) (string, func(context.Context) error) {
 		a, who := x.holding()
 		x.at.mayBeLate(who)
@@ -114,17 +76,8 @@
 		a.signal(syscall.SIGKILL)
 		return who, x.after(0, func() {})
 	}},
-	{"leader-stopped", "the store's leader is stopped for 1.5 TTL and continued", false, func(x *run) (string, func(context.Context) error) {
-		d := x.leader()
-		d.Signal(syscall.SIGSTOP)
-		return d.Name(), x.after(x.long(), func() { d.Signal(syscall.SIGCONT) })
-	}},
-	{"all-killed", "all daemons are killed", false, func(x *run) (string, func(context.Context) error) {
-		for _, d := range x.fleet.Daemons {
-			d.Kill()
-		}
-		return "", again(x.fleet.Daemons...)
-	}},
+	{"leader-stopped", "the store's leader is stopped for 1.5 TTL and continued", false, lead(fleetlab.Stopped)},
+	{"all-killed", "all daemons are killed", false, at(fleetlab.AllKilled)},
 	{"moved", "operators give the task to another host", true, func(x *run) (string, func(context.Context) error) {
 		a, _ := x.holding()
 		to := x.fleet.Daemons[0]
@@ -149,7 +102,7 @@
 		}
 	}},
 	{"pair-cut", "the leader does not hear one other replica, and is heard by it", false, func(x *run) (string, func(context.Context) error) {
-		lead := x.leader()
+		lead := x.fleet.Leader()
 		other := x.fleet.Daemons[(lead.Number+1)%x.Replicas]
 		other.Between(lead, true)
 		return other.Name() + " to " + lead.Name(), x.after(x.long(), func() { other.Between(lead, false) })
@@ -167,7 +120,7 @@
 		}
 		d.Kill()
 		err := d.Lose()
-		return d.Name(), func(ctx context.Context) error { return errors.Join(err, again(d)(ctx)) }
+		return d.Name(), func(ctx context.Context) error { return errors.Join(err, fleetlab.Again(d)(ctx)) }
 	}},
 	{"disk-old", "a follower is killed and starts with its disk as it was", false, func(x *run) (string, func(context.Context) error) {
 		d := x.follower()
@@ -183,30 +136,30 @@
 			if err := x.after(x.long(), d.Kill)(ctx); err != nil {
 				return err
 			}
-			return errors.Join(d.Put(old), again(d)(ctx))
+			return errors.Join(d.Put(old), fleetlab.Again(d)(ctx))
 		}
 	}},
 	{"disk-full", "the leader's disk has no room for 1.5 TTL, after which it is started again", false, func(x *run) (string, func(context.Context) error) {
-		d := x.leader()
+		d := x.fleet.Leader()
 		err := d.Full(true)
 		return d.Name(), func(ctx context.Context) error {
 			if err := x.after(x.long(), d.Kill)(ctx); err != nil {
 				return err
 			}
-			return errors.Join(err, again(d)(ctx))
+			return errors.Join(err, fleetlab.Again(d)(ctx))
 		}
 	}},
 	{"sync-fails", "the leader's disk fails every sync from now on, after which it is started again; a build for tests alone", false, func(x *run) (string, func(context.Context) error) {
 		if !x.Inside {
 			return "nobody", x.after(0, func() {})
 		}
-		d := x.leader()
+		d := x.fleet.Leader()
 		d.Signal(syscall.SIGUSR1)
 		return d.Name(), func(ctx context.Context) error {
 			if err := x.after(x.long(), d.Kill)(ctx); err != nil {
 				return err
 			}
-			return again(d)(ctx)
+			return fleetlab.Again(d)(ctx)
 		}
 	}},
 	{"old-build", "a daemon is started with the older build, if there is one, which the cluster has left behind, and then with its own", false, func(x *run) (string, func(context.Context) error) {
@@ -222,16 +175,8 @@
 				return err
 			}
 			d.Build = ""
-			return errors.Join(err, again(d)(ctx))
-		}
-	}},
-	{"slow", "all links are slow and lossy by stalls for 1.5 TTL", false, func(x *run) (string, func(context.Context) error) {
-		set := func(now relay.Conditions) {
-			for _, d := range x.fleet.Daemons {
-				d.Links(func(c *relay.Conditions) { *c = now })
-			}
+			return errors.Join(err, fleetlab.Again(d)(ctx))
 		}
-		set(relay.Conditions{Delay: 20 * time.Millisecond, Jitter: 0.9, Stalls: 0.05, Stall: x.TTL / 2})
-		return "", x.after(x.long(), func() { set(relay.Conditions{}) })
 	}},
+	{"slow", "all links are slow and lossy by stalls for 1.5 TTL", false, at(fleetlab.Slow)},
 }
--- a/internal/lab/tasklab/inside.go
+++ b/internal/lab/tasklab/inside.go
@@ -7,16 +7,22 @@
 	"strconv"
 	"sync"
 	"syscall"
+
+	"birchmoor/internal/limit"
 )
 
 // PaceEnv names the pace of a process's boot clock and ticks, by the host's.
 const PaceEnv = "BIRCHMOOR_BENCH_PACE"
 
+// LimitEnv names a fault of a process's shares of limits, by its number.
+const LimitEnv = "BIRCHMOOR_BENCH_LIMIT"
+
 // Inside is what the bench does within a process of a build for tests: its clock runs at another pace, and from a SIGUSR1 on its disk
 // fails every sync. No other build reads it.
 type Inside struct {
-	Pace float64 // 0: 1
-	File func(*os.File)
+	Pace  float64 // 0: 1
+	File  func(*os.File)
+	Limit limit.Plant // a fault of its shares of limits
 }
 
 // ReadInside reads the environment, and heeds the signal. What cannot be read ends the process: a bench that plays nothing shows nothing.
@@ -30,6 +36,14 @@
 		}
 		in.Pace = pace
 	}
+	if text := os.Getenv(LimitEnv); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "%s: %q is not a fault\n", LimitEnv, text)
+			os.Exit(2)
+		}
+		in.Limit = limit.Plant(n)
+	}
 	var mu sync.Mutex
 	var open []*os.File
 	in.File = func(f *os.File) {
--- a/internal/lab/tasklab/torture.go
+++ b/internal/lab/tasklab/torture.go
@@ -446,18 +446,6 @@
 	return x.actors[0], who
 }
 
-// leader is the replica that leads, or the first.
-func (x *run) leader() *fleetlab.Daemon {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	for _, d := range x.fleet.Daemons[:x.Replicas] {
-		if s, err := d.Client.Status(ctx); err == nil && s.Leading {
-			return d
-		}
-	}
-	return x.fleet.Daemons[0]
-}
-
 func (a *actor) pid() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- /dev/null
+++ b/internal/limit/file.go
@@ -0,0 +1,164 @@
+package limit
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"birchmoor/internal/strict"
+)
+
+// duration is written as Go does: "5m".
+type duration time.Duration
+
+// UnmarshalText reads one.
+func (d *duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	*d = duration(v)
+	return err
+}
+
+// file is a file of limits.
+type file struct {
+	Limit map[string]*fileLimit `toml:"limit"`
+}
+
+type fileLimit struct {
+	Rate    float64   `toml:"rate"`   // a second
+	Burst   *duration `toml:"burst"`  // so long a time's rate may come at once
+	Amount  float64   `toml:"amount"` // in any
+	Window  duration  `toml:"window"` // of this length
+	AtOnce  float64   `toml:"at_once"`
+	Longest duration  `toml:"longest"` // that one of them lasts
+
+	Of      string   `toml:"of"`
+	Classes []string `toml:"classes"`
+	Paths   []string `toml:"paths"`
+	By      []string `toml:"by"`
+
+	Without string   `toml:"without"`
+	Part    float64  `toml:"part"`
+	For     duration `toml:"for"`
+	Hosts   int      `toml:"hosts"`
+	Reserve float64  `toml:"reserve"`
+
+	Parts map[string]*filePart `toml:"parts"`
+}
+
+type filePart struct {
+	Most   float64 `toml:"most"` // 0: as much as the whole that it is part of
+	Least  float64 `toml:"least"`
+	Weight float64 `toml:"weight"` // 0: 1
+}
+
+// Read reads a file of limits, TOML strictly read. All faults are joined, each a *strict.Error.
+func Read(path string, text []byte) (*Conf, error) {
+	var f file
+	if err := strict.Decode(path, "files of limits", text, &f); err != nil {
+		return nil, err
+	}
+	c := &Conf{}
+	var faults []error
+	for _, name := range slices.Sorted(maps.Keys(f.Limit)) {
+		l, err := f.Limit[name].limit(name)
+		if err == nil {
+			err = l.Check()
+		}
+		if err != nil {
+			key, reason, _ := strings.Cut(err.Error(), ": ")
+			faults = append(faults, &strict.Error{Path: path, Line: lineOf(text, name), Key: "limit." + name + "." + key, Reason: reason})
+			continue
+		}
+		c.Limits = append(c.Limits, l)
+	}
+	if len(faults) > 0 {
+		return nil, errors.Join(faults...)
+	}
+	if err := c.Check(); err != nil {
+		return nil, &strict.Error{Path: path, Reason: err.Error()}
+	}
+	return c, nil
+}
+
+// lineOf is the line at which a limit begins, 0 if it is not found.
+func lineOf(text []byte, name string) int {
+	n := 0
+	for line := range strings.Lines(string(text)) {
+		n++
+		if strings.HasPrefix(strings.TrimSpace(line), "[limit."+name+"]") || strings.HasPrefix(strings.TrimSpace(line), `[limit."`+name+`"]`) {
+			return n
+		}
+	}
+	return 0
+}
+
+func amount(v float64) Amount {
+	return Amount(math.Round(min(max(v, -1), 2*amountMost) * float64(One)))
+}
+
+func (f *fileLimit) limit(name string) (*Limit, error) {
+	l := &Limit{Name: name, Of: Of(f.Of), Without: Mode(f.Without), Part: f.Part, For: int64(f.For), Hosts: f.Hosts, Reserve: f.Reserve,
+		Classes: f.Classes, Paths: f.Paths, By: f.By}
+	if l.Of == "" {
+		l.Of = Requests
+	}
+	if l.Without == "" {
+		l.Without = Strict
+	}
+	set := 0
+	for _, v := range []float64{f.Rate, f.Amount, f.AtOnce} {
+		if v != 0 {
+			set++
+		}
+	}
+	most := f.Rate + f.Amount + f.AtOnce
+	switch {
+	case set != 1:
+		return nil, errors.New("rate, amount, at_once: one of them is needed")
+	case f.Rate != 0:
+		l.Kind, l.Span = Rate, int64(time.Second)
+		if f.Burst != nil {
+			l.Span = int64(*f.Burst)
+		}
+	case f.Amount != 0:
+		l.Kind, l.Span = Window, int64(f.Window)
+		if f.Window == 0 {
+			return nil, errors.New("window: is missing")
+		}
+	default:
+		l.Kind, l.Span = AtOnce, int64(f.Longest)
+		if f.Longest == 0 {
+			return nil, errors.New("longest: is missing: for so long what the gone had under way counts")
+		}
+	}
+	if f.Burst != nil && l.Kind != Rate || f.Window != 0 && l.Kind != Window || f.Longest != 0 && l.Kind != AtOnce {
+		return nil, errors.New("burst, window, longest: go with rate, amount and at_once in turn")
+	}
+	l.Nodes = []Node{{Most: amount(most), Weight: 1}}
+	at := map[string]int{"": 0}
+	for _, path := range slices.Sorted(maps.Keys(f.Parts)) { // "a" comes before "a/b"
+		p := f.Parts[path]
+		parent := ""
+		if i := strings.LastIndexByte(path, '/'); i >= 0 {
+			parent = path[:i]
+		}
+		of, ok := at[parent]
+		if !ok || path == "" || strings.Contains(path, "//") {
+			return nil, fmt.Errorf("parts.%q: is part of %q, which is none", path, parent)
+		}
+		n := Node{Path: path, Parent: of, Most: amount(p.Most), Least: amount(p.Least), Weight: p.Weight}
+		if p.Most == 0 {
+			n.Most = l.Nodes[of].Most
+		}
+		if p.Weight == 0 {
+			n.Weight = 1
+		}
+		at[path] = len(l.Nodes)
+		l.Nodes = append(l.Nodes, n)
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/limits/limits.go
@@ -0,0 +1,381 @@
+// Package limits has a daemon share the limits of its fleet: it tells what its sidecar wants, follows what it is given, lets requests
+// through or refuses them without asking anybody, and divides for all while it holds the task of that. What is decided is package
+// limit's.
+package limits
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"birchmoor/internal/boot"
+	"birchmoor/internal/core"
+	"birchmoor/internal/daemon"
+	"birchmoor/internal/limit"
+	"birchmoor/internal/store"
+	"birchmoor/internal/tasks"
+)
+
+// Task is that of dividing.
+const Task = "limits"
+
+// Config is what limits go by.
+type Config struct {
+	Host  string
+	TTL   time.Duration // of the session: a share ends so long after its sidecar falls silent
+	Tell  time.Duration // between two words of a sidecar on what it wants, at least
+	Each  time.Duration // and for each sidecar that there is
+	Skew  float64
+	Clock boot.Clock
+	Log   *slog.Logger
+	Plant limit.Plant // for tests
+}
+
+const (
+	divideEvery = 100 * time.Millisecond
+	sayEvery    = 10 * time.Second
+	tellTime    = 2 * time.Second
+)
+
+// Limits is a Part of a daemon, and a core.Limiter. Any goroutine may use it.
+type Limits struct {
+	cfg    Config
+	runner *tasks.Runner
+	store  daemon.Store
+	match  atomic.Pointer[limit.Matcher] // nil while there are no limits
+
+	mu      sync.Mutex
+	holder  *limit.Holder
+	divider *limit.Divider
+	conf    *limit.Conf
+	me      limit.Process
+	others  map[string]bool // keys by which processes tell of themselves
+	news    chan struct{}
+	said    map[string]uint64 // refusals that were logged, by limit
+	fault   string            // of the limits in force, or empty
+}
+
+// New returns one that has no store yet.
+func New(cfg Config, runner *tasks.Runner) *Limits {
+	rules := limit.Rules{Skew: cfg.Skew, Tell: int64(cfg.Tell), Each: int64(cfg.Each)}
+	return &Limits{cfg: cfg, runner: runner, holder: limit.NewHolder(rules, cfg.Plant), divider: limit.NewDivider(rules, cfg.Plant),
+		conf: &limit.Conf{}, others: map[string]bool{}, news: make(chan struct{}, 1), said: map[string]uint64{}}
+}
+
+func (l *Limits) now() int64 { return l.cfg.Clock.Now() }
+
+// Attach is of daemon.Part.
+func (l *Limits) Attach(s daemon.Store) { l.store = s }
+
+// Event is of daemon.Part.
+func (l *Limits) Event(e store.Event) {
+	if !strings.HasPrefix(e.Item.Key, limit.Prefix) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.divider.Event(l.now(), e)
+	switch key := e.Item.Key; {
+	case key == limit.ConfKey:
+		l.configure(e.Item.Value, e.Deleted)
+	case strings.HasPrefix(key, limit.NeedPrefix):
+		if l.others[key] = true; e.Deleted {
+			delete(l.others, key)
+		}
+		l.holder.Others(len(l.others))
+	case !e.Deleted && l.me.Session != 0 && key == l.me.GrantKey():
+		l.granted(e.Item)
+	}
+}
+
+// Reset is of daemon.Part.
+func (l *Limits) Reset(s *store.State) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.divider.Reset(l.now(), s)
+	i, there := s.Get(limit.ConfKey)
+	l.configure(i.Value, !there)
+	clear(l.others)
+	s.Range(limit.NeedPrefix, store.PrefixEnd(limit.NeedPrefix), func(i store.Item) bool { l.others[i.Key] = true; return true })
+	l.holder.Others(len(l.others))
+	l.regrant(s)
+}
+
+// regrant takes this process's shares as a copy has them. The lock is held.
+func (l *Limits) regrant(s *store.State) {
+	if l.me.Session != 0 {
+		if i, ok := s.Get(l.me.GrantKey()); ok {
+			l.granted(i)
+		}
+	}
+}
+
+// granted takes this process's shares. The lock is held.
+func (l *Limits) granted(i store.Item) {
+	g, err := limit.DecodeGrant(i.Value)
+	if err != nil {
+		l.cfg.Log.Error("shares of limits are not read: they count as none", "key", i.Key, "error", err)
+	}
+	l.holder.Granted(l.now(), l.me.Session, i.Modified, g)
+	l.poke()
+}
+
+func (l *Limits) poke() {
+	select {
+	case l.news <- struct{}{}:
+	default:
+	}
+}
+
+// configure puts limits in force. Those that cannot be read, as of a newer build, leave the ones before. The lock is held.
+func (l *Limits) configure(text []byte, none bool) {
+	c := &limit.Conf{}
+	if !none {
+		if err := errors.Join(json.Unmarshal(text, c), c.Check()); err != nil {
+			if l.fault = err.Error(); l.fault != "" {
+				l.cfg.Log.Error("limits are not taken: the ones before stay in force here", "error", err)
+			}
+			return
+		}
+	}
+	l.fault, l.conf = "", c
+	l.holder.SetConf(l.now(), c)
+	l.divider.SetConf(c)
+	if l.match.Store(nil); len(c.Limits) > 0 {
+		l.match.Store(limit.NewMatcher(c))
+	}
+	l.poke()
+}
+
+// Run is of daemon.Part: it keeps the session, and tells what is wanted and seen.
+func (l *Limits) Run(ctx context.Context) {
+	p, err := l.runner.Presence(l.cfg.TTL)
+	if err != nil {
+		l.cfg.Log.Error("limits are not shared", "error", err)
+		return
+	}
+	defer p.Close()
+	var telling sync.WaitGroup
+	defer telling.Wait()
+	telling.Go(func() { l.tell(ctx) })
+	say := time.NewTicker(sayEvery)
+	defer say.Stop()
+	for {
+		id, until, changed := p.Now()
+		l.mu.Lock()
+		fresh := id != l.me.Session
+		if l.holder.Session(l.now(), id, until); fresh {
+			l.me = limit.Process{Host: l.cfg.Host, Session: id}
+			l.poke()
+		}
+		l.mu.Unlock()
+		if fresh && id != 0 { // what came before it was known whose it is
+			_, _ = l.store.View(ctx, true, func(s *store.State) {
+				l.mu.Lock()
+				defer l.mu.Unlock()
+				l.regrant(s)
+			})
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-say.C:
+			l.say()
+		}
+	}
+}
+
+// tell says to the store what is wanted here and which shares are gone by, when that is news.
+func (l *Limits) tell(ctx context.Context) {
+	for ctx.Err() == nil {
+		l.mu.Lock()
+		now, me := l.now(), l.me
+		n, due, at := l.holder.Need(now)
+		if due = due && me.Session != 0; due {
+			l.holder.Told(now, n)
+		}
+		l.mu.Unlock()
+		if !due {
+			wait := time.Duration(l.cfg.Tell)
+			if at > 0 {
+				wait = min(wait, max(time.Millisecond, l.cfg.Clock.Span(at-now)))
+			}
+			t := time.NewTimer(wait)
+			select {
+			case <-ctx.Done():
+			case <-t.C:
+			case <-l.news:
+			}
+			t.Stop()
+			continue
+		}
+		c, cancel := context.WithTimeout(ctx, min(tellTime, l.cfg.TTL/2))
+		_, err := l.store.Do(c, store.Command{Txn: &store.Txn{Owner: l.cfg.Host,
+			Then:   []store.Op{{Key: me.NeedKey(), Value: limit.Encode(n), Lease: me.Session}},
+			Bounds: []store.Bound{{Prefix: limit.NeedPrefix, Most: limit.ProcessesMost}}}})
+		cancel()
+		if err != nil {
+			l.mu.Lock()
+			l.holder.Untold()
+			l.mu.Unlock()
+			pause(ctx, l.cfg.Tell)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// say logs which limits have refused since the last time.
+func (l *Limits) say() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sums := map[string]uint64{}
+	for _, s := range l.holder.Shares(l.now()) {
+		name, _, _ := strings.Cut(s.Key, "@")
+		sums[name] += s.Refused
+	}
+	for name, n := range sums {
+		if was := l.said[name]; n > was {
+			l.cfg.Log.Info("a limit of the fleet refuses requests", "limit", name, "since_last", n-was, "every", sayEvery)
+		}
+		l.said[name] = n
+	}
+}
+
+// Divide is the task of dividing, for daemons with a replica.
+func (l *Limits) Divide() tasks.Task {
+	return tasks.Task{Want: tasks.Want{Task: Task, TTL: l.cfg.TTL, Note: "divides limits among sidecars"}, Every: divideEvery, Most: l.cfg.TTL / 3,
+		Progress: time.Minute, HoldDown: time.Minute, Do: func(ctx context.Context, h *tasks.Hold) error {
+			l.mu.Lock()
+			v := l.divider.Divide(l.now())
+			l.mu.Unlock()
+			if v == nil {
+				return nil
+			}
+			// One that does not hold was on an old copy: the next is on a newer.
+			_, err := h.Txn(ctx, store.Txn{If: v.If, Then: v.Then})
+			return err
+		}}
+}
+
+// Take is of core.Limiter.
+func (l *Limits) Take(q *core.Asked) (ended func(ran bool), no *core.Limited) {
+	m := l.match.Load()
+	if m == nil {
+		return nil, nil
+	}
+	var buf [4]limit.Charge
+	charges := m.Match(buf[:0], &limit.Request{Class: q.Class, Path: q.Path, Cost: limit.Amount(q.CostMs) * limit.One, Header: q.Header, Worth: q.Worth})
+	if len(charges) == 0 {
+		return nil, nil
+	}
+	now := l.now()
+	l.mu.Lock()
+	t, r := l.holder.Take(now, charges, q.Worth)
+	l.mu.Unlock()
+	if r != nil {
+		return nil, &core.Limited{Limit: r.Limit, Of: r.Node, Alone: r.Alone, RetryAfter: l.cfg.Clock.Span(r.After)}
+	}
+	return func(ran bool) {
+		now := l.now()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if ran {
+			l.holder.Done(now, t)
+		} else {
+			l.holder.Back(now, t)
+		}
+	}, nil
+}
+
+// Put puts limits in force in the place of those that are, for all daemons. Who holds shares of what they replace goes on by them until
+// it has seen the new ones.
+func (l *Limits) Put(ctx context.Context, c *limit.Conf) (*limit.Conf, error) {
+	if err := c.Check(); err != nil {
+		return nil, err
+	}
+	was, at := &limit.Conf{}, uint64(0)
+	var bad error
+	if _, err := l.store.View(ctx, false, func(s *store.State) {
+		if i, ok := s.Get(limit.ConfKey); ok {
+			at, bad = i.Modified, json.Unmarshal(i.Value, was)
+		}
+	}); err != nil || bad != nil {
+		return nil, errors.Join(err, bad)
+	}
+	c.After(was)
+	b, err := json.Marshal(c)
+	if err != nil {
+		return nil, err
+	}
+	r, err := l.store.Do(ctx, store.Command{Txn: &store.Txn{If: []store.Compare{{Key: limit.ConfKey, Modified: at}}, Then: []store.Op{{Key: limit.ConfKey, Value: b}}}})
+	if err == nil && !r.Held {
+		err = errors.New("the limits were changed meanwhile")
+	}
+	return c, err
+}
+
+// State is limits as people see them.
+type State struct {
+	Version uint64        `json:"version"`
+	Fault   string        `json:"fault,omitempty"` // why the newest are not in force here
+	Divider string        `json:"divider"`         // the daemon that divides, or empty
+	Skew    float64       `json:"skew"`
+	TTLMs   int64         `json:"ttl_ms"`
+	Here    limit.Process `json:"here"`
+	LeftMs  int64         `json:"left_ms"` // of this daemon's entitlement, unless it is renewed
+	Limits  []*LimitState `json:"limits"`
+}
+
+// LimitState is one of them.
+type LimitState struct {
+	*limit.Limit
+	Parts []limit.View `json:"parts"`
+	Over  string       `json:"over"` // how far over it may be now, in words
+}
+
+// Show shows them by this daemon's copy.
+func (l *Limits) Show(name string) (*State, error) {
+	holder := ""
+	if holders := l.runner.Holders(Task); len(holders) > 0 {
+		holder = holders[0]
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	s := &State{Version: l.conf.Version, Fault: l.fault, Divider: holder, Skew: l.cfg.Skew, TTLMs: l.cfg.TTL.Milliseconds(), Here: l.me,
+		LeftMs: max(0, l.holder.Until()-now) / 1e6, Limits: []*LimitState{}}
+	for _, x := range l.conf.Limits {
+		if name != "" && x.Name != name {
+			continue
+		}
+		st := &LimitState{Limit: x, Parts: l.divider.Show(now, x)}
+		away := 0
+		for _, p := range st.Parts[0].Of {
+			if p.Gone {
+				away++
+			}
+		}
+		st.Over = x.Words(away)
+		s.Limits = append(s.Limits, st)
+	}
+	if name != "" && len(s.Limits) == 0 {
+		return nil, fmt.Errorf("%s: %w", name, limit.ErrNone)
+	}
+	return s, nil
+}
+
+// May says whether an operation is a daemon's own part in limits.
+func May(op store.Op, owner string) bool { return limit.May(op, owner) }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -52,7 +52,9 @@
 
 	mu      sync.RWMutex
 	classes map[string]*Class
-	order   []string // as first named
+	order   []string            // as first named
+	limited map[string]*Counter // by limit
+	limits  []string            // as first named
 	more    []named
 }
 
@@ -95,6 +97,22 @@
 	return c
 }
 
+// Limited returns the count of requests that a limit of the fleet refused.
+func (r *Registry) Limited(limit string) *Counter {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.limited[limit]
+	if c == nil {
+		if r.limited == nil {
+			r.limited = map[string]*Counter{}
+		}
+		c = &Counter{}
+		r.limited[limit] = c
+		r.limits = append(r.limits, limit)
+	}
+	return c
+}
+
 // Counter returns a new counter that is shown under a name.
 func (r *Registry) Counter(name string) *Counter {
 	r.mu.Lock()
@@ -122,6 +140,9 @@
 			fmt.Fprintf(b, "%s%s{group=\"%s\"} %d\n", r.prefix, f.name, escape.Replace(name), f.count.Value())
 		}
 	}
+	for _, name := range r.limits {
+		fmt.Fprintf(b, "%slimited_total{limit=\"%s\"} %d\n", r.prefix, escape.Replace(name), r.limited[name].Value())
+	}
 	more := r.more
 	r.mu.RUnlock()
 	for _, f := range [...]struct {
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -13,6 +13,7 @@
 	"birchmoor/internal/boot"
 	"birchmoor/internal/daemon"
 	"birchmoor/internal/lease"
+	"birchmoor/internal/limits"
 	"birchmoor/internal/rollout"
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/admin"
@@ -43,7 +44,8 @@
 	Servers  *daemon.Servers
 	Settings *daemon.Settings
 	Tasks    *tasks.Runner
-	Clock    boot.Clock // of entitlements
+	Limits   *limits.Limits // nil: none are shared here
+	Clock    boot.Clock     // of entitlements
 }
 
 type server struct {
@@ -67,6 +69,8 @@
 	m.Call("GET /v1/tasks", s.listTasks)
 	m.Call("POST /v1/task", s.orderTask)
 	m.Stream("GET /v1/lock", s.lock)
+	m.Call("GET /v1/limits", s.listLimits)
+	m.Call("POST /v1/limits", s.putLimits)
 	m.Call("POST /v1/unlock", s.unlock)
 	m.Call("GET /v1/out", func(context.Context, http.ResponseWriter, *http.Request) (any, error) { return s.Servers.Outs(), nil })
 	m.Call("GET /v1/servers", func(context.Context, http.ResponseWriter, *http.Request) (any, error) { return s.Servers.List(), nil })
@@ -75,7 +79,7 @@
 // Followers are the rules for daemons without a replica: each part says what is theirs to write.
 func (p Parts) Followers() admin.Rules {
 	return admin.Rules{Ages: func() map[string]time.Duration { return p.Servers.PictureAges() }, May: func(op store.Op, owner string) bool {
-		return lease.May(op, owner) || tasks.May(op, owner) || daemon.May(op, owner)
+		return lease.May(op, owner) || tasks.May(op, owner) || daemon.May(op, owner) || limits.May(op, owner)
 	}}
 }
 
--- a/internal/operate/operate_test.go
+++ b/internal/operate/operate_test.go
@@ -34,6 +34,11 @@
 		"how one goes with another":  {store.Op{Key: "config/report/g"}, "f", false},
 		"an order of operators'":     {store.Op{Key: lease.OrderPrefix + "one"}, "f", false},
 		"the end of the holding-off": {store.Op{Key: lease.HoldKey, Delete: true}, "f", false},
+		"what it wants of limits":    {store.Op{Key: "limit/need/f/7", Lease: 7}, "f", true},
+		"by another's session":       {store.Op{Key: "limit/need/f/7", Lease: 8}, "f", false},
+		"what another wants":         {store.Op{Key: "limit/need/g/7", Lease: 7}, "f", false},
+		"a share":                    {store.Op{Key: "limit/grant/f/7"}, "f", false},
+		"limits":                     {store.Op{Key: "limit/conf"}, "f", false},
 		"settings":                   {store.Op{Key: "config/current"}, "f", false},
 	} {
 		if ok := p.Followers().May(x.op, x.owner); ok != x.ok {
@@ -45,10 +50,12 @@
 // Arrows go one way: nothing of the store knows the parts of a daemon, and no part knows how operators reach it.
 func TestImports(t *testing.T) {
 	above := map[string][]string{
-		"../store":  {"daemon", "tasks", "lease", "rollout", "operate"},
+		"../store":  {"daemon", "tasks", "lease", "rollout", "operate", "limit", "limits"},
 		"../lease":  {"daemon", "tasks", "operate"},
 		"../daemon": {"tasks", "operate"},
-		"../tasks":  {"operate"},
+		"../tasks":  {"operate", "limits"},
+		"../limit":  {"daemon", "tasks", "limits", "operate"},
+		"../limits": {"operate"},
 	}
 	for root, banned := range above {
 		err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -25,6 +25,7 @@
 	Keep    *Keep    `toml:"keep"`
 	Capture *Capture `toml:"capture"`
 	Store   *Store   `toml:"store"`
+	Limits  *Limits  `toml:"limits"`
 	DNS     *DNS     `toml:"dns"`
 }
 
@@ -84,6 +85,13 @@
 	Skew  float64  `toml:"skew"`  // part that the fastest clock of two hosts gains on the other at most
 }
 
+// Limits are shared with the fleet by the store.
+type Limits struct {
+	Lease Duration `toml:"lease"` // a share ends so long after its sidecar falls silent
+	Tell  Duration `toml:"tell"`  // between two words of a sidecar on what it wants, at least
+	Each  Duration `toml:"each"`  // and for each sidecar that there is
+}
+
 // Keep is where what is known outlives a start.
 type Keep struct {
 	Dir string `toml:"dir"` // holds one file for each sidecar's name
@@ -251,6 +259,14 @@
 			bad("store.keys", "one of keys and plain = true is needed, and not both")
 		}
 	}
+	if l := f.Limits; l != nil {
+		if f.Store == nil {
+			faults = append(faults, &Error{Path: path, Key: "limits", Reason: "are shared by the store: [store] is missing"})
+		}
+		span("limits.lease", &l.Lease, 5*time.Second, lease.TTLLeast*time.Millisecond, lease.TTLMost*time.Millisecond)
+		span("limits.tell", &l.Tell, 250*time.Millisecond, 10*time.Millisecond, time.Minute)
+		span("limits.each", &l.Each, 5*time.Millisecond, 100*time.Microsecond, time.Second)
+	}
 	if d := f.DNS; d != nil {
 		bad := func(key, format string, args ...any) {
 			faults = append(faults, &Error{Path: path, Key: key, Reason: fmt.Sprintf(format, args...)})
--- a/internal/proctest/proctest.go
+++ b/internal/proctest/proctest.go
@@ -8,13 +8,14 @@
 import (
 	"bytes"
 	"errors"
-	"net"
 	"os"
 	"os/exec"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
+
+	"birchmoor/internal/lab/address"
 )
 
 // Soon bounds every wait for what must come. It is long: a busy machine may stop a process for seconds, and nothing that a test
@@ -37,23 +38,15 @@
 	}
 }
 
-var given sync.Map // addresses that were handed out
-
 // Address is one on loopback that nobody listens at, for a process that is to be told where to listen, and to listen there again
-// after a kill. It is not of 127.0.0.1, whose ports all connections on loopback come from: one of them could take it meanwhile.
+// after a kill.
 func Address(t testing.TB) string {
 	t.Helper()
-	for {
-		ln, err := net.Listen("tcp", "127.0.0.2:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		addr := ln.Addr().String()
-		ln.Close()
-		if _, before := given.LoadOrStore(addr, true); !before {
-			return addr
-		}
+	addr, err := address.Free()
+	if err != nil {
+		t.Fatal(err)
 	}
+	return addr
 }
 
 // Process is one that a test started.
--- a/internal/sidecar/lane.go
+++ b/internal/sidecar/lane.go
@@ -40,7 +40,11 @@
 	if n.loop, err = core.New(n.config, clk, up, watch, n.figures, h.Tap, h.Log); err != nil {
 		return nil, err
 	}
-	n.front = httpfront.NewServer(n.config, n.loop, h.Socket, n.figures, h.Log)
+	front := httpfront.NewServer(n.config, n.loop, h.Socket, n.figures, h.Log)
+	if h.Limits != nil {
+		front.Limit(h.Limits)
+	}
+	n.front = front
 	return n, nil
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -45,6 +45,7 @@
 	Fleet    Fleet                          // what daemons tell each other of servers; nil for nothing
 	Kept     snapshot.File                  // what a process knew, for the next one
 	Beside   []core.Protocol                // protocols besides HTTP
+	Limits   core.Limiter                   // lets requests through, of HTTP; nil for all
 	Tap      core.Tap                       // between the loop and the decision module; nil for nothing
 	Handover string                         // where old and new processes find each other; empty for nowhere
 	Reload   <-chan os.Signal               // at each the configuration is read again
--- a/internal/tasks/show.go
+++ b/internal/tasks/show.go
@@ -113,6 +113,18 @@
 	return all, nil
 }
 
+// Holders are the daemons that hold a task, by this daemon's copy.
+func (r *Runner) Holders(task string) (hosts []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.table.Places(task) {
+		if _, holds := r.table.Holds(task, p.Key); holds {
+			hosts = append(hosts, p.Host)
+		}
+	}
+	return hosts
+}
+
 // state says what this daemon does about a task that it runs.
 func (l *loop) state(now int64) string {
 	s := "waits"
