--- a/cmd/birchmoor/limitlab.go
+++ b/cmd/birchmoor/limitlab.go
@@ -23,6 +23,7 @@
 	Faults   int     `help:"That are caused in a run." default:"48"`
 	Load     float64 `help:"What is asked, by what limits let through; 0: 1 or 2 by the seed."`
 	Calm     bool    `help:"No faults, to count what limits cost the store."`
+	Busy     bool    `help:"At the end all but one become quiet: how long until that has four fifths of a limit."`
 	Even     bool    `help:"All sidecars ask the same, and it does not move."`
 	Plant    string  `help:"Put a fault in, and count the seeds until it is found; list names them, all tries each." placeholder:"NAME"`
 	JSON     bool    `help:"A line of JSON for each run."`
@@ -40,7 +41,7 @@
 }
 
 func (k *limitSim) Run(ctx context.Context, c *console) error {
-	o := limitsim.Options{Sidecars: k.Sidecars, Faults: k.Faults, Load: k.Load, Calm: k.Calm, Even: k.Even}
+	o := limitsim.Options{Sidecars: k.Sidecars, Faults: k.Faults, Load: k.Load, Calm: k.Calm, Even: k.Even, Busy: k.Busy}
 	if k.Sidecars < 1 || k.Sidecars > 5000 {
 		return fmt.Errorf("--sidecars: %d is not within 1 and 5000", k.Sidecars)
 	}
@@ -107,6 +108,7 @@
 	})
 	broken, enc := 0, json.NewEncoder(c.out)
 	var asked, let, stops, kills, cuts, dividers int
+	var busy []int64
 	var near, use, entries, bytes float64
 	for _, one := range results {
 		var r limitsim.Result
@@ -122,11 +124,15 @@
 		}
 		asked, let, stops, kills, cuts, dividers = asked+r.Asked, let+r.Let, stops+r.Stops, kills+r.Kills, cuts+r.Cuts, dividers+r.Dividers
 		near, use, entries, bytes = max(near, r.Near), use+r.Use, entries+r.EntriesS, bytes+r.BytesS
+		busy = append(busy, r.BusyMs)
 		if len(r.Broken) > 0 {
 			broken++
 			fmt.Fprintf(c.err, "seed %d: %q\n", r.Seed, r.Broken)
 		}
 	}
+	if k.Busy {
+		fmt.Fprintf(c.err, "until the busy one had four fifths: %v ms\n", busy)
+	}
 	n := float64(max(1, k.Seeds))
 	fmt.Fprintf(c.err, "%d seeds, %d broken: %d asked, %d let through; %d stops, %d kills, %d cuts, %d dividers; servers saw %.2f of a strict limit at most; once calm %.2f of the rate was used, and the log took %.0f entries and %.0f bytes a second\n",
 		k.Seeds, broken, asked, let, stops, kills, cuts, dividers, near, use/n, entries/n, bytes/n)
--- a/internal/lab/limitsim/limitsim.go
+++ b/internal/lab/limitsim/limitsim.go
@@ -25,6 +25,7 @@
 	Gap      int     // milliseconds between two; 200
 	Load     float64 // of what limits let through in all, beside bursts; 1 or 2 by the seed
 	Calm     bool    // no faults
+	Busy     bool    // at the end all but one become quiet, and how long it takes until that has four fifths of a limit is measured
 	Even     bool    // what is asked for is spread evenly, and does not move
 	Plant    Plant
 }
@@ -50,9 +51,10 @@
 	Cuts     int      `json:"cuts"`
 	Stops    int      `json:"stops"`
 	Micros   int64    `json:"virtual_us"`
-	Use      float64  `json:"use"`  // of the rate limit, by what is wanted of it, after the last fault
-	Near     float64  `json:"near"` // the nearest that servers' counts came to the bound of a limit that is never passed
-	Over     float64  `json:"over"` // the most by which a fair limit was passed, by its amount
+	Use      float64  `json:"use"`               // of the rate limit, by what is wanted of it, after the last fault
+	Near     float64  `json:"near"`              // the nearest that servers' counts came to the bound of a limit that is never passed
+	Over     float64  `json:"over"`              // the most by which a fair limit was passed, by its amount
+	BusyMs   int64    `json:"busy_ms,omitempty"` // until the busy one had four fifths; -1: it did not
 	EntriesS float64  `json:"entries_per_s"`
 	BytesS   float64  `json:"bytes_per_s"`
 }
@@ -66,28 +68,31 @@
 )
 
 type world struct {
-	o      Options
-	q      *evq.Queue
-	rng    *rand.Rand
-	r      Result
-	kinds  map[string]bool
-	state  *store.State
-	index  uint64
-	pace   float64 // of the leader's clock
-	fast   float64 // the fastest clock, by true time
-	timers map[uint64]int64
-	away   bool
-	conf   *limit.Conf
-	match  *limit.Matcher
-	nodes  []*proc
-	judges map[string]*judge
-	clean  bool
-	over   bool
-	hot    []float64
-	lull   float64          // part of the load that there is for now
-	open   map[string]int64 // since when a process cannot reach the store, in true time
-	want   int              // of the rate limit, since the last fault was over
-	got    int
+	o         Options
+	q         *evq.Queue
+	rng       *rand.Rand
+	r         Result
+	kinds     map[string]bool
+	state     *store.State
+	index     uint64
+	pace      float64 // of the leader's clock
+	fast      float64 // the fastest clock, by true time
+	timers    map[uint64]int64
+	away      bool
+	conf      *limit.Conf
+	match     *limit.Matcher
+	nodes     []*proc
+	judges    map[string]*judge
+	clean     bool
+	over      bool
+	hot       []float64
+	lull      float64          // part of the load that there is for now
+	open      map[string]int64 // since when a process cannot reach the store, in true time
+	counted   int              // processes, at a revision of the store
+	countedAt uint64
+
+	want int // of the rate limit, since the last fault was over
+	got  int
 }
 
 // Run plays one seed.
@@ -127,12 +132,14 @@
 	}
 	w.q.After(end, w.heal)
 	w.q.After(end+calmFor/2, func() { w.want, w.got = 0, 0; w.r.Entries, w.r.Bytes = 0, 0 })
+	w.q.After(end+calmFor-1, w.sum)
+	if o.Busy {
+		w.q.After(end+calmFor, w.oneIsBusy)
+		end += 2 * calmFor
+	}
 	w.q.After(end+calmFor, func() { w.over = true })
 	_ = w.q.Run(context.Background(), func() bool { return w.over })
 	w.r.Micros = w.q.Now()
-	seconds := float64(calmFor/2) / float64(second)
-	w.r.Use = float64(w.got) / max(1, min(float64(w.want), seconds*float64(w.conf.Limits[0].Nodes[0].Most)/float64(limit.One)))
-	w.r.EntriesS, w.r.BytesS = float64(w.r.Entries)/seconds, float64(w.r.Bytes)/seconds
 	if w.r.Use < 0.3 {
 		w.broken("of no use", "%.2f of the rate limit is let through, %d ms after the last fault", w.r.Use, calmFor/2/milli)
 	}
@@ -142,6 +149,13 @@
 	return w.r
 }
 
+// sum says of what use the rate limit is, and what limits cost the store, of the time before.
+func (w *world) sum() {
+	seconds := float64(calmFor/2) / float64(second)
+	w.r.Use = float64(w.got) / max(1, min(float64(w.want), seconds*float64(w.conf.Limits[0].Nodes[0].Most)/float64(limit.One)))
+	w.r.EntriesS, w.r.BytesS = float64(w.r.Entries)/seconds, float64(w.r.Bytes)/seconds
+}
+
 func (w *world) broken(kind, format string, args ...any) {
 	if !w.kinds[kind] {
 		w.kinds[kind] = true
@@ -221,6 +235,29 @@
 	}
 }
 
+// oneIsBusy has all but the last become quiet, and looks for when that has four fifths of a limit.
+func (w *world) oneIsBusy() {
+	for i := range w.hot {
+		w.hot[i] = 1e-6
+	}
+	p := w.nodes[len(w.nodes)-1]
+	w.hot[p.number] = 1
+	l := w.conf.Find("slow")
+	begun := w.q.Now()
+	w.r.BusyMs = -1
+	var look func()
+	look = func() {
+		for _, s := range p.holder.Shares(p.now()) {
+			if s.Key == l.Key(0) && s.Amount >= l.Nodes[0].Most*4/5 {
+				w.r.BusyMs = (w.q.Now() - begun) / milli
+				return
+			}
+		}
+		w.q.After(5*milli, look)
+	}
+	look()
+}
+
 // ---- The store -------------------------------------------------------------
 
 // apply does a command, and keeps the time of leases as its leader does.
--- a/internal/lab/limitsim/proc.go
+++ b/internal/lab/limitsim/proc.go
@@ -34,7 +34,19 @@
 	busy    bool // a division is under way
 }
 
-const divideTask = "limits"
+const (
+	divideTask = "limits"
+	replicas   = 3
+)
+
+// processes is how many the store shows.
+func (w *world) processes() int {
+	if at := w.state.Revision(); w.countedAt != at {
+		w.countedAt, w.counted = at, 0
+		w.state.Range(limit.NeedPrefix, store.PrefixEnd(limit.NeedPrefix), func(store.Item) bool { w.counted++; return true })
+	}
+	return w.counted
+}
 
 func (p *proc) start() {
 	w := p.w
@@ -45,7 +57,7 @@
 	p.pace, p.origin, p.stopped = 1/w.fast+(w.fast-1/w.fast)*w.rng.Float64(), w.q.Now()-w.rng.Int64N(3600*second), 0
 	p.session = lease.NewSession(lease.Rules{TTL: ttl * 1e6, Skew: skew, Margin: 2e6}, w.o.Plant.Session)
 	p.table = lease.NewTable(lease.TableNone)
-	rules := limit.Rules{Skew: skew, Tell: 50e6, Each: 1e6}
+	rules := limit.Rules{Skew: skew, Tell: 50e6, Each: 2e6}
 	p.holder, p.divider = limit.NewHolder(rules, w.o.Plant.Limit), limit.NewDivider(rules, w.o.Plant.Limit)
 	p.holder.SetConf(p.now(), w.conf)
 	p.divider.SetConf(w.conf)
@@ -169,26 +181,29 @@
 	if w.q.Now() >= p.deaf && w.state.Revision() > p.seen {
 		events, _, err := w.state.Changes(nil, "", p.seen, 1<<30)
 		if p.seen == 0 || err != nil {
-			p.table.Reset(w.state)
-			p.divider.Reset(p.now(), w.state)
+			if p.number < replicas {
+				p.table.Reset(w.state)
+				p.divider.Reset(p.now(), w.state)
+			}
 			if me := p.me(); me.Session != 0 {
 				if i, ok := w.state.Get(me.GrantKey()); ok {
 					p.granted(i)
 				}
 			}
 		} else {
+			own := p.me().GrantKey()
 			for _, e := range events {
-				p.table.Event(e)
-				p.divider.Event(p.now(), e)
-				if !e.Deleted && e.Item.Key == p.me().GrantKey() {
+				if p.number < replicas {
+					p.table.Event(e)
+					p.divider.Event(p.now(), e)
+				}
+				if !e.Deleted && e.Item.Key == own {
 					p.granted(e.Item)
 				}
 			}
 		}
 		p.seen = w.state.Revision()
-		n := 0
-		w.state.Range(limit.NeedPrefix, store.PrefixEnd(limit.NeedPrefix), func(store.Item) bool { n++; return true })
-		p.holder.Others(n)
+		p.holder.Others(w.processes())
 	}
 	long := 2*milli + w.rng.Int64N(15*milli)
 	if !w.clean && w.rng.IntN(50) == 0 {
@@ -228,7 +243,7 @@
 func (p *proc) divide() {
 	w := p.w
 	defer p.step(20*milli, p.divide)
-	if p.number >= 3 { // the hosts of replicas alone
+	if p.number >= replicas { // the others have no part in it
 		return
 	}
 	live := p.session.ID() != 0 && p.now() < p.session.Until()
--- a/internal/limit/divide.go
+++ b/internal/limit/divide.go
@@ -43,7 +43,7 @@
 
 const (
 	opsMost     = 100          // grants of one division
-	changeLeast = int64(150e6) // nanoseconds between two changes of one process's shares
+	changeLeast = int64(150e6) // nanoseconds between two changes of one process's shares, and no less than between two of its words
 	ageEvery    = int64(1e9)   // between two notes of how long a share has outlived its process
 	settleFor   = int64(2e9)   // after which small differences are made up
 	lookEvery   = int64(1e9)   // where nothing has changed
@@ -489,7 +489,7 @@
 				}
 				over := v.over(n)
 				switch {
-				case now-d.moved[p] < changeLeast && d.moved[p] != 0:
+				case now-d.moved[p] < max(changeLeast, d.rules.every(len(v.live))) && d.moved[p] != 0:
 					continue
 				case smaller && !over && (!short || -gap < Amount(least*float64(c.has)) && to > 0):
 					continue
--- a/internal/limit/hold.go
+++ b/internal/limit/hold.go
@@ -71,6 +71,7 @@
 	own     bool     // it is of this process without the store, whatever its session
 	want    Amount   // by what was asked of late: a second, or of AtOnce at a time
 	asked   Amount   // since measured
+	heard   int64    // when something was last wanted
 	peak    Amount   // AtOnce: the most that was wanted at a time
 	since   int64    // measured
 	owed    float64  // promised to those who were told to come back
@@ -81,9 +82,10 @@
 }
 
 const (
-	slotsOf = 64 // of a window
-	measure = int64(500 * time.Millisecond)
-	smooth  = 3e9 // nanoseconds over which what is wanted is averaged
+	slotsOf  = 64 // of a window
+	measure  = int64(500 * time.Millisecond)
+	smooth   = 3e9  // nanoseconds over which what is wanted is averaged
+	quietFor = 10e9 // nanoseconds without a request after which nothing is wanted
 )
 
 // NewHolder returns one that knows of no limits.
@@ -381,11 +383,17 @@
 		s.want = max(s.want, s.peak)
 	case over > 2*math.Sqrt(expect*float64(One))+2*float64(One):
 		s.want = Amount(inst)
+	case -over > 1.5*math.Sqrt(expect*float64(One))+float64(One)/2:
+		s.want = (s.want + Amount(inst)) / 2
 	default:
 		s.want += Amount((inst - float64(s.want)) * (1 - math.Exp(-dt/smooth)))
 	}
-	if s.want < One/50 && s.asked == 0 && s.peak == 0 {
+	if s.asked > 0 || s.peak > 0 {
+		s.heard = now
+	} else if quiet := float64(now - s.heard); quiet > quietFor {
 		s.want = 0
+	} else if s.l.Kind != AtOnce { // whoever asks more often is heard in that time, six times of seven
+		s.want = min(s.want, Amount(2*float64(One)*1e9/max(1, quiet)))
 	}
 	s.asked, s.peak, s.since = 0, s.used, now
 }
