--- a/cmd/birchmoor/lock.go
+++ b/cmd/birchmoor/lock.go
@@ -228,7 +228,9 @@
 		k.Command = k.Command[1:]
 	}
 	syscall.CloseOnExec(3)
-	code, why := keeper.Command{Args: k.Command, Env: os.Environ(), Grace: k.Grace, Early: k.Early, Clock: boot.Clock{Pace: inside.Pace}}.Run(os.NewFile(3, "deadlines"))
+	code, why := keeper.Command{Args: k.Command, Env: os.Environ(), Grace: k.Grace, Early: k.Early, Clock: boot.Clock{Pace: inside.Pace}, Late: func(by int64) {
+		fmt.Fprintf(os.Stderr, "birchmoor: %s with token %s: what it ran may have gone on %v past its time: this host did not run its keeper in time\n", os.Getenv("BIRCHMOOR_TASK"), os.Getenv("BIRCHMOOR_TOKEN"), time.Duration(by).Round(time.Millisecond))
+	}}.Run(os.NewFile(3, "deadlines"))
 	switch {
 	case errors.Is(why, keeper.ErrLate), errors.Is(why, keeper.ErrAlone):
 		return &exitError{exitLost, nil}
--- a/cmd/birchmoor/tasklab.go
+++ b/cmd/birchmoor/tasklab.go
@@ -79,8 +79,8 @@
 			return bad
 		}
 	} else if r != nil {
-		fmt.Fprintf(c.out, "%d acts of %d holders, %d late of stopped actors, %d reads and writes of the store, blows %v; held for %.3f of the time; without an action between two holders p50 %.0f ms, p99 %.0f, worst %.0f; broken: %q\n",
-			r.Acts, r.Holders, r.Late, r.History, r.Blows, r.Held, r.P50Ms, r.P99Ms, r.WorstMs, r.Broken)
+		fmt.Fprintf(c.out, "%d acts of %d holders, %d late of stopped actors, %d of starved ones, %d reads and writes of the store, blows %v; held for %.3f of the time; without an action between two holders p50 %.0f ms, p99 %.0f, worst %.0f; broken: %q\n",
+			r.Acts, r.Holders, r.Late, r.Starved, r.History, r.Blows, r.Held, r.P50Ms, r.P99Ms, r.WorstMs, r.Broken)
 	}
 	if r != nil && !k.JSON {
 		for _, a := range r.After {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -28,9 +28,10 @@
 type Command struct {
 	Args  []string
 	Env   []string
-	Grace time.Duration // between SIGTERM and SIGKILL, at most
-	Early time.Duration // SIGKILL comes so long before the deadline, at the latest
-	Clock boot.Clock    // of the deadlines
+	Grace time.Duration  // between SIGTERM and SIGKILL, at most
+	Early time.Duration  // SIGKILL comes so long before the deadline, at the latest
+	Clock boot.Clock     // of the deadlines
+	Late  func(by int64) // is told if the command may have gone on past its deadline, in nanoseconds: this process did not run in time
 }
 
 // How a command ended.
@@ -96,7 +97,13 @@
 	if err := cmd.Start(); err != nil {
 		return 0, err
 	}
-	defer Clear()
+	deadline := until // as it was last told
+	defer func() {
+		Clear()
+		if by := c.Clock.Now() - deadline; by > 0 && c.Early >= 0 && c.Late != nil {
+			c.Late(by)
+		}
+	}()
 	ended := make(chan error, 1)
 	go func() { ended <- cmd.Wait() }()
 	for termed := false; ; {
@@ -128,7 +135,7 @@
 				why = x.why
 			}
 			if x.until > until && !termed {
-				until = x.until
+				until, deadline = x.until, x.until
 			}
 		case <-t.C:
 		}
--- a/internal/lab/tasklab/standin.go
+++ b/internal/lab/tasklab/standin.go
@@ -132,8 +132,9 @@
 	return s.high
 }
 
-// judge says what was broken, and how many actions came late of those that the bench had stopped.
-func (s *Standin) judge() (broken []string, late int) {
+// judge says what was broken, and how many actions came late of those that the bench had stopped, or whose keepers say themselves that their
+// host did not run them in time: no lease can prevent either.
+func (s *Standin) judge(slow map[uint64]bool) (broken []string, late, starved int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, a := range s.order {
@@ -144,12 +145,16 @@
 			late++
 			continue
 		}
+		if slow[a.Token] {
+			starved++
+			continue
+		}
 		broken = append(broken, fmt.Sprintf("two at once: %s acted with token %d at %v, after a higher one had", a.Who, a.Token, a.At.Round(time.Millisecond)))
 	}
 	if len(broken) > 20 {
 		broken = broken[:20]
 	}
-	return broken, late
+	return broken, late, starved
 }
 
 // Gaps are the times without an action from one holder to the next, sorted.
--- a/internal/lab/tasklab/torture.go
+++ b/internal/lab/tasklab/torture.go
@@ -55,7 +55,8 @@
 type Tortured struct {
 	Acts     int            `json:"acts"`
 	Holders  int            `json:"holders"` // that acted, one after the other
-	Late     int            `json:"late"`    // actions of actors that the bench had stopped, after a higher token
+	Late     int            `json:"late"`    // actions after a higher token, of actors that the bench had stopped
+	Starved  int            `json:"starved"` // and of those whose keeper says itself that its host did not run it in time
 	Blows    map[string]int `json:"blows"`
 	History  int            `json:"history"` // reads and writes of the store, judged together
 	Held     float64        `json:"held"`    // part of the time in which somebody acted
@@ -299,7 +300,7 @@
 		}
 		if t.Say != nil {
 			holder, token, acts := x.at.now()
-			broken, late := x.at.judge()
+			broken, late, _ := x.at.judge(x.starved())
 			t.Say(fmt.Sprintf("%v: %s %s; %d acts, %s holds with %d, %d late of stopped actors, %d broken", time.Since(begun).Round(time.Second), f.Name, what, acts,
 				holder, token, late, len(broken)))
 		}
@@ -324,7 +325,7 @@
 		return
 	}
 	_, _, r.Acts = x.at.now()
-	r.Broken, r.Late = x.at.judge()
+	r.Broken, r.Late, r.Starved = x.at.judge(x.starved())
 	more := []string(nil)
 	r.History, more = x.history.judge()
 	r.Broken = append(r.Broken, more...)
@@ -345,6 +346,23 @@
 	}
 }
 
+// starved are the tokens of whose holders a keeper says that it was late.
+func (x *run) starved() map[uint64]bool {
+	all := map[uint64]bool{}
+	for _, a := range x.actors {
+		text, _ := os.ReadFile(filepath.Join(x.dir, a.who+".log"))
+		for line := range strings.Lines(string(text)) {
+			var token uint64
+			if _, rest, ok := strings.Cut(line, " with token "); ok && strings.Contains(line, "past its time") {
+				if _, err := fmt.Sscan(strings.TrimSuffix(strings.Fields(rest)[0], ":"), &token); err == nil {
+					all[token] = true
+				}
+			}
+		}
+	}
+	return all
+}
+
 // spread is the middle, the 99th of a hundred and the greatest of sorted times, in milliseconds.
 func spread(all []time.Duration) (p50, p99, worst float64) {
 	n := len(all)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -281,17 +281,17 @@
 	if len(charges) == 0 {
 		return nil, nil
 	}
-	now := l.now()
 	l.mu.Lock()
+	now := l.now() // not before: whoever waits for the lock, or is stopped, would go by a time that is over
 	t, r := l.holder.Take(now, charges, q.Worth)
 	l.mu.Unlock()
 	if r != nil {
 		return nil, &core.Limited{Limit: r.Limit, Of: r.Node, Alone: r.Alone, RetryAfter: l.cfg.Clock.Span(r.After)}
 	}
 	return func(ran bool) {
-		now := l.now()
 		l.mu.Lock()
 		defer l.mu.Unlock()
+		now := l.now()
 		if ran {
 			l.holder.Done(now, t)
 		} else {
