--- a/cmd/birchmoor/lock.go
+++ b/cmd/birchmoor/lock.go
@@ -152,7 +152,7 @@
 	}
 	defer pipe.Close()
 	// No exec.CommandContext: the keeper ends with its command.
-	cmd := exec.Command(self, append([]string{"keeper", "--grace", min(time.Second, k.TTL/8).String(), "--early=" + plantedEarly(max(30*time.Millisecond, k.TTL/25)).String(),
+	cmd := exec.Command(self, append([]string{"keeper", "--grace", min(time.Second, k.TTL/8).String(), "--early=" + plantedEarly(max(50*time.Millisecond, k.TTL/10)).String(),
 		"--"}, k.Command...)...)
 	cmd.Env = append(os.Environ(), "BIRCHMOOR_TASK="+k.Name, fmt.Sprintf("BIRCHMOOR_TOKEN=%d", l.Token), fmt.Sprintf("BIRCHMOOR_UNTIL=%d", l.Until))
 	cmd.Stdin, cmd.Stdout, cmd.Stderr, cmd.ExtraFiles = os.Stdin, os.Stdout, os.Stderr, []*os.File{out}
