Give out each address on loopback once, and never try one that was given

Seen with six spinning processes beside the suite: bind: address already in use, of the process's own loopback address, at a link that listens again after a kill. What looked for a free port asked the system for any, which may be one that was given and is not listened at for a moment, and took it for that moment. Ports are counted up now.

--- a/internal/lab/address/address.go
+++ b/internal/lab/address/address.go
@@ -3,15 +3,19 @@
 package address
 
 import (
-	"errors"
 	"fmt"
 	"net"
 	"os"
-	"sync"
+	"sync/atomic"
 )
 
-// given are addresses that were handed out: the system may offer one again before who has it listens there.
-var given sync.Map
+// next is the port that is looked at next. None is looked at twice: to try one that was given would take it for a moment from who has it.
+var next atomic.Int32
+
+const (
+	first = 10_000
+	most  = 55_000
+)
 
 // own is an address of this process's alone among all of 127.0.0.0/8, so that no other process takes a port of it meanwhile, be it of a
 // test that runs beside this one. It is not 127.0.0.1, whose ports all connections on loopback come from.
@@ -22,18 +26,16 @@
 
 // Free is an address that nobody listens at, nor was told of by this process. Any goroutine may call it.
 func Free() (string, error) {
-	for range 1000 {
-		ln, err := net.Listen("tcp", own()+":0")
-		if err != nil {
-			return "", err
+	for {
+		n := next.Add(1)
+		if n > most {
+			return "", fmt.Errorf("%d addresses were given out: there are no more", most)
 		}
-		addr := ln.Addr().String()
-		if err := ln.Close(); err != nil {
-			return "", err
-		}
-		if _, before := given.LoadOrStore(addr, true); !before {
-			return addr, nil
+		addr := fmt.Sprintf("%s:%d", own(), first+n)
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue // somebody has it
 		}
+		return addr, ln.Close()
 	}
-	return "", errors.New("no port on " + own() + " is free")
 }
