Divide nothing beside a share that cannot be read, and drop what nothing set

A second reading found that a grant of a newer build, or one damaged, counted for nothing with a divider that began after it: its process's share would have been given again. What could not be read was noted and never looked at. Nothing is divided by such a copy now, and limit list says why; a test holds it. Gone: a clock that no one set and an error that no one returned.

--- a/cmd/birchmoor/limit.go
+++ b/cmd/birchmoor/limit.go
@@ -39,7 +39,7 @@
 		}
 		return s.print(c, st, func(w *tabwriter.Writer) {
 			if st.Fault != "" {
-				fmt.Fprintf(w, "NOT IN FORCE HERE: %s\n", st.Fault)
+				fmt.Fprintf(w, "FAULT HERE: %s\n", st.Fault)
 			}
 			table(w, &st)
 		})
--- a/internal/limit/divide.go
+++ b/internal/limit/divide.go
@@ -133,6 +133,14 @@
 	}
 }
 
+// Fault says why nothing is divided by this copy, or nothing.
+func (d *Divider) Fault() string {
+	for _, key := range slices.Sorted(maps.Keys(d.faults)) {
+		return key + ": " + d.faults[key]
+	}
+	return ""
+}
+
 // counts is what a share counts for: what its process may use by what it has told.
 func (d *Divider) counts(x *process, key string) Amount {
 	g := x.grant.Of[key]
@@ -168,8 +176,8 @@
 
 // Divide returns what is to be changed now, or nil.
 func (d *Divider) Divide(now int64) *Division {
-	if !d.fresh && now-d.looked < lookEvery {
-		return nil
+	if !d.fresh && now-d.looked < lookEvery || len(d.faults) > 0 {
+		return nil // what cannot be read, as of a newer build, may count for anything
 	}
 	d.fresh, d.looked, d.settle = false, now, now-d.last >= settleFor
 	if !d.began {
--- a/internal/limit/hold.go
+++ b/internal/limit/hold.go
@@ -14,7 +14,7 @@
 	FullAtStart         // a new session's shares begin full
 	RefundTwice         // what never ran is given back twice
 	KeepLevel           // a share made smaller keeps what it had saved
-	AlignedWindow       // windows begin at multiples of their length, by the wall clock
+	AlignedWindow       // windows begin at multiples of their length
 	NoEnd               // a process out of reach goes on for as long as it likes
 	UseAfterEnd         // shares are used after the session's end
 	EarlySeen           // a smaller share is told as seen, and gone by only a while later
@@ -52,7 +52,6 @@
 	shares  map[string]*share
 	by      map[*Limit][]*share // the same by node, of the limits in force; nil for those not used yet
 	alone   map[string]*share   // those without the store
-	now     func() int64        // wall clock, of a planted fault
 
 	told   Need
 	toldAt int64
@@ -258,14 +257,14 @@
 }
 
 // roll lets slots of a window go that are wholly out of it. A slot counts until the window after its end, by the slowest clock.
-func (s *share) roll(now int64, skew float64, p Plant, wall int64) {
+func (s *share) roll(now int64, skew float64, p Plant) {
 	if s.l.Kind != Window {
 		return
 	}
 	length := float64(s.l.Span) * (1 + skew)
 	newest := int64(float64(now) / (length / (slotsOf - 1)))
 	if p == AlignedWindow {
-		if newest = wall / s.l.Span * slotsOf; newest != s.slot {
+		if newest = now / s.l.Span * slotsOf; newest != s.slot {
 			clear(s.slots)
 			s.used = 0
 		}
@@ -421,11 +420,7 @@
 // can says whether a share has room for an amount beside a part that is kept for what is worth more, and if not in how long.
 func (s *share) can(now int64, a Amount, reserve float64, h *Holder) (bool, int64) {
 	s.fill(now)
-	wall := now
-	if h.now != nil {
-		wall = h.now()
-	}
-	s.roll(now, h.rules.Skew, h.plant, wall)
+	s.roll(now, h.rules.Skew, h.plant)
 	kept := s.cap * reserve
 	if float64(a)+kept > s.cap {
 		kept = max(0, s.cap-float64(a))
@@ -534,7 +529,7 @@
 			s.level += float64(x.amount)
 		}
 	case Window:
-		s.roll(now, h.rules.Skew, h.plant, now)
+		s.roll(now, h.rules.Skew, h.plant)
 		if s.slot-x.slot < slotsOf {
 			at := &s.slots[x.slot%slotsOf]
 			*at -= x.amount
@@ -573,7 +568,7 @@
 	every := h.rules.every(h.others)
 	for key, s := range h.shares {
 		s.note(now)
-		s.roll(now, h.rules.Skew, h.plant, now)
+		s.roll(now, h.rules.Skew, h.plant)
 		w := Wants{Want: s.want, Floor: s.used, Taken: s.taken, Refused: s.refused}
 		if s.l.Kind == Window { // what it will use until its next word has its effect
 			w.Want = s.used + Amount(float64(s.want)*float64(min(s.l.Span, 4*every))/1e9)
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -106,9 +106,8 @@
 
 // Errors.
 var (
-	ErrName  = errors.New("1 to 64 of a-z, 0-9, '.', '_' and '-'")
-	ErrNone  = errors.New("no such limit")
-	ErrSpent = errors.New("the limit is spent")
+	ErrName = errors.New("1 to 64 of a-z, 0-9, '.', '_' and '-'")
+	ErrNone = errors.New("no such limit")
 )
 
 // Check says what is wrong with a limit, and names the key.
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -414,3 +414,20 @@
 		}
 	}
 }
+
+// A share that cannot be read may count for anything: nothing is divided until it is gone, and why is said.
+func TestWhatCannotBeReadIsNotGivenAgain(t *testing.T) {
+	l := rateOf(10, sec)
+	f := newFleet(l)
+	a, b := f.join("a"), f.join("b")
+	f.need(b, 0, map[string]Wants{l.Key(0): {Want: 100 * One}})
+	f.do(&store.Command{Txn: &store.Txn{Then: []store.Op{{Key: a.GrantKey(), Value: []byte("newer")}}}})
+	d := f.divider(PlantNone)
+	if f.divide(d, 1) || d.Fault() == "" {
+		t.Errorf("divided beside a share that cannot be read: %q", d.Fault())
+	}
+	f.do(&store.Command{Txn: &store.Txn{Then: []store.Op{{Key: a.GrantKey(), Delete: true}}}})
+	if !f.divide(d, 2*sec) || d.Fault() != "" {
+		t.Errorf("not divided once it is gone: %q", d.Fault())
+	}
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -330,7 +330,7 @@
 // State is limits as people see them.
 type State struct {
 	Version uint64        `json:"version"`
-	Fault   string        `json:"fault,omitempty"` // why the newest are not in force here
+	Fault   string        `json:"fault,omitempty"` // why the newest are not in force here, or not divided
 	Divider string        `json:"divider"`         // the daemon that divides, or empty
 	Skew    float64       `json:"skew"`
 	TTLMs   int64         `json:"ttl_ms"`
@@ -357,6 +357,9 @@
 	now := l.now()
 	s := &State{Version: l.conf.Version, Fault: l.fault, Divider: holder, Skew: l.cfg.Skew, TTLMs: l.cfg.TTL.Milliseconds(), Here: l.me,
 		LeftMs: max(0, l.holder.Until()-now) / 1e6, Limits: []*LimitState{}}
+	if why := l.divider.Fault(); s.Fault == "" && why != "" {
+		s.Fault = "nothing is divided here: " + why
+	}
 	for _, x := range l.conf.Limits {
 		if name != "" && x.Name != name {
 			continue
