--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -2,8 +2,6 @@
 package discovery
 
 import (
-	"bufio"
-	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -73,7 +71,8 @@
 	"up": balancer.Ready, "draining": balancer.Draining, "removed": balancer.Gone}
 
 const (
-	muteAfter = 4 * time.Second // an idle watch says something every 2 s
+	muteAfter = 3 * time.Second        // an idle watch says something every 2 s, and 6 s after it fell silent all counts as told
+	AskAgain  = 300 * time.Millisecond // a watch that fell silent is opened anew within this, since others' may have as well
 	waitLeast = 100 * time.Millisecond
 	waitMost  = time.Second
 	lineShare = 16 // of the memory, a line of discovery's may take one part in so many
@@ -125,10 +124,23 @@
 	}
 }
 
-// Once holds one watch, for a balancer that asks for each.
+// Once holds one watch, for a balancer that asks for each. One that spoke and falls silent is opened anew at once: whether
+// and when to ask is the balancer's, but its calls keep a distance that what has changed meanwhile does not.
 func (w *Watcher) Once(ctx context.Context) {
-	if _, err := w.watch(ctx); ctx.Err() == nil {
+	for {
+		heard, err := w.watch(ctx)
+		if ctx.Err() != nil {
+			return
+		}
 		w.log.Warn("discovery watch ended", "error", err)
+		if !heard || !errors.Is(err, errMute) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(rand.N(AskAgain)):
+		}
 	}
 }
 
@@ -137,7 +149,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	// A machine that is cut off leaves the connection open and silent, so our own clock ends it.
-	mute := time.AfterFunc(w.Mute, func() { cancel(errors.New("mute")) })
+	mute := time.AfterFunc(w.Mute, func() { cancel(errMute) })
 	defer mute.Stop()
 	if w.after == Unlisted {
 		// Only a whole list tells what the discovery before this one knew and this one does not.
@@ -152,18 +164,14 @@
 		return heard, cmp.Or(context.Cause(ctx), err)
 	}
 	defer resp.Body.Close()
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(nil, w.lineMost)
-	for lines.Scan() {
-		mute.Reset(w.Mute)
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) == 0 {
-			continue
-		}
+	said := &speech{Reader: resp.Body, heard: func() { mute.Reset(w.Mute) }}
+	lists := json.NewDecoder(said) // a list counts once it is whole, however many lines it stands on
+	for {
+		said.left = w.lineMost
 		var l List
-		if err := json.Unmarshal(line, &l); err != nil {
-			// What it changed is not known: the next watch tells it again.
-			return heard, fmt.Errorf("malformed line: %w", err)
+		if err := lists.Decode(&l); err != nil {
+			// What it would have changed is not known: the next watch tells it again.
+			return heard, cmp.Or(context.Cause(ctx), err)
 		}
 		if l.Generation < w.after {
 			// What is older than our list would bring back endpoints that we know to be draining.
@@ -173,12 +181,31 @@
 		w.after, heard = l.Generation, true
 		w.tell(ctx, l)
 	}
-	if err := lines.Err(); err != nil {
-		return heard, cmp.Or(context.Cause(ctx), err)
+}
+
+// speech is what a discovery says on a watch: each word shows that it is not mute, and none may be too long.
+type speech struct {
+	io.Reader
+	heard func()
+	left  int // bytes that the present list may still take
+}
+
+func (s *speech) Read(b []byte) (int, error) {
+	if s.left <= 0 {
+		return 0, errLongList
+	}
+	n, err := s.Reader.Read(b[:min(len(b), s.left)])
+	if s.left -= n; n > 0 {
+		s.heard()
 	}
-	return heard, io.ErrUnexpectedEOF
+	return n, err
 }
 
+var (
+	errMute     = errors.New("mute")
+	errLongList = errors.New("the list is too long")
+)
+
 // whole asks for the whole list.
 func (w *Watcher) whole(ctx context.Context) error {
 	resp, err := w.get(ctx, "")
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -64,3 +64,51 @@
 		t.Errorf("asked with %q, want %q", got, "1 7")
 	}
 }
+
+// A list may stand on several lines, and one that ends in the middle changes nothing: the next watch tells it again.
+func TestListsOnSeveralLines(t *testing.T) {
+	b := sidetest.NewBoard(t)
+	told := watching(t, b, sidetest.Soon)
+	sidetest.Within(t, b.Asked, "watch")
+	b.Lines <- "{\n  \"generation\": 8,\n  \"reset\": true,\n\n  \"instances\": [\n  ]\n}"
+	b.Lines <- "  " + sidetest.Line(9, false) + sidetest.Line(10, false)
+	for _, want := range []int64{8, 9, 10} {
+		if got := sidetest.Within(t, told, "list").Generation; got != want {
+			t.Errorf("told of %d, want %d", got, want)
+		}
+	}
+	b.Lines <- `{"generation":11,"reset":true,"instances":[`
+	b.Lines <- ""
+	if got := sidetest.Within(t, b.Asked, "watch after half a list"); got != "1 10" || len(told) != 0 {
+		t.Errorf("asked with %q, and told of %d lists", got, len(told))
+	}
+}
+
+// A watch that spoke and falls silent is opened anew by itself, also where the balancer asks for each; one that never spoke
+// is the balancer's to ask for again.
+func TestSilentWatchIsOpenedAnew(t *testing.T) {
+	b := sidetest.NewBoard(t)
+	told := make(chan discovery.List, 16)
+	w := discovery.NewWatcher(b.Addr, 7, 16, func(_ context.Context, l discovery.List) { told <- l }, sidetest.Quiet)
+	w.Mute = 50 * time.Millisecond
+	ended := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { w.Once(ctx); close(ended) }()
+	sidetest.Within(t, b.Asked, "watch")
+	b.Lines <- sidetest.Line(8, true)
+	sidetest.Within(t, told, "list")
+	if got := sidetest.Within(t, b.Asked, "watch after a silent one"); got != "1 8" {
+		t.Errorf("asked with %q", got)
+	}
+	sidetest.Within(t, ended, "end of a watch that never spoke")
+}
+
+// What a silent watch misses counts as told 6 s after it fell silent; it may have said its last word right before that.
+func TestSilenceIsFoundInTime(t *testing.T) {
+	w := discovery.NewWatcher("127.0.0.1:1", 7, 16, nil, sidetest.Quiet)
+	const idle, told, call = 2 * time.Second, 6 * time.Second, time.Second
+	if w.Mute <= idle || w.Mute+discovery.AskAgain+call > told-time.Second {
+		t.Errorf("a silence is found after %v, and asked about within %v", w.Mute, discovery.AskAgain)
+	}
+}
