--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -150,6 +150,7 @@
 	done     bool // the balancer knows the outcome
 	late     bool // and it was a time-out, while the attempt goes on
 
+	neverRan  bool // its outcome proves that
 	uploading bool // its body is under way
 }
 
--- /dev/null
+++ b/internal/core/crossings_test.go
@@ -0,0 +1,93 @@
+package core
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"birchmoor/balancer"
+	"birchmoor/internal/discovery"
+	"birchmoor/internal/metrics"
+	"birchmoor/internal/sidetest"
+)
+
+// looping runs a loop before endpoints of one cell whose attempts go as send says, in virtual time.
+func looping(t *testing.T, send func(l *Loop, ctx context.Context, o Order) Reply, edits ...string) (l *Loop, end func()) {
+	t.Helper()
+	c := sidetest.Configure(t, "127.0.0.1:1", []discovery.Instance{sidetest.Up("s-1", "127.0.0.1:1"), sidetest.Up("s-2", "127.0.0.1:2")}, edits...)
+	s := stub{send: func(ctx context.Context, o Order) Reply { return send(l, ctx, o) }}
+	l, err := New(c, NewClock(), s, func(bool) {}, metrics.New(), nil, sidetest.Quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { l.Run(ctx); close(done) }()
+	return l, func() { cancel(); <-done }
+}
+
+func (l *Loop) request(id string, class uint8) *Call {
+	k := &Call{ID: id, Class: l.View().Classes[class], View: l.View(), Answer: make(chan Answer, 1),
+		In: balancer.Request{Class: class, Deadline: l.Now() + 900_000, Rules: l.View().Rules}}
+	l.Arrived(k)
+	return k
+}
+
+// A repeat that is chosen within the window in which those who drop repeats remember the first, and whose connection comes
+// up after it, is not sent; one whose connection comes up within it is.
+func TestRepeatAtWindowsEnd(t *testing.T) {
+	const book = 1 // keyed; its window is 400 ms
+	for _, tc := range []struct {
+		name string
+		dial time.Duration
+		went bool
+	}{
+		{"within", 15 * time.Millisecond, true},
+		{"after", 25 * time.Millisecond, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n, went := 0, false
+				l, end := looping(t, func(l *Loop, ctx context.Context, o Order) Reply {
+					if n++; n == 1 {
+						o.Go(l.Now())
+						time.Sleep(380 * time.Millisecond)
+						return Reply{Status: balancer.Reset, At: l.Now()} // it may have run
+					}
+					time.Sleep(tc.dial)
+					if went = o.Go(l.Now()); went {
+						return Reply{Status: balancer.OK, At: l.Now()}
+					}
+					return Reply{Status: balancer.Moot, At: l.Now()}
+				})
+				defer end()
+				a := <-l.request("1", book).Answer
+				if n != 2 || went != tc.went || (a.Verdict == Served) != tc.went {
+					t.Errorf("%d attempts, the second went out: %v, want %v; verdict %v", n, went, tc.went, a.Verdict)
+				}
+			})
+		})
+	}
+}
+
+// What proves that it never ran opens no window.
+func TestNoWindowBeforeItMayHaveRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := 0
+		l, end := looping(t, func(l *Loop, ctx context.Context, o Order) Reply {
+			if n++; n == 1 {
+				time.Sleep(200 * time.Millisecond)
+				return Reply{Status: balancer.ConnectFailed, At: l.Now()}
+			}
+			if !o.Go(l.Now()) {
+				return Reply{Status: balancer.Moot, At: l.Now()}
+			}
+			return Reply{Status: balancer.OK, At: l.Now()}
+		}, `"window":400000`, `"window":100000`)
+		defer end()
+		if a := <-l.request("1", 1).Answer; n != 2 || a.Verdict != Served {
+			t.Errorf("%d attempts, verdict %v", n, a.Verdict)
+		}
+	})
+}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"slices"
 	"sync/atomic"
@@ -325,6 +326,7 @@
 		return
 	}
 	a.done = true
+	a.neverRan = r.Status == balancer.Full || r.Status == balancer.ConnectFailed || r.Status == balancer.Moot
 	if a.late = r.Status == balancer.Timeout && !c.ended && l.upstream.KeepsLate(); !a.late {
 		a.cancel()
 	}
@@ -517,6 +519,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
+	until := c.repeatUntil()
 	c.attempts = append(c.attempts, a)
 	c.open++
 	if c.ended || e == nil || now >= a.deadline || len(c.attempts) > c.most() {
@@ -530,10 +533,10 @@
 	a.uploading = c.Flows && c.In.Flows
 	to := e.to
 	go func() {
-		// The dial may have outlasted the grace of a drain or the time of the request.
+		// The dial may have outlasted the grace of a drain, the time of the request, or the window for its repeats.
 		more := func(now balancer.Micros) bool {
 			stop := e.stopAt.Load()
-			return (stop == 0 || now < stop) && now < a.deadline
+			return (stop == 0 || now < stop) && now < a.deadline && now < until
 		}
 		r := to.Send(ctx, Order{Request: c.Out, Deadline: a.deadline, More: more,
 			Go:    func(now balancer.Micros) bool { return more(now) && a.gate.pass() },
@@ -619,6 +622,19 @@
 	return c.Most
 }
 
+// repeatUntil is the instant from which on no further attempt may begin: those who drop repeats of a keyed request
+// remember it only for its class's window, from its first attempt that may have run.
+func (c *Call) repeatUntil() balancer.Micros {
+	if class := &c.View.Settings.Classes[c.In.Class]; class.Repeat == balancer.Keyed {
+		for _, a := range c.attempts {
+			if !a.neverRan {
+				return a.sent + class.Window
+			}
+		}
+	}
+	return math.MaxInt64
+}
+
 // ---- The table of requests -------------------------------------------------
 
 // finish gives a request its one final answer; nothing new goes out for it.
