--- a/internal/httpfront/upstream.go
+++ b/internal/httpfront/upstream.go
@@ -33,6 +33,8 @@
 	answerMost   = BodyMost + 64<<10 // with its head and framing
 	probeTimeout = 250 * time.Millisecond
 	sweepEvery   = time.Second
+	restLeast    = 10 * time.Millisecond // behind an answer, in which a second one may come
+	unaskedFor   = 10 * time.Minute      // one that did is remembered
 )
 
 // message is a client's request as it goes on to an endpoint, but for the time that it has left.
@@ -52,14 +54,16 @@
 	idleMost  time.Duration
 	connsMost int
 	dial      func(ctx context.Context, network, addr string) (net.Conn, error)
+	pause     func(ctx context.Context, d time.Duration)
 	sends     *metrics.Counter // attempts written whole
 	reports   atomic.Pointer[reports]
 	answers   *budget.Budget // bytes of answers that are held
 	unsent    core.Unsent
 
-	mu    sync.Mutex
-	conns int                 // open or being opened
-	idle  map[*place]struct{} // those with idle connections
+	mu      sync.Mutex
+	unasked time.Time           // when an endpoint last sent what nothing had asked for
+	conns   int                 // open or being opened
+	idle    map[*place]struct{} // those with idle connections
 }
 
 // place is where one endpoint listens. Its connections are its own.
@@ -111,6 +115,12 @@
 		// Well before the endpoint's own limit: a request that crosses its close is lost.
 		idleMost: c.KeepAlive * 2 / 3, connsMost: c.UpstreamConns(1), idle: map[*place]struct{}{}}
 	u.Adopt(c)
+	u.pause = func(ctx context.Context, d time.Duration) {
+		select {
+		case <-time.After(d):
+		case <-ctx.Done():
+		}
+	}
 	u.dial = (&net.Dialer{Timeout: dialWait(time.Duration(c.Settings.Limits.DialTimeout) * time.Microsecond)}).DialContext
 	return u
 }
@@ -520,12 +530,26 @@
 
 // ---- Connections -----------------------------------------------------------
 
-// get returns the idle connection used last, since the others may then grow old, or a new one.
+// get returns the idle connection used last, since the others may then grow old, or a new one. One that has rested for a
+// moment goes first: an endpoint may send more than one answer to a request, some milliseconds apart, and behind the next
+// request the second would pass for that one's. Where any has done so of late, none goes before it has rested.
 func (u *Upstream) get(ctx context.Context, to *place) (*conn, error) {
 	u.mu.Lock()
 	for !to.gone && len(to.idle) > 0 {
-		c := u.popLocked(to, len(to.idle)-1)
-		if u.usable(c) {
+		at, rested := len(to.idle)-1, time.Now().Add(-restLeast)
+		for at > 0 && to.idle[at].idle.After(rested) {
+			at--
+		}
+		if to.idle[at].idle.After(rested) {
+			at = len(to.idle) - 1
+		}
+		c := u.popLocked(to, at)
+		if wait := c.idle.Sub(rested); wait > 0 && !u.unasked.IsZero() && time.Since(u.unasked) < unaskedFor {
+			u.mu.Unlock()
+			u.pause(ctx, wait)
+			u.mu.Lock()
+		}
+		if !to.gone && u.usable(c) {
 			u.mu.Unlock()
 			return c, nil
 		}
@@ -559,7 +583,20 @@
 	return c, nil
 }
 
-func (u *Upstream) usable(c *conn) bool { return time.Since(c.idle) < u.idleMost && c.alive() }
+// usable says whether an idle connection may serve a request. It is called with the mutex held.
+func (u *Upstream) usable(c *conn) bool {
+	quiet, spoke := c.rests()
+	if spoke {
+		u.unasked = time.Now()
+	}
+	return quiet && time.Since(c.idle) < u.idleMost
+}
+
+func (u *Upstream) heardUnasked() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.unasked = time.Now()
+}
 
 func (u *Upstream) put(c *conn) {
 	u.mu.Lock()
@@ -676,23 +713,22 @@
 	}
 }
 
-// alive looks, without waiting, whether the endpoint has closed an idle connection or sent something on it
-// unasked. A request written to such a connection would be lost and might have run.
-func (c *conn) alive() bool {
+// rests looks, without waiting, whether an idle connection is open and quiet, or the endpoint has sent something on it
+// unasked. A request written to one that is neither would be lost and might have run.
+func (c *conn) rests() (quiet, spoke bool) {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return false, false
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	quiet := false
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet, spoke = err == syscall.EAGAIN, err == nil && n > 0
 		return true
 	})
-	return err == nil && quiet
+	return err == nil && quiet, err == nil && spoke
 }
