--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -45,6 +45,16 @@
 	Flowed     func(FlowEnd) // is told how an answer that flows ended; nil for one that is whole
 }
 
+// Drop gives back what an answer holds that nobody gets.
+func (a Answer) Drop() {
+	if a.Reply != nil {
+		a.Reply.Release()
+	}
+	if a.Flowed != nil {
+		a.Flowed(FlowLeft)
+	}
+}
+
 // Reply is what came of an attempt or a probe.
 type Reply struct {
 	Status  balancer.Status
--- a/internal/core/crossings_test.go
+++ b/internal/core/crossings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -91,3 +92,73 @@
 		}
 	})
 }
+
+// Before the process is killed all that is open has its answer: what never went out is refused, what may have run failed;
+// and what comes later is refused at once, with nothing sent on.
+func TestAllAnsweredBeforeTheKill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var sent atomic.Int32
+		l, end := looping(t, func(l *Loop, ctx context.Context, o Order) Reply {
+			sent.Add(1)
+			if o.Request == "goes out" {
+				o.Go(l.Now())
+			}
+			<-ctx.Done()
+			return Reply{Status: balancer.Cancelled, At: l.Now()}
+		}, `"give-up":1000000`, `"give-up":60000000`)
+		defer end()
+		open := map[string]*Call{}
+		for _, out := range []string{"goes out", "dials"} {
+			k := &Call{ID: out, Class: "pay", View: l.View(), Answer: make(chan Answer, 1), Out: out,
+				In: balancer.Request{Class: 2, Deadline: l.Now() + 50_000_000, Rules: l.View().Rules}}
+			l.Arrived(k)
+			open[out] = k
+		}
+		synctest.Wait()
+		begun := time.Now()
+		l.EndIn(3 * time.Second)
+		for out, want := range map[string]Verdict{"goes out": Failed, "dials": Refused} {
+			a := <-open[out].Answer
+			if took := time.Since(begun); a.Verdict != want || took != 3*time.Second {
+				t.Errorf("%s: verdict %v after %v, want %v", out, a.Verdict, took, want)
+			}
+		}
+		if a := <-l.request("late", 2).Answer; a.Verdict != Refused || sent.Load() != 2 || time.Since(begun) != 3*time.Second {
+			t.Errorf("what came later: verdict %v, %d attempts in all, after %v", a.Verdict, sent.Load(), time.Since(begun))
+		}
+	})
+}
+
+// A client that leaves as the answer comes: whichever is first, there is one answer, and it is told.
+func TestLeftCrossesAnswer(t *testing.T) {
+	for _, first := range []string{"left", "answer"} {
+		synctest.Test(t, func(t *testing.T) {
+			go1 := make(chan struct{})
+			l, end := looping(t, func(l *Loop, ctx context.Context, o Order) Reply {
+				o.Go(l.Now())
+				<-go1
+				return Reply{Status: balancer.OK, At: l.Now()}
+			})
+			defer end()
+			k := l.request("1", 0)
+			synctest.Wait()
+			want := Failed // it may have run
+			if first == "answer" {
+				want = Served
+				close(go1)
+				synctest.Wait()
+			}
+			l.Left(k)
+			if a := <-k.Answer; a.Verdict != want {
+				t.Errorf("%s first: verdict %v, want %v", first, a.Verdict, want)
+			}
+			if first == "left" {
+				close(go1)
+			}
+			synctest.Wait()
+			if len(k.Answer) != 0 {
+				t.Errorf("%s first: a second answer", first)
+			}
+		})
+	}
+}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
 	"net"
 	"slices"
@@ -40,6 +41,7 @@
 	watch    func(on bool)
 	ready    atomic.Bool // an endpoint is known to serve
 
+	closed   bool // nothing is taken any more
 	lastID   uint64
 	calls    map[uint64]*Call
 	ids      map[string]*Call // the same by the clients' ids
@@ -242,9 +244,13 @@
 // Arrived takes a client's request; the one final answer comes on c.answer.
 func (l *Loop) Arrived(c *Call) {
 	l.post(func(now balancer.Micros) {
-		if l.ids[c.ID] != nil {
+		if l.ids[c.ID] != nil || l.closed {
 			c.ended = true
-			c.Answer <- Answer{Verdict: IDOpen}
+			v := IDOpen
+			if l.closed {
+				v = Refused
+			}
+			c.Answer <- Answer{Verdict: v}
 			return
 		}
 		l.lastID++
@@ -254,24 +260,43 @@
 	})
 }
 
-// Left tells that the client of a request has gone.
+// Left tells that the client of a request has gone. The one answer still comes on c.Answer: what crossed with the leaving,
+// or that nothing comes of the request any more.
 func (l *Loop) Left(c *Call) {
-	l.post(func(now balancer.Micros) {
-		if !c.ended {
-			l.end(c)
-			l.balancer.ClientGone(now, c.In.ID)
-			return
+	l.post(func(now balancer.Micros) { l.giveUp(now, c) })
+}
+
+// giveUp ends a request that has no answer yet: as refused where nothing has gone out for it, and nothing will, else as
+// failed.
+func (l *Loop) giveUp(now balancer.Micros, c *Call) {
+	if c.ended {
+		return
+	}
+	for _, a := range c.attempts {
+		a.gate.shut()
+	}
+	v := Refused
+	for _, a := range c.attempts {
+		if a.gate.state.Load() == gatePassed {
+			v = Failed
 		}
-		select {
-		case a := <-c.Answer: // that nobody wants any more
-			if a.Reply != nil {
-				a.Reply.Release()
-			}
-			if a.Flowed != nil {
-				a.Flowed(FlowLeft)
+	}
+	l.finish(c, Answer{Verdict: v})
+	l.balancer.ClientGone(now, c.In.ID)
+}
+
+// EndIn gives all that is open after a while its final answer then, and all that comes later at once: this process is
+// about to be killed, and what it has not answered by then is lost.
+func (l *Loop) EndIn(d time.Duration) {
+	l.post(func(now balancer.Micros) {
+		l.at(now+d.Microseconds(), func(now balancer.Micros) {
+			l.closed = true
+			for _, id := range slices.Sorted(maps.Keys(l.calls)) {
+				if c := l.calls[id]; c != nil {
+					l.giveUp(now, c)
+				}
 			}
-		default:
-		}
+		})
 	})
 }
 
--- a/internal/dnsfront/server.go
+++ b/internal/dnsfront/server.go
@@ -317,6 +317,7 @@
 			}
 		case <-f.left:
 			s.loop.Left(f.call)
+			(<-f.call.Answer).Drop()
 		}
 	})
 }
--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -4,29 +4,52 @@
 	"bufio"
 	"bytes"
 	"container/list"
+	"encoding/binary"
 	"errors"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
-// client is a client's connection.
+// connState is where a client's connection is in its life. Only clients changes it, under its mutex: what has been read
+// of a request and whether the connection is given up are decided in one place.
+type connState uint8
+
+const (
+	stateNew       connState = iota // nothing has been read from it
+	stateReading                    // a request has begun to be read, and is not taken yet
+	stateActive                     // a request was taken, and is owed its answer
+	stateIdle                       // it has had an answer, and nothing of another request has been read
+	stateLingering                  // nothing is taken any more: our sending ends, and what still comes is read out
+	stateClosed
+)
+
+// client is a client's connection. Its goroutine owns it: that one reads, answers and closes. Others ask for its end.
 type client struct {
 	net.Conn
+	of    *clients
+	raw   syscall.RawConn // nil where the connection has none
 	paced paced
 	limit io.LimitedReader // what may still be read for the present request
 	r     *bufio.Reader
 
+	taken    bool // the owner's: a request is open, so that nobody else ends the connection
+	lingered bool // the owner's: what still came has been read out
+
 	// Guarded by clients.mu.
-	quiet   *list.Element // its place in one of clients' lists; nil while a request is open
-	kept    bool          // which list: it has had an answer
+	state   connState
+	leaving bool          // to end where nothing of another request has come
+	ending  bool          // nothing more of a request that is not whole is to be read
+	place   *list.Element // in one of clients' lists; nil while a request is open
+	in      *list.List    // that list
 	since   time.Time     // that it has been there
-	evicted bool          // and closed by that
 
 	heard atomic.Int64 // when it last sent something, in Unix microseconds; 0: never
 }
@@ -38,16 +61,17 @@
 	talk func(*client) // until the connection is to be closed
 	log  *slog.Logger
 
-	mu      sync.Mutex
-	open    int        // connections with an open request
-	fresh   *list.List // *client: those that have had none yet, the oldest first
-	quiet   *list.List // *client: those that have had one, the one without for longest first
-	closing bool
-	talks   sync.WaitGroup
+	mu        sync.Mutex
+	open      int        // connections with an open request
+	fresh     *list.List // *client: those that have had none yet, the oldest first
+	quiet     *list.List // *client: those that have had one, the one without for longest first
+	lingering *list.List // *client: those whose end has begun
+	closing   bool
+	talks     sync.WaitGroup
 }
 
 func newClients(most int, talk func(*client), log *slog.Logger) *clients {
-	return &clients{most: most, talk: talk, log: log, fresh: list.New(), quiet: list.New()}
+	return &clients{most: most, talk: talk, log: log, fresh: list.New(), quiet: list.New(), lingering: list.New()}
 }
 
 const (
@@ -55,7 +79,7 @@
 	acceptWaitMost  = time.Second
 )
 
-// accept serves connections until ln is closed.
+// accept serves connections until ln is closed or its deadline has passed.
 func (k *clients) accept(ln net.Listener) error {
 	wait := acceptWaitLeast
 	for {
@@ -64,16 +88,14 @@
 		case err == nil:
 			wait = acceptWaitLeast
 			k.add(nc)
-		case errors.Is(err, net.ErrClosed):
+		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
 			return nil
 		default:
 			// No descriptor is left, perhaps: one that is not needed makes room.
 			if wait == acceptWaitLeast {
 				k.log.Warn("accept", "error", err)
 			}
-			k.mu.Lock()
-			k.evictLocked()
-			k.mu.Unlock()
+			k.evict()
 			time.Sleep(wait)
 			wait = min(2*wait, acceptWaitMost)
 		}
@@ -81,21 +103,31 @@
 }
 
 func (k *clients) add(nc net.Conn) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.lenLocked() >= k.most && !k.evictLocked() {
-		nc.Close() // all others are waiting for their answers
-		return
+	c := &client{Conn: nc, of: k, since: time.Now()}
+	if sc, ok := nc.(syscall.Conn); ok {
+		c.raw, _ = sc.SyscallConn()
 	}
-	c := &client{Conn: nc, since: time.Now(), paced: paced{Conn: nc}}
+	c.paced.Conn = c
 	c.limit.R = &c.paced
-	c.paced.heard = &c.heard
 	c.r = bufio.NewReader(&c.limit)
-	c.quiet = k.fresh.PushBack(c)
+	k.mu.Lock()
+	var out *client
+	if k.lenLocked() >= k.most {
+		if out = k.evictLocked(); out == nil {
+			k.mu.Unlock()
+			nc.Close() // all others are waiting for their answers
+			return
+		}
+	}
+	k.listLocked(c, k.fresh)
 	k.talks.Go(func() {
 		k.talk(c)
 		k.remove(c)
 	})
+	k.mu.Unlock()
+	if out != nil {
+		out.Close()
+	}
 }
 
 const (
@@ -104,14 +136,37 @@
 	useAgain = time.Second            // a connection without a request for so long is hardly missed
 )
 
-func (k *clients) lenLocked() int { return k.open + k.fresh.Len() + k.quiet.Len() }
+func (k *clients) lenLocked() int { return k.open + k.fresh.Len() + k.quiet.Len() + k.lingering.Len() }
+
+// listLocked moves a connection to the end of a list, or out of all.
+func (k *clients) listLocked(c *client, to *list.List) {
+	if c.place != nil {
+		c.in.Remove(c.place)
+	}
+	if c.place, c.in = nil, to; to != nil {
+		c.place = to.PushBack(c)
+	}
+}
+
+// evict closes the connection that will be missed least, and says whether there was one.
+func (k *clients) evict() bool {
+	k.mu.Lock()
+	c := k.evictLocked()
+	k.mu.Unlock()
+	if c == nil {
+		return false
+	}
+	c.Close()
+	return true
+}
 
-// evictLocked closes the connection without an open request that will be missed least: one that has never said
-// anything, then one that stopped half way in its first request, then one that was used long ago; and if all
-// seem in use, the oldest that has asked nothing yet.
-func (k *clients) evictLocked() bool {
+// evictLocked gives up the connection without an open request that will be missed least: one whose end has begun; one
+// that has never said anything, then one that stopped half way in its first request, then one that was used long ago;
+// and if all seem in use, the oldest that has asked nothing yet. The caller closes it, at once since its place is wanted,
+// and once it holds the mutex no more: closing waits for a read, and a read for the mutex.
+func (k *clients) evictLocked() *client {
 	now := time.Now()
-	var silent, half *client
+	var silent, half, kept, oldest *client
 	for at := k.fresh.Front(); at != nil && silent == nil; at = at.Next() {
 		c := at.Value.(*client)
 		switch heard := c.heard.Load(); {
@@ -120,124 +175,247 @@
 		case heard != 0 && now.Sub(time.UnixMicro(heard)) > goOn && (half == nil || heard < half.heard.Load()):
 			half = c
 		}
+		if oldest == nil && c.state == stateNew {
+			oldest = c
+		}
 	}
-	var kept *client
-	if first := k.quiet.Front(); first != nil {
-		kept = first.Value.(*client)
-	}
-	var oldest *client
-	if first := k.fresh.Front(); first != nil {
-		oldest = first.Value.(*client)
+	for at := k.quiet.Front(); at != nil && kept == nil; at = at.Next() {
+		if c := at.Value.(*client); c.state == stateIdle || now.Sub(time.UnixMicro(c.heard.Load())) > goOn {
+			kept = c
+		}
 	}
+	var out *client
 	switch {
+	case k.lingering.Len() > 0:
+		out = k.lingering.Front().Value.(*client)
 	case silent != nil:
-		k.closeLocked(silent)
+		out = silent
 	case half != nil:
-		k.closeLocked(half)
+		out = half
 	case kept != nil && (oldest == nil || now.Sub(kept.since) > useAgain):
-		k.closeLocked(kept)
+		out = kept
 	case oldest != nil:
-		k.closeLocked(oldest)
+		out = oldest
 	default:
-		return false
+		return nil
 	}
-	return true
+	k.listLocked(out, nil)
+	out.state = stateClosed
+	return out
 }
 
-func (k *clients) closeLocked(c *client) {
-	k.listOf(c).Remove(c.quiet)
-	c.evicted = true
-	c.Close()
+// Read reads what the client sends. As long as no request is taken, whether something is read or the connection is given
+// up is decided under the mutex, one or the other: what was read has its request served, and what was not is not.
+func (c *client) Read(b []byte) (n int, err error) {
+	if c.taken || c.raw == nil {
+		n, err = c.Conn.Read(b)
+		c.hear(n)
+		return n, err
+	}
+	n, err = c.readOwned(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.of.leaves(c) {
+		// Woken to leave: a last look at what has come decides.
+		c.SetReadDeadline(time.Now().Add(RequestTime))
+		n, err = c.readOwned(b)
+	}
+	return n, err
+}
+
+func (c *client) readOwned(b []byte) (n int, err error) {
+	wait := c.raw.Read(func(fd uintptr) bool {
+		c.of.mu.Lock()
+		defer c.of.mu.Unlock()
+		switch {
+		case c.state >= stateLingering:
+			err = net.ErrClosed
+			return true
+		case c.ending:
+			err = os.ErrDeadlineExceeded
+			return true
+		}
+		n, err = syscall.Read(int(fd), b)
+		for err == syscall.EINTR {
+			n, err = syscall.Read(int(fd), b)
+		}
+		n = max(n, 0)
+		c.hear(n)
+		switch {
+		case n > 0:
+			c.state, c.leaving = stateReading, false
+		case err == syscall.EAGAIN && c.leaving:
+			c.state, err = stateLingering, net.ErrClosed
+			c.of.listLocked(c, c.of.lingering)
+		case err == syscall.EAGAIN:
+			err = nil
+			return false
+		case err == nil:
+			err = io.EOF
+		}
+		return true
+	})
+	if n == 0 && err == nil {
+		err = wait
+	}
+	return n, err
 }
 
-func (k *clients) listOf(c *client) *list.List {
-	if c.kept {
-		return k.quiet
+func (c *client) hear(n int) {
+	if n > 0 {
+		c.heard.Store(time.Now().UnixMicro())
 	}
-	return k.fresh
 }
 
-// take notes that a connection has an open request, unless it has been closed meanwhile.
+// take notes that a connection has an open request, unless its place was wanted before that was whole.
 func (k *clients) take(c *client) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if c.evicted {
+	if c.state >= stateLingering {
 		return false
 	}
-	k.listOf(c).Remove(c.quiet)
-	c.quiet = nil
+	k.listLocked(c, nil)
+	c.state, c.taken = stateActive, true
 	k.open++
 	return true
 }
 
-// rest notes that a request has its answer, and says whether the connection may stay open.
-func (k *clients) rest(c *client) bool {
+// rest notes that a request has its answer. Where connections end with their answers, a last look decides, as for those
+// that rested before.
+func (k *clients) rest(c *client) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.open--
-	c.since, c.kept = time.Now(), true
-	c.quiet = k.quiet.PushBack(c)
-	return !k.closing
+	c.since, c.state, c.taken, c.leaving = time.Now(), stateIdle, false, k.closing
+	k.listLocked(c, k.quiet)
 }
 
+// again notes that what was read was answered without being taken, and says whether the connection may stay open.
+func (k *clients) again(c *client) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if c.state == stateReading && !c.ending {
+		c.state = stateIdle
+		if c.in == k.fresh {
+			c.state = stateNew
+		}
+		return true
+	}
+	return false
+}
+
+// remove ends a connection: our sending, then what the client may still be sending, which is read out for a little, since
+// closing on unread bytes would take the last answer away from it again, and then all.
 func (k *clients) remove(c *client) {
+	k.mu.Lock()
+	if c.state == stateActive {
+		k.open--
+	}
+	if c.state != stateClosed {
+		c.state, c.taken = stateLingering, true
+		k.listLocked(c, k.lingering)
+	}
+	lingers := c.state == stateLingering && !c.lingered
+	k.mu.Unlock()
+	if lingers {
+		if tcp, ok := c.Conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+			c.linger(c.Conn, lingerMost, lingerTime)
+		}
+	}
 	c.Close()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	switch {
-	case c.evicted:
-	case c.quiet == nil:
-		k.open--
-	default:
-		k.listOf(c).Remove(c.quiet)
+	c.state = stateClosed
+	k.listLocked(c, nil)
+}
+
+// leaveLocked asks for the end of a connection: its owner takes a last look, and where nothing of another request has come,
+// ends it. Of a request that has begun to be read, it ends the reading, and what is whole by then is served.
+func (k *clients) leaveLocked(c *client) *client {
+	c.leaving, c.ending = c.state != stateReading, c.state == stateReading
+	return c
+}
+
+// leaves says whether a connection is asked to end, and nothing of a request has been read.
+func (k *clients) leaves(c *client) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return c.leaving && (c.state == stateNew || c.state == stateIdle)
+}
+
+// wake ends what the owners of connections wait for. It is called without the mutex.
+func wake(all []*client) {
+	for _, c := range all {
+		c.SetReadDeadline(past)
 	}
 }
 
 // resize changes how many connections may be open.
 func (k *clients) resize(most int) {
 	k.mu.Lock()
-	defer k.mu.Unlock()
 	k.most = most
-	for k.lenLocked() > most && k.evictLocked() {
+	var out []*client
+	for k.lenLocked() > most {
+		c := k.evictLocked()
+		if c == nil {
+			break
+		}
+		out = append(out, c)
+	}
+	k.mu.Unlock()
+	for _, c := range out {
+		c.Close()
 	}
 }
 
-// settle closes the connections that were used and have had no open request for longer than age, and returns
+// settle ends the connections that were used and have had no open request for longer than age, and returns
 // how many are open then. Those that have asked nothing yet have a time of their own.
 func (k *clients) settle(age time.Duration) int {
+	var left []*client
+	defer func() { wake(left) }()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for first := k.quiet.Front(); first != nil && time.Since(first.Value.(*client).since) > age; first = k.quiet.Front() {
-		k.closeLocked(first.Value.(*client))
+	for at := k.quiet.Front(); at != nil && time.Since(at.Value.(*client).since) > age; at = at.Next() {
+		if c := at.Value.(*client); c.state == stateIdle {
+			left = append(left, k.leaveLocked(c))
+		}
 	}
 	return k.lenLocked()
 }
 
-// hush closes the connections that were used and have no open request; those with one close once they have
+// hush ends the connections that were used and have no open request; those with one end once they have
 // their answers.
 func (k *clients) hush() {
+	var left []*client
+	defer func() { wake(left) }()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.closing = true
-	for first := k.quiet.Front(); first != nil; first = k.quiet.Front() {
-		k.closeLocked(first.Value.(*client))
+	for at := k.quiet.Front(); at != nil; at = at.Next() {
+		if c := at.Value.(*client); c.state == stateIdle {
+			left = append(left, k.leaveLocked(c))
+		}
 	}
 }
 
-// dismiss closes the connections that have asked nothing yet, but for those that are about to unless all are to
-// go, and returns how many of them are left.
-func (k *clients) dismiss(all bool) int {
+// dismiss ends the connections that have asked nothing yet, but for those that are about to unless all are to
+// go, and returns how many are still about to ask, also again.
+func (k *clients) dismiss(all bool) (asking int) {
+	var left []*client
+	defer func() { wake(left) }()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
-	for at := k.fresh.Front(); at != nil; {
-		c := at.Value.(*client)
-		at = at.Next()
-		if all || c.heard.Load() == 0 && now.Sub(c.since) > saySoon {
-			k.closeLocked(c)
+	for _, of := range []*list.List{k.fresh, k.quiet} {
+		for at := of.Front(); at != nil; at = at.Next() {
+			c := at.Value.(*client)
+			if all || of == k.fresh && c.state == stateNew && now.Sub(c.since) > saySoon {
+				left = append(left, k.leaveLocked(c))
+			}
+			if of == k.fresh || c.state == stateReading {
+				asking++
+			}
 		}
 	}
-	return k.fresh.Len()
+	return asking
 }
 
 // ---- A connection ----------------------------------------------------------
@@ -258,25 +436,47 @@
 	return gone
 }
 
+// watchLeft watches for the leaving of a client whose body still comes, and must not be read yet: its end stands behind what
+// it has sent, but the system has it. Left is closed then. Stop ends the watch, and must be called before anybody reads.
+func (c *client) watchLeft() (left <-chan struct{}, stop func()) {
+	if c.raw == nil {
+		return nil, func() {}
+	}
+	gone, over := make(chan struct{}), make(chan struct{})
+	c.SetReadDeadline(time.Time{})
+	go func() {
+		defer close(over)
+		// Asked at each change of the connection.
+		err := c.raw.Read(func(fd uintptr) bool {
+			info, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO)
+			var state [4]byte // the first of what the system tells
+			binary.NativeEndian.PutUint32(state[:], uint32(info))
+			return err == nil && state[0] != established
+		})
+		if err == nil {
+			close(gone)
+		}
+	}()
+	return gone, sync.OnceFunc(func() {
+		c.SetReadDeadline(past)
+		<-over
+	})
+}
+
+const established = 1 // of a TCP connection's states, the one in which neither side has ended
+
 const (
 	writeTime  = time.Second
 	lingerTime = 200 * time.Millisecond
 	lingerMost = 64 << 10
 )
 
-// turnAway answers what is not taken, and ends the connection's use. What the client may still be sending is
-// read for a little, since closing on unread bytes would take the answer away from it again.
-func (c *client) turnAway(code int, reason string) {
-	c.write(newResponse(code, reason), true)
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		tcp.CloseWrite()
-	}
-	c.linger(c.Conn, lingerMost, lingerTime)
-}
+// turnAway answers what is not taken, and ends the connection's use.
+func (c *client) turnAway(code int, reason string) { c.write(newResponse(code, reason), true) }
 
 // linger reads what the client may still be sending, for a while.
 func (c *client) linger(r io.Reader, most int64, span time.Duration) {
-	c.paced.wait = 0
+	c.lingered, c.paced.wait = true, 0
 	c.SetReadDeadline(time.Now().Add(span))
 	io.CopyN(io.Discard, r, most)
 }
--- a/internal/httpfront/clients_test.go
+++ b/internal/httpfront/clients_test.go
@@ -54,11 +54,9 @@
 				time.Sleep(time.Millisecond)
 				var got []int
 				for range all {
-					k.mu.Lock()
-					k.evictLocked()
-					k.mu.Unlock()
+					k.evict()
 					for i, c := range all {
-						if c.evicted && len(got) < len(all) && !slices.Contains(got, i) {
+						if c.state == stateClosed && len(got) < len(all) && !slices.Contains(got, i) {
 							got = append(got, i)
 						}
 					}
--- /dev/null
+++ b/internal/httpfront/crossings_test.go
@@ -0,0 +1,552 @@
+package httpfront
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"birchmoor/balancer"
+	"birchmoor/internal/core"
+	"birchmoor/internal/discovery"
+	"birchmoor/internal/metrics"
+	"birchmoor/internal/sidetest"
+)
+
+// The tests here force two events into an order, one test or one row for each order (docs/design/crossings.md).
+
+// front is an HTTP front with its loop and upstream side, whose dials wait while they are held.
+type front struct {
+	*Server
+	loop *core.Loop
+	up   *Upstream
+	addr string
+
+	dials   chan string // what is dialled
+	mu      sync.Mutex
+	release chan struct{} // what dials wait for; nil: nothing
+}
+
+type on struct{ net.Listener }
+
+func (o on) Listen() (net.Listener, error) { return o.Listener, nil }
+
+// serving starts one before these endpoints. It ends with the test.
+func serving(t *testing.T, known []discovery.Instance, edits ...string) *front {
+	t.Helper()
+	c := sidetest.Configure(t, sidetest.Nowhere(t), known, edits...)
+	figures := metrics.New(c.Classes...)
+	f := &front{dials: make(chan string, 64)}
+	clk := core.NewClock()
+	f.up = NewUpstream(c, clk, &figures.Sends, sidetest.Quiet)
+	f.up.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		f.mu.Lock()
+		wait := f.release
+		f.mu.Unlock()
+		f.dials <- addr
+		if wait != nil {
+			<-wait // a connection that comes up late, whatever became of the attempt
+		}
+		return new(net.Dialer).DialContext(context.WithoutCancel(ctx), network, addr)
+	}
+	var err error
+	if f.loop, err = core.New(c, clk, f.up, func(bool) {}, figures, nil, sidetest.Quiet); err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.addr = ln.Addr().String()
+	f.Server = NewServer(c, f.loop, on{ln}, figures, sidetest.Quiet)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { f.loop.Run(ctx); close(done) }()
+	if err := f.Open(func(err error) { t.Error(err) }); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		f.hold(false)
+		f.Refrain()
+		f.Hush()
+		f.Dismiss(true)
+		f.Wait()
+		cancel()
+		<-done
+	})
+	return f
+}
+
+// hold has dials wait from now on, or lets all go.
+func (f *front) hold(hold bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.release != nil {
+		close(f.release)
+		f.release = nil
+	}
+	if hold {
+		f.release = make(chan struct{})
+	}
+}
+
+func (f *front) connect(t *testing.T) *net.TCPConn {
+	t.Helper()
+	c, err := net.Dial("tcp", f.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetReadDeadline(time.Now().Add(sidetest.Soon))
+	return c.(*net.TCPConn)
+}
+
+// stop is what an order to stop does to a front at once.
+func (f *front) stop() {
+	f.Close(true)
+	f.Hush()
+}
+
+func text(t *testing.T, r *http.Request) string {
+	t.Helper()
+	var b strings.Builder
+	if err := r.Write(&b); err != nil {
+		t.Fatal(err)
+	}
+	return b.String()
+}
+
+func write(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// answer reads a whole answer.
+func answer(t *testing.T, c net.Conn, r *http.Request) (*http.Response, string) {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(c), r)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatalf("the answer is not whole: %v", err)
+	}
+	return resp, string(body)
+}
+
+// until waits for what must come to be.
+func until(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(sidetest.Soon); !is(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: does not come to be", what)
+		}
+	}
+}
+
+// endpoint takes requests, tells of each, and answers once it may.
+type endpoint struct {
+	addr  string
+	taken chan string // paths
+	may   chan struct{}
+}
+
+func newEndpoint(t *testing.T) *endpoint {
+	e := &endpoint{taken: make(chan string, 64), may: make(chan struct{}, 64)}
+	e.addr = sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		for {
+			req, err := sidetest.Take(r)
+			if err != nil {
+				return
+			}
+			e.taken <- req.URL.Path
+			<-e.may
+			io.WriteString(c, sidetest.OKAnswer)
+		}
+	})
+	return e
+}
+
+// An order to stop that crosses a request at any point of its way: what was read gets its answer, and the answer ends the
+// connection.
+func TestStopWhileRequestIsOpen(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		when func(t *testing.T, f *front, e *endpoint, c net.Conn, r *http.Request)
+	}{
+		{"half of it is read", func(t *testing.T, f *front, e *endpoint, c net.Conn, r *http.Request) {
+			whole := text(t, r)
+			write(t, c, whole[:20])
+			until(t, "a request that is being read", func() bool { return reading(f) == 1 })
+			f.stop()
+			e.may <- struct{}{}
+			write(t, c, whole[20:])
+		}},
+		{"between its last byte and its admission", func(t *testing.T, f *front, e *endpoint, c net.Conn, r *http.Request) {
+			at := &gate{reached: make(chan struct{}), open: make(chan struct{})}
+			f.Limit(at)
+			write(t, c, text(t, r))
+			sidetest.Within(t, at.reached, "admission")
+			f.stop()
+			e.may <- struct{}{}
+			close(at.open)
+		}},
+		{"it waits for its first attempt", func(t *testing.T, f *front, e *endpoint, c net.Conn, r *http.Request) {
+			f.hold(true)
+			write(t, c, text(t, r))
+			sidetest.Within(t, f.dials, "dial")
+			f.stop()
+			e.may <- struct{}{}
+			f.hold(false)
+		}},
+		{"on its attempt", func(t *testing.T, f *front, e *endpoint, c net.Conn, r *http.Request) {
+			write(t, c, text(t, r))
+			sidetest.Within(t, e.taken, "attempt")
+			f.stop()
+			e.may <- struct{}{}
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			e := newEndpoint(t)
+			f := serving(t, []discovery.Instance{sidetest.Up("s-1", e.addr)}, `"dial-timeout":1000000`, `"dial-timeout":100000000`)
+			c, r := f.connect(t), sidetest.Look(900_000)
+			tc.when(t, f, e, c, r)
+			resp, body := answer(t, c, r)
+			if resp.StatusCode != 200 || body != "ok" || !resp.Close {
+				t.Errorf("%s %q, close %v", resp.Status, body, resp.Close)
+			}
+			if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+				t.Errorf("behind the answer: %v, want the end", err)
+			}
+		})
+	}
+}
+
+// gate is a limiter that lets all through, once it may.
+type gate struct{ reached, open chan struct{} }
+
+func (g *gate) Take(*core.Asked) (func(bool), *core.Limited) {
+	close(g.reached)
+	<-g.open
+	return nil, nil
+}
+
+// reading counts the connections of which a part of a request has been read.
+func reading(f *front) (n int) {
+	f.clients.mu.Lock()
+	defer f.clients.mu.Unlock()
+	for at := f.clients.fresh.Front(); at != nil; at = at.Next() {
+		if at.Value.(*client).state == stateReading {
+			n++
+		}
+	}
+	return n
+}
+
+// resting is a connection with an owner that does what the test says, step by step. It has had an answer.
+type resting struct {
+	k      *clients
+	c      *client
+	there  *net.TCPConn // the client's end
+	step   chan func()
+	ending chan struct{} // once the owner is done
+}
+
+func newResting(t *testing.T) *resting {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	there, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	here, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &resting{there: there.(*net.TCPConn), step: make(chan func()), ending: make(chan struct{})}
+	t.Cleanup(func() { there.Close() })
+	there.SetReadDeadline(time.Now().Add(sidetest.Soon))
+	got := make(chan *client)
+	r.k = newClients(4, func(c *client) {
+		got <- c
+		for do := range r.step {
+			do()
+		}
+	}, sidetest.Quiet)
+	r.k.add(here)
+	r.c = <-got
+	r.do(func() { r.k.take(r.c); r.k.rest(r.c) })
+	return r
+}
+
+// do has the owner do something.
+func (r *resting) do(f func()) {
+	done := make(chan struct{})
+	r.step <- func() { f(); close(done) }
+	<-done
+}
+
+// arrive writes bytes, and waits until they are there and not read.
+func (r *resting) arrive(t *testing.T, text string) {
+	write(t, r.there, text)
+	until(t, "bytes at the other end", func() bool {
+		n := 0
+		r.c.raw.Control(func(fd uintptr) {
+			n, _, _ = syscall.Recvfrom(int(fd), make([]byte, len(text)), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		})
+		return n == len(text)
+	})
+}
+
+// A request on a resting connection and the order to close it. Read first, it is served. There and not read, it is read in
+// a last look and served. Come behind that look, it is not taken, and its client finds the connection ended in order, not
+// reset: it sends the request once more on another.
+func TestCloseOfRestingConnection(t *testing.T) {
+	const get = "GET / HTTP/1.1\r\n"
+	buf := make([]byte, 64)
+	closers := map[string]func(k *clients){
+		"stop":   func(k *clients) { k.hush() },
+		"settle": func(k *clients) { k.settle(-time.Second) },
+	}
+	for name, closeAll := range closers {
+		t.Run(name+", read first", func(t *testing.T) {
+			r := newResting(t)
+			write(t, r.there, get)
+			r.do(func() { r.c.Read(buf) })
+			closeAll(r.k)
+			var taken bool
+			r.do(func() { taken = r.k.take(r.c) })
+			if !taken {
+				t.Error("what was read is not served")
+			}
+			close(r.step)
+			r.k.talks.Wait()
+		})
+		t.Run(name+", there and not read", func(t *testing.T) {
+			r := newResting(t)
+			r.arrive(t, get)
+			closeAll(r.k)
+			var n int
+			var taken bool
+			r.do(func() { n, _ = r.c.Read(buf); taken = r.k.take(r.c) })
+			if n != len(get) || !taken {
+				t.Errorf("read %d bytes, taken %v", n, taken)
+			}
+			close(r.step)
+			r.k.talks.Wait()
+		})
+		t.Run(name+", behind the last look", func(t *testing.T) {
+			r := newResting(t)
+			closeAll(r.k)
+			var err error
+			r.do(func() { _, err = r.c.Read(buf) })
+			if !errors.Is(err, net.ErrClosed) {
+				t.Errorf("last look: %v, want the end", err)
+			}
+			r.arrive(t, get)
+			r.do(func() { _, err = r.c.Read(buf) })
+			if !errors.Is(err, net.ErrClosed) || r.k.take(r.c) {
+				t.Errorf("a request behind the last look is read: %v", err)
+			}
+			close(r.step)
+			if _, err := r.there.Read(buf); err != io.EOF {
+				t.Errorf("the client finds %v, want the end in order", err)
+			}
+			r.there.Close()
+			r.k.talks.Wait()
+		})
+	}
+	t.Run("behind the last answer", func(t *testing.T) {
+		r := newResting(t)
+		r.do(func() { r.k.take(r.c); r.k.rest(r.c) })
+		r.arrive(t, get)
+		close(r.step) // its answer said that it is the last
+		if _, err := r.there.Read(buf); err != io.EOF {
+			t.Errorf("the client finds %v, want the end in order", err)
+		}
+		r.there.Close()
+		r.k.talks.Wait()
+	})
+	t.Run("stop, while the owner waits", func(t *testing.T) {
+		r := newResting(t)
+		got := make(chan error)
+		go r.do(func() { _, err := r.c.Read(buf); got <- err })
+		r.k.hush()
+		if err := sidetest.Within(t, got, "end of the wait"); !errors.Is(err, net.ErrClosed) {
+			t.Errorf("the owner is told %v", err)
+		}
+		close(r.step)
+		r.there.Close()
+		r.k.talks.Wait()
+	})
+	t.Run("stop, before the answer is out", func(t *testing.T) {
+		r := newResting(t)
+		r.do(func() { r.c.Read(buf[:0]); r.k.take(r.c) })
+		r.k.hush()
+		r.do(func() { r.k.rest(r.c) })
+		var err error
+		r.do(func() { _, err = r.c.Read(buf) })
+		if !errors.Is(err, net.ErrClosed) {
+			t.Errorf("after its answer it stays open: %v", err)
+		}
+		close(r.step)
+		r.there.Close()
+		r.k.talks.Wait()
+	})
+}
+
+// A client that leaves while its request waits for its first attempt, however it leaves: nothing is sent on for it any more,
+// though a connection comes up. One that only ends its sending is told so.
+func TestLeftWhileWaiting(t *testing.T) {
+	long := strings.Repeat("x", 3*BodyMost)
+	for _, tc := range []struct {
+		name  string
+		r     func() *http.Request
+		part  int // of the request that is sent; 0: all
+		leave func(c *net.TCPConn)
+		told  int // what one that still listens is told
+	}{
+		{"close", func() *http.Request { return sidetest.Look(900_000) }, 0, func(c *net.TCPConn) { c.Close() }, 0},
+		{"half-close", func() *http.Request { return sidetest.Look(900_000) }, 0, func(c *net.TCPConn) { c.CloseWrite() }, 503},
+		{"reset", func() *http.Request { return sidetest.Look(900_000) }, 0, func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, 0},
+		{"more behind the request, and close", func() *http.Request { return sidetest.Look(900_000) }, 0,
+			func(c *net.TCPConn) { io.WriteString(c, strings.Repeat("GET /look HTTP/1.1\r\n", 400)); c.Close() }, 0},
+		{"more behind the request, and half-close", func() *http.Request { return sidetest.Look(900_000) }, 0,
+			func(c *net.TCPConn) { io.WriteString(c, "GET /look HTTP/1.1\r\n"); c.CloseWrite() }, 400},
+		{"half of a long body, and close", func() *http.Request { return sidetest.Request("POST", "/pay", "pay", 900_000, long) },
+			2 * BodyMost, func(c *net.TCPConn) { c.Close() }, 0},
+		{"half of a long body, and half-close", func() *http.Request { return sidetest.Request("POST", "/pay", "pay", 900_000, long) },
+			2 * BodyMost, func(c *net.TCPConn) { c.CloseWrite() }, 503},
+		{"half of a long body, and reset", func() *http.Request { return sidetest.Request("POST", "/pay", "pay", 900_000, long) },
+			2 * BodyMost, func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			e := newEndpoint(t)
+			f := serving(t, []discovery.Instance{sidetest.Up("s-1", e.addr)}, `"dial-timeout":1000000`, `"dial-timeout":100000000`,
+				`"give-up":1000000`, `"give-up":900000000`)
+			f.hold(true)
+			c, r := f.connect(t), tc.r()
+			whole := text(t, r)
+			if tc.part > 0 {
+				whole = whole[:tc.part]
+			}
+			write(t, c, whole)
+			sidetest.Within(t, f.dials, "dial")
+			tc.leave(c)
+			if tc.told != 0 {
+				if resp, _ := answer(t, c, r); resp.StatusCode != tc.told {
+					t.Errorf("told %s, want %d", resp.Status, tc.told)
+				}
+				c.Close()
+			}
+			until(t, "the end of its connection", func() bool { return f.Settle(time.Hour) == 0 })
+			f.hold(false)
+			// One that comes after it is all that the endpoint gets.
+			next := f.connect(t)
+			e.may <- struct{}{}
+			e.may <- struct{}{}
+			r = sidetest.Request("GET", "/look/next", "look", 900_000, "")
+			write(t, next, text(t, r))
+			if got := sidetest.Within(t, e.taken, "attempt"); got != "/look/next" {
+				t.Errorf("the endpoint got %s", got)
+			}
+			answer(t, next, r)
+		})
+	}
+}
+
+// A connection that comes up when its request may not be sent any more is kept for others, and not lost.
+func TestLateConnectionIsKept(t *testing.T) {
+	e := newEndpoint(t)
+	f := serving(t, []discovery.Instance{sidetest.Up("s-1", e.addr)}, `"dial-timeout":1000000`, `"dial-timeout":100000000`)
+	f.hold(true)
+	c, r := f.connect(t), sidetest.Look(150)
+	write(t, c, text(t, r))
+	sidetest.Within(t, f.dials, "dial")
+	if resp, _ := answer(t, c, r); resp.StatusCode == 200 {
+		t.Errorf("answered %s with no connection", resp.Status)
+	}
+	f.hold(false)
+	until(t, "the late connection in the pool", func() bool {
+		f.up.mu.Lock()
+		defer f.up.mu.Unlock()
+		return f.up.conns == 1 && len(f.up.idle) == 1
+	})
+	if n := len(e.taken); n != 0 {
+		t.Errorf("%d requests were sent on", n)
+	}
+}
+
+// A server's second answer, some milliseconds behind the first, on a connection that is back in the pool.
+func TestSecondAnswerOnPooledConnection(t *testing.T) {
+	second := make(chan struct{})
+	var conns, taken atomic.Int32
+	to := at(sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		n := conns.Add(1)
+		for {
+			if _, err := sidetest.Take(r); err != nil {
+				return
+			}
+			taken.Add(1)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
+			if n == 1 {
+				<-second
+				io.WriteString(c, sidetest.OKAnswer)
+			}
+		}
+	}))
+	u := newTestUpstream(t)
+	if r := u.try(plainGet(), to); r.Status != balancer.OK {
+		t.Fatalf("first: status %v", r.Status)
+	}
+	first := to.idle[0]
+	first.idle = time.Now().Add(time.Hour) // it never comes to rest while this test lasts
+	u.unasked = time.Now()
+	u.pause = func(context.Context, time.Duration) {
+		close(second)
+		until(t, "the second answer", func() bool { _, spoke := first.rests(); return spoke })
+	}
+	r := u.try(plainGet(), to)
+	if got := r.Content.(*got); string(got.body) != "2" {
+		t.Errorf("answered %q: what was sent for the request before", got.body)
+	}
+}
+
+// What has rested for a moment goes first. Where no endpoint ever spoke unasked, none is waited for.
+func TestRestedConnectionFirst(t *testing.T) {
+	to := at(sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { r.ReadByte() }))
+	u := newTestUpstream(t)
+	u.pause = func(context.Context, time.Duration) { t.Error("waited for a connection to rest") }
+	var both []*conn
+	for range 2 {
+		c, err := u.get(t.Context(), to)
+		if err != nil {
+			t.Fatal(err)
+		}
+		both = append(both, c)
+	}
+	for _, c := range both {
+		u.put(c)
+	}
+	both[0].idle, both[1].idle = time.Now().Add(-time.Second), time.Now().Add(time.Hour)
+	for i, want := range both {
+		if c, err := u.get(t.Context(), to); err != nil || c != want {
+			t.Errorf("%d: %v, not the one that rested", i, err)
+		}
+	}
+}
--- a/internal/httpfront/flow.go
+++ b/internal/httpfront/flow.go
@@ -32,8 +32,6 @@
 	wait time.Duration // 0: as long as it takes, or whatever deadline is set
 	keep bool
 	kept []byte
-
-	heard *atomic.Int64 // is told when something came; may be nil
 }
 
 func (p *paced) Read(b []byte) (int, error) {
@@ -41,9 +39,6 @@
 		p.Conn.SetReadDeadline(time.Now().Add(p.wait))
 	}
 	n, err := p.Conn.Read(b)
-	if p.heard != nil && n > 0 {
-		p.heard.Store(time.Now().UnixMicro())
-	}
 	if p.keep {
 		p.kept = append(p.kept, b[:n]...)
 	}
@@ -60,6 +55,7 @@
 	ended  chan error
 	idle   chan struct{} // closed once nobody reads body any more
 	once   sync.Once
+	begin  func()      // ends the watch for the client's leaving, before anybody reads body
 	taken  atomic.Bool // an attempt has begun to read the rest: it cannot be sent again
 	halted atomic.Bool // nothing more is to be read
 }
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -39,6 +39,7 @@
 	RequestTime = 2700 * time.Millisecond // for a head, from its first byte or the connection's beginning
 	placeTime   = 2 * time.Second         // for room for a body
 	idleTime    = 15 * time.Second        // between requests
+	lastAccepts = 5 * time.Millisecond    // to take what waits to be accepted, before that ends
 )
 
 // Server takes clients' requests and gives their answers.
@@ -86,16 +87,21 @@
 	return nil
 }
 
-// Refrain stops accepting; it may have been stopped before.
+// Refrain stops accepting; it may have been stopped before. What the system has accepted by then is taken: closing would
+// reset it, and a request that has been written to it.
 func (s *Server) Refrain() {
 	s.mu.Lock()
 	ln, ended := s.ln, s.accepted
 	s.ln = nil
 	s.mu.Unlock()
-	if ln != nil {
-		ln.Close()
+	if ln == nil {
+		return
+	}
+	if timed, ok := ln.(interface{ SetDeadline(time.Time) error }); ok && timed.SetDeadline(time.Now().Add(lastAccepts)) == nil {
 		<-ended
 	}
+	ln.Close()
+	<-ended
 }
 
 // Close says whether each answer is to close its connection. Clients are told that the server is not ready then.
@@ -156,7 +162,7 @@
 			a = newResponse(http.StatusServiceUnavailable, "not ready")
 		}
 		last := r.Close || s.closing.Load()
-		return c.write(a, last) && !last
+		return c.write(a, last) && !last && s.clients.again(c)
 	}
 	k, err := s.parse(c, r, head)
 	if k != nil {
@@ -184,8 +190,10 @@
 		}
 	}
 	var gone, sent <-chan error
+	var left <-chan struct{}
 	if up := k.Out.(*message).upload; up != nil {
 		sent = up.ended
+		left, up.begin = c.watchLeft()
 	} else {
 		gone = s.whole(c)
 	}
@@ -198,6 +206,7 @@
 				// The client's fault, or an endpoint's: then the answer tells.
 				if fault := (*clientError)(nil); errors.As(err, &fault) {
 					s.loop.Left(k)
+					(<-k.Answer).Drop()
 					s.halfBody(c, fault)
 					return false
 				}
@@ -223,14 +232,27 @@
 			}
 			c.SetReadDeadline(past)
 			if err := <-gone; err == nil {
-				s.drop(a)
+				a.Drop()
 				s.ended(k, core.Failed)
 				c.turnAway(http.StatusBadRequest, surplus)
 				return false
 			}
 			return s.answer(c, k, a, r.Close)
+		case <-left:
+			// As below; its body is not read any more.
+			s.loop.Left(k)
+			a := <-k.Answer
+			ran = a.Ran
+			return s.early(c, k, a)
 		case err := <-gone:
 			s.loop.Left(k)
+			a := <-k.Answer
+			if ran = a.Ran; errors.Is(err, io.EOF) {
+				// An end of sending is taken for the client's leaving, and nothing begins for it any more. One that still
+				// listens is told so.
+				return s.answer(c, k, a, true)
+			}
+			a.Drop()
 			s.ended(k, core.Failed)
 			if err == nil {
 				c.turnAway(http.StatusBadRequest, surplus)
@@ -268,7 +290,9 @@
 		c.linger(up.body, LongMost, bodyStart)
 		return false
 	}
-	return c.write(a, last) && s.clients.rest(c) && !last
+	whole := c.write(a, last)
+	s.clients.rest(c)
+	return whole && !last
 }
 
 // whole notes that a request has come whole, and watches its client.
@@ -281,7 +305,7 @@
 // early gives an answer while the body still comes, and reads the rest for a little: closing on unread bytes
 // would take the answer away again.
 func (s *Server) early(c *client, k *core.Call, a core.Answer) bool {
-	s.drop(a)
+	a.Drop()
 	if a.Verdict == core.Served {
 		a.Verdict = core.Failed // to a part of a body, whatever it says
 	}
@@ -289,6 +313,7 @@
 	s.ended(k, a.Verdict)
 	c.write(responseTo(a), true)
 	up := k.Out.(*message).upload
+	up.begin()
 	up.halted.Store(true)
 	if up.taken.Load() {
 		c.SetReadDeadline(past)
@@ -311,16 +336,6 @@
 	}
 }
 
-// drop gives back what an answer holds that nobody gets.
-func (s *Server) drop(a core.Answer) {
-	if a.Reply != nil {
-		a.Reply.Release()
-	}
-	if a.Flowed != nil {
-		a.Flowed(core.FlowLeft)
-	}
-}
-
 // ended counts the end of a request that was taken. It is the one place that does.
 func (s *Server) ended(k *core.Call, v core.Verdict) {
 	s.figures.Current.Add(-1)
@@ -388,8 +403,9 @@
 	if a.Flowed == nil {
 		s.ended(k, a.Verdict)
 		whole := c.write(r, last)
-		s.drop(a)
-		return whole && s.clients.rest(c) && !last
+		a.Drop()
+		s.clients.rest(c)
+		return whole && !last
 	}
 	flow := a.Reply.Content.(*got).flow
 	how := core.FlowLeft
@@ -404,7 +420,8 @@
 		return false // short of its end, so that the client can tell
 	}
 	s.ended(k, core.Served)
-	return s.clients.rest(c) && !last
+	s.clients.rest(c)
+	return !last
 }
 
 // badRequest says why a request is not taken.
--- a/internal/httpfront/upstream.go
+++ b/internal/httpfront/upstream.go
@@ -221,6 +221,7 @@
 			u.discard(c)
 			return core.Reply{Status: balancer.ConnectFailed, At: u.clock.Now(), Spent: true}
 		}
+		rest.begin()
 		// What has gone out of the beginning is copied there, and its place serves for the rest.
 		if err := rest.copyTo(c, rest.begun, rest.buf); err != nil {
 			stop()
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -604,6 +604,46 @@
 	}
 }
 
+// The kill comes the longest time of a request, 3 s at most, and 0.7 s after the order to stop: how long all must have its
+// answer in follows from the settings.
+func TestEndBySettings(t *testing.T) {
+	for give, want := range map[string]time.Duration{"1000000": 1550 * time.Millisecond, "400000": 950 * time.Millisecond,
+		"22405243": 3550 * time.Millisecond} {
+		c := sidetest.Configure(t, sidetest.Nowhere(t), nil, `"give-up":1000000`, `"give-up":`+give)
+		if got := endIn(&c.Settings); got != want {
+			t.Errorf("requests of %s us: %v, want %v", give, got, want)
+		}
+	}
+}
+
+// What is open as the process ends has its answer before the kill, however long its client would wait.
+func TestStopAnswersAll(t *testing.T) {
+	taken, release := make(chan struct{}, 1), make(chan struct{})
+	addr := sidetest.Web(t, func(w http.ResponseWriter, r *http.Request) {
+		taken <- struct{}{}
+		<-release
+	})
+	defer close(release)
+	s := start(t, sidetest.Configure(t, sidetest.Nowhere(t), []discovery.Instance{sidetest.Up("s-1", addr)},
+		`"give-up":1000000`, `"give-up":600000000`))
+	told := make(chan *http.Response, 1)
+	go func() {
+		resp, err := s.try(sidetest.Request("POST", "/pay", "pay", 600_000, "x"))
+		if err != nil {
+			t.Error(err)
+		}
+		told <- resp
+	}()
+	sidetest.Within(t, taken, "attempt")
+	s.stop()
+	if resp := sidetest.Within(t, told, "answer"); resp == nil || resp.StatusCode != 502 || !resp.Close {
+		t.Errorf("answered %+v", resp)
+	}
+	if err := sidetest.Within(t, s.ended, "end"); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
+
 // A service that answers in microseconds leaves attempts little time; none may be given up unsent for that.
 func TestInstantServiceIsServed(t *testing.T) {
 	var list []discovery.Instance
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"birchmoor/balancer"
 	"birchmoor/internal/config"
 	"birchmoor/internal/core"
 	"birchmoor/internal/discovery"
@@ -27,9 +28,12 @@
 )
 
 const (
-	acceptFor   = 550 * time.Millisecond  // after the order to stop: clients still connect for 0.4 s
-	writeFor    = 2200 * time.Millisecond // after it: they may still write a request
-	settleFor   = 2 * time.Second         // idle connections are kept once another process accepts
+	comeFor     = 400 * time.Millisecond // after the order to stop clients still connect;
+	acceptFor   = 700 * time.Millisecond // who is closed on from then on, as its request comes, may connect once more until this
+	killGrace   = 700 * time.Millisecond // after it, and the longest time that a request may take, the kill may come
+	killCounts  = 3 * time.Second        // but of a request's time no more is waited
+	killMargin  = 150 * time.Millisecond // for what is answered last
+	settleFor   = 2 * time.Second        // idle connections are kept once another process accepts
 	settleEvery = 100 * time.Millisecond
 	readyEvery  = 10 * time.Millisecond
 	memoryLeast = 12 << 20 // below this the collector would do nothing else
@@ -242,10 +246,26 @@
 	return left
 }
 
+// endIn is how long after the order to stop all must have its answer, by the settings: soon after it the kill comes.
+func endIn(s *balancer.Settings) time.Duration {
+	longest := balancer.Micros(0)
+	for i := range s.Classes {
+		longest = max(longest, s.Classes[i].GiveUp)
+	}
+	return min(time.Duration(longest)*time.Microsecond, killCounts) + killGrace - killMargin
+}
+
 // drain goes on serving while clients may still connect, with each answer closing its connection, and then
 // finishes what was taken. Refusing the clients that come meanwhile would fail them for nothing.
 func (n *node) drain() {
 	n.log.Info("stopping")
+	end := time.Duration(0)
+	for _, l := range n.lanes {
+		end = max(end, endIn(&l.loop.View().Settings))
+	}
+	for _, l := range n.lanes {
+		l.loop.EndIn(end)
+	}
 	n.mu.Lock()
 	n.stopping = true
 	n.mu.Unlock()
@@ -257,10 +277,15 @@
 	}
 	hush()
 	begun := time.Now()
-	time.Sleep(acceptFor)
+	time.Sleep(comeFor)
+	for time.Since(begun) < acceptFor-settleEvery {
+		n.count(func(f core.Front) int { return f.Dismiss(false) })
+		time.Sleep(settleEvery)
+	}
+	time.Sleep(acceptFor - time.Since(begun))
 	n.refrain()
-	// Whoever is still writing is waited for, but not for long: what is open is due.
-	for n.count(func(f core.Front) int { return f.Dismiss(time.Since(begun) > writeFor) }) > 0 {
+	// Whoever is still writing is waited for, until what comes could not be answered any more.
+	for n.count(func(f core.Front) int { return f.Dismiss(time.Since(begun) > end) }) > 0 {
 		time.Sleep(settleEvery)
 	}
 	hush()
