--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -803,13 +803,11 @@
 		n--
 	}
 	b.probeSome(now, n-b.asked, true)
-	if b.asked == 0 {
-		return false
+	if r.held = b.asked > 0; r.held {
+		b.held = append(b.held, r)
+		b.out.Timer(max(1, min(b.class(r).Aim/holdPart, r.Deadline-now)), r.token)
 	}
-	r.held = true
-	b.held = append(b.held, r)
-	b.out.Timer(max(1, min(b.class(r).Aim/holdPart, r.Deadline-now)), r.token)
-	return true
+	return r.held
 }
 
 // release lets all held requests go.
@@ -1145,9 +1143,7 @@
 	r.out--
 	a.ep.inflight--
 	a.ep.quietFrom = now
-	if o.Status == Full || o.Status == ConnectFailed || o.Status == Moot {
-		a.mayRun = false
-	}
+	a.mayRun = o.Status != Full && o.Status != ConnectFailed && o.Status != Moot
 	b.record(now, r, a, o.Status, o.Latency)
 	if !r.ended && (o.Status != OK || !r.stream) {
 		r.good = share(o.Status == OK && now-r.arrived <= b.class(r).Aim)
