--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -272,12 +272,9 @@
 	if c.ended {
 		return
 	}
-	for _, a := range c.attempts {
-		a.gate.shut()
-	}
 	v := Refused
 	for _, a := range c.attempts {
-		if a.gate.state.Load() == gatePassed {
+		if !a.gate.shut() && !a.neverRan {
 			v = Failed
 		}
 	}
