--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -88,6 +88,7 @@
 	after    int64 // generation of the latest list of this discovery, or unlisted
 	lineMost int
 	Mute     time.Duration
+	Pause    time.Duration               // between two tries, about, at most
 	tell     func(context.Context, List) // what is told when the context has ended comes too late
 	log      *slog.Logger
 }
@@ -95,7 +96,7 @@
 // NewWatcher returns what watches the discovery at addr, from the list of generation after on. Lists may take a part of
 // memoryMB; tell gets each, and what it is told with an ended context comes too late.
 func NewWatcher(addr string, after int64, memoryMB int, tell func(context.Context, List), log *slog.Logger) *Watcher {
-	return &Watcher{addr: addr, after: after, lineMost: memoryMB << 20 / lineShare, Mute: muteAfter, tell: tell, log: log,
+	return &Watcher{addr: addr, after: after, lineMost: memoryMB << 20 / lineShare, Mute: muteAfter, Pause: waitMost, tell: tell, log: log,
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: (&net.Dialer{Timeout: waitMost}).DialContext, DisableKeepAlives: true, DisableCompression: true,
 		}}}
@@ -120,7 +121,7 @@
 		case <-ctx.Done():
 		case <-time.After(wait/2 + rand.N(wait)):
 		}
-		wait = min(2*wait, waitMost)
+		wait = min(2*wait, w.Pause)
 	}
 }
 
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -1,8 +1,12 @@
 package discovery_test
 
 import (
+	"bufio"
 	"context"
+	"net"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"birchmoor/internal/discovery"
@@ -112,3 +116,19 @@
 		t.Errorf("a silence is found after %v, and asked about within %v", w.Mute, discovery.AskAgain)
 	}
 }
+
+// A discovery that is down is tried at the pace that it is given: what it tells on its return may bind at once.
+func TestPauseIsBounded(t *testing.T) {
+	var tries atomic.Int32
+	addr := sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) { tries.Add(1) }) // each call is closed upon
+	synctest.Test(t, func(t *testing.T) {
+		w := discovery.NewWatcher(addr, 7, 16, nil, sidetest.Quiet)
+		w.Pause = 100 * time.Millisecond
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		w.Keep(ctx)
+	})
+	if n := tries.Load(); n < 60 || n > 220 {
+		t.Errorf("%d tries in 10 s", n)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -36,8 +36,10 @@
 	settleFor   = 2 * time.Second        // idle connections are kept once another process accepts
 	settleEvery = 100 * time.Millisecond
 	readyEvery  = 10 * time.Millisecond
-	memoryLeast = 12 << 20 // below this the collector would do nothing else
-	memoryPart  = 2        // the collector works harder from such a part of the limit at which we would be killed
+	gracePart   = 4                     // of a drain's grace, between two tries of a discovery that is down,
+	pauseLeast  = 50 * time.Millisecond // and no less
+	memoryLeast = 12 << 20              // below this the collector would do nothing else
+	memoryPart  = 2                     // the collector works harder from such a part of the limit at which we would be killed
 )
 
 // Host is what the program gives a sidecar besides its configuration.
@@ -143,7 +145,7 @@
 		h.Fleet.Bind(n.lanes.drain)
 		h.Fleet.Warm(n.lanes.begun)
 	}
-	d.Watcher = discovery.NewWatcher(c.Discovery, c.Known.Generation, c.MemoryMB, n.lanes.told, h.Log)
+	d.Watcher = n.watcher(c.Discovery, c.Known.Generation)
 	d.Watch, d.Ended = (*discovery.Watcher).Keep, first.loop.Untold
 	if c.Settings.Subscribe {
 		d.Watch = (*discovery.Watcher).Once
@@ -172,7 +174,7 @@
 	}
 	beside.Go(func() {
 		r := reloader{config: c, read: h.Read, figures: first.figures, log: h.Log, take: n.lanes.reload, move: func(addr string) {
-			d.Move(discovery.NewWatcher(addr, discovery.Unlisted, c.MemoryMB, n.lanes.told, h.Log))
+			d.Move(n.watcher(addr, discovery.Unlisted))
 		}}
 		r.run(ctx, h.Reload)
 	})
@@ -205,6 +207,15 @@
 	return nil
 }
 
+// watcher returns what watches the discovery at addr, from the list of generation after on. Where lists are pushed, what it
+// tells on its return binds at once, so that one that is down is tried several times within the grace of a drain.
+func (n *node) watcher(addr string, after int64) *discovery.Watcher {
+	w := discovery.NewWatcher(addr, after, n.config.MemoryMB, n.lanes.told, n.log)
+	grace := time.Duration(n.lanes[0].loop.View().Settings.Contract.DrainGrace) * time.Microsecond
+	w.Pause = min(w.Pause, max(pauseLeast, grace/gracePart))
+	return w
+}
+
 // ---- Accepting -------------------------------------------------------------
 
 // open begins to take requests.
