--- a/internal/core/crossings_test.go
+++ b/internal/core/crossings_test.go
@@ -162,3 +162,41 @@
 		})
 	}
 }
+
+// A line of the discovery that was left, read before and handled after the move, changes nothing, whichever of the two tells
+// first.
+func TestLateLineOfOldDiscovery(t *testing.T) {
+	for _, lateFirst := range []bool{true, false} {
+		c := sidetest.Configure(t, "127.0.0.1:1", nil)
+		l, err := New(c, NewClock(), stub{}, func(bool) {}, metrics.New(), nil, sidetest.Quiet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		list := func(id string) discovery.List {
+			return discovery.List{Generation: 9, Reset: true, Instances: []discovery.Instance{sidetest.Up(id, "127.0.0.1:1")}}
+		}
+		// The loop is not running yet: what is told waits in its queue, as behind other events.
+		old, move := context.WithCancel(t.Context())
+		ctx, cancel := context.WithCancel(t.Context())
+		if lateFirst {
+			l.Told(old, list("old"))
+		}
+		move()
+		l.Told(ctx, list("new"))
+		if !lateFirst {
+			l.Told(old, list("old"))
+		}
+		done := make(chan struct{})
+		go func() { l.Run(ctx); close(done) }()
+		l.post(func(balancer.Micros) {}) // behind both
+		var held discovery.List
+		for held.Instances == nil {
+			held, _ = l.List(ctx)
+		}
+		if len(held.Instances) != 1 || held.Instances[0].ID != "new" {
+			t.Errorf("late first %v: %+v is held", lateFirst, held.Instances)
+		}
+		cancel()
+		<-done
+	}
+}
--- a/internal/httpfront/crossings_test.go
+++ b/internal/httpfront/crossings_test.go
@@ -604,3 +604,64 @@
 		})
 	}
 }
+
+// Half a line that came while a connection rested makes it useless: what is written there would get the rest of that line.
+func TestHalfLineOnRestingConnection(t *testing.T) {
+	var conns atomic.Int32
+	speak := make(chan struct{})
+	to := at(sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		first := conns.Add(1) == 1
+		for {
+			if _, err := sidetest.Take(r); err != nil {
+				return
+			}
+			io.WriteString(c, sidetest.OKAnswer)
+			if first {
+				<-speak
+				io.WriteString(c, "HTTP/1.1 20")
+			}
+		}
+	}))
+	u := newTestUpstream(t)
+	if r := u.try(plainGet(), to); r.Status != balancer.OK {
+		t.Fatalf("first: status %v", r.Status)
+	}
+	rests := to.idle[0]
+	close(speak)
+	until(t, "half a line", func() bool { _, spoke := rests.rests(); return spoke })
+	if r := u.try(plainGet(), to); r.Status != balancer.OK || conns.Load() != 2 {
+		t.Errorf("status %v, over %d connections", r.Status, conns.Load())
+	}
+}
+
+// An order to stop while a long answer is on its way to the client: it comes whole.
+func TestStopWhileAnswerFlows(t *testing.T) {
+	const length = 3 * BodyMost
+	rest := make(chan struct{})
+	addr := sidetest.Raw(t, func(c *net.TCPConn, r *bufio.Reader) {
+		if _, err := sidetest.Take(r); err != nil {
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("x", BodyMost))
+		<-rest
+		io.WriteString(c, strings.Repeat("y", length-BodyMost))
+		io.Copy(io.Discard, r)
+	})
+	f := serving(t, []discovery.Instance{sidetest.Up("s-1", addr)}, `"give-up":1000000`, `"give-up":900000000`)
+	c, r := f.connect(t), sidetest.Look(900_000)
+	write(t, c, text(t, r))
+	br := bufio.NewReader(c)
+	resp, err := http.ReadResponse(br, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.stop()
+	close(rest)
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || len(body) != length {
+		t.Errorf("%d bytes and %v, want %d", len(body), err, length)
+	}
+	if _, err := br.ReadByte(); err != io.EOF {
+		t.Errorf("behind it: %v, want the end", err)
+	}
+}
