--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -156,6 +156,7 @@
 	deadline balancer.Micros
 	gate     gate
 	cancel   context.CancelFunc
+	over     chan struct{} // closed once nothing of it is out any more
 	timeUp   *alarm
 	done     bool // the balancer knows the outcome
 	late     bool // and it was a time-out, while the attempt goes on
--- a/internal/core/crossings_test.go
+++ b/internal/core/crossings_test.go
@@ -200,3 +200,46 @@
 		<-done
 	}
 }
+
+// Where the settings allow no second copy, an attempt that was given up is out until its connection is closed, and the next
+// one begins after that; where they do, it does not wait.
+func TestNoSecondCopyBesideOneGivenUp(t *testing.T) {
+	for _, copies := range []string{"true", "false"} {
+		synctest.Test(t, func(t *testing.T) {
+			closing := make(chan struct{})
+			var n, out, most atomic.Int32
+			var taught atomic.Bool
+			l, end := looping(t, func(l *Loop, ctx context.Context, o Order) Reply {
+				o.Go(l.Now())
+				if !taught.Load() {
+					time.Sleep(time.Millisecond)
+					return Reply{Status: balancer.OK, At: l.Now()}
+				}
+				most.Store(max(most.Load(), out.Add(1)))
+				defer out.Add(-1)
+				if n.Add(1) == 1 {
+					<-ctx.Done()
+					<-closing // its connection is still open
+					return Reply{Status: balancer.Cancelled, At: l.Now()}
+				}
+				return Reply{Status: balancer.OK, At: l.Now()}
+			}, `"second-copies":true`, `"second-copies":`+copies)
+			defer end()
+			for range 200 { // quick answers, so that a slow one is given up soon
+				<-l.request("0", 0).Answer
+			}
+			taught.Store(true)
+			k := l.request("1", 0)
+			time.Sleep(60 * time.Millisecond) // past the patience for the first, and within that for the second
+			synctest.Wait()
+			if got, want := n.Load(), map[string]int32{"true": 2, "false": 1}[copies]; got != want {
+				t.Errorf("second copies %s: %d attempts begun before the first is closed, want %d", copies, got, want)
+			}
+			close(closing)
+			a := <-k.Answer
+			if want := map[string]int32{"true": 2, "false": 1}[copies]; most.Load() != want || a.Verdict != Served {
+				t.Errorf("second copies %s: %d out at once, want %d; verdict %v", copies, most.Load(), want, a.Verdict)
+			}
+		})
+	}
+}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -541,11 +541,12 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
-	until := c.repeatUntil()
+	until, alone := c.repeatUntil(), c.alone(l.upstream)
+	a.over = make(chan struct{})
 	c.attempts = append(c.attempts, a)
 	c.open++
 	if c.ended || e == nil || now >= a.deadline || len(c.attempts) > c.most() {
-		if e == nil {
+		if close(a.over); e == nil {
 			a.endpoint = &endpoint{number: number}
 		}
 		l.at(now, func(now balancer.Micros) { l.outcome(now, a, Reply{Status: balancer.Moot, At: now}) })
@@ -555,6 +556,8 @@
 	a.uploading = c.Flows && c.In.Flows
 	to := e.to
 	go func() {
+		defer close(a.over)
+		alone()
 		// The dial may have outlasted the grace of a drain, the time of the request, or the window for its repeats.
 		more := func(now balancer.Micros) bool {
 			stop := e.stopAt.Load()
@@ -644,6 +647,20 @@
 	return c.Most
 }
 
+// alone returns what waits until nothing of a call's attempts is out any more, where the settings allow no second copy: one
+// that was given up is out until its connection is closed.
+func (c *Call) alone(t Transport) func() {
+	if c.View.Settings.Limits.SecondCopies || t.KeepsLate() {
+		return func() {}
+	}
+	before := slices.Clone(c.attempts)
+	return func() {
+		for _, a := range before {
+			<-a.over
+		}
+	}
+}
+
 // repeatUntil is the instant from which on no further attempt may begin: those who drop repeats of a keyed request
 // remember it only for its class's window, from its first attempt that may have run.
 func (c *Call) repeatUntil() balancer.Micros {
