--- a/internal/core/front.go
+++ b/internal/core/front.go
@@ -9,14 +9,14 @@
 	"birchmoor/internal/metrics"
 )
 
-// Front is the client side of a protocol. Its methods may be called from any goroutine, Open and Refrain by one at a time.
+// Front is the client side of a protocol. Its methods may be called from any goroutine, Open and StopAccepting by one at a time.
 type Front interface {
-	Open(broken func(error)) error // takes what comes; is told once if that ends unasked
-	Refrain()                      // takes no more; it may have been stopped before
-	Close(on bool)                 // whether connections are to end with their answers
-	Hush()                         // closes what is idle
-	Dismiss(all bool) int          // closes what has asked nothing, all or what is not about to, and counts the rest
-	Settle(age time.Duration) int  // closes what has been idle for longer, and counts what is open
+	Open(broken func(error)) error      // takes what comes; is told once if that ends unasked
+	StopAccepting()                     // takes no more; it may have been stopped before
+	Close(on bool)                      // whether connections are to end with their answers
+	CloseIdle()                         // closes what is idle
+	CloseUnused(all bool) int           // closes what has asked nothing, all or what is not about to, and counts the rest
+	CloseIdleFor(age time.Duration) int // closes what has been idle for longer, and counts what is open
 	Share(c *config.Config, part float64)
 	Wait() // until all that was taken has its answer
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -71,12 +71,12 @@
 	"up": balancer.Ready, "draining": balancer.Draining, "removed": balancer.Gone}
 
 const (
-	muteAfter = 3 * time.Second         // an idle watch says something every 2 s, and 6 s after it fell silent all counts as told
-	AskAgain  = 300 * time.Millisecond  // a watch that fell silent is opened anew within this, since others' may have as well
-	CallMost  = 1500 * time.Millisecond // for a call's first word: discovery fails one that waits for a second
-	waitLeast = 100 * time.Millisecond
-	waitMost  = time.Second
-	lineShare = 16 // of the memory, a line of discovery's may take one part in so many
+	silentAfter = 3 * time.Second         // an idle watch says something every 2 s, and 6 s after it fell silent all counts as told
+	AskAgain    = 300 * time.Millisecond  // a watch that fell silent is opened anew within this, since others' may have as well
+	CallMost    = 1500 * time.Millisecond // for a call's first word: discovery fails one that waits for a second
+	waitLeast   = 100 * time.Millisecond
+	waitMost    = time.Second
+	lineShare   = 16 // of the memory, a line of discovery's may take one part in so many
 )
 
 // Unlisted is the generation of a watcher that holds no list of its discovery yet.
@@ -84,20 +84,20 @@
 
 // Watcher holds a watch at one discovery and tells the loop of each line.
 type Watcher struct {
-	addr     string
-	client   *http.Client
-	after    int64 // generation of the latest list of this discovery, or unlisted
-	lineMost int
-	Mute     time.Duration
-	Pause    time.Duration               // between two tries, about, at most
-	tell     func(context.Context, List) // what is told when the context has ended comes too late
-	log      *slog.Logger
+	addr        string
+	client      *http.Client
+	after       int64 // generation of the latest list of this discovery, or unlisted
+	lineMost    int
+	SilentAfter time.Duration
+	Pause       time.Duration               // between two tries, about, at most
+	tell        func(context.Context, List) // what is told when the context has ended comes too late
+	log         *slog.Logger
 }
 
 // NewWatcher returns what watches the discovery at addr, from the list of generation after on. Lists may take a part of
 // memoryMB; tell gets each, and what it is told with an ended context comes too late.
 func NewWatcher(addr string, after int64, memoryMB int, tell func(context.Context, List), log *slog.Logger) *Watcher {
-	return &Watcher{addr: addr, after: after, lineMost: memoryMB << 20 / lineShare, Mute: muteAfter, Pause: waitMost, tell: tell, log: log,
+	return &Watcher{addr: addr, after: after, lineMost: memoryMB << 20 / lineShare, SilentAfter: silentAfter, Pause: waitMost, tell: tell, log: log,
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: (&net.Dialer{Timeout: waitMost}).DialContext, DisableKeepAlives: true, DisableCompression: true,
 		}}}
@@ -135,7 +135,7 @@
 			return
 		}
 		w.log.Warn("discovery watch ended", "error", err)
-		if !heard || !errors.Is(err, errMute) {
+		if !heard || !errors.Is(err, errSilent) {
 			return
 		}
 		select {
@@ -151,15 +151,15 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	// A machine that is cut off leaves the connection open and silent, so our own clock ends it.
-	mute := time.AfterFunc(min(w.Mute, CallMost), func() { cancel(errMute) })
-	defer mute.Stop()
+	silence := time.AfterFunc(min(w.SilentAfter, CallMost), func() { cancel(errSilent) })
+	defer silence.Stop()
 	if w.after == Unlisted {
-		mute.Reset(w.Mute)
+		silence.Reset(w.SilentAfter)
 		// Only a whole list tells what the discovery before this one knew and this one does not.
 		if err := w.whole(ctx); err != nil {
 			return false, cmp.Or(context.Cause(ctx), err)
 		}
-		mute.Reset(min(w.Mute, CallMost))
+		silence.Reset(min(w.SilentAfter, CallMost))
 		heard = true
 	}
 	resp, err := w.get(ctx, "?watch=1&after="+strconv.FormatInt(w.after, 10))
@@ -167,7 +167,7 @@
 		return heard, cmp.Or(context.Cause(ctx), err)
 	}
 	defer resp.Body.Close()
-	said := &speech{Reader: resp.Body, heard: func() { mute.Reset(w.Mute) }}
+	said := &speech{Reader: resp.Body, heard: func() { silence.Reset(w.SilentAfter) }}
 	lists := json.NewDecoder(said) // a list counts once it is whole, however many lines it stands on
 	for {
 		said.left = w.lineMost
@@ -205,7 +205,7 @@
 }
 
 var (
-	errMute     = errors.New("mute")
+	errSilent   = errors.New("silent")
 	errLongList = errors.New("the list is too long")
 )
 
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -17,7 +17,7 @@
 func watching(t *testing.T, b *sidetest.Board, mute time.Duration) <-chan discovery.List {
 	told := make(chan discovery.List, 16)
 	w := discovery.NewWatcher(b.Addr, 7, 16, func(_ context.Context, l discovery.List) { told <- l }, sidetest.Quiet)
-	w.Mute = mute
+	w.SilentAfter = mute
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { w.Keep(ctx); close(ended) }()
@@ -94,7 +94,7 @@
 	b := sidetest.NewBoard(t)
 	told := make(chan discovery.List, 16)
 	w := discovery.NewWatcher(b.Addr, 7, 16, func(_ context.Context, l discovery.List) { told <- l }, sidetest.Quiet)
-	w.Mute = 50 * time.Millisecond
+	w.SilentAfter = 50 * time.Millisecond
 	ended := make(chan struct{})
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -113,8 +113,8 @@
 	w := discovery.NewWatcher("127.0.0.1:1", 7, 16, nil, sidetest.Quiet)
 	// One more call may stay without a word, for as long as discovery may take for one.
 	const idle, told, call = 2 * time.Second, 6 * time.Second, time.Second
-	if w.Mute <= idle || discovery.CallMost <= call || w.Mute+discovery.AskAgain+discovery.CallMost > told-call {
-		t.Errorf("a silence is found after %v, and asked about within %v", w.Mute, discovery.AskAgain)
+	if w.SilentAfter <= idle || discovery.CallMost <= call || w.SilentAfter+discovery.AskAgain+discovery.CallMost > told-call {
+		t.Errorf("a silence is found after %v, and asked about within %v", w.SilentAfter, discovery.AskAgain)
 	}
 }
 
--- a/internal/dnsfront/server.go
+++ b/internal/dnsfront/server.go
@@ -47,7 +47,7 @@
 	flights map[string]*flight // those that others may join
 	streams clientStreams
 
-	accepting sync.Mutex // one call of Open or Refrain at a time
+	accepting sync.Mutex // one call of Open or StopAccepting at a time
 	udp       *net.UDPConn
 	tcp       net.Listener
 	ended     sync.WaitGroup // of taking queries
@@ -132,9 +132,9 @@
 	return nil
 }
 
-// Refrain takes nothing new from sockets; what open connections bring is still taken. What came over UDP and was not
+// StopAccepting takes nothing new from sockets; what open connections bring is still taken. What came over UDP and was not
 // read stays for the process that has the socket, too.
-func (s *Server) Refrain() {
+func (s *Server) StopAccepting() {
 	s.accepting.Lock()
 	defer s.accepting.Unlock()
 	if s.tcp == nil {
@@ -157,16 +157,16 @@
 	s.streams.closing = on
 }
 
-// Hush closes connections without a query.
-func (s *Server) Hush() {
+// CloseIdle closes connections without a query.
+func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.streams.shed(0)
 }
 
-// Dismiss does the same: who connects to ask does it at once, or finds another way.
-func (s *Server) Dismiss(bool) int {
-	s.Hush()
+// CloseUnused does the same: who connects to ask does it at once, or finds another way.
+func (s *Server) CloseUnused(bool) int {
+	s.CloseIdle()
 	return 0
 }
 
@@ -178,9 +178,9 @@
 	s.streams.most = max(1, int(float64(s.s.TCPClients)*part))
 }
 
-// Settle closes connections that have had no query for longer than age, and returns what is left: connections, and open
+// CloseIdleFor closes connections that have had no query for longer than age, and returns what is left: connections, and open
 // queries.
-func (s *Server) Settle(age time.Duration) int {
+func (s *Server) CloseIdleFor(age time.Duration) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.streams.shed(age)
--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -63,15 +63,15 @@
 
 	mu        sync.Mutex
 	open      int        // connections with an open request
-	fresh     *list.List // *client: those that have had none yet, the oldest first
-	quiet     *list.List // *client: those that have had one, the one without for longest first
+	unused    *list.List // *client: those that have had none yet, the oldest first
+	idle      *list.List // *client: those that have had one, the one without for longest first
 	lingering *list.List // *client: those whose end has begun
 	closing   bool
 	talks     sync.WaitGroup
 }
 
 func newClients(most int, talk func(*client), log *slog.Logger) *clients {
-	return &clients{most: most, talk: talk, log: log, fresh: list.New(), quiet: list.New(), lingering: list.New()}
+	return &clients{most: most, talk: talk, log: log, unused: list.New(), idle: list.New(), lingering: list.New()}
 }
 
 const (
@@ -119,7 +119,7 @@
 			return
 		}
 	}
-	k.listLocked(c, k.fresh)
+	k.listLocked(c, k.unused)
 	k.talks.Go(func() {
 		k.talk(c)
 		k.remove(c)
@@ -136,7 +136,7 @@
 	useAgain = time.Second            // a connection without a request for so long is hardly missed
 )
 
-func (k *clients) lenLocked() int { return k.open + k.fresh.Len() + k.quiet.Len() + k.lingering.Len() }
+func (k *clients) lenLocked() int { return k.open + k.unused.Len() + k.idle.Len() + k.lingering.Len() }
 
 // listLocked moves a connection to the end of a list, or out of all.
 func (k *clients) listLocked(c *client, to *list.List) {
@@ -167,7 +167,7 @@
 func (k *clients) evictLocked() *client {
 	now := time.Now()
 	var silent, half, kept, oldest *client
-	for at := k.fresh.Front(); at != nil && silent == nil; at = at.Next() {
+	for at := k.unused.Front(); at != nil && silent == nil; at = at.Next() {
 		c := at.Value.(*client)
 		switch heard := c.heard.Load(); {
 		case heard == 0 && silent == nil && now.Sub(c.since) > saySoon:
@@ -179,7 +179,7 @@
 			oldest = c
 		}
 	}
-	for at := k.quiet.Front(); at != nil && kept == nil; at = at.Next() {
+	for at := k.idle.Front(); at != nil && kept == nil; at = at.Next() {
 		if c := at.Value.(*client); c.state == stateIdle || now.Sub(time.UnixMicro(c.heard.Load())) > goOn {
 			kept = c
 		}
@@ -285,7 +285,7 @@
 	defer k.mu.Unlock()
 	k.open--
 	c.since, c.state, c.taken, c.leaving = time.Now(), stateIdle, false, k.closing
-	k.listLocked(c, k.quiet)
+	k.listLocked(c, k.idle)
 }
 
 // again notes that what was read was answered without being taken, and says whether the connection may stay open.
@@ -294,7 +294,7 @@
 	defer k.mu.Unlock()
 	if c.state == stateReading && !c.ending {
 		c.state = stateIdle
-		if c.in == k.fresh {
+		if c.in == k.unused {
 			c.state = stateNew
 		}
 		return true
@@ -366,14 +366,14 @@
 	}
 }
 
-// settle ends the connections that were used and have had no open request for longer than age, and returns
+// closeIdleFor ends the connections that were used and have had no open request for longer than age, and returns
 // how many are open then. Those that have asked nothing yet have a time of their own.
-func (k *clients) settle(age time.Duration) int {
+func (k *clients) closeIdleFor(age time.Duration) int {
 	var left []*client
 	defer func() { wake(left) }()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for at := k.quiet.Front(); at != nil && time.Since(at.Value.(*client).since) > age; at = at.Next() {
+	for at := k.idle.Front(); at != nil && time.Since(at.Value.(*client).since) > age; at = at.Next() {
 		if c := at.Value.(*client); c.state == stateIdle {
 			left = append(left, k.leaveLocked(c))
 		}
@@ -381,36 +381,36 @@
 	return k.lenLocked()
 }
 
-// hush ends the connections that were used and have no open request; those with one end once they have
+// closeIdle ends the connections that were used and have no open request; those with one end once they have
 // their answers.
-func (k *clients) hush() {
+func (k *clients) closeIdle() {
 	var left []*client
 	defer func() { wake(left) }()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.closing = true
-	for at := k.quiet.Front(); at != nil; at = at.Next() {
+	for at := k.idle.Front(); at != nil; at = at.Next() {
 		if c := at.Value.(*client); c.state == stateIdle {
 			left = append(left, k.leaveLocked(c))
 		}
 	}
 }
 
-// dismiss ends the connections that have asked nothing yet, but for those that are about to unless all are to
+// closeUnused ends the connections that have asked nothing yet, but for those that are about to unless all are to
 // go, and returns how many are still about to ask, also again.
-func (k *clients) dismiss(all bool) (asking int) {
+func (k *clients) closeUnused(all bool) (asking int) {
 	var left []*client
 	defer func() { wake(left) }()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
-	for _, of := range []*list.List{k.fresh, k.quiet} {
+	for _, of := range []*list.List{k.unused, k.idle} {
 		for at := of.Front(); at != nil; at = at.Next() {
 			c := at.Value.(*client)
-			if all || of == k.fresh && c.state == stateNew && now.Sub(c.since) > saySoon {
+			if all || of == k.unused && c.state == stateNew && now.Sub(c.since) > saySoon {
 				left = append(left, k.leaveLocked(c))
 			}
-			if of == k.fresh || c.state == stateReading {
+			if of == k.unused || c.state == stateReading {
 				asking++
 			}
 		}
@@ -471,8 +471,8 @@
 	lingerMost = 64 << 10
 )
 
-// turnAway answers what is not taken, and ends the connection's use.
-func (c *client) turnAway(code int, reason string) { c.write(newResponse(code, reason), true) }
+// reject answers what is not taken, and ends the connection's use.
+func (c *client) reject(code int, reason string) { c.write(newResponse(code, reason), true) }
 
 // linger reads what the client may still be sending, for a while.
 func (c *client) linger(r io.Reader, most int64, span time.Duration) {
--- a/internal/httpfront/crossings_test.go
+++ b/internal/httpfront/crossings_test.go
@@ -76,9 +76,9 @@
 	}
 	t.Cleanup(func() {
 		f.hold(false)
-		f.Refrain()
-		f.Hush()
-		f.Dismiss(true)
+		f.StopAccepting()
+		f.CloseIdle()
+		f.CloseUnused(true)
 		f.Wait()
 		cancel()
 		<-done
@@ -113,7 +113,7 @@
 // stop is what an order to stop does to a front at once.
 func (f *front) stop() {
 	f.Close(true)
-	f.Hush()
+	f.CloseIdle()
 }
 
 func text(t *testing.T, r *http.Request) string {
@@ -247,7 +247,7 @@
 func reading(f *front) (n int) {
 	f.clients.mu.Lock()
 	defer f.clients.mu.Unlock()
-	for at := f.clients.fresh.Front(); at != nil; at = at.Next() {
+	for at := f.clients.unused.Front(); at != nil; at = at.Next() {
 		if at.Value.(*client).state == stateReading {
 			n++
 		}
@@ -320,8 +320,8 @@
 	const get = "GET / HTTP/1.1\r\n"
 	buf := make([]byte, 64)
 	closers := map[string]func(k *clients){
-		"stop":   func(k *clients) { k.hush() },
-		"settle": func(k *clients) { k.settle(-time.Second) },
+		"stop":   func(k *clients) { k.closeIdle() },
+		"settle": func(k *clients) { k.closeIdleFor(-time.Second) },
 	}
 	for name, closeAll := range closers {
 		t.Run(name+", read first", func(t *testing.T) {
@@ -386,7 +386,7 @@
 		r := newResting(t)
 		got := make(chan error)
 		go r.do(func() { _, err := r.c.Read(buf); got <- err })
-		r.k.hush()
+		r.k.closeIdle()
 		if err := sidetest.Within(t, got, "end of the wait"); !errors.Is(err, net.ErrClosed) {
 			t.Errorf("the owner is told %v", err)
 		}
@@ -397,7 +397,7 @@
 	t.Run("stop, before the answer is out", func(t *testing.T) {
 		r := newResting(t)
 		r.do(func() { r.c.Read(buf[:0]); r.k.take(r.c) })
-		r.k.hush()
+		r.k.closeIdle()
 		r.do(func() { r.k.rest(r.c) })
 		var err error
 		r.do(func() { _, err = r.c.Read(buf) })
@@ -454,7 +454,7 @@
 				}
 				c.Close()
 			}
-			until(t, "the end of its connection", func() bool { return f.Settle(time.Hour) == 0 })
+			until(t, "the end of its connection", func() bool { return f.CloseIdleFor(time.Hour) == 0 })
 			f.hold(false)
 			// One that comes after it is all that the endpoint gets.
 			next := f.connect(t)
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -87,9 +87,9 @@
 	return nil
 }
 
-// Refrain stops accepting; it may have been stopped before. What the system has accepted by then is taken: closing would
+// StopAccepting stops accepting; it may have been stopped before. What the system has accepted by then is taken: closing would
 // reset it, and a request that has been written to it.
-func (s *Server) Refrain() {
+func (s *Server) StopAccepting() {
 	s.mu.Lock()
 	ln, ended := s.ln, s.accepted
 	s.ln = nil
@@ -113,15 +113,15 @@
 	s.bodies.Resize(c.HeldBytes(part))
 }
 
-// Settle closes the connections that were used and have been idle for longer than age, and returns how many are open.
-func (s *Server) Settle(age time.Duration) int { return s.clients.settle(age) }
+// CloseIdleFor closes the connections that were used and have been idle for longer than age, and returns how many are open.
+func (s *Server) CloseIdleFor(age time.Duration) int { return s.clients.closeIdleFor(age) }
 
-// Hush closes idle connections that were used; others close once they have their answers.
-func (s *Server) Hush() { s.clients.hush() }
+// CloseIdle closes idle connections that were used; others close once they have their answers.
+func (s *Server) CloseIdle() { s.clients.closeIdle() }
 
-// Dismiss closes the connections that have asked nothing, all or those that are not about to, and returns how many
+// CloseUnused closes the connections that have asked nothing, all or those that are not about to, and returns how many
 // of them are left.
-func (s *Server) Dismiss(all bool) int { return s.clients.dismiss(all) }
+func (s *Server) CloseUnused(all bool) int { return s.clients.closeUnused(all) }
 
 // Wait returns once all connections have ended.
 func (s *Server) Wait() { s.clients.talks.Wait() }
@@ -152,7 +152,7 @@
 	c.paced.keep, c.paced.kept = false, nil
 	if err != nil {
 		if code := s.unreadable(c, err); code != 0 {
-			c.turnAway(code, http.StatusText(code))
+			c.reject(code, http.StatusText(code))
 		}
 		return false
 	}
@@ -173,7 +173,7 @@
 		if bad := (*badRequest)(nil); errors.As(err, &bad) {
 			code = bad.code
 		}
-		c.turnAway(code, err.Error())
+		c.reject(code, err.Error())
 		return false
 	}
 	if !s.clients.take(c) {
@@ -234,7 +234,7 @@
 			if err := <-gone; err == nil {
 				a.Drop()
 				s.ended(k, core.Failed)
-				c.turnAway(http.StatusBadRequest, surplus)
+				c.reject(http.StatusBadRequest, surplus)
 				return false
 			}
 			return s.answer(c, k, a, r.Close)
@@ -255,7 +255,7 @@
 			a.Drop()
 			s.ended(k, core.Failed)
 			if err == nil {
-				c.turnAway(http.StatusBadRequest, surplus)
+				c.reject(http.StatusBadRequest, surplus)
 			}
 			return false
 		}
@@ -328,11 +328,11 @@
 	var timeout net.Error
 	switch {
 	case errors.Is(fault, errLongBody):
-		c.turnAway(http.StatusRequestEntityTooLarge, fault.Error())
+		c.reject(http.StatusRequestEntityTooLarge, fault.Error())
 	case errors.Is(fault, errSlowBody), errors.As(fault, &timeout) && timeout.Timeout():
-		c.turnAway(http.StatusRequestTimeout, fault.Error())
+		c.reject(http.StatusRequestTimeout, fault.Error())
 	default:
-		c.turnAway(http.StatusBadRequest, fault.Error())
+		c.reject(http.StatusBadRequest, fault.Error())
 	}
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -234,10 +234,10 @@
 	return nil
 }
 
-// refrain takes no more; it may have been stopped before.
-func (n *node) refrain() {
+// stopAccepting takes no more; it may have been stopped before.
+func (n *node) stopAccepting() {
 	for _, l := range n.lanes {
-		l.front.Refrain()
+		l.front.StopAccepting()
 	}
 }
 
@@ -281,25 +281,25 @@
 	n.stopping = true
 	n.mu.Unlock()
 	n.close(true)
-	hush := func() {
+	closeIdle := func() {
 		for _, l := range n.lanes {
-			l.front.Hush()
+			l.front.CloseIdle()
 		}
 	}
-	hush()
+	closeIdle()
 	begun := time.Now()
 	time.Sleep(comeFor)
 	for time.Since(begun) < acceptFor-settleEvery {
-		n.count(func(f core.Front) int { return f.Dismiss(false) })
+		n.count(func(f core.Front) int { return f.CloseUnused(false) })
 		time.Sleep(settleEvery)
 	}
 	time.Sleep(acceptFor - time.Since(begun))
-	n.refrain()
+	n.stopAccepting()
 	// Whoever is still writing is waited for, until what comes could not be answered any more.
-	for n.count(func(f core.Front) int { return f.Dismiss(time.Since(begun) > end) }) > 0 {
+	for n.count(func(f core.Front) int { return f.CloseUnused(time.Since(begun) > end) }) > 0 {
 		time.Sleep(settleEvery)
 	}
-	hush()
+	closeIdle()
 	for _, l := range n.lanes {
 		l.front.Wait()
 	}
@@ -440,9 +440,9 @@
 // Beside begins a time in which another process serves beside this one.
 func (n *node) Beside(other handover.Peer) (leave func()) {
 	forget := n.book.Beside(other.Mark)
-	var hush []func()
+	var leaves []func()
 	for _, l := range n.lanes {
-		hush = append(hush, l.loop.Beside(other.Eject))
+		leaves = append(leaves, l.loop.Beside(other.Eject))
 	}
 	count := func(more int) {
 		n.mu.Lock()
@@ -453,7 +453,7 @@
 	count(1)
 	return func() {
 		forget()
-		for _, h := range hush {
+		for _, h := range leaves {
 			h()
 		}
 		count(-1)
@@ -500,7 +500,7 @@
 // Yield stops accepting. What has been taken is answered, and so is what open connections still bring; each
 // answer closes its connection, and those that bring nothing are closed one by one.
 func (n *node) Yield() {
-	n.refrain()
+	n.stopAccepting()
 	n.yields.Store(true)
 	n.close(true)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -510,7 +510,7 @@
 	go func() {
 		tick := time.NewTicker(settleEvery)
 		defer tick.Stop()
-		for n.count(func(f core.Front) int { return f.Settle(settleFor) }) > 0 {
+		for n.count(func(f core.Front) int { return f.CloseIdleFor(settleFor) }) > 0 {
 			select {
 			case <-tick.C:
 			case <-ctx.Done():
