--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -559,16 +559,12 @@
 		slices.SortFunc(b.near, func(x, y *endpoint) int { return cmp.Compare(place(x), place(y)) })
 		b.near = b.near[:most]
 	}
-	mine, others := 0.0, float64(b.s.Balancers)/max(1, float64(len(b.list)))-1/max(1, float64(len(b.near)))
 	for _, e := range b.near {
-		mine += float64(e.inflight)
 		if b.serves(e) {
 			b.strong += e.warmth(now, b)
 			b.warm += share(!e.isCold)
 		}
 	}
-	// Where no report tells what others have there, each of them is held to have as much as we do.
-	b.usual.v += share(b.usual.n == 0) * trendWeight * (mine*max(0, others) - b.usual.v)
 	return b.near
 }
 
