--- a/internal/httpfront/flow.go
+++ b/internal/httpfront/flow.go
@@ -22,9 +22,7 @@
 	bodyRate    = 16 << 10         // has come with fewer bytes a second
 	uploadMost  = 30 * time.Minute // that is, for LongMost at that rate with some to spare
 	answerStall = 250 * time.Millisecond
-	flowStall   = 10 * time.Second       // for a client that takes nothing of an answer, or an endpoint nothing of a body
-	flowSilent  = 2 * time.Second        // for an endpoint that gives nothing of an answer that it has begun,
-	flowSoon    = 400 * time.Millisecond // and no more than this once the client's time is up
+	flowStall   = 10 * time.Second // for an answer that has begun to reach the client, either way
 	flowAfter   = 50 * time.Millisecond
 )
 
@@ -129,28 +127,13 @@
 // download is an answer that is passed on while it comes. One goroutine has it at a time; whoever has it last
 // calls done.
 type download struct {
-	begin  []byte         // what has been read
-	more   io.Reader      // what comes behind that
-	length int64          // of the whole; -1: not known
-	buf    []byte         // to pass it on through; begin is a part of it
-	wait   *time.Duration // for what comes next
-	due    time.Time      // when the client's time is up
+	begin  []byte    // what has been read
+	more   io.Reader // what comes behind that
+	length int64     // of the whole; -1: not known
+	buf    []byte    // to pass it on through; begin is a part of it
 	done   func(how core.FlowEnd)
 }
 
-// patient sets how long what comes next is waited for, and says whether it is at all. Nobody is kept from a final answer by
-// an endpoint that stops half way, or whose answer has no end: an answer that is not known to be long has the client's
-// time, and one that is, as long as it comes.
-func (d *download) patient(total int64) bool {
-	left := time.Until(d.due)
-	if d.length < 0 && total <= BodyMost {
-		*d.wait = min(left, flowSilent)
-		return left > 0
-	}
-	*d.wait = min(max(left, 0)+flowSoon, flowSilent)
-	return true
-}
-
 // copyTo passes the answer's body on, and says how that went.
 func (d *download) copyTo(w io.Writer, progress func()) core.FlowEnd {
 	var out io.Writer = w
@@ -159,7 +142,7 @@
 		chunks = httputil.NewChunkedWriter(w)
 		out = chunks
 	}
-	piece, total := d.begin, int64(len(d.begin))
+	piece, total := d.begin, int64(0)
 	for {
 		if len(piece) > 0 {
 			progress()
@@ -167,9 +150,6 @@
 				return core.FlowLeft
 			}
 		}
-		if !d.patient(total) {
-			return core.FlowCut
-		}
 		n, err := d.more.Read(d.buf)
 		piece = d.buf[:n]
 		if total += int64(n); total > LongMost {
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -409,7 +409,6 @@
 	}
 	flow := a.Reply.Content.(*got).flow
 	how := core.FlowLeft
-	flow.due = time.Now().Add(time.Duration(k.In.Deadline-s.loop.Now()) * time.Microsecond)
 	c.SetWriteDeadline(time.Now().Add(flowStall))
 	if _, err := c.Write(r.head(flow.length, last)); err == nil {
 		how = flow.copyTo(c, func() { c.SetWriteDeadline(time.Now().Add(flowStall)) })
--- a/internal/httpfront/upstream.go
+++ b/internal/httpfront/upstream.go
@@ -259,9 +259,6 @@
 		}
 		return r
 	}
-	if err == nil && a.flow == nil && c.r.Buffered() > 0 {
-		u.heardUnasked()
-	}
 	if !stop() || err != nil || a.flow != nil || a.last || c.r.Buffered() > 0 {
 		if err == nil && a.flow != nil {
 			a.release()
@@ -444,7 +441,8 @@
 	if length >= 0 {
 		body = &exactly{body, length - int64(n)}
 	}
-	a.flow = &download{begin: buf[:n], more: body, length: length, buf: buf, wait: &c.paced.wait}
+	c.paced.wait = flowStall
+	a.flow = &download{begin: buf[:n], more: body, length: length, buf: buf}
 	return nil
 }
 
