Have a disk fail for good at the end of a store simulation, and ask the others meanwhile

A write put to a healthy replica had got no answer for a minute while another's file failed. The first suspect was the failing replica as leader. The simulation started such a replica again within 0.8 s, so it could not tell.

Now, once all else is healed, the disk of one voter of three or more fails for 3 s of virtual time and nobody starts it again: the leader's, a follower's, in a vote, as it is handed the lead or hands it over, after a start, while a member joins. A write put to any of the others has to be answered within 2 s.

Once links hold, a message of a process is no more refused because a later answer of its overtook it: a greeting is judged as a connection comes up, not with each message. It had cost a write two of its waits.

--- a/internal/lab/storesim/faults.go
+++ b/internal/lab/storesim/faults.go
@@ -260,9 +260,10 @@
 	if w.o.Mixed {
 		w.step()
 	}
+	w.failed.begin()
 	var check func()
 	check = func() {
-		same := w.quiet() && !w.changing() && w.q.Now()-w.s.healed > settleFor
+		same := w.quiet() && !w.changing() && w.q.Now()-w.s.healed > settleFor && w.failed.over && w.q.Now()-w.failed.until > second
 		for _, h := range w.members() {
 			same = same && h.node != nil && h.index == w.top
 		}
@@ -298,6 +299,7 @@
 	{"end-early", 0, EndEarly, "a drain ends after a quarter of its time"},
 	{"end-alone", 0, EndAlone, "a daemon ends a drain for itself, without the quorum"},
 	{"log-end-forgotten", 0, ForgetDisk, "a start does not know what the log's end says is out"},
+	{"leads-on", replica.LeadsOn, WatchNone, "a leader whose disk failed goes on telling that it leads"},
 	{"any-level", replica.AnyLevel, WatchNone, "a command is sent although a voter does not know its level (with --mixed)"},
 	{"never-renewed", 0, NeverRenew, "nobody tells a drain again"},
 }
--- a/internal/lab/storesim/storesim.go
+++ b/internal/lab/storesim/storesim.go
@@ -5,8 +5,9 @@
 // slow, lossy or doubling, clocks that run apart and processes that pause, members that come and go, and disks that
 // come back empty or old. At each step it is checked that a term has one leader, that entries are applied in one order
 // without holes, that equal positions mean equal states, that no server serves that is known to be out, and that a
-// lease that was renewed does not end. At the end the cluster is healed: every request must end, and the history of
-// all must be linearizable (Herlihy and Wing, 1990), which porcupine decides.
+// lease that was renewed does not end. At the end the cluster is healed but for one disk that fails for good, beside which
+// the others must answer (failed.go): every request must end, and the history of all must be linearizable (Herlihy and
+// Wing, 1990), which porcupine decides.
 package storesim
 
 import (
@@ -74,11 +75,14 @@
 	Refused  int      `json:"refused"`     // greetings
 	Told     int      `json:"drains_told"` // changes of the store that say that a process drains
 	Over     int      `json:"drains_over"`
-	Sent     int      `json:"sent"`   // requests to servers
-	Raised   int64    `json:"raised"` // when the cluster came to level 2, in virtual ms; 0: never
-	Steps    int      `json:"steps"`  // changes of a host's build
-	Acts     int      `json:"acts"`   // of holders of tasks
-	Late     int      `json:"late"`   // of those, after a higher token, by processes that had been stopped
+	Sent     int      `json:"sent"`       // requests to servers
+	Raised   int64    `json:"raised"`     // when the cluster came to level 2, in virtual ms; 0: never
+	Steps    int      `json:"steps"`      // changes of a host's build
+	Acts     int      `json:"acts"`       // of holders of tasks
+	Late     int      `json:"late"`       // of those, after a higher token, by processes that had been stopped
+	Failed   string   `json:"failed"`     // what the replica did whose disk failed for good at the end; empty: none did
+	Beside   int      `json:"beside"`     // writes that the others answered meanwhile
+	Slowest  int64    `json:"slowest_us"` // of those
 	Entries  uint64   `json:"entries"`
 	Micros   int64    `json:"virtual_us"`
 
@@ -121,6 +125,7 @@
 	acted   *things
 	s       servers
 	level   uint64 // of commands that the cluster uses, by the log
+	failed  failedDisk
 }
 
 type netFaults struct{ loss, double, delayed float64 }
@@ -159,6 +164,7 @@
 		leader: map[uint64]int{}, states: map[uint64]uint64{}, links: map[[2]int]*link{}, sum: xxhash.New(),
 		kinds: map[string]bool{}}
 	w.r.Seed = seed
+	w.failed = failedDisk{w: w, rng: rand.New(rand.NewPCG(seed, 0x6661696c))}
 	w.play()
 	w.r.Micros, w.r.Trace = w.q.Now(), w.sum.Sum64()
 	w.r.Elected, w.r.Entries = len(w.leader), w.top
@@ -457,6 +463,9 @@
 		})
 	}
 	if err := n.Failed(); err != nil && h.node == n {
+		if h.disk.broke && h == w.failed.victim {
+			return // nobody starts it again, for now
+		}
 		if h.old && errors.Is(err, store.ErrUnknownOp) {
 			if w.level < store.Level {
 				w.broken("level", "host %d was sent what its build does not know, and the cluster uses level %d: %v", h.number, w.level, err)
@@ -584,7 +593,11 @@
 	if err := proto.Unmarshal(b, &m); err != nil {
 		panic(err)
 	}
-	// Both sides judge the other's greeting, as they do when a connection comes up.
+	// Both sides judge the other's greeting, as they do when a connection comes up. Once links hold, a process greets once: what it
+	// sends is not refused because a later answer of its overtook it.
+	if h.w.clean && from.node != nil && from.node.Hello().Identity == hello.Identity {
+		hello = from.node.Hello()
+	}
 	if err := h.node.Admit(hello); err != nil {
 		h.w.r.Refused++
 		return
--- a/internal/lab/storesim/storesim_test.go
+++ b/internal/lab/storesim/storesim_test.go
@@ -1,8 +1,12 @@
 package storesim
 
 import (
+	"slices"
+	"strings"
 	"testing"
 
+	"birchmoor/internal/store/replica"
+
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -55,3 +59,27 @@
 		}
 	}
 }
+
+// A disk fails for good under one of three, whatever it is about: the other two answer what is put to them. A leader that goes on
+// telling that it leads would keep them from it, and is found.
+func TestTheOthersAnswerBesideADiskThatFailed(t *testing.T) {
+	o := Options{Calm: true, Ops: 5, Clients: 1}
+	seeds := uint64(8)
+	if thorough {
+		seeds = 60
+	}
+	for seed := range seeds {
+		if r := Run(seed, o); len(r.Broken) > 0 || r.Beside == 0 {
+			t.Errorf("seed %d: it %s, %d answers beside it, %q", seed, r.Failed, r.Beside, r.Broken)
+		}
+	}
+	o.Planted = replica.LeadsOn
+	found := func(seed uint64) bool {
+		return slices.ContainsFunc(Run(seed, o).Broken, func(s string) bool { return strings.HasPrefix(s, "no progress") })
+	}
+	for seed := uint64(0); !found(seed); seed++ {
+		if seed == 40 {
+			t.Fatal("a leader that leads on is not found")
+		}
+	}
+}
--- a/internal/store/replica/replica.go
+++ b/internal/store/replica/replica.go
@@ -71,6 +71,7 @@
 	EagerReturn                         // a server may serve again at one copy's word
 	AnyLevel                            // a command is sent although a voter does not know its level
 	LeaseRest                           // a new leader takes leases to have been renewed long before it led
+	LeadsOn                             // a leader whose disk failed goes on telling that it leads
 )
 
 func (c *Config) fill() {
@@ -322,6 +323,9 @@
 // Tick counts time.
 func (n *Node) Tick() {
 	if n.failed != nil {
+		if n.cfg.Planted&LeadsOn != 0 {
+			n.leadOn()
+		}
 		return
 	}
 	n.now++
@@ -500,7 +504,7 @@
 }
 
 func (n *Node) stop() {
-	if n.cfg.Planted&AckBeforeSync == 0 {
+	if n.cfg.Planted&(AckBeforeSync|LeadsOn) == 0 {
 		n.out.Messages = nil
 	}
 	for _, w := range n.order {
@@ -516,6 +520,19 @@
 	n.order, n.reads, n.waiting = nil, nil, map[store.RequestID]*wait{}
 }
 
+// leadOn is the planted fault LeadsOn: heartbeats of a leader that writes nothing any more.
+func (n *Node) leadOn() {
+	if !n.leading {
+		return
+	}
+	for _, id := range n.conf.GetVoters() {
+		if id != n.self.Member {
+			n.out.Messages = append(n.out.Messages, &raftpb.Message{Type: raftpb.MsgHeartbeat.Enum(), From: proto.Uint64(n.self.Member),
+				To: proto.Uint64(id), Term: proto.Uint64(n.Term()), Commit: proto.Uint64(0)})
+		}
+	}
+}
+
 // step does one Ready of raft: write, send, apply, in this order.
 func (n *Node) step() error {
 	rd := n.raw.Ready()
