--- a/internal/store/disk/disk.go
+++ b/internal/store/disk/disk.go
@@ -20,6 +20,7 @@
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -132,7 +133,7 @@
 	return db, nil
 }
 
-// update runs a transaction. What bbolt makes of a damaged page, a panic or a fault in its map, is an error.
+// update runs a transaction. What bbolt makes of a damaged page, a panic or a fault in its map, is an error. Each names the file.
 func (d *Disk) update(f func(*bbolt.Tx) error) (err error) {
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
 	defer d.caught(&err)
@@ -149,8 +150,12 @@
 	if r := recover(); r != nil {
 		*err = &ErrDamaged{d.path, fmt.Sprint(r)}
 	}
-	if errors.Is(*err, syscall.ENOSPC) {
+	switch {
+	case *err == nil:
+	case errors.Is(*err, syscall.ENOSPC):
 		*err = fmt.Errorf("the disk of %s is full: %w", d.path, *err)
+	case !strings.Contains((*err).Error(), d.path): // such as the bare number of a sync that failed
+		*err = fmt.Errorf("the file %s: %w", d.path, *err)
 	}
 }
 
