Let a member be removed that was added and never came to vote

Found by going through what a failing disk can cross: a replica whose disk fails, or that is never started, before it came to vote could not be removed, since a change of members waited until all vote. No other member could be added or removed from then on; writes went on. The end of a member that does not vote is now taken while all others are settled; who votes does not change by it, and raft still makes one change at a time.

TestAReplicaThatNeverComesIsRemoved was seen to fail without it.

--- a/internal/lab/storesim/failed.go
+++ b/internal/lab/storesim/failed.go
@@ -56,7 +56,8 @@
 }
 
 // What a replica is about when its disk fails.
-var failures = []string{"leads", "follows", "is handed the lead", "hands the lead over", "votes", "starts", "leads while one joins", "follows while one joins"}
+var failures = []string{"leads", "follows", "is handed the lead", "hands the lead over", "votes", "starts", "leads while one joins", "follows while one joins",
+	"leads while one is added that does not come"}
 
 func (f *failedDisk) strike() {
 	w := f.w
@@ -79,7 +80,7 @@
 	within := 1 + f.rng.IntN(3)
 	fail := func() { f.victim.disk.breakIn = within }
 	switch kind {
-	case 0, 6:
+	case 0, 6, 8:
 		f.victim = lead
 		fail()
 	case 1, 7:
@@ -111,8 +112,11 @@
 			f.ask(h)
 		}
 	}
-	if kind >= 6 {
+	switch kind {
+	case 6, 7:
 		w.join()
+	case 8:
+		w.joinInVain()
 	}
 	f.until = w.q.Now() + failedFor
 	w.q.After(lookEvery, f.look)
--- a/internal/lab/storesim/faults.go
+++ b/internal/lab/storesim/faults.go
@@ -184,6 +184,18 @@
 	})
 }
 
+// joinInVain has a member added whose host never starts, and removed again.
+func (w *world) joinInVain() {
+	h := w.addHost()
+	h.joining = true
+	name := fmt.Sprintf("r%d", h.number)
+	w.order(uint64(h.number)*10+1, store.Command{Join: &store.Join{Name: name, Address: name}}, func(r store.Result) {
+		w.order(uint64(h.number)*10+2, store.Command{Leave: &store.Leave{Member: r.Member}}, func(store.Result) {
+			h.joining, h.retired = false, true
+		})
+	})
+}
+
 // leave has a host's member removed.
 func (w *world) leave(h *host) {
 	h.joining = true
--- a/internal/store/engine/engine_test.go
+++ b/internal/store/engine/engine_test.go
@@ -296,6 +296,24 @@
 	}
 }
 
+// A replica that was added and never comes is removed, and another can be added; until then writes go on.
+func TestAReplicaThatNeverComesIsRemoved(t *testing.T) {
+	c := newCluster(t, "a", "b")
+	r, err := c.all["a"].Do(c.ctx(), store.Command{Join: &store.Join{Name: "gone", Address: "127.0.0.1:1"}})
+	c.must(err)
+	_, err = c.all["b"].Do(c.ctx(), put("k", "v"))
+	c.must(err)
+	_, err = c.all["a"].Do(c.ctx(), store.Command{Leave: &store.Leave{Member: r.Member}})
+	c.must(err)
+	c.until("a", func(s Status) bool { return s.Settled && len(s.Peers) == 2 })
+	c.must(keys.Issue(c.keys(), "c", time.Hour, false))
+	c.start("c", true)
+	c.add("a", "c")
+	if v := c.get("c", "k"); v != "v" {
+		t.Fatal(v)
+	}
+}
+
 // The leader goes on sending and hears nobody: a cut of one direction. Another leads, and the old one answers no read
 // as if it still did.
 func TestALeaderThatHearsNobodyIsReplacedAndReadsNothingOld(t *testing.T) {
--- a/internal/store/replica/members.go
+++ b/internal/store/replica/members.go
@@ -174,14 +174,21 @@
 }
 
 // settled says whether who votes is who the state says are members, and all of them vote.
-func (n *Node) settled() bool {
-	m := n.state.Members()
-	for _, x := range m {
-		if !slices.Contains(n.conf.GetVoters(), x.ID) {
+func (n *Node) settled() bool { return n.settledBut(0) }
+
+// settledBut says so of all but a member that does not vote: one that was added and does not come, say, or cannot.
+func (n *Node) settledBut(id uint64) bool {
+	others := 0
+	for _, x := range n.state.Members() {
+		if x.ID == id {
+			continue
+		}
+		if others++; !slices.Contains(n.conf.GetVoters(), x.ID) {
 			return false
 		}
 	}
-	return len(n.conf.GetVoters()) == len(m) && len(n.conf.GetLearners()) == 0
+	return len(n.conf.GetVoters()) == others && !slices.Contains(n.conf.GetVoters(), id) &&
+		!slices.ContainsFunc(n.conf.GetLearners(), func(l uint64) bool { return l != id })
 }
 
 // HandOver gives leadership to the follower that is the furthest, and says whether this replica does not lead: before
--- a/internal/store/replica/replica.go
+++ b/internal/store/replica/replica.go
@@ -394,8 +394,8 @@
 		n.out.Done = append(n.out.Done, Done{Token: t, Result: r})
 		return nil
 	}
-	if (c.Join != nil || c.Leave != nil) && !n.settled() {
-		return ErrBusy // one at a time
+	if c.Join != nil && !n.settled() || c.Leave != nil && !n.settled() && !n.settledBut(c.Leave.Member) {
+		return ErrBusy // one at a time, but for the end of one that never came to vote
 	}
 	if c.Since == 0 {
 		c.Since = max(1, n.applied)
