Wake the owner of a resting connection before it can read a request, not behind

closeIdle, closeIdleFor and closeUnused marked connections under the mutex and set the read deadline that wakes their owners behind it. A request that was read between the two was served, but the late deadline ended the reading of its rest (408), or passed for its client's leaving: it was withdrawn and its connection closed with no answer and no line in the log. Found by reading; how often it happens was not measured.

The deadline is set under the mutex now, and a read that finds bytes after all takes it back. TestCloseOfRestingConnection "while it is read" fails on the old code, and on the new one with the deadline not taken back.

--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -241,6 +241,9 @@
 		c.hear(n)
 		switch {
 		case n > 0:
+			if c.leaving {
+				c.SetReadDeadline(time.Now().Add(RequestTime)) // woken, and read all the same
+			}
 			c.state, c.leaving = stateReading, false
 		case err == syscall.EAGAIN && c.leaving:
 			c.state, err = stateLingering, net.ErrClosed
@@ -328,10 +331,11 @@
 }
 
 // leaveLocked asks for the end of a connection: its owner takes a last look, and where nothing of another request has come,
-// ends it. Of a request that has begun to be read, it ends the reading, and what is whole by then is served.
-func (k *clients) leaveLocked(c *client) *client {
+// ends it. Of a request that has begun to be read, it ends the reading, and what is whole by then is served. The owner is woken with
+// the mutex held: a wake behind the reading of a request would end that, or pass for its client's leaving.
+func (k *clients) leaveLocked(c *client) {
 	c.leaving, c.ending = c.state != stateReading, c.state == stateReading
-	return c
+	c.SetReadDeadline(past)
 }
 
 // leaves says whether a connection is asked to end, and nothing of a request has been read.
@@ -341,13 +345,6 @@
 	return c.leaving && (c.state == stateNew || c.state == stateIdle)
 }
 
-// wake ends what the owners of connections wait for. It is called without the mutex.
-func wake(all []*client) {
-	for _, c := range all {
-		c.SetReadDeadline(past)
-	}
-}
-
 // resize changes how many connections may be open.
 func (k *clients) resize(most int) {
 	k.mu.Lock()
@@ -369,13 +366,11 @@
 // closeIdleFor ends the connections that were used and have had no open request for longer than age, and returns
 // how many are open then. Those that have asked nothing yet have a time of their own.
 func (k *clients) closeIdleFor(age time.Duration) int {
-	var left []*client
-	defer func() { wake(left) }()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for at := k.idle.Front(); at != nil && time.Since(at.Value.(*client).since) > age; at = at.Next() {
 		if c := at.Value.(*client); c.state == stateIdle {
-			left = append(left, k.leaveLocked(c))
+			k.leaveLocked(c)
 		}
 	}
 	return k.lenLocked()
@@ -384,14 +379,12 @@
 // closeIdle ends the connections that were used and have no open request; those with one end once they have
 // their answers.
 func (k *clients) closeIdle() {
-	var left []*client
-	defer func() { wake(left) }()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.closing = true
 	for at := k.idle.Front(); at != nil; at = at.Next() {
 		if c := at.Value.(*client); c.state == stateIdle {
-			left = append(left, k.leaveLocked(c))
+			k.leaveLocked(c)
 		}
 	}
 }
@@ -399,8 +392,6 @@
 // closeUnused ends the connections that have asked nothing yet, but for those that are about to unless all are to
 // go, and returns how many are still about to ask, also again.
 func (k *clients) closeUnused(all bool) (asking int) {
-	var left []*client
-	defer func() { wake(left) }()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
@@ -408,7 +399,7 @@
 		for at := of.Front(); at != nil; at = at.Next() {
 			c := at.Value.(*client)
 			if all || of == k.unused && c.state == stateNew && now.Sub(c.since) > saySoon {
-				left = append(left, k.leaveLocked(c))
+				k.leaveLocked(c)
 			}
 			if of == k.unused || c.state == stateReading {
 				asking++
--- a/internal/httpfront/crossings_test.go
+++ b/internal/httpfront/crossings_test.go
@@ -371,6 +371,37 @@
 			r.k.talks.Wait()
 		})
 	}
+	for name, closeAll := range closers {
+		t.Run(name+", while it is read", func(t *testing.T) {
+			r := newResting(t)
+			r.arrive(t, get)
+			looks := make(chan struct{})
+			raw := r.c.raw
+			got := make(chan int)
+			go r.do(func() {
+				r.c.raw = &lateRaw{RawConn: raw, looks: looks}
+				n, _ := r.c.Read(buf)
+				r.c.raw = raw
+				got <- n
+			})
+			sidetest.Within(t, looks, "a read that begins")
+			closeAll(r.k)
+			looks <- struct{}{}
+			if n := sidetest.Within(t, got, "the read"); n != len(get) {
+				t.Errorf("read %d bytes", n)
+			}
+			// The owner was woken for nothing: it reads on.
+			write(t, r.there, "Host: a")
+			var err error
+			r.do(func() { _, err = r.c.Read(buf) })
+			if err != nil {
+				t.Errorf("the rest of the request: %v", err)
+			}
+			close(r.step)
+			r.there.Close()
+			r.k.talks.Wait()
+		})
+	}
 	t.Run("behind the last answer", func(t *testing.T) {
 		r := newResting(t)
 		r.do(func() { r.k.take(r.c); r.k.rest(r.c) })
@@ -410,6 +441,20 @@
 	})
 }
 
+// lateRaw looks at a connection once it may.
+type lateRaw struct {
+	syscall.RawConn
+	looks chan struct{}
+}
+
+func (r *lateRaw) Read(f func(fd uintptr) bool) error {
+	return r.RawConn.Read(func(fd uintptr) bool {
+		r.looks <- struct{}{}
+		<-r.looks
+		return f(fd)
+	})
+}
+
 // A client that leaves while its request waits for its first attempt, however it leaves: nothing is sent on for it any more,
 // though a connection comes up. One that only ends its sending is told so.
 func TestLeftWhileWaiting(t *testing.T) {
