--- a/internal/httpfront/crossings_test.go
+++ b/internal/httpfront/crossings_test.go
@@ -41,7 +41,7 @@
 func (o on) Listen() (net.Listener, error) { return o.Listener, nil }
 
 // serving starts one before these endpoints. It ends with the test.
-func serving(t *testing.T, known []discovery.Instance, edits ...string) *front {
+func serving(t testing.TB, known []discovery.Instance, edits ...string) *front {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -50,7 +50,7 @@
 	return servingOn(t, ln, known, edits...)
 }
 
-func servingOn(t *testing.T, ln net.Listener, known []discovery.Instance, edits ...string) *front {
+func servingOn(t testing.TB, ln net.Listener, known []discovery.Instance, edits ...string) *front {
 	t.Helper()
 	c := sidetest.Configure(t, sidetest.Nowhere(t), known, edits...)
 	figures := metrics.New(c.Classes...)
@@ -104,7 +104,7 @@
 	}
 }
 
-func (f *front) connect(t *testing.T) *net.TCPConn {
+func (f *front) connect(t testing.TB) *net.TCPConn {
 	t.Helper()
 	c, err := net.Dial("tcp", f.addr)
 	if err != nil {
@@ -121,7 +121,7 @@
 	f.CloseIdle()
 }
 
-func text(t *testing.T, r *http.Request) string {
+func text(t testing.TB, r *http.Request) string {
 	t.Helper()
 	var b strings.Builder
 	if err := r.Write(&b); err != nil {
@@ -130,7 +130,7 @@
 	return b.String()
 }
 
-func write(t *testing.T, c net.Conn, text string) {
+func write(t testing.TB, c net.Conn, text string) {
 	t.Helper()
 	if _, err := io.WriteString(c, text); err != nil {
 		t.Fatal(err)
@@ -152,7 +152,7 @@
 }
 
 // until waits for what must come to be.
-func until(t *testing.T, what string, is func() bool) {
+func until(t testing.TB, what string, is func() bool) {
 	t.Helper()
 	for end := time.Now().Add(sidetest.Soon); !is(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
--- a/internal/sidetest/sidetest.go
+++ b/internal/sidetest/sidetest.go
@@ -37,7 +37,7 @@
 	"tenants":[{"name":"acme","allowance-per-s":100.0,"share":1.0}]}`
 
 // Configure makes a configuration, with edits to the settings as pairs of old and new text.
-func Configure(t *testing.T, server string, known []discovery.Instance, edits ...string) *config.Config {
+func Configure(t testing.TB, server string, known []discovery.Instance, edits ...string) *config.Config {
 	t.Helper()
 	c, err := config.Parse(ConfigText(t, server, known, edits...), func(string) string { return "" })
 	if err != nil {
@@ -47,7 +47,7 @@
 }
 
 // ConfigText is the file that configure reads.
-func ConfigText(t *testing.T, server string, known []discovery.Instance, edits ...string) []byte {
+func ConfigText(t testing.TB, server string, known []discovery.Instance, edits ...string) []byte {
 	t.Helper()
 	text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": server,
 		"seed": "8c1f30d27a5be964", "limits": map[string]int{"memory_mb": 192, "sockets": 1024},
@@ -68,7 +68,7 @@
 var Quiet = slog.New(slog.DiscardHandler)
 
 // Nowhere is an address that refuses connections.
-func Nowhere(t *testing.T) string {
+func Nowhere(t testing.TB) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -79,7 +79,7 @@
 }
 
 // Web starts an endpoint that speaks plain HTTP.
-func Web(t *testing.T, h http.HandlerFunc) string {
+func Web(t testing.TB, h http.HandlerFunc) string {
 	t.Helper()
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
@@ -87,7 +87,7 @@
 }
 
 // Raw starts an endpoint whose connections are handled by hand, and closed when the handler returns.
-func Raw(t *testing.T, handle func(c *net.TCPConn, r *bufio.Reader)) string {
+func Raw(t testing.TB, handle func(c *net.TCPConn, r *bufio.Reader)) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -140,7 +140,7 @@
 }
 
 // Within returns what comes on a channel, and fails the test if nothing does.
-func Within[T any](t *testing.T, ch <-chan T, what string) T {
+func Within[T any](t testing.TB, ch <-chan T, what string) T {
 	t.Helper()
 	select {
 	case v := <-ch:
