Count and log requests without an answer, and a sidecar that turns all away

Both are kept by the HTTP front, which owns the answers, so that a loop that stands still is seen too. No allocation for a request but the list entry of its connection.

TestUnansweredRequests and TestAllTurnedAway (virtual time) were seen to fail with each of the six lines that they are there for taken out.

--- a/internal/httpfront/clients.go
+++ b/internal/httpfront/clients.go
@@ -16,6 +16,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"birchmoor/internal/metrics"
 )
 
 // connState is where a client's connection is in its life. Only clients changes it, under its mutex: what has been read
@@ -47,9 +49,10 @@
 	state   connState
 	leaving bool          // to end where nothing of another request has come
 	ending  bool          // nothing more of a request that is not whole is to be read
-	place   *list.Element // in one of clients' lists; nil while a request is open
+	place   *list.Element // in one of clients' lists
 	in      *list.List    // that list
 	since   time.Time     // that it has been there
+	due     time.Time     // when its open request is past its time without an answer; zero: it is not waited for that
 
 	heard atomic.Int64 // when it last sent something, in Unix microseconds; 0: never
 }
@@ -62,16 +65,22 @@
 	log  *slog.Logger
 
 	mu        sync.Mutex
-	open      int        // connections with an open request
+	active    *list.List // *client: those with an open request
 	unused    *list.List // *client: those that have had none yet, the oldest first
 	idle      *list.List // *client: those that have had one, the one without for longest first
 	lingering *list.List // *client: those whose end has begun
 	closing   bool
 	talks     sync.WaitGroup
+
+	unanswered *metrics.Counter // requests past their time
+	late       int              // of them, those that have not been logged
+	looker     *time.Timer      // to look for more
+	looks      bool             // it is running
 }
 
-func newClients(most int, talk func(*client), log *slog.Logger) *clients {
-	return &clients{most: most, talk: talk, log: log, unused: list.New(), idle: list.New(), lingering: list.New()}
+func newClients(most int, talk func(*client), unanswered *metrics.Counter, log *slog.Logger) *clients {
+	return &clients{most: most, talk: talk, unanswered: unanswered, log: log,
+		active: list.New(), unused: list.New(), idle: list.New(), lingering: list.New()}
 }
 
 const (
@@ -136,7 +145,9 @@
 	useAgain = time.Second            // a connection without a request for so long is hardly missed
 )
 
-func (k *clients) lenLocked() int { return k.open + k.unused.Len() + k.idle.Len() + k.lingering.Len() }
+func (k *clients) lenLocked() int {
+	return k.active.Len() + k.unused.Len() + k.idle.Len() + k.lingering.Len()
+}
 
 // listLocked moves a connection to the end of a list, or out of all.
 func (k *clients) listLocked(c *client, to *list.List) {
@@ -273,11 +284,14 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if c.state >= stateLingering {
+		k.late++
+		k.unanswered.Inc()
+		k.lookLocked()
 		return false
 	}
-	k.listLocked(c, nil)
+	k.listLocked(c, k.active)
 	c.state, c.taken = stateActive, true
-	k.open++
+	k.lookLocked()
 	return true
 }
 
@@ -286,7 +300,8 @@
 func (k *clients) rest(c *client) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.open--
+	k.overdueLocked(c, time.Now())
+	c.due = time.Time{}
 	c.since, c.state, c.taken, c.leaving = time.Now(), stateIdle, false, k.closing
 	k.listLocked(c, k.idle)
 }
@@ -310,7 +325,7 @@
 func (k *clients) remove(c *client) {
 	k.mu.Lock()
 	if c.state == stateActive {
-		k.open--
+		k.overdueLocked(c, time.Now())
 	}
 	if c.state != stateClosed {
 		c.state, c.taken = stateLingering, true
--- a/internal/httpfront/clients_test.go
+++ b/internal/httpfront/clients_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"birchmoor/internal/metrics"
 	"birchmoor/internal/sidetest"
 )
 
@@ -25,7 +26,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				k := newClients(100, nil, sidetest.Quiet)
+				k := newClients(100, nil, new(metrics.Counter), sidetest.Quiet)
 				hold := make(chan struct{})
 				var all []*client
 				k.talk = func(c *client) { all = append(all, c); <-hold }
--- a/internal/httpfront/crossings_test.go
+++ b/internal/httpfront/crossings_test.go
@@ -292,7 +292,7 @@
 		for do := range r.step {
 			do()
 		}
-	}, sidetest.Quiet)
+	}, new(metrics.Counter), sidetest.Quiet)
 	r.k.add(here)
 	r.c = <-got
 	r.do(func() { r.k.take(r.c); r.k.rest(r.c) })
--- /dev/null
+++ b/internal/httpfront/outlook_test.go
@@ -0,0 +1,104 @@
+package httpfront
+
+import (
+	"bytes"
+	"log/slog"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"birchmoor/internal/core"
+	"birchmoor/internal/metrics"
+)
+
+// A request that has no answer half a second past its time is counted, once, while it has none or when its end comes, and told of in
+// the log, once a second at most; one that is answered by then is not, nor one whose answer has begun.
+func TestUnansweredRequests(t *testing.T) {
+	const left = 300 * time.Millisecond
+	for _, tc := range []struct {
+		name string
+		ends time.Duration // after it was whole
+		how  func(k *clients, c *client)
+		want uint64
+	}{
+		{"never", time.Minute, (*clients).rest, 1},
+		{"late", left + unansweredAfter, (*clients).rest, 1},
+		{"late, its client gone", left + unansweredAfter, func(*clients, *client) {}, 1},
+		{"in time", left + unansweredAfter - 1, (*clients).rest, 0},
+		{"begun in time", left + unansweredAfter - 1, func(k *clients, c *client) { k.begun(c); time.Sleep(time.Minute) }, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var log bytes.Buffer
+				count := new(metrics.Counter)
+				k := newClients(100, nil, count, slog.New(slog.NewTextHandler(&log, nil)))
+				var seen atomic.Uint64
+				k.talk = func(c *client) {
+					k.take(c)
+					k.expect(c, left)
+					time.Sleep(tc.ends)
+					seen.Store(count.Value())
+					tc.how(k, c)
+				}
+				for range 20 {
+					here, there := net.Pipe()
+					defer here.Close()
+					k.add(there)
+				}
+				k.talks.Wait()
+				time.Sleep(2 * lookEvery)
+				synctest.Wait()
+				lines := strings.Count(log.String(), "requests had no answer")
+				if n := count.Value(); n != 20*tc.want || lines != int(tc.want) {
+					t.Errorf("counted %d, %d lines, want %d and %d", n, lines, 20*tc.want, tc.want)
+				}
+				if tc.ends == time.Minute && seen.Load() != 20 {
+					t.Errorf("counted %d while they had no answer yet", seen.Load())
+				}
+				if k.looks {
+					t.Error("it looks on, though nothing is open")
+				}
+			})
+		})
+	}
+}
+
+// All that comes is turned away, with no attempt in between: counted and told of once, until an attempt is made.
+func TestAllTurnedAway(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		requests int           // that are refused
+		every    time.Duration // one of them
+		sends    int           // an attempt behind so many; 0: none
+		want     uint64
+	}{
+		{"all, for four seconds", 17, turnedAwayFor / 15, 0, 1},
+		{"for long", 1000, turnedAwayFor / 15, 0, 1},
+		{"not for so long", 17, turnedAwayFor / 17, 0, 0},
+		{"not so many", turnedAwayLeast - 1, turnedAwayFor / 10, 0, 0},
+		{"an attempt in between", 40, turnedAwayFor / 15, 10, 0},
+		{"twice", 40, turnedAwayFor / 15, 20, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var log bytes.Buffer
+				s := &Server{figures: metrics.New("look"), log: slog.New(slog.NewTextHandler(&log, nil))}
+				for i := range tc.requests {
+					if tc.sends > 0 && i > 0 && i%tc.sends == 0 {
+						s.figures.Sends.Inc()
+						s.ended(&core.Call{Class: "look"}, core.Served)
+					}
+					s.ended(&core.Call{Class: "look"}, core.Refused)
+					time.Sleep(tc.every)
+				}
+				lines := strings.Count(log.String(), "every request is turned away")
+				if n := s.figures.AllRefused.Value(); n != tc.want || lines != int(tc.want) {
+					t.Errorf("counted %d, %d lines, want %d", n, lines, tc.want)
+				}
+			})
+		})
+	}
+}
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -51,6 +51,8 @@
 	closing atomic.Bool
 	socket  handover.Socket
 	limits  core.Limiter // or nil
+	log     *slog.Logger
+	away    turnedAway
 
 	mu       sync.Mutex
 	ln       net.Listener
@@ -59,8 +61,8 @@
 
 // NewServer returns a server that brings its requests to l.
 func NewServer(c *config.Config, l *core.Loop, socket handover.Socket, figures *metrics.Registry, log *slog.Logger) *Server {
-	s := &Server{loop: l, socket: socket, figures: figures, bodies: budget.New(c.HeldBytes(1))}
-	s.clients = newClients(c.ClientConns(1), s.talk, log)
+	s := &Server{loop: l, socket: socket, figures: figures, bodies: budget.New(c.HeldBytes(1)), log: log}
+	s.clients = newClients(c.ClientConns(1), s.talk, &figures.Unanswered, log)
 	return s
 }
 
@@ -195,7 +197,7 @@
 		sent = up.ended
 		left, up.begin = c.watchLeft()
 	} else {
-		gone = s.whole(c)
+		gone = s.whole(c, k)
 	}
 	s.loop.Arrived(k)
 	for {
@@ -214,7 +216,7 @@
 				ran = a.Ran
 				return s.early(c, k, a)
 			}
-			gone = s.whole(c)
+			gone = s.whole(c, k)
 		case a := <-k.Answer:
 			ran = a.Ran
 			if gone == nil {
@@ -222,7 +224,7 @@
 				select {
 				case err := <-sent:
 					if err == nil {
-						gone = s.whole(c)
+						gone = s.whole(c, k)
 					}
 				default:
 				}
@@ -282,6 +284,7 @@
 func (s *Server) limited(c *client, k *core.Call, r *http.Request, no *core.Limited) bool {
 	s.figures.Limited(no.Limit).Inc()
 	s.figures.Class(k.Class).Deferred.Inc()
+	s.away.one(s.figures, s.log)
 	a := newResponse(http.StatusTooManyRequests, "limited: "+no.Limit)
 	a.header.Set("Retry-After", strconv.FormatFloat(no.RetryAfter.Seconds(), 'f', 3, 64))
 	last := r.Close || s.closing.Load()
@@ -296,7 +299,8 @@
 }
 
 // whole notes that a request has come whole, and watches its client.
-func (s *Server) whole(c *client) <-chan error {
+func (s *Server) whole(c *client, k *core.Call) <-chan error {
+	s.clients.expect(c, time.Duration(k.Left)*time.Microsecond+answerMargin)
 	c.paced.wait = 0
 	s.figures.Current.Add(1)
 	return c.watch()
@@ -345,6 +349,7 @@
 		class.Answered.Inc()
 	case core.Refused:
 		class.Deferred.Inc()
+		s.away.one(s.figures, s.log)
 	default:
 		class.Errored.Inc()
 	}
@@ -407,6 +412,7 @@
 		s.clients.rest(c)
 		return whole && !last
 	}
+	s.clients.begun(c)
 	flow := a.Reply.Content.(*got).flow
 	how := core.FlowLeft
 	c.SetWriteDeadline(time.Now().Add(flowStall))
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -41,12 +41,14 @@
 
 // Registry is all figures of one process, from its start.
 type Registry struct {
-	Sends     Counter // attempts written whole to endpoints
-	Current   Gauge   // requests taken and not ended
-	Listed    Gauge   // endpoints in the list
-	Unhealthy Gauge   // of them avoided now, by hand or by choice
-	Loaded    Counter // configurations taken at a reload
-	Invalid   Counter // and turned down
+	Sends      Counter // attempts written whole to endpoints
+	Current    Gauge   // requests taken and not ended
+	Listed     Gauge   // endpoints in the list
+	Unhealthy  Gauge   // of them avoided now, by hand or by choice
+	Unanswered Counter // requests with no answer half a second past their time
+	AllRefused Counter // times that all were refused for seconds, and no attempt was made
+	Loaded     Counter // configurations taken at a reload
+	Invalid    Counter // and turned down
 
 	prefix string // begins the name of every figure
 
@@ -153,6 +155,8 @@
 		{"current", r.Current.Value()},
 		{"cluster_size", r.Listed.Value()},
 		{"cluster_unhealthy", r.Unhealthy.Value()},
+		{"unanswered_total", int64(r.Unanswered.Value())},
+		{"all_refused_total", int64(r.AllRefused.Value())},
 		{"conf_loaded_total", int64(r.Loaded.Value())},
 		{"conf_invalid_total", int64(r.Invalid.Value())},
 	} {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -17,6 +17,9 @@
 	r.Current.Add(-1)
 	r.Listed.Set(9)
 	r.Unhealthy.Set(2)
+	r.Unanswered.Inc()
+	r.AllRefused.Inc()
+	r.AllRefused.Inc()
 	r.Loaded.Inc()
 	r.Invalid.Inc()
 	var b strings.Builder
@@ -33,6 +36,8 @@
 app_current 2
 app_cluster_size 9
 app_cluster_unhealthy 2
+app_unanswered_total 1
+app_all_refused_total 2
 app_conf_loaded_total 1
 app_conf_invalid_total 1
 `
