Keep the descriptors of discovery, servers and operators where the system gives few

Clients have their part of the settings' limit, and what is kept beside it and the servers' part is nobody's; but nobody looked at what the system gives a process. Where that was less than the settings said (1024 by default, 64 given), 150 idle clients took all: accept, calls of servers and operators' calls failed with "too many open files" (253 lines of log in 1.4 s), though the process came through. Now the smaller of the two is shared out, and a line at the start says so.

A process with 64 descriptors meets 150 clients that connect, rest and come again when they are shut, from before it listens, with discovery down or taking calls and never answering: it gets ready, serves a client, answers operators, probes, and takes the list as discovery returns.

Seen to fail: TestIdleClientsFillDescriptors without the look at the system's limit (the one case), and with all descriptors the clients' (both); with nothing kept beside clients and servers it passes, so TestDescriptorsAreKept holds the sum, and fails then.

--- /dev/null
+++ b/cmd/dunlinsail/crowd_test.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"birchmoor/internal/proctest"
+)
+
+// crowd holds idle connections to addr, far more than its descriptors, until the test ends: who is shut comes again.
+func crowd(t *testing.T, addr string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	for range 150 {
+		all.Go(func() {
+			for range 2000 {
+				if ctx.Err() != nil {
+					return
+				}
+				if c, err := net.Dial("tcp", addr); err == nil {
+					stop := context.AfterFunc(ctx, func() { c.Close() })
+					io.Copy(io.Discard, c) // until it is shut
+					stop()
+					c.Close()
+				}
+				select {
+				case <-ctx.Done():
+				case <-time.After(20 * time.Millisecond):
+				}
+			}
+		})
+	}
+	t.Cleanup(func() { cancel(); all.Wait() })
+}
+
+// Idle clients come before the process listens, and hold more connections than it has descriptors, while discovery is down, or
+// takes calls and never answers. The process gets ready; a client that is served goes on being served; operators are answered;
+// probes go out; and as discovery returns its list is taken. The system gives no more descriptors than the limit says, and in
+// one case fewer.
+func TestIdleClientsFillDescriptors(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		sockets int // by the settings
+		hangs   bool
+	}{{"down", 64, false}, {"never answers, and the system gives less than the settings say", 1024, true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			var probes, held atomic.Int32
+			release := make(chan struct{})
+			let := sync.OnceFunc(func() { close(release) })
+			defer let()
+			server := func(name string) (addr string) {
+				s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					switch {
+					case strings.HasPrefix(r.URL.Path, "/-/"):
+						probes.Add(1)
+					case r.URL.Path == "/look/held":
+						held.Add(1)
+						<-release
+					}
+					io.WriteString(w, name)
+				}))
+				t.Cleanup(s.Close)
+				return s.Listener.Addr().String()
+			}
+			one, two := server("one"), server("two")
+			list := `{"generation":9,"reset":true,"instances":[{"instanceId":"s-2","hostPort":"` + two + `","lifecycle":"up"}]}`
+			var back atomic.Bool
+			discovery := func(at string) (addr string) {
+				ln, err := net.Listen("tcp", at)
+				if err != nil {
+					t.Fatal(err)
+				}
+				s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if back.Load() {
+						io.WriteString(w, list+"\n")
+						http.NewResponseController(w).Flush()
+					}
+					<-r.Context().Done()
+				})}
+				go s.Serve(ln)
+				t.Cleanup(func() { s.Close() })
+				return ln.Addr().String()
+			}
+			at := proctest.Address(t)
+			if tc.hangs {
+				discovery(at)
+			}
+			addr, desk, log := proctest.Address(t), proctest.Address(t), &proctest.Log{}
+			text := strings.NewReplacer(`"discovery":"127.0.0.1:1"`, fmt.Sprintf(`"discovery":"%s","mgmt":"%s","limits":{"sockets":%d}`, at, desk, tc.sockets),
+				`"127.0.0.1:1","lifecycle"`, `"`+one+`","lifecycle"`, `"cancel":true`, `"cancel":true,"probes":true`,
+				`"target":500000`, `"target":60000000`, `"give-up":1000000`, `"give-up":60000000`).Replace(sound)
+			file := filepath.Join(t.TempDir(), "config.json")
+			if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			crowd(t, addr)
+			p := proctest.Start(t, proctest.Self(t, []string{"ROUTER_CONFIG=" + file, "ROUTER_LISTEN=" + addr, "TMPDIR=", nofile + "=64"}), log)
+			web := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+			proctest.Until(t, "readiness", func() bool {
+				resp, err := web.Get("http://" + addr + "/-/ready")
+				if err == nil {
+					resp.Body.Close()
+				}
+				return err == nil && resp.StatusCode == 200
+			}, log.String)
+
+			// As many connections to servers are open, and then idle, as the process allows itself.
+			var ids atomic.Int32
+			look := func(client *http.Client, path string) string {
+				r, _ := http.NewRequest("GET", "http://"+addr+path, nil)
+				r.Header.Set("X-Trace-Id", fmt.Sprint(ids.Add(1)))
+				r.Header.Set("X-Qos", "look")
+				resp, err := client.Do(r)
+				if err != nil {
+					return err.Error()
+				}
+				defer resp.Body.Close()
+				body, _ := io.ReadAll(resp.Body)
+				return string(body)
+			}
+			var asking sync.WaitGroup
+			for range 60 {
+				asking.Go(func() { look(web, "/look/held") })
+			}
+			proctest.Until(t, "requests at a server", func() bool { return held.Load() >= 3 }, log.String)
+			let()
+			asking.Wait()
+
+			// A client that has a connection is served on it, or on another where that was shut between two requests.
+			known := &http.Client{}
+			serve := func(by string) {
+				t.Helper()
+				proctest.Until(t, "an answer of "+by, func() bool { return look(known, "/look") == by }, log.String)
+			}
+			probes.Store(0)
+			for range 20 {
+				serve("one")
+			}
+			status := func() bool {
+				c, err := net.Dial("tcp", desk)
+				if err != nil {
+					return false
+				}
+				defer c.Close()
+				io.WriteString(c, "status\n")
+				line, _ := bufio.NewReader(c).ReadString('\n')
+				return line == "YES\n"
+			}
+			for range 20 {
+				proctest.Until(t, "the operators' answer", status, log.String)
+			}
+			proctest.Until(t, "a probe", func() bool { return probes.Load() > 0 }, log.String)
+			back.Store(true)
+			if !tc.hangs {
+				discovery(at)
+			}
+			serve("two")
+			if text := p.Log(); strings.Contains(text, "too many open files") {
+				t.Errorf("descriptors ran out:\n%s", text)
+			}
+		})
+	}
+}
--- a/cmd/dunlinsail/main_test.go
+++ b/cmd/dunlinsail/main_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -11,9 +12,17 @@
 	"birchmoor/internal/proctest"
 )
 
+// nofile names the variable that gives the descriptors that the system lets the program have.
+const nofile = "TEST_NOFILE"
+
 // TestMain runs the program itself where a test has started this binary for that.
 func TestMain(m *testing.M) {
 	if os.Getenv("ROUTER_CONFIG") != "" {
+		if most, err := strconv.ParseUint(os.Getenv(nofile), 10, 64); err == nil {
+			if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: most, Max: most}); err != nil {
+				panic(err)
+			}
+		}
 		main()
 		os.Exit(0)
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -61,7 +61,8 @@
 )
 
 // ownSockets are kept for what is neither a client's nor an endpoint's: standard streams, the listeners, the
-// runtime, calls of discovery, files, and operators' calls.
+// runtime, calls of discovery, files, and operators' calls. Idle clients may fill the descriptors while discovery is down: the
+// part of clients is theirs, and what is kept for the others nobody's.
 const ownSockets = 20 + mgmt.MostConns
 
 // ClientConns is how many connections of clients may be open. The other half is for connections to endpoints:
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"birchmoor/internal/config"
+	"birchmoor/internal/mgmt"
 	"birchmoor/internal/sidetest"
 )
 
@@ -58,3 +59,16 @@
 		t.Errorf("read as %s", got)
 	}
 }
+
+// Idle clients may fill the descriptors that are theirs, and servers' connections those that are the servers': what is kept for
+// discovery, operators and the process itself stays.
+func TestDescriptorsAreKept(t *testing.T) {
+	for sockets := config.LeastSockets; sockets < 70_000; sockets += 1 + sockets/50 {
+		c := &config.Config{Sockets: sockets}
+		// Standard streams, two listeners, three of the runtime's, two calls of discovery and what a handover and files take.
+		const others = 3 + 2 + 3 + 2 + 10
+		if left := sockets - c.ClientConns(1) - c.UpstreamConns(1); left < others+mgmt.MostConns || c.ClientConns(1) < 1 {
+			t.Errorf("of %d descriptors %d are left beside clients' and servers'", sockets, left)
+		}
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -9,11 +9,13 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"os"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"birchmoor/balancer"
@@ -115,6 +117,10 @@
 	if own.Sockets < config.LeastSockets {
 		return fmt.Errorf("the protocols besides HTTP leave %d of %d descriptors: %d are needed", own.Sockets, c.Sockets, config.LeastSockets)
 	}
+	if given := descriptors(); given < own.Sockets {
+		h.Log.Warn("the system gives fewer descriptors than the limits say", "given", given, "limit", own.Sockets)
+		own.Sockets = given
+	}
 	c = &own
 	n := &node{config: c, host: h, log: h.Log, broken: make(chan error, 1), left: make(chan struct{}, 1)}
 	d := &discovery.Feed{}
@@ -207,6 +213,15 @@
 	return nil
 }
 
+// descriptors is how many the system lets this process have.
+func descriptors() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return math.MaxInt
+	}
+	return int(min(limit.Cur, math.MaxInt))
+}
+
 // watcher returns what watches the discovery at addr, from the list of generation after on. Where lists are pushed, what it
 // tells on its return binds at once, so that one that is down is tried several times within the grace of a drain.
 func (n *node) watcher(addr string, after int64) *discovery.Watcher {
