Hold starts to be ready whatever discovery, clients and other starts do

A process is ready once an endpoint is known to serve, by whatever list, and says so in the one place that decides; what a start waits for before it accepts is written where it does. Nothing of it was wrong: this is the statement, and the test that was missing. Six processes start at once, in both modes, each with 40 idle clients at 64 descriptors that were there before it, at a discovery that refuses, answers 503, or takes calls and never answers.

Seen to fail: TestReadyWhateverOthersDo where only what discovery told makes ready (no readiness within its minute).

--- a/cmd/dunlinsail/crowd_test.go
+++ b/cmd/dunlinsail/crowd_test.go
@@ -20,10 +20,10 @@
 )
 
 // crowd holds idle connections to addr, far more than its descriptors, until the test ends: who is shut comes again.
-func crowd(t *testing.T, addr string) {
+func crowd(t *testing.T, addr string, conns int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var all sync.WaitGroup
-	for range 150 {
+	for range conns {
 		all.Go(func() {
 			for range 2000 {
 				if ctx.Err() != nil {
@@ -105,7 +105,7 @@
 			if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 				t.Fatal(err)
 			}
-			crowd(t, addr)
+			crowd(t, addr, 150)
 			p := proctest.Start(t, proctest.Self(t, []string{"ROUTER_CONFIG=" + file, "ROUTER_LISTEN=" + addr, "TMPDIR=", nofile + "=64"}), log)
 			web := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 			proctest.Until(t, "readiness", func() bool {
--- /dev/null
+++ b/cmd/dunlinsail/ready_test.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"birchmoor/internal/proctest"
+)
+
+// Several processes start in the same moment, with clients that were there before them, and discovery refuses all calls, fails
+// them or never answers: each is ready, and serves, while discovery has told it nothing.
+func TestReadyWhateverOthersDo(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "served") }))
+	defer server.Close()
+	calls := make(chan struct{}, 1024) // that a discovery has taken
+	discovery := func(answer string) (addr string) {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { ln.Close() })
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer c.Close()
+					http.ReadRequest(bufio.NewReader(c))
+					select {
+					case calls <- struct{}{}:
+					default:
+					}
+					io.WriteString(c, answer)
+					if answer == "" {
+						io.Copy(io.Discard, c) // until it is given up
+					}
+				}()
+			}
+		}()
+		return ln.Addr().String()
+	}
+	type one struct {
+		addr string
+		log  *proctest.Log
+	}
+	var all []one
+	for name, at := range map[string]string{"refuses": proctest.Address(t), "never answers": discovery(""),
+		"fails": discovery("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")} {
+		for mode := range 2 {
+			text := strings.NewReplacer(`"discovery":"127.0.0.1:1"`, `"discovery":"`+at+`","limits":{"sockets":64}`,
+				`"discovery":"automatic"`, []string{`"discovery":"automatic"`, `"discovery":"subscribe"`}[mode],
+				`"127.0.0.1:1","lifecycle"`, `"`+server.Listener.Addr().String()+`","lifecycle"`, `"ask-within":10000000`, `"ask-within":1000000`).Replace(sound)
+			file := filepath.Join(t.TempDir(), fmt.Sprintf("%s-%d.json", strings.Fields(name)[0], mode))
+			if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			p := one{proctest.Address(t), &proctest.Log{}}
+			crowd(t, p.addr, 40)
+			proctest.Start(t, proctest.Self(t, []string{"ROUTER_CONFIG=" + file, "ROUTER_LISTEN=" + p.addr, "TMPDIR="}), p.log)
+			all = append(all, p)
+		}
+	}
+	web := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	get := func(addr, path string) string {
+		r, _ := http.NewRequest("GET", "http://"+addr+path, nil)
+		r.Header.Set("X-Trace-Id", "1")
+		r.Header.Set("X-Qos", "look")
+		resp, err := web.Do(r)
+		if err != nil {
+			return err.Error()
+		}
+		defer resp.Body.Close()
+		body, _ := io.ReadAll(resp.Body)
+		return string(body)
+	}
+	for _, p := range all {
+		proctest.Until(t, "readiness", func() bool { return get(p.addr, "/-/ready") == "ready\n" }, p.log.String)
+		proctest.Until(t, "an answer", func() bool { return get(p.addr, "/look") == "served" }, p.log.String)
+	}
+	<-calls // were made, and told them nothing
+}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -483,6 +483,8 @@
 	l.balancer.Members(now, kind, entries)
 	l.figures.Listed.Set(int64(len(l.byName)))
 	l.figures.Unhealthy.Set(int64(l.balancer.Avoided(now)))
+	// Nine in ten restarted processes are ready within 10 s: a process is once an endpoint is known to serve, by whatever list,
+	// so also by the one that it was configured with. Nobody's answer is waited for, neither discovery's nor a server's.
 	for _, e := range l.byName {
 		if e.state == balancer.Ready {
 			l.ready.Store(true)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -174,6 +174,9 @@
 			}
 		})
 	}
+	// Before it accepts, a start waits for its own files, and, where it takes over, for the old process of its own: a second to
+	// find it and one for its word (handover.Join), no longer if that one hangs. Discovery is called beside, and what several
+	// hundred processes start in the same moment share is the machine alone.
 	old := n.join(ctx)
 	if !c.Settings.Subscribe {
 		d.Set(true)
