Let cold budgets follow what endpoints carry, not what is tried at full ones

Observed: retries (a third of attempts fail, clients come again at once) and three times the load push cold servers over with 20 and 30 sidecars in our simulation. Excluded by counts inside the module: the guide by pace while requests are refused gave 13 to 58 of some 1,000 mean works of budget a server on three seconds, and what buckets hold at their start no more than half a request each.

Cause: a cold endpoint's budget is a share of sentWork, and send() added to it whatever was sent. An attempt that a full endpoint turns away, or that finds no connection, is tried again up to the attempts allowed, and by the client again: each try raised the budget, although no warm endpoint carried it. Now an attempt counts as of its outcome, and only if it may have run.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -208,7 +208,6 @@
 		e.ills[i].try(now)
 		e.outTo = max(e.outTo, e.ills[i].outTo)
 	}
-	b.sentWork.add(now, r.work)
 	b.out.Send(r.ID, e.ID, b.patience(now, r, expected))
 	b.out.Timer(max(1, r.Deadline-now), r.token)
 	return true
@@ -1147,6 +1146,7 @@
 	a.ep.inflight--
 	a.ep.quietFrom = now
 	a.mayRun = o.Status != Full && o.Status != ConnectFailed && o.Status != Moot
+	b.sentWork.add(now, r.work*share(a.mayRun))
 	b.record(now, r, a, o.Status, o.Latency)
 	if !r.ended && (o.Status != OK || !r.stream) {
 		r.good = share(o.Status == OK && now-r.arrived <= b.class(r).Aim)
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -40,7 +40,7 @@
 	tenants  []meter // requests taken, by tenant
 	fleet    ewma    // pace of the whole fleet
 	demand   meter   // requests taken
-	sentWork meter   // work sent
+	sentWork meter   // work sent that was not turned away unseen, as of its outcomes
 	work     ewma    // mean work of a request
 	strong   float64 // what the ready endpoints can do, in warm ones
 	warm     float64 // of them warm
--- a/balancer/warm_test.go
+++ b/balancer/warm_test.go
@@ -113,3 +113,21 @@
 		}
 	}
 }
+
+// The guide to a cold budget is what warm endpoints carry. What was turned away unseen they do not: tried again and again it
+// would raise the budget as often.
+func TestWhatIsTurnedAwayRaisesNoColdBudget(t *testing.T) {
+	for status, counts := range map[Status]bool{OK: true, Error: true, Timeout: true, Reset: true, Full: false, ConnectFailed: false, Moot: false} {
+		s := testSettings()
+		s.Limits.MaxAttempts = 1
+		b, r := start(t, s, ready(4))
+		b.Request(second, request0(1, 0, second))
+		if got := b.sentWork.rate(second); got != 0 || len(r.sends) != 1 {
+			t.Errorf("status %d: %v a second carried before the outcome, %d sends", status, got, len(r.sends))
+		}
+		b.Outcome(second+1000, Outcome{ID: 1, Endpoint: r.sends[0].endpoint, Status: status, Latency: 1000})
+		if got := b.sentWork.rate(second + 1000); (got > 0) != counts {
+			t.Errorf("status %d: %v a second carried", status, got)
+		}
+	}
+}
