Count ejected endpoints when a cold one's part is reckoned

Cause, by counts inside the module (300 sidecars, trial): 884 of 1,511 mean works sent to cold servers left sidecars whose aperture had no warm endpoint left, since 3.6 of the 4 warm ones were ejected (full, or their connections refused); 614 left others, 13 those that had drawn no warm one. aperture() puts what is ejected behind the rest of the list and counted only what took its place: cold ones, of little strength. Where none warm is left a cold endpoint's part is reckoned from all that is asked, which bounds nothing. The ejected are warm and come back within seconds: they stay in the count, and out of use as before.

A fleet of 8 sidecars and fewer, or of a short list, uses and counts its whole list as before.

--- a/balancer/aperture_test.go
+++ b/balancer/aperture_test.go
@@ -167,3 +167,33 @@
 		})
 	}
 }
+
+// Ejected endpoints are out of use but not of the count: where a part of the list is full and ejected, the cold ones that take
+// their places must not seem to be all that there is, and be given all that is asked.
+func TestEjectedEndpointsCountAsStrength(t *testing.T) {
+	b, _ := fleetMember(t, 3, 320, 60)
+	now := second
+	b.aperture(now)
+	for _, e := range b.list {
+		if !inAperture(b, e.ID) {
+			b.warmUp(now, e, now)
+		}
+	}
+	b.strongAt = 0
+	b.aperture(now)
+	if b.strong != 6 || b.warm != 6 {
+		t.Fatalf("six warm endpoints count as %v, %v of them warm", b.strong, b.warm)
+	}
+	for _, e := range b.near {
+		e.whole.outTo = now + second
+	}
+	b.strongAt = 0
+	for _, e := range b.aperture(now) {
+		if !e.cold(now, b) {
+			t.Errorf("endpoint %d is ejected and in use", e.ID)
+		}
+	}
+	if b.strong < 6 || b.warm != 6 {
+		t.Errorf("ejected, they count as %v, %v of them warm", b.strong, b.warm)
+	}
+}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -545,21 +545,23 @@
 	apertureLeast = 6 // and endpoints to choose from
 )
 
-// aperture returns those endpoints, others in place of what is out or ejected, and counts what they can do in
-// warm ones. Were only the warm ones counted, a deploy would seem to leave each cold one a large part.
+// aperture returns those endpoints, others for what is out or ejected, and counts what they and the ejected
+// can do in warm ones. Were only those in use or warm ones counted, each cold one's part would seem large.
 func (b *Balancer) aperture(now Micros) []*endpoint {
 	if now < b.strongAt {
 		return b.near
 	}
 	b.strong, b.warm, b.strongAt = 0, 0, now+second/10
 	b.near = append(b.near[:0], b.list...)
+	edge := 1.0 // the last lot that counts
 	if most := max(apertureLeast, apertureCover*len(b.list)/b.s.Balancers); most < len(b.list) {
 		place := func(e *endpoint) float64 { return b.lot(e) + share(!b.serves(e) || now < e.whole.outTo) }
 		slices.SortFunc(b.near, func(x, y *endpoint) int { return cmp.Compare(place(x), place(y)) })
 		b.near = b.near[:most]
+		edge = place(b.near[most-1])
 	}
-	for _, e := range b.near {
-		if b.serves(e) {
+	for _, e := range b.list {
+		if b.serves(e) && b.lot(e) <= edge {
 			b.strong += e.warmth(now, b)
 			b.warm += share(!e.isCold)
 		}
