--- a/cmd/birchmoor/plant.go
+++ b/cmd/birchmoor/plant.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"birchmoor/internal/lease"
+	"birchmoor/internal/store/admin"
 )
 
 // What a program that is built with the tag "planted" does wrong; this one does not.
@@ -16,4 +17,4 @@
 func plantedUntil(until int64) int64             { return until }
 func plantedRelease() bool                       { return false }
 func plantedSession() lease.Plant                { return lease.PlantNone }
-func plantedStore(c closer) closer               { return c }
+func plantedStore(s admin.Store) admin.Store     { return s }
--- a/cmd/birchmoor/plant_on.go
+++ b/cmd/birchmoor/plant_on.go
@@ -10,6 +10,7 @@
 	"birchmoor/internal/lab/tasklab"
 	"birchmoor/internal/lease"
 	"birchmoor/internal/store"
+	"birchmoor/internal/store/admin"
 	"birchmoor/internal/store/engine"
 )
 
@@ -56,15 +57,15 @@
 }
 
 // read-stale: a read asks nobody where the quorum is.
-func plantedStore(c closer) closer {
+func plantedStore(c admin.Store) admin.Store {
 	if planted("read-stale") {
 		return staleStore{c}
 	}
 	return c
 }
 
-type staleStore struct{ closer }
+type staleStore struct{ admin.Store }
 
 func (s staleStore) View(ctx context.Context, _ bool, f func(*store.State)) (engine.Age, error) {
-	return s.closer.View(ctx, true, f)
+	return s.Store.View(ctx, true, f)
 }
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,262 @@
+// Package control starts the parts by which a daemon works with others: its copy of the store, what it tells and hears of servers, the
+// settings in force, tasks, shares of limits, and the socket of its operators. The program that is shipped runs them beside a sidecar
+// or alone; the lab runs many in one process, without sidecars, by the same function.
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"birchmoor/internal/boot"
+	"birchmoor/internal/daemon"
+	"birchmoor/internal/keys"
+	"birchmoor/internal/lease"
+	"birchmoor/internal/limit"
+	"birchmoor/internal/limits"
+	"birchmoor/internal/operate"
+	"birchmoor/internal/operator"
+	"birchmoor/internal/store"
+	"birchmoor/internal/store/admin"
+	"birchmoor/internal/store/disk"
+	"birchmoor/internal/store/engine"
+	"birchmoor/internal/store/follow"
+	"birchmoor/internal/tasks"
+)
+
+// Config says what is started.
+type Config struct {
+	File  *operator.File   // with a [store]
+	Check daemon.Check     // of settings, for the sidecar that runs beside; nil where none does
+	Hup   <-chan os.Signal // a signal of the system's to read the settings anew; nil: none comes
+	Log   *slog.Logger
+	Plant Plant
+}
+
+// Plant is what builds for tests do within; no other sets it.
+type Plant struct {
+	Clock   boot.Clock // at another pace
+	File    func(*os.File)
+	Store   func(admin.Store) admin.Store // the copy that the operators' socket answers by
+	Session lease.Plant
+	Table   lease.TablePlant
+	Limit   limit.Plant
+}
+
+// Parts are those that run. Any goroutine may use them until End.
+type Parts struct {
+	Servers  *daemon.Servers
+	Settings *daemon.Settings
+	Tasks    *tasks.Runner
+	Limits   *limits.Limits // nil where none are shared
+	Store    Store
+
+	shut    func() error
+	cancel  context.CancelFunc
+	working sync.WaitGroup
+	log     *slog.Logger
+}
+
+// Store is a copy of the store, a replica's or a follower's.
+type Store interface {
+	admin.Store
+	Close() error
+}
+
+const (
+	sweepEvery = 10 * time.Second
+	driveEvery = 250 * time.Millisecond
+)
+
+// Open starts the parts that the file tells of. End stops them.
+func Open(c Config) (*Parts, error) {
+	s, bounds, log := c.File.Store, store.DefaultLimits, c.Log
+	bounds.Total = s.TotalMB << 20
+	cfg := engine.Config{Name: s.Name, Dir: s.Dir, Address: s.Address, Join: s.Join, Limits: bounds, Tick: time.Duration(s.Tick),
+		Elect: s.Elect, Log: log}
+	for _, text := range s.Via {
+		if cfg.Via == nil {
+			cfg.Via = map[string]string{}
+		}
+		name, addr, _ := strings.Cut(text, "=")
+		cfg.Via[name] = addr
+	}
+	var err error
+	if s.Keys != "" {
+		if cfg.Keys, err = keys.Open(s.Keys, s.Name); err != nil {
+			return nil, err
+		}
+	}
+	if s.Listen != "" {
+		if cfg.Listen, err = net.Listen("tcp", s.Listen); err != nil {
+			return nil, fmt.Errorf("store: %w", err)
+		}
+	}
+	clock := c.Plant.Clock
+	if cfg.Disk.File = c.Plant.File; clock.Pace != 0 {
+		cfg.Tick = clock.Span(int64(cfg.Tick))
+	}
+	p := &Parts{log: log, Servers: daemon.NewServers(s.Name, log), Settings: daemon.NewSettings(s.Name, c.Check, log),
+		Tasks: tasks.New(tasks.Config{Host: s.Name, Skew: s.Skew, Log: log, Clock: clock, Table: c.Plant.Table, Plant: c.Plant.Session})}
+	parts := append(p.Servers.Parts(), p.Settings, p.Tasks)
+	if l := c.File.Limits; l != nil {
+		p.Limits = limits.New(limits.Config{Host: s.Name, TTL: time.Duration(l.Lease), Tell: time.Duration(l.Tell), Each: time.Duration(l.Each), Skew: s.Skew,
+			Clock: clock, Log: log, Plant: c.Plant.Limit}, p.Tasks)
+		parts = append(parts, p.Limits)
+	}
+	d := daemon.New(log, parts...)
+	d.SweepByOne()
+	if err := p.Servers.Journal(s.Dir); err != nil {
+		return nil, err
+	}
+	if len(s.Follow) > 0 {
+		p.Store, err = p.follower(s, d, cfg.Keys)
+	} else {
+		p.Store, err = p.replica(s, d, cfg)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if err := p.answer(s, c.Plant.Store, clock, cfg.Keys); err != nil {
+		return nil, errors.Join(err, p.Store.Close())
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	p.working.Go(func() { d.Run(ctx) })
+	p.working.Go(func() { _ = p.Tasks.Take(ctx, sweep(d, time.Duration(s.Lease))) }) // which has no fault to tell
+	p.working.Go(func() { p.signals(ctx, c.Hup) })
+	p.working.Go(func() { _ = p.Tasks.Take(ctx, drive(p.Settings, time.Duration(s.Lease))) })
+	if p.Limits != nil && len(s.Follow) == 0 {
+		p.working.Go(func() { _ = p.Tasks.Take(ctx, p.Limits.Divide()) })
+	}
+	log.Info("the store runs", "replica", s.Name, "listen", s.Listen, "serve", s.Serve, "follows", s.Follow, "socket", s.Socket)
+	return p, nil
+}
+
+// End stops them, and gives up what is held while the store still takes that.
+func (p *Parts) End() {
+	p.Tasks.Close()
+	p.cancel()
+	p.working.Wait()
+	if err := errors.Join(p.shut(), p.Store.Close()); err != nil {
+		p.log.Warn("the store did not close well", "error", err)
+	}
+}
+
+// answer serves operators and followers.
+func (p *Parts) answer(s *operator.Store, planted func(admin.Store) admin.Store, clock boot.Clock, pair *keys.Pair) error {
+	if err := os.MkdirAll(filepath.Dir(s.Socket), 0o700); err != nil {
+		return err
+	}
+	answers, by := operate.Parts{Servers: p.Servers, Settings: p.Settings, Tasks: p.Tasks, Limits: p.Limits, Clock: clock}, admin.Store(p.Store)
+	if planted != nil {
+		by = planted(by)
+	}
+	a, err := operate.Listen(s.Socket, by, answers)
+	if err != nil {
+		return err
+	}
+	p.shut = a.Close
+	if s.Serve == "" {
+		return nil
+	}
+	ln, err := net.Listen("tcp", s.Serve)
+	if err != nil {
+		return errors.Join(fmt.Errorf("store: %w", err), a.Close())
+	}
+	o, err := admin.ServeFollowers(ln, p.Store.(*engine.Engine), answers.Followers(), pair)
+	if err != nil {
+		return errors.Join(err, ln.Close(), a.Close())
+	}
+	p.shut = func() error { return errors.Join(o.Close(), a.Close()) }
+	return nil
+}
+
+// signals has a signal of the system's count as one of the store's.
+func (p *Parts) signals(ctx context.Context, hup <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			select {
+			case p.Settings.Reload() <- syscall.SIGHUP:
+			default:
+			}
+		}
+	}
+}
+
+// sweep is the task of ending what nobody has told for long.
+func sweep(d *daemon.Daemon, ttl time.Duration) tasks.Task {
+	return tasks.Task{Want: tasks.Want{Task: daemon.FleetTask, TTL: ttl, Note: "ends drains, starts and pictures that nobody tells any more"},
+		Every: sweepEvery, Most: ttl / 2, Progress: 6 * sweepEvery, HoldDown: 6 * sweepEvery,
+		Do: func(ctx context.Context, _ *tasks.Hold) error { return d.Sweep(ctx) }}
+}
+
+// drive is the task of taking settings that come in force in steps further, or back.
+func drive(settings *daemon.Settings, ttl time.Duration) tasks.Task {
+	return tasks.Task{Want: tasks.Want{Task: daemon.RolloutTask, TTL: ttl, Note: "drives settings that come in force in steps"}, Every: driveEvery, Most: ttl / 2,
+		Progress: time.Minute, HoldDown: time.Minute,
+		Do: func(ctx context.Context, h *tasks.Hold) error { return settings.Drive(ctx, h.Token(), h.Txn) }}
+}
+
+// replica starts a replica, and notes what its daemon starts with.
+func (p *Parts) replica(s *operator.Store, d *daemon.Daemon, cfg engine.Config) (Store, error) {
+	d.Hook(&cfg)
+	var written time.Time
+	if info, err := os.Stat(filepath.Join(s.Dir, disk.Name)); err == nil {
+		written = info.ModTime()
+	}
+	e, err := engine.Open(cfg)
+	if err != nil {
+		if cfg.Listen != nil {
+			err = errors.Join(err, cfg.Listen.Close())
+		}
+		return nil, err
+	}
+	d.Attach(e)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	from := "own disk"
+	if written.IsZero() {
+		from = "nothing"
+	}
+	a, err := e.View(ctx, true, func(*store.State) {})
+	if err != nil {
+		return nil, errors.Join(err, e.Close())
+	}
+	p.Servers.Opened(from, a.Revision, written, p.Settings.Current() != nil)
+	return e, nil
+}
+
+// follower starts a copy of others' replicas.
+func (p *Parts) follower(s *operator.Store, d *daemon.Daemon, pair *keys.Pair) (Store, error) {
+	cfg := follow.Config{Name: s.Name, Dir: s.Dir, Keys: pair, Wait: time.Duration(s.Wait), Log: p.log, Age: p.Servers.PictureAge}
+	for _, text := range s.Follow {
+		name, addr, _ := strings.Cut(text, "=")
+		cfg.Replicas = append(cfg.Replicas, follow.Replica{Name: name, Addr: addr})
+	}
+	cfg.Event, cfg.Reset = d.Hooks()
+	cfg.Settled, cfg.Proved = d.Settled, d.Proved
+	f, err := follow.Open(cfg)
+	if err != nil {
+		return nil, err
+	}
+	d.Attach(f)
+	from, written := f.Found()
+	a, err := f.View(context.Background(), true, func(*store.State) {})
+	if err != nil {
+		from = "nothing"
+	}
+	p.Servers.Opened(from, a.Revision, written, p.Settings.Current() != nil)
+	return f, nil
+}
