Count messages, entries and what is written by purpose, and answer it at /v1/meter

What the control plane costs a daemon could be seen only from outside, as bytes of a process. A Meter counts it where it crosses: the stream, copies and changes of followers at both ends, raft between replicas, entries proposed and applied, and what bbolt and a follower's file write. What a key is for is said by the package that names it; operate puts them together.

Bytes are of bodies, lines and frames before TLS; what heads of HTTP, TLS and handshakes add is in the bytes of all connections, counted beside. A process without a meter counts nothing and wraps no connection.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -29,6 +29,7 @@
 	"birchmoor/internal/store/disk"
 	"birchmoor/internal/store/engine"
 	"birchmoor/internal/store/follow"
+	"birchmoor/internal/store/meter"
 	"birchmoor/internal/tasks"
 )
 
@@ -58,6 +59,7 @@
 	Tasks    *tasks.Runner
 	Limits   *limits.Limits // nil where none are shared
 	Store    Store
+	Meter    *meter.Meter
 
 	shut    func() error
 	cancel  context.CancelFunc
@@ -81,7 +83,7 @@
 	s, bounds, log := c.File.Store, store.DefaultLimits, c.Log
 	bounds.Total = s.TotalMB << 20
 	cfg := engine.Config{Name: s.Name, Dir: s.Dir, Address: s.Address, Join: s.Join, Limits: bounds, Tick: time.Duration(s.Tick),
-		Elect: s.Elect, Log: log}
+		Elect: s.Elect, Log: log, Meter: operate.Meter()}
 	for _, text := range s.Via {
 		if cfg.Via == nil {
 			cfg.Via = map[string]string{}
@@ -104,7 +106,7 @@
 	if cfg.Disk.File = c.Plant.File; clock.Pace != 0 {
 		cfg.Tick = clock.Span(int64(cfg.Tick))
 	}
-	p := &Parts{log: log, Servers: daemon.NewServers(s.Name, log), Settings: daemon.NewSettings(s.Name, c.Check, log),
+	p := &Parts{log: log, Meter: cfg.Meter, Servers: daemon.NewServers(s.Name, log), Settings: daemon.NewSettings(s.Name, c.Check, log),
 		Tasks: tasks.New(tasks.Config{Host: s.Name, Skew: s.Skew, Log: log, Clock: clock, Table: c.Plant.Table, Plant: c.Plant.Session})}
 	parts := append(p.Servers.Parts(), p.Settings, p.Tasks)
 	if l := c.File.Limits; l != nil {
@@ -118,7 +120,7 @@
 		return nil, err
 	}
 	if len(s.Follow) > 0 {
-		p.Store, err = p.follower(s, d, cfg.Keys)
+		p.Store, err = p.follower(s, d, cfg)
 	} else {
 		p.Store, err = p.replica(s, d, cfg)
 	}
@@ -156,7 +158,7 @@
 	if err := os.MkdirAll(filepath.Dir(s.Socket), 0o700); err != nil {
 		return err
 	}
-	answers, by := operate.Parts{Servers: p.Servers, Settings: p.Settings, Tasks: p.Tasks, Limits: p.Limits, Clock: clock}, admin.Store(p.Store)
+	answers, by := operate.Parts{Servers: p.Servers, Settings: p.Settings, Tasks: p.Tasks, Limits: p.Limits, Clock: clock, Meter: p.Meter}, admin.Store(p.Store)
 	if planted != nil {
 		by = planted(by)
 	}
@@ -239,8 +241,8 @@
 }
 
 // follower starts a copy of others' replicas.
-func (p *Parts) follower(s *operator.Store, d *daemon.Daemon, pair *keys.Pair) (Store, error) {
-	cfg := follow.Config{Name: s.Name, Dir: s.Dir, Keys: pair, Wait: time.Duration(s.Wait), Log: p.log, Age: p.Servers.PictureAge}
+func (p *Parts) follower(s *operator.Store, d *daemon.Daemon, of engine.Config) (Store, error) {
+	cfg := follow.Config{Name: s.Name, Dir: s.Dir, Keys: of.Keys, Meter: of.Meter, Wait: time.Duration(s.Wait), Log: p.log, Age: p.Servers.PictureAge}
 	for _, text := range s.Follow {
 		name, addr, _ := strings.Cut(text, "=")
 		cfg.Replicas = append(cfg.Replicas, follow.Replica{Name: name, Addr: addr})
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -17,9 +17,11 @@
 	"birchmoor/internal/store"
 )
 
+// ConfigPrefix is that of the keys of the settings.
+const ConfigPrefix = "config/"
+
 // Keys of the settings.
 const (
-	configPrefix  = "config/"
 	keyCurrent    = "config/current"
 	keyCandidate  = "config/candidate"
 	keyHistory    = "config/history/"
@@ -81,7 +83,7 @@
 
 // Event is of Part.
 func (x *Settings) Event(e store.Event) {
-	if strings.HasPrefix(e.Item.Key, configPrefix) {
+	if strings.HasPrefix(e.Item.Key, ConfigPrefix) {
 		x.mu.Lock()
 		defer x.mu.Unlock()
 		x.take(e.Item, e.Deleted)
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -13,11 +13,13 @@
 	"birchmoor/internal/boot"
 	"birchmoor/internal/daemon"
 	"birchmoor/internal/lease"
+	"birchmoor/internal/limit"
 	"birchmoor/internal/limits"
 	"birchmoor/internal/rollout"
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/admin"
 	"birchmoor/internal/store/engine"
+	"birchmoor/internal/store/meter"
 	"birchmoor/internal/store/policy"
 	"birchmoor/internal/tasks"
 )
@@ -46,6 +48,14 @@
 	Tasks    *tasks.Runner
 	Limits   *limits.Limits // nil: none are shared here
 	Clock    boot.Clock     // of entitlements
+	Meter    *meter.Meter   // nil: nothing is counted
+}
+
+// Meter is a new one that knows what the parts of a daemon use their keys for.
+func Meter() *meter.Meter {
+	return meter.New(meter.Prefix{Prefix: policy.Prefix, Purpose: meter.Words}, meter.Prefix{Prefix: policy.StartPrefix, Purpose: meter.Words},
+		meter.Prefix{Prefix: policy.PicturePrefix, Purpose: meter.Pictures}, meter.Prefix{Prefix: daemon.ConfigPrefix, Purpose: meter.Settings},
+		meter.Prefix{Prefix: limit.Prefix, Purpose: meter.Shares}, meter.Prefix{Prefix: lease.Prefix, Purpose: meter.Tasks})
 }
 
 type server struct {
@@ -72,13 +82,16 @@
 	m.Call("GET /v1/limits", s.listLimits)
 	m.Call("POST /v1/limits", s.putLimits)
 	m.Call("POST /v1/unlock", s.unlock)
+	m.Call("GET /v1/meter", func(context.Context, http.ResponseWriter, *http.Request) (any, error) {
+		return s.Parts.Meter.Read(), nil
+	})
 	m.Call("GET /v1/out", func(context.Context, http.ResponseWriter, *http.Request) (any, error) { return s.Servers.Outs(), nil })
 	m.Call("GET /v1/servers", func(context.Context, http.ResponseWriter, *http.Request) (any, error) { return s.Servers.List(), nil })
 }
 
 // Followers are the rules for daemons without a replica: each part says what is theirs to write.
 func (p Parts) Followers() admin.Rules {
-	return admin.Rules{Ages: func() map[string]time.Duration { return p.Servers.PictureAges() }, May: func(op store.Op, owner string) bool {
+	return admin.Rules{Meter: p.Meter, Ages: func() map[string]time.Duration { return p.Servers.PictureAges() }, May: func(op store.Op, owner string) bool {
 		return lease.May(op, owner) || tasks.May(op, owner) || daemon.May(op, owner) || limits.May(op, owner)
 	}}
 }
@@ -156,6 +169,11 @@
 	return p, c.Call(ctx, "GET", "/v1/plan", nil, nil, &p)
 }
 
+// Meter tells what the control plane cost the daemon since its start.
+func (c *Client) Meter(ctx context.Context) (r meter.Reading, err error) {
+	return r, c.Call(ctx, "GET", "/v1/meter", nil, nil, &r)
+}
+
 // Out lists the servers that are out.
 func (c *Client) Out(ctx context.Context) (all []policy.Out, err error) {
 	return all, c.Call(ctx, "GET", "/v1/out", nil, nil, &all)
--- a/internal/operate/operate_test.go
+++ b/internal/operate/operate_test.go
@@ -8,8 +8,13 @@
 	"strings"
 	"testing"
 
+	"birchmoor/internal/daemon"
 	"birchmoor/internal/lease"
+	"birchmoor/internal/limit"
 	"birchmoor/internal/store"
+	"birchmoor/internal/store/meter"
+	"birchmoor/internal/store/policy"
+	"birchmoor/internal/tasks"
 )
 
 // A daemon without a replica has places of its own name, and nothing else of tasks or settings.
@@ -80,3 +85,37 @@
 		}
 	}
 }
+
+// What keys and commands are for comes from the packages that name the keys.
+func TestWhatKeysAreFor(t *testing.T) {
+	m := Meter()
+	p := policy.Process{ID: "s", Addr: "a", StartedMs: 1}
+	for key, want := range map[string]meter.Purpose{
+		policy.Key(policy.Drain, "s"): meter.Words, policy.Key(policy.Ban, "s"): meter.Words, policy.StartKey(p): meter.Words,
+		policy.PictureKey("h", "http"): meter.Pictures, daemon.ConfigPrefix + "current": meter.Settings,
+		limit.ConfKey: meter.Shares, limit.TurnKey: meter.Shares, limit.Process{Host: "h", Session: 1}.NeedKey(): meter.Shares,
+		limit.Process{Host: "h", Session: 1}.GrantKey(): meter.Shares, lease.PlaceKey("one", "h", "1"): meter.Tasks,
+		tasks.DonePrefix + "one": meter.Tasks, lease.HoldKey: meter.Tasks, "an operator's": meter.Other, "": meter.Other,
+	} {
+		if got := m.KeyPurpose(key); got != want {
+			t.Errorf("%q is for %v, and not %v", key, got, want)
+		}
+	}
+	put := func(key string) []store.Op { return []store.Op{{Key: key}} }
+	for name, x := range map[string]struct {
+		c    store.Command
+		want meter.Purpose
+	}{
+		"a grant": {store.Command{Grant: &store.Grant{}}, meter.Sessions}, "a renewal": {store.Command{Renew: &store.Renew{}}, meter.Sessions},
+		"an end": {store.Command{End: &store.End{}}, meter.Sessions}, "a member": {store.Command{Join: &store.Join{}}, meter.Raft},
+		"a level": {store.Command{Raise: &store.Raise{}}, meter.Raft}, "nothing": {store.Command{}, meter.Other},
+		"a put":             {store.Command{Txn: &store.Txn{Then: put("limit/x"), Else: put("out/x")}}, meter.Shares},
+		"a put if not":      {store.Command{Txn: &store.Txn{Else: put("out/x"), If: []store.Compare{{Key: "task/x"}}}}, meter.Words},
+		"a comparison":      {store.Command{Txn: &store.Txn{If: []store.Compare{{Key: "task/x"}}}}, meter.Tasks},
+		"an empty exchange": {store.Command{Txn: &store.Txn{}}, meter.Other},
+	} {
+		if got := m.CommandPurpose(&x.c); got != x.want {
+			t.Errorf("%s is for %v, and not %v", name, got, x.want)
+		}
+	}
+}
--- a/internal/store/admin/outer.go
+++ b/internal/store/admin/outer.go
@@ -12,6 +12,7 @@
 	"birchmoor/internal/keys"
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/engine"
+	"birchmoor/internal/store/meter"
 	"birchmoor/internal/store/policy"
 )
 
@@ -62,6 +63,8 @@
 	May func(op store.Op, owner string) bool
 	// Ages are how long ago pictures came here, by key.
 	Ages func() map[string]time.Duration
+	// Meter counts what followers cost; nil: nothing is counted.
+	Meter *meter.Meter
 }
 
 // ServeFollowers serves a listener, which Close closes. Without keys it is for loopback alone.
@@ -71,11 +74,12 @@
 	}
 	o := &Outer{e: e, rules: rules, slots: make(chan struct{}, followersMost), changes: make(chan struct{}, changeMost)}
 	m := http.NewServeMux()
-	m.HandleFunc("GET /v1/copy", o.copy)
-	m.HandleFunc("GET /v1/follow", o.follow)
-	m.HandleFunc("GET /v1/revision", handle(o.revision))
-	m.HandleFunc("POST /v1/change", handle(o.change))
+	m.HandleFunc("GET /v1/copy", o.counted(meter.Snapshots, o.copy))
+	m.HandleFunc("GET /v1/follow", o.counted(meter.Beats, o.follow))
+	m.HandleFunc("GET /v1/revision", o.counted(meter.Requests, handle(o.revision)))
+	m.HandleFunc("POST /v1/change", o.counted(meter.Other, handle(o.change)))
 	o.http = &http.Server{Handler: m, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 8 << 10}
+	ln = rules.Meter.Listener(ln)
 	if pair != nil {
 		o.http.TLSConfig = pair.Server()
 		go o.http.ServeTLS(ln, "", "")
@@ -88,6 +92,44 @@
 // Close ends all streams.
 func (o *Outer) Close() error { return o.http.Close() }
 
+// counted counts an answer for a purpose, which the handler may say better by answerIs, and the request that it answers. A
+// request without a body is a message of no bytes.
+func (o *Outer) counted(of meter.Purpose, h http.HandlerFunc) http.HandlerFunc {
+	if o.rules.Meter == nil {
+		return h
+	}
+	return func(w http.ResponseWriter, r *http.Request) {
+		c := &countedAnswer{ResponseWriter: w, m: o.rules.Meter, of: of, messages: 1}
+		if r.Method == http.MethodGet { // others say what they are for in their bodies
+			o.rules.Meter.Count(of, meter.In, 1, 0)
+		}
+		h(c, r)
+	}
+}
+
+// countedAnswer counts a message with the first bytes that are written, before they are, and the bytes of all.
+type countedAnswer struct {
+	http.ResponseWriter
+	m        *meter.Meter
+	of       meter.Purpose
+	messages int
+}
+
+func (c *countedAnswer) Write(b []byte) (int, error) {
+	c.m.Count(c.of, meter.Out, c.messages, len(b))
+	c.messages = 0
+	return c.ResponseWriter.Write(b)
+}
+
+func (c *countedAnswer) Unwrap() http.ResponseWriter { return c.ResponseWriter }
+
+// answerIs says what the message is for that is written next.
+func answerIs(w http.ResponseWriter, of meter.Purpose) {
+	if c, ok := w.(*countedAnswer); ok {
+		c.of, c.messages = of, 1
+	}
+}
+
 // copy sends the state as this replica has it: a follower that starts must not wait for a quorum.
 func (o *Outer) copy(w http.ResponseWriter, r *http.Request) {
 	var s *store.State
@@ -114,7 +156,8 @@
 		return
 	}
 	enc, c := json.NewEncoder(w), http.NewResponseController(w)
-	send := func(l Line) bool {
+	send := func(of meter.Purpose, l Line) bool {
+		answerIs(w, of)
 		_ = c.SetWriteDeadline(time.Now().Add(waitMost))
 		return enc.Encode(l) == nil
 	}
@@ -133,7 +176,7 @@
 			b.Revision, b.Proved = after, false // this replica is behind what the follower has: it confirms nothing
 		}
 		ages = nil
-		if !send(Line{Beat: &b}) || c.Flush() != nil {
+		if !send(meter.Beats, Line{Beat: &b}) || c.Flush() != nil {
 			return
 		}
 		for end := time.Now().Add(beatEvery); time.Now().Before(end); {
@@ -143,14 +186,14 @@
 			var gone *store.ErrCompacted
 			switch {
 			case errors.As(err, &gone):
-				send(Line{Fault: &Fault{Error: err.Error(), Oldest: gone.Oldest}})
+				send(meter.Beats, Line{Fault: &Fault{Error: err.Error(), Oldest: gone.Oldest}})
 				return
 			case err != nil && r.Context().Err() == nil && errors.Is(err, context.DeadlineExceeded):
 			case err != nil:
 				return
 			}
 			for i := range events {
-				if !send(Line{Event: &events[i]}) {
+				if !send(o.rules.Meter.KeyPurpose(events[i].Item.Key), Line{Event: &events[i]}) {
 					return
 				}
 			}
@@ -173,7 +216,16 @@
 // change makes a transaction of a follower.
 func (o *Outer) change(ctx context.Context, w http.ResponseWriter, r *http.Request) (any, error) {
 	var q Request
-	if err := Decode(w, r, &q); err != nil {
+	plain := w // by which the connection is closed, should the body be too long
+	if c, ok := w.(*countedAnswer); ok {
+		plain = c.ResponseWriter
+	}
+	err := Decode(plain, r, &q)
+	command := q.command()
+	of := o.rules.Meter.CommandPurpose(&command)
+	answerIs(w, of)
+	o.rules.Meter.Count(of, meter.In, 1, int(max(0, r.ContentLength)))
+	if err != nil {
 		return nil, err
 	}
 	if err := followerMay(&q, hostOf(r, &q), o.rules.May); err != nil {
@@ -185,7 +237,7 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	res, err := o.e.Do(ctx, q.command())
+	res, err := o.e.Do(ctx, command)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/store/disk/disk.go
+++ b/internal/store/disk/disk.go
@@ -25,6 +25,7 @@
 	"syscall"
 	"time"
 
+	"birchmoor/internal/store/meter"
 	"birchmoor/internal/store/replica"
 
 	"github.com/fxamacker/cbor/v2"
@@ -62,11 +63,14 @@
 // ErrLocked says that another process has the file open.
 var ErrLocked = errors.New("another process holds the store's file")
 
-// Options are for tests.
+// Options are for tests, Meter excepted.
 type Options struct {
 	NoSync bool // the file does not outlive a loss of power
 	// File is told of the file that was opened, so that a test can have it fail under the disk's hands.
 	File func(*os.File)
+	// Meter counts what is written; nil: nothing is counted. A snapshot is what its own transactions write, the log all else.
+	// The bytes are those of bbolt's pages, and a commit waits for two syncs; those by which the file grows are not counted.
+	Meter *meter.Meter
 }
 
 // Disk is an open file. It is safe for concurrent use as replica.Disk asks.
@@ -74,6 +78,8 @@
 	db   *bbolt.DB
 	path string
 	now  replica.Identity
+	m    *meter.Meter
+	page int           // bytes of a page
 	next atomic.Uint64 // number of the snapshot's bucket
 }
 
@@ -98,7 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Disk{db: db, path: path}
+	d := &Disk{db: db, path: path, m: o.Meter, page: db.Info().PageSize}
 	if err := d.begin(); err != nil {
 		return nil, errors.Join(err, db.Close())
 	}
@@ -133,11 +139,25 @@
 	return db, nil
 }
 
-// update runs a transaction. What bbolt makes of a damaged page, a panic or a fault in its map, is an error. Each names the file.
-func (d *Disk) update(f func(*bbolt.Tx) error) (err error) {
+// update runs a transaction that writes the log and what else is small.
+func (d *Disk) update(f func(*bbolt.Tx) error) (err error) { return d.updateOf(meter.Log, f) }
+
+// updateOf runs a transaction. What bbolt makes of a damaged page, a panic or a fault in its map, is an error. Each names
+// the file.
+func (d *Disk) updateOf(what meter.File, f func(*bbolt.Tx) error) (err error) {
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
 	defer d.caught(&err)
-	return d.db.Update(f)
+	var done *bbolt.Tx
+	if err = d.db.Update(func(tx *bbolt.Tx) error { done = tx; return f(tx) }); err != nil {
+		return err
+	}
+	// All pages that a transaction takes are written and synced, then the one that names its root.
+	s, syncs := done.Stats(), 2
+	if d.db.NoSync {
+		syncs = 0
+	}
+	d.m.Wrote(what, syncs, int(s.GetPageAlloc())+d.page)
+	return nil
 }
 
 func (d *Disk) view(f func(*bbolt.Tx) error) (err error) {
@@ -417,7 +437,7 @@
 	if len(p.buf) > 0 {
 		p.pending, p.buf = append(p.pending, p.buf), nil
 	}
-	err := p.d.update(func(tx *bbolt.Tx) error {
+	err := p.d.updateOf(meter.Snapshot, func(tx *bbolt.Tx) error {
 		b, err := tx.CreateBucketIfNotExists(p.bucket)
 		if err != nil {
 			return err
@@ -445,7 +465,7 @@
 		err = p.flush()
 	}
 	if err == nil {
-		err = d.update(func(tx *bbolt.Tx) error {
+		err = d.updateOf(meter.Snapshot, func(tx *bbolt.Tx) error {
 			st := tx.Bucket(bState)
 			var old named
 			if err := d.get(st, kSnapshot, &old); err != nil {
--- a/internal/store/engine/engine.go
+++ b/internal/store/engine/engine.go
@@ -23,6 +23,7 @@
 	"birchmoor/internal/keys"
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/disk"
+	"birchmoor/internal/store/meter"
 	"birchmoor/internal/store/peer"
 	"birchmoor/internal/store/policy"
 	"birchmoor/internal/store/replica"
@@ -46,6 +47,7 @@
 	Log     *slog.Logger
 	Tune    func(*replica.Config) // for tests
 	Disk    disk.Options
+	Meter   *meter.Meter // of messages, entries and what is written; nil: nothing is counted
 
 	// Event is told of each change in order, Reset of a whole new state, both by the loop. They must not wait.
 	Event func(store.Event)
@@ -125,6 +127,7 @@
 	if cfg.Address == "" && cfg.Listen != nil {
 		cfg.Address = cfg.Listen.Addr().String()
 	}
+	cfg.Disk.Meter = cfg.Meter
 	d, err := disk.Open(cfg.Dir, cfg.Disk)
 	if err != nil {
 		return nil, err
@@ -145,7 +148,7 @@
 		}
 	}
 	if cfg.Listen != nil {
-		if e.net, err = peer.New(cfg.Name, cfg.Address, cfg.Listen, (*host)(e), cfg.Keys, cfg.Log); err != nil {
+		if e.net, err = peer.New(cfg.Name, cfg.Address, cfg.Listen, (*host)(e), cfg.Keys, cfg.Log, cfg.Meter); err != nil {
 			return nil, errors.Join(err, d.Close())
 		}
 		e.introduce()
@@ -166,7 +169,7 @@
 // begin starts the node on a disk that belongs to a cluster.
 func (e *Engine) begin() error {
 	rc := replica.Config{Rand: mathrand.New(mathrand.NewPCG(random(), random())), Log: e.cfg.Log, ElectTicks: e.cfg.Elect,
-		TickMillis: int(e.cfg.Tick / time.Millisecond)}
+		TickMillis: int(e.cfg.Tick / time.Millisecond), Proposed: e.cfg.Meter.Proposed, Applied: e.cfg.Meter.Applied}
 	if e.cfg.Tune != nil {
 		e.cfg.Tune(&rc)
 	}
--- a/internal/store/follow/follow.go
+++ b/internal/store/follow/follow.go
@@ -32,6 +32,7 @@
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/admin"
 	"birchmoor/internal/store/engine"
+	"birchmoor/internal/store/meter"
 	"birchmoor/internal/store/policy"
 	"birchmoor/internal/store/replica"
 )
@@ -50,6 +51,7 @@
 	Keys     *keys.Pair // nil: plain TCP on loopback
 	Wait     time.Duration
 	Log      *slog.Logger
+	Meter    *meter.Meter // of messages and the file of the copy; nil: nothing is counted
 
 	// Event and Reset are told of changes and of a whole new copy, one after the other. They must not wait.
 	Event func(store.Event)
@@ -111,7 +113,7 @@
 	f := &Follower{cfg: cfg, client: binary.BigEndian.Uint64(b[:])>>1 | 1, begun: time.Now(), changed: make(chan struct{}),
 		synced: make(chan struct{})}
 	for _, r := range cfg.Replicas {
-		t := &http.Transport{DialContext: (&net.Dialer{Timeout: askTime}).DialContext, MaxIdleConnsPerHost: 4, TLSHandshakeTimeout: askTime}
+		t := &http.Transport{DialContext: f.dial, MaxIdleConnsPerHost: 4, TLSHandshakeTimeout: askTime}
 		if cfg.Keys != nil {
 			c, err := cfg.Keys.Client(r.Name)
 			if err != nil {
@@ -138,6 +140,15 @@
 	return f, nil
 }
 
+// dial opens a connection that is counted.
+func (f *Follower) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := (&net.Dialer{Timeout: askTime}).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return f.cfg.Meter.Conn(c), nil
+}
+
 func (f *Follower) path() string { return filepath.Join(f.cfg.Dir, "copy") }
 
 // load takes what the file has.
@@ -262,6 +273,7 @@
 		return false, err
 	}
 	defer a.Body.Close()
+	f.cfg.Meter.Count(meter.Beats, meter.Out, 1, 0)
 	if a.StatusCode == http.StatusGone {
 		return false, f.fetch(at)
 	}
@@ -276,6 +288,11 @@
 		if err := json.Unmarshal(lines.Bytes(), &l); err != nil {
 			return heard, fmt.Errorf("%w: %w", errBehind, err)
 		}
+		of := meter.Beats
+		if l.Event != nil {
+			of = f.cfg.Meter.KeyPurpose(l.Event.Item.Key)
+		}
+		f.cfg.Meter.Count(of, meter.In, 1, len(lines.Bytes())+len("\n"))
 		switch {
 		case l.Fault != nil && l.Fault.Oldest > 0:
 			return heard, f.fetch(at)
@@ -354,10 +371,12 @@
 		return err
 	}
 	defer a.Body.Close()
+	f.cfg.Meter.Count(meter.Snapshots, meter.Out, 1, 0)
 	if a.StatusCode != http.StatusOK {
 		return fmt.Errorf("%w: %s", errBehind, a.Status)
 	}
-	s, err := store.Load(a.Body)
+	f.cfg.Meter.Count(meter.Snapshots, meter.In, 1, 0)
+	s, err := store.Load(&countedBody{a.Body, f.cfg.Meter, meter.Snapshots})
 	if err != nil {
 		return err
 	}
@@ -379,6 +398,31 @@
 	return nil
 }
 
+// countedBody counts the bytes of a message as they are read.
+type countedBody struct {
+	io.Reader
+	m  *meter.Meter
+	of meter.Purpose
+}
+
+func (c *countedBody) Read(b []byte) (int, error) {
+	n, err := c.Reader.Read(b)
+	c.m.Count(c.of, meter.In, 0, n)
+	return n, err
+}
+
+// countedFile counts what is written to the file of the copy.
+type countedFile struct {
+	io.Writer
+	m *meter.Meter
+}
+
+func (c *countedFile) Write(b []byte) (int, error) {
+	n, err := c.Writer.Write(b)
+	c.m.Wrote(meter.Copy, 0, n)
+	return n, err
+}
+
 // ---- Keeping ---------------------------------------------------------------
 
 func (f *Follower) keep() {
@@ -410,7 +454,7 @@
 	s := f.state.Clone()
 	f.fresh = false
 	f.mu.Unlock()
-	if err := write(f.path(), s); err != nil {
+	if err := write(f.path(), s, f.cfg.Meter); err != nil {
 		f.mu.Lock()
 		f.fresh = true
 		f.mu.Unlock()
@@ -419,13 +463,14 @@
 	return nil
 }
 
-func write(path string, s *store.State) error {
+func write(path string, s *store.State, m *meter.Meter) error {
 	w, err := os.CreateTemp(filepath.Dir(path), ".copy-*")
 	if err != nil {
 		return fmt.Errorf("follow: %w", err)
 	}
-	err = s.Save(w)
+	err = s.Save(&countedFile{w, m})
 	err = errors.Join(err, w.Sync(), w.Close())
+	m.Wrote(meter.Copy, 1, 0)
 	if err == nil {
 		err = os.Rename(w.Name(), path)
 	}
@@ -462,7 +507,7 @@
 	last := error(replica.ErrNoLeader)
 	for at := mathrand.IntN(len(f.http)); ctx.Err() == nil && f.ctx.Err() == nil; at = (at + 1) % len(f.http) {
 		var x admin.Change
-		reached, err := f.ask(ctx, at, http.MethodPost, "/v1/change", body, &x)
+		reached, err := f.ask(ctx, at, f.cfg.Meter.CommandPurpose(&c), http.MethodPost, "/v1/change", body, &x)
 		if err == nil {
 			f.await(ctx, x.Revision)
 			return store.Result{Revision: x.Revision, Held: x.Held, Lease: x.Lease}, nil
@@ -526,7 +571,7 @@
 }
 
 // ask puts a request to one replica. reached is set if the request may have been read.
-func (f *Follower) ask(ctx context.Context, at int, method, path string, body []byte, out any) (reached bool, err error) {
+func (f *Follower) ask(ctx context.Context, at int, of meter.Purpose, method, path string, body []byte, out any) (reached bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, f.url(at, path, url.Values{"timeout": {(askTime - askTime/10).String()}}), bytes.NewReader(body))
@@ -539,14 +584,20 @@
 		return !(errors.As(err, &dial) && dial.Op == "dial"), err
 	}
 	defer a.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(a.Body, lineMost)) // an error shows by what is missing
+	f.cfg.Meter.Count(of, meter.Out, 1, len(body))
+	f.cfg.Meter.Count(of, meter.In, 1, len(answer))
 	if a.StatusCode != http.StatusOK {
 		e := &admin.Error{Status: a.StatusCode}
-		if err := json.NewDecoder(io.LimitReader(a.Body, lineMost)).Decode(&e.Fault); err != nil {
+		if err := json.Unmarshal(answer, &e.Fault); err != nil {
 			return true, fmt.Errorf("the replica answered %s", a.Status)
 		}
 		return true, e
 	}
-	return true, json.NewDecoder(io.LimitReader(a.Body, lineMost)).Decode(out)
+	if bad := json.Unmarshal(answer, out); bad != nil {
+		return true, errors.Join(err, bad)
+	}
+	return true, nil
 }
 
 // View has f read the copy; see engine.Engine. Unless stale is set, a replica is asked up to where the quorum is, and the
@@ -554,7 +605,7 @@
 func (f *Follower) View(ctx context.Context, stale bool, read func(*store.State)) (engine.Age, error) {
 	var need engine.Age
 	for at, asked := mathrand.IntN(len(f.http)), false; !stale && !asked; at = (at + 1) % len(f.http) {
-		_, err := f.ask(ctx, at, http.MethodGet, "/v1/revision", nil, &need)
+		_, err := f.ask(ctx, at, meter.Requests, http.MethodGet, "/v1/revision", nil, &need)
 		if asked = err == nil; asked {
 			break
 		}
--- a/internal/store/follow/follow_test.go
+++ b/internal/store/follow/follow_test.go
@@ -36,7 +36,7 @@
 	for _, damaged := range []bool{false, true} {
 		dir := t.TempDir()
 		path := filepath.Join(dir, "copy")
-		if err := write(path, s); err != nil {
+		if err := write(path, s, nil); err != nil {
 			t.Fatal(err)
 		}
 		if damaged {
--- a/internal/store/replica/members.go
+++ b/internal/store/replica/members.go
@@ -99,7 +99,13 @@
 		n.fail(err)
 		return
 	}
-	n.must(func() error { return n.raw.Propose(data) })
+	n.must(func() error {
+		err := n.raw.Propose(data)
+		if err == nil && n.cfg.Proposed != nil {
+			n.cfg.Proposed(c)
+		}
+		return err
+	})
 }
 
 func (n *Node) endLeases() {
--- a/internal/store/replica/replica.go
+++ b/internal/store/replica/replica.go
@@ -53,6 +53,9 @@
 	Planted      Planted
 
 	Observe func(*raftpb.Entry) // told of every entry before it is applied, or nil
+
+	Proposed func(*store.Command)             // told of every command that raft took here, for the log or the leader, or nil
+	Applied  func(c *store.Command, size int) // told of every command before it is applied, with its encoded bytes, or nil
 }
 
 // Planted are faults that are put in so that a test can show that it finds them. None is set elsewhere.
@@ -418,6 +421,9 @@
 		n.fail(err)
 		return n.failed
 	}
+	if n.cfg.Proposed != nil {
+		n.cfg.Proposed(c)
+	}
 	w := &wait{token: t, id: c.ID, deadline: n.now + int64(n.cfg.WaitTicks)}
 	n.waiting[c.ID] = w
 	n.order = append(n.order, w)
@@ -663,6 +669,9 @@
 			return fmt.Errorf("entry %d: %w: the cluster goes to level %d, and this build knows %d", n.applied, store.ErrUnknownOp,
 				c.Raise.Level, n.cfg.Knows)
 		}
+		if n.cfg.Applied != nil {
+			n.cfg.Applied(c, len(e.Data))
+		}
 		if n.cfg.Planted&ForgetResults != 0 {
 			id := c.ID
 			c.ID = store.RequestID{}
