Run hollow sidecars beside real daemons and count what each role costs: lab scale

A fleet of 1,200 does not fit a machine as processes. lab scale runs replicas and a few followers as processes of this program, and hollow sidecars about a hundred to a process: the control parts by the same function as run (control.Open), without fronts and traffic, told of servers as the seed draws it. Links go through relays that delay as three regions with eight zones do. Each second every process is read by its meter; figures are per role and purpose, of a hollow process per sidecar.

No tests yet.

--- a/cmd/birchmoor/lab.go
+++ b/cmd/birchmoor/lab.go
@@ -28,6 +28,8 @@
 	DNSPeer   dnsPeerCommand   `cmd:"" hidden:""`
 	Report    reportCommand    `cmd:"" help:"Draw a run as one HTML file."`
 	BenchPeer benchPeerCommand `cmd:"" hidden:""`
+	Scale     scaleCommand     `cmd:"" help:"Run a fleet far larger than the machine: real daemons beside hollow ones, and what each role costs."`
+	Hollow    hollowCommand    `cmd:"" hidden:""`
 }
 
 // console is where a command prints.
--- /dev/null
+++ b/cmd/birchmoor/labscale.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"birchmoor/internal/boot"
+	"birchmoor/internal/control"
+	"birchmoor/internal/lab/scale"
+)
+
+type scaleCommand struct {
+	Sidecars int           `help:"Of the fleet, the real ones among them." default:"1200"`
+	Real     int           `help:"Of them as processes of their own, with a sidecar and a little traffic." default:"8"`
+	Replicas int           `help:"Machines that are set aside: replicas, without a sidecar." default:"7"`
+	Services int           `help:"Of --sidecars; smaller sizes have as many sidecars a service." default:"120"`
+	For      time.Duration `help:"Of the quiet phase at each size." default:"60s"`
+	Seed     uint64        `help:"All that is drawn comes from it." default:"1"`
+	Sizes    string        `help:"Sizes in place of --sidecars alone, such as 75,150,300,600,1200." placeholder:"N,..."`
+	Fault    string        `help:"What comes after the quiet phase: ${scaleFaults}." placeholder:"NAME"`
+	Changes  float64       `name:"changes-per-day" help:"Of the settings." default:"3000"`
+	Burst    int           `help:"So many changes within a minute, after the quiet phase." default:"0"`
+	Each     int           `help:"Hollow sidecars of a process, about." default:"100"`
+	Warm     time.Duration `help:"Between the last sidecar's start and the quiet phase." default:"15s"`
+	Begin    float64       `help:"Sidecars that begin a second." default:"40"`
+	Dir      string        `help:"Folder for a temporary one." default:"." type:"existingdir"`
+	JSON     bool          `help:"As JSON."`
+	Markdown bool          `help:"As the tables of docs/CAPACITY.md."`
+	Report   string        `help:"File for the result as JSON, besides." placeholder:"FILE"`
+}
+
+func (k *scaleCommand) Help() string {
+	return `Runs replicas and a few sidecars as processes of this program, and hollow sidecars beside them: all by which a daemon works with others,
+without fronts and traffic, about a hundred to a process. Prints what each role costs by second, and with four sizes or more how it grows.
+Exit code 2, and nothing started, where sizes do not fit this machine.
+
+Examples:
+  birchmoor lab scale --sidecars 75 --for 20s
+  birchmoor lab scale --sizes 75,150,300,600 --markdown --report scale.json`
+}
+
+// sizes are those to be played, in order.
+func (k *scaleCommand) sizes() (all []int, err error) {
+	if k.Sizes == "" {
+		return []int{k.Sidecars}, nil
+	}
+	for text := range strings.SplitSeq(k.Sizes, ",") {
+		n := 0
+		if _, err := fmt.Sscanf(text, "%d", &n); err != nil || fmt.Sprint(n) != text {
+			return nil, fmt.Errorf("--sizes: %q is not a list of sizes", k.Sizes)
+		}
+		if len(all) > 0 && n <= all[len(all)-1] {
+			return nil, fmt.Errorf("--sizes: %q is not in rising order", k.Sizes)
+		}
+		all = append(all, n)
+	}
+	return all, nil
+}
+
+// options are those of one size.
+func (k *scaleCommand) options(size, largest int) (scale.Options, error) {
+	self, err := os.Executable()
+	return scale.Options{Program: self, Dir: k.Dir, Sidecars: size, Real: k.Real, Replicas: k.Replicas,
+		Services: max(min(size, scale.Calls+1), k.Services*size/max(1, largest)), For: k.For, Seed: k.Seed, Fault: k.Fault, Changes: k.Changes, Burst: k.Burst,
+		Each: k.Each, Warm: k.Warm, Begin: k.Begin}, err
+}
+
+func (k *scaleCommand) Run(ctx context.Context, c *console) error {
+	sizes, err := k.sizes()
+	if err != nil {
+		return err
+	}
+	if k.Real > slices.Min(sizes) {
+		return fmt.Errorf("--real: %d is above the smallest size, %d", k.Real, slices.Min(sizes))
+	}
+	var all []scale.Options
+	for _, n := range sizes { // before any is started
+		o, err := k.options(n, max(k.Sidecars, slices.Max(sizes)))
+		if err == nil {
+			err = o.Check()
+		}
+		if err != nil {
+			return err
+		}
+		o.Say = func(s string) { fmt.Fprintln(c.err, s) }
+		all = append(all, o)
+	}
+	var results []*scale.Result
+	for _, o := range all {
+		x, err := scale.Run(ctx, o)
+		if err != nil {
+			return errors.Join(err, k.report(results))
+		}
+		if results = append(results, x); !k.JSON && !k.Markdown {
+			scale.Print(c.out, x)
+		}
+	}
+	if err := k.report(results); err != nil {
+		return err
+	}
+	switch {
+	case k.JSON:
+		return json.NewEncoder(c.out).Encode(results)
+	case k.Markdown:
+		scale.Markdown(c.out, results)
+	}
+	return nil
+}
+
+// report writes what was measured so far, if that is wanted.
+func (k *scaleCommand) report(results []*scale.Result) error {
+	if k.Report == "" || len(results) == 0 {
+		return nil
+	}
+	text, err := json.MarshalIndent(results, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(k.Report, append(text, '\n'), 0o644)
+}
+
+// hollowCommand is a process of the run.
+type hollowCommand struct {
+	Spec string `arg:"" type:"existingfile"`
+}
+
+func (k *hollowCommand) Run(ctx context.Context, c *console) error {
+	log := slog.New(slog.NewTextHandler(c.err, nil))
+	return scale.Child(ctx, k.Spec, os.Stdin, c.out, log, control.Plant{Clock: boot.Clock{Pace: inside.Pace}, Session: plantedSession(), Table: plantedTable(),
+		Limit: inside.Limit})
+}
--- a/cmd/birchmoor/main.go
+++ b/cmd/birchmoor/main.go
@@ -10,8 +10,11 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
+	"birchmoor/internal/lab/scale"
+
 	"github.com/alecthomas/kong"
 )
 
@@ -54,7 +57,8 @@
 	code := -1
 	parser, err := kong.New(&c, kong.Name("birchmoor"), kong.UsageOnError(), kong.Writers(out, errs),
 		kong.Description("birchmoor: a client-side load-balancing sidecar, and the lab that shows what it does."),
-		kong.Exit(func(n int) { code = n }), kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
+		kong.Exit(func(n int) { code = n }), kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+		kong.Vars{"scaleFaults": strings.Join(scale.FaultNames(), ", ")})
 	if err != nil {
 		panic(err) // the commands above are wrong
 	}
--- a/internal/lab/fleetlab/fleet.go
+++ b/internal/lab/fleetlab/fleet.go
@@ -18,6 +18,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -48,6 +49,10 @@
 	EnvOf    func(daemon int) []string // and of one daemon's alone
 	Skew     float64                   // of the operator file; 0: none stands there
 	More     string                    // of the operator file, behind [store]
+
+	BareReplicas bool                                  // replicas run no sidecar; followers do, unless Bare
+	Known        func(daemon int) []discovery.Instance // with which a daemon is configured, and what its discovery says; nil: all servers
+	Between      func(from, to int) relay.Conditions   // of the link from a daemon to a replica; nil: none
 }
 
 // settings is a small site: one class that is safe to repeat, and servers that are cold for 10 s.
@@ -161,9 +166,10 @@
 	serve    string
 	in       *relay.Link            // what comes to the replica from other replicas
 	links    map[string]*relay.Link // by which it reaches each replica, by name
-	board    *board
+	board    *Board
 	Client   *operate.Client
 	Known    []discovery.Instance // with which it is configured: its list of a start
+	bare     bool                 // it runs no sidecar
 	plain    bool                 // the next start is of the sidecar alone
 	Env      []string             // of its processes, besides the bench's own
 	Build    string               // the program of the next starts, in place of the fleet's
@@ -211,7 +217,11 @@
 		f.doors = append(f.doors, door{to, in.Addr().String(), l})
 	}
 	for i := range cfg.Replicas + cfg.Follow {
-		d, err := f.prepare(i, i >= cfg.Replicas, list)
+		known := list
+		if cfg.Known != nil {
+			known = cfg.Known(i)
+		}
+		d, err := f.prepare(i, i >= cfg.Replicas, known)
 		if err != nil {
 			return f, err
 		}
@@ -246,7 +256,7 @@
 		for _, l := range d.links {
 			l.Close()
 		}
-		d.board.close()
+		d.board.Close()
 	}
 	for _, x := range f.doors {
 		x.in.Close()
@@ -259,7 +269,8 @@
 }
 
 func (f *Fleet) prepare(i int, follower bool, list []discovery.Instance) (*Daemon, error) {
-	d := &Daemon{links: map[string]*relay.Link{}, Number: i, f: f, name: fmt.Sprintf("d%d", i), follower: follower, Known: list, board: newBoard(list)}
+	d := &Daemon{links: map[string]*relay.Link{}, Number: i, f: f, name: fmt.Sprintf("d%d", i), follower: follower, Known: list, board: NewBoard(list)}
+	d.bare = f.cfg.Bare || f.cfg.BareReplicas && !follower
 	d.Env = slices.Clone(f.cfg.Env)
 	if f.cfg.EnvOf != nil {
 		d.Env = append(d.Env, f.cfg.EnvOf(i)...)
@@ -275,7 +286,7 @@
 	if follower {
 		var all []string
 		for _, r := range f.Daemons[:f.cfg.Replicas] {
-			addr, err := d.link(r.name, r.serve, f.cfg.Seed+uint64(100*i+r.Number))
+			addr, err := d.link(r, r.serve, f.cfg.Seed+uint64(100*i+r.Number))
 			if err != nil {
 				return nil, err
 			}
@@ -294,12 +305,12 @@
 			if n == i {
 				continue
 			}
-			name := fmt.Sprintf("d%d", n)
-			addr, err := d.link(name, to.address, f.cfg.Seed+uint64(100*i+n))
+			to := &Daemon{Number: n, name: fmt.Sprintf("d%d", n), peer: to.address}
+			addr, err := d.link(to, to.peer, f.cfg.Seed+uint64(100*i+n))
 			if err != nil {
 				return nil, err
 			}
-			via = append(via, name+"="+addr)
+			via = append(via, to.name+"="+addr)
 		}
 		file += fmt.Sprintf("listen = %q\naddress = %q\nserve = %q\njoin = %v\ntick = \"20ms\"\n", own.listen, d.peer, d.serve, i > 0)
 		if len(via) > 0 {
@@ -315,7 +326,7 @@
 }
 
 // link makes a relay by which the daemon reaches another.
-func (d *Daemon) link(name, to string, seed uint64) (addr string, err error) {
+func (d *Daemon) link(to *Daemon, at string, seed uint64) (addr string, err error) {
 	if addr, err = address.Free(); err != nil {
 		return "", err
 	}
@@ -323,9 +334,14 @@
 	if err != nil {
 		return "", err
 	}
-	d.links[name] = relay.New(to, seed, relay.Conditions{})
-	d.links[name].Listen(ln)
-	d.f.ends = append(d.f.ends, end{name, addr, d.links[name]})
+	var how relay.Conditions
+	if d.f.cfg.Between != nil {
+		how = d.f.cfg.Between(d.Number, to.Number)
+	}
+	l := relay.New(at, seed, how)
+	d.links[to.name] = l
+	l.Listen(ln)
+	d.f.ends = append(d.f.ends, end{to.name, addr, l})
 	return addr, nil
 }
 
@@ -358,7 +374,7 @@
 
 // Start runs the process. Its temporary folder is new: what outlives it is the store's.
 func (d *Daemon) Start() error {
-	config, err := json.Marshal(map[string]any{"name": d.name, "listen": d.listen, "mgmt": d.mgmt, "discovery": d.board.addr(),
+	config, err := json.Marshal(map[string]any{"name": d.name, "listen": d.listen, "mgmt": d.mgmt, "discovery": d.board.Addr(),
 		"seed": fmt.Sprintf("%016x", d.f.cfg.Seed+uint64(d.Number)), "known": discovery.List{Generation: 1, Reset: true, Instances: d.Known},
 		"settings": json.RawMessage(settings)})
 	if err != nil {
@@ -386,7 +402,7 @@
 	}
 	cmd := exec.Command(program, args...)
 	cmd.Env = append(append(os.Environ(), "TMPDIR="+tmp), d.Env...)
-	if !d.f.cfg.Bare {
+	if !d.bare {
 		cmd.Env = append(cmd.Env, "ROUTER_CONFIG="+d.path(".json"))
 	}
 	cmd.Stdout, cmd.Stderr = log, log
@@ -451,6 +467,25 @@
 	return string(b)
 }
 
+// Serve is where followers reach a replica, past all links.
+func (d *Daemon) Serve() string { return d.serve }
+
+// Pid is the process's, 0 if none runs.
+func (d *Daemon) Pid() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cmd == nil {
+		return 0
+	}
+	return d.cmd.Process.Pid
+}
+
+// Board is its discovery.
+func (d *Daemon) Board() *Board { return d.board }
+
+// Link is the one by which the daemon reaches a replica, or nil.
+func (d *Daemon) Link(to *Daemon) *relay.Link { return d.links[to.name] }
+
 // Name is the daemon's.
 func (d *Daemon) Name() string { return d.name }
 
@@ -528,7 +563,7 @@
 // Ready waits until the sidecar takes requests, or without one until the operators' socket answers.
 func (d *Daemon) Ready(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if d.f.cfg.Bare {
+		if d.bare {
 			if _, err := d.Client.Status(ctx); err == nil {
 				return nil
 			}
@@ -636,8 +671,8 @@
 
 // ---- Discovery -------------------------------------------------------------
 
-// board is one daemon's discovery.
-type board struct {
+// Board is a discovery that tells those who watch it one list. Any goroutine may use it.
+type Board struct {
 	http *httptest.Server
 
 	mu      sync.Mutex
@@ -645,25 +680,34 @@
 	version int64
 	changed chan struct{}
 	deaf    bool // it says nothing new
+	sent    atomic.Uint64
 }
 
-func newBoard(list []discovery.Instance) *board {
-	b := &board{list: append([]discovery.Instance(nil), list...), version: 1, changed: make(chan struct{})}
+// Sent is how many bytes it said, without the heads of HTTP.
+func (b *Board) Sent() uint64 { return b.sent.Load() }
+
+// NewBoard starts one on loopback; Close ends it.
+func NewBoard(list []discovery.Instance) *Board {
+	b := &Board{list: append([]discovery.Instance(nil), list...), version: 1, changed: make(chan struct{})}
 	b.http = httptest.NewServer(b)
 	return b
 }
 
-func (b *board) addr() string { return b.http.Listener.Addr().String() }
+// Addr is where it is asked.
+func (b *Board) Addr() string { return b.http.Listener.Addr().String() }
 
-func (b *board) close() {
+// Close ends it, and all watches.
+func (b *Board) Close() {
 	b.http.CloseClientConnections()
 	b.http.Close()
 }
 
 // Tell has a daemon's discovery say that an entry is so, unless it has said something later of it: words that are told late
 // may cross.
-func (d *Daemon) Tell(in discovery.Instance) {
-	b := d.board
+func (d *Daemon) Tell(in discovery.Instance) { d.board.Tell(in) }
+
+// Tell says that an entry is so; see Daemon.Tell.
+func (b *Board) Tell(in discovery.Instance) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	found := false
@@ -692,7 +736,7 @@
 	d.board.changed = make(chan struct{})
 }
 
-func (b *board) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (b *Board) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := http.NewResponseController(w)
 	sent := int64(0)
 	for {
@@ -703,12 +747,18 @@
 		}
 		b.mu.Unlock()
 		if version != sent {
-			if json.NewEncoder(w).Encode(discovery.List{Generation: version, Reset: true, Instances: list}) != nil {
+			text, err := json.Marshal(discovery.List{Generation: version, Reset: true, Instances: list})
+			if err != nil {
+				return
+			}
+			n, err := w.Write(append(text, '\n'))
+			if b.sent.Add(uint64(n)); err != nil {
 				return
 			}
 			sent = version
 		} else if r.FormValue("watch") != "" {
-			if _, err := io.WriteString(w, "\n"); err != nil {
+			n, err := io.WriteString(w, "\n")
+			if b.sent.Add(uint64(n)); err != nil {
 				return
 			}
 		}
--- a/internal/lab/relay/relay.go
+++ b/internal/lab/relay/relay.go
@@ -247,9 +247,10 @@
 	go func() {
 		defer close(chunks)
 		var last time.Time
+		room := make([]byte, chunkMost)
 		for {
-			buf := make([]byte, chunkMost)
-			n, err := from.Read(buf)
+			n, err := from.Read(room)
+			buf := append([]byte(nil), room[:n]...) // most are far smaller
 			due := time.Now().Add(l.wait())
 			if due.Before(last) {
 				due = last // a connection does not reorder
@@ -259,7 +260,7 @@
 			}
 			last = due
 			select {
-			case chunks <- chunk{buf[:n], due, err}:
+			case chunks <- chunk{buf, due, err}:
 			case <-p.ctx.Done():
 				return
 			}
--- a/internal/store/meter/meter.go
+++ b/internal/store/meter/meter.go
@@ -249,7 +249,14 @@
 
 // Read returns what was counted, every purpose and file in its order, and how the process stands now.
 func (m *Meter) Read() Reading {
-	r := Reading{Purposes: make([]Flow, purposes), Written: make([]Written, files), Process: ReadProcess()}
+	r := m.Counted()
+	r.Process = ReadProcess()
+	return r
+}
+
+// Counted is Read without the process, for one in which several count.
+func (m *Meter) Counted() Reading {
+	r := Reading{Purposes: make([]Flow, purposes), Written: make([]Written, files)}
 	for p := range purposes {
 		r.Purposes[p].Purpose = p.String()
 	}
