--- a/cmd/birchmoor/labscale.go
+++ b/cmd/birchmoor/labscale.go
@@ -23,7 +23,7 @@
 	Services int           `help:"Of --sidecars; smaller sizes have as many sidecars a service." default:"120"`
 	For      time.Duration `help:"Of the quiet phase at each size." default:"60s"`
 	Seed     uint64        `help:"All that is drawn comes from it." default:"1"`
-	Sizes    string        `help:"Sizes in place of --sidecars alone, such as 75,150,300,600,1200." placeholder:"N,..."`
+	Sizes    *string       `help:"Sizes in place of --sidecars alone, such as 75,150,300,600,1200." placeholder:"N,..."`
 	Fault    string        `help:"What comes after the quiet phase: ${scaleFaults}." placeholder:"NAME"`
 	Changes  float64       `name:"changes-per-day" help:"Of the settings." default:"3000"`
 	Burst    int           `help:"So many changes within a minute, after the quiet phase." default:"0"`
@@ -48,16 +48,16 @@
 
 // sizes are those to be played, in order.
 func (k *scaleCommand) sizes() (all []int, err error) {
-	if k.Sizes == "" {
+	if k.Sizes == nil {
 		return []int{k.Sidecars}, nil
 	}
-	for text := range strings.SplitSeq(k.Sizes, ",") {
+	for text := range strings.SplitSeq(*k.Sizes, ",") {
 		n := 0
 		if _, err := fmt.Sscanf(text, "%d", &n); err != nil || fmt.Sprint(n) != text {
-			return nil, fmt.Errorf("--sizes: %q is not a list of sizes", k.Sizes)
+			return nil, fmt.Errorf("--sizes: %q is not a list of sizes", *k.Sizes)
 		}
 		if len(all) > 0 && n <= all[len(all)-1] {
-			return nil, fmt.Errorf("--sizes: %q is not in rising order", k.Sizes)
+			return nil, fmt.Errorf("--sizes: %q is not in rising order", *k.Sizes)
 		}
 		all = append(all, n)
 	}
@@ -109,7 +109,7 @@
 	case k.JSON:
 		return json.NewEncoder(c.out).Encode(results)
 	case k.Markdown:
-		scale.Markdown(c.out, results)
+		scale.Markdown(c.out, results, k.Sidecars)
 	}
 	return nil
 }
@@ -126,6 +126,9 @@
 	return os.WriteFile(k.Report, append(text, '\n'), 0o644)
 }
 
+// hollowPlant is what hollow sidecars do wrong: builds for tests alone set it.
+var hollowPlant scale.Plant
+
 // hollowCommand is a process of the run.
 type hollowCommand struct {
 	Spec string `arg:"" type:"existingfile"`
@@ -133,6 +136,6 @@
 
 func (k *hollowCommand) Run(ctx context.Context, c *console) error {
 	log := slog.New(slog.NewTextHandler(c.err, nil))
-	return scale.Child(ctx, k.Spec, os.Stdin, c.out, log, control.Plant{Clock: boot.Clock{Pace: inside.Pace}, Session: plantedSession(), Table: plantedTable(),
-		Limit: inside.Limit})
+	hollowPlant.Plant = control.Plant{Clock: boot.Clock{Pace: inside.Pace}, Session: plantedSession(), Table: plantedTable(), Limit: inside.Limit}
+	return scale.Child(ctx, k.Spec, os.Stdin, c.out, log, hollowPlant)
 }
--- /dev/null
+++ b/cmd/birchmoor/labscale_test.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"birchmoor/internal/lab/scale"
+	"birchmoor/internal/proctest"
+)
+
+// hollowPlantEnv names what the hollow sidecars of a test do wrong.
+const hollowPlantEnv = "BIRCHMOOR_TEST_HOLLOW"
+
+func readHollowPlant() {
+	switch os.Getenv(hollowPlantEnv) {
+	case "renewed-twice":
+		hollowPlant.Twice = true
+	case "picture-for-each":
+		hollowPlant.All = true
+	case "part-left-out":
+		hollowPlant.None = true
+	}
+}
+
+// scaled plays small sizes beside each other, long enough for a picture of each sidecar.
+func scaled(t *testing.T, plant string, sizes ...int) []*scale.Result {
+	t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	all, faults := make([]*scale.Result, len(sizes)), make([]error, len(sizes))
+	var wg sync.WaitGroup
+	for i, n := range sizes {
+		dir, pictures := t.TempDir(), uint64(n)
+		if plant == "picture-for-each" && i > 0 {
+			pictures *= 3 // they grow by rounds
+		}
+		wg.Go(func() {
+			all[i], faults[i] = scale.Run(t.Context(), scale.Options{Program: self, Env: []string{asProgram + "=1", hollowPlantEnv + "=" + plant}, Dir: dir, Sidecars: n, Real: 1,
+				Replicas: 1, Services: scale.Calls + 1, For: 6 * time.Second, Seed: 1, Changes: 86400 / 6, Each: 100, Begin: 40,
+				Until: func(c scale.Counts) bool {
+					return c.Applied["pictures"] >= pictures && c.RealOut["shares"] >= 3 && c.Applied["sessions"] >= uint64(4*n)
+				}})
+		})
+	}
+	wg.Wait()
+	for _, err := range faults {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return all
+}
+
+// What the control plane sends and writes for each sidecar does not grow with them, by counts; and it shows when it does, when a
+// session costs twice, and when a hollow sidecar leaves out what a real one does.
+func TestScaleOfSmallFleets(t *testing.T) {
+	for _, c := range []struct {
+		plant string
+		sizes []int
+		want  string
+	}{
+		{"", []int{6, 24}, ""},
+		{"renewed-twice", []int{6}, "entries of sessions are over"},
+		{"picture-for-each", []int{6, 24}, "entries of pictures for each daemon and second grow"},
+		{"part-left-out", []int{6}, "messages of shares, and hollow ones none"},
+	} {
+		t.Run("plant "+c.plant, func(t *testing.T) {
+			t.Parallel()
+			all := scaled(t, c.plant, c.sizes...)
+			broken := strings.Join(scale.Judge(all...), "\n")
+			if c.want == "" && broken != "" || !strings.Contains(broken, c.want) {
+				t.Errorf("%q is to be found, and it says %q", c.want, broken)
+			}
+			for _, x := range all {
+				t.Logf("%d sidecars: %+v", x.Sidecars, x.Counts)
+				if x.Right != x.Sidecars-x.Real || x.Settings.Changes == 0 || x.Settings.N == 0 {
+					t.Errorf("%d sidecars: %d are right at the end; settings: %+v", x.Sidecars, x.Right, x.Settings)
+				}
+			}
+		})
+	}
+}
+
+// What makes no sense, or does not fit the machine, names flag and value, and nothing is started.
+func TestScaleRefuses(t *testing.T) {
+	for _, c := range []struct{ args, want string }{
+		{"--sizes 75,x", `--sizes: "75,x" is not a list of sizes`},
+		{"--sizes=", `--sizes: "" is not a list of sizes`},
+		{"--sizes 150,75", `--sizes: "150,75" is not in rising order`},
+		{"--sizes 75,,150", `--sizes: "75,,150" is not a list of sizes`},
+		{"--sidecars 20 --real 21", "--real: 21 is above the smallest size, 20"},
+		{"--sizes 10,20 --real 11 --services 20", "--real: 11 is above the smallest size, 10"},
+		{"--fault flood", `--fault: "flood" is none of start, leader`},
+		{"--sidecars 4900 --each 50", "--sidecars: 4900 need"},
+		{"--sidecars 2 --real 1", "--sidecars: 2 is not within 5 and 5000"},
+		{"--replicas 0", "--replicas: 0 is not within 1 and 9"},
+		{"--for 1ms", "--for: 1ms is not within 1s and 1h"},
+	} {
+		dir := t.TempDir()
+		code, out, errs := birchmoor(append([]string{"lab", "scale", "--dir", dir}, strings.Fields(c.args)...)...)
+		if code != exitInput || !strings.HasPrefix(errs, "birchmoor: "+c.want) || strings.Count(errs, "\n") != 1 || out != "" {
+			t.Errorf("%s: exit %d, %q", c.args, code, errs)
+		}
+		if left, err := os.ReadDir(dir); err != nil || len(left) > 0 {
+			t.Errorf("%s: %v is left, %v", c.args, left, err)
+		}
+	}
+}
+
+// A run that is interrupted leaves no process and no file.
+func TestScaleLeavesNothing(t *testing.T) {
+	t.Parallel()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := scale.Run(ctx, scale.Options{Program: self, Env: []string{asProgram + "=1"}, Dir: dir, Sidecars: 6, Real: 1, Replicas: 1, Services: scale.Calls + 1,
+			For: time.Hour, Seed: 1, Each: 100, Begin: 40})
+		ended <- err
+	}()
+	processes := func() (n int) {
+		all, err := filepath.Glob("/proc/[0-9]*/cmdline")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, path := range all {
+			if text, err := os.ReadFile(path); err == nil && bytes.Contains(text, []byte(dir)) {
+				n++
+			}
+		}
+		return n
+	}
+	proctest.Until(t, "that replicas, links and hollow sidecars run", func() bool { return processes() >= 1+1+8+5 })
+	cancel()
+	if err := <-ended; err == nil {
+		t.Error("it ended well")
+	}
+	if n := processes(); n > 0 {
+		t.Errorf("%d processes are left", n)
+	}
+	if left, err := os.ReadDir(dir); err != nil || len(left) > 0 {
+		t.Errorf("%v is left, %v", left, err)
+	}
+}
--- a/cmd/birchmoor/replay_test.go
+++ b/cmd/birchmoor/replay_test.go
@@ -17,6 +17,7 @@
 func TestMain(m *testing.M) {
 	if os.Getenv(asProgram) != "" {
 		inside = tasklab.ReadInside()
+		readHollowPlant()
 		main()
 	}
 	os.Exit(m.Run())
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -25,7 +25,9 @@
 	"birchmoor/internal/lab/relay"
 	"birchmoor/internal/operator"
 	"birchmoor/internal/snapshot"
+	"birchmoor/internal/store"
 	"birchmoor/internal/store/meter"
+	"birchmoor/internal/store/policy"
 	"birchmoor/internal/tasks"
 )
 
@@ -91,8 +93,16 @@
 	At            int64 // Unix time in nanoseconds: all processes are of one host
 }
 
+// Plant is what builds for tests do wrong in hollow sidecars; no other sets it.
+type Plant struct {
+	control.Plant
+	Twice bool // each has a second session
+	All   bool // each puts its picture once more for each that the store has
+	None  bool // limits are left out
+}
+
 // Child is the life of a process of the run: it reads what it is told from in until that ends, and answers on out.
-func Child(ctx context.Context, path string, in io.Reader, out io.Writer, log *slog.Logger, plant control.Plant) error {
+func Child(ctx context.Context, path string, in io.Reader, out io.Writer, log *slog.Logger, plant Plant) error {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return err
@@ -139,7 +149,7 @@
 type child struct {
 	spec  Spec
 	log   *slog.Logger
-	plant control.Plant
+	plant Plant
 	ctx   context.Context
 	begun time.Time
 
@@ -296,8 +306,12 @@
 		}
 		text += strconv.Quote(r)
 	}
+	more := h.c.spec.Operator
+	if h.c.plant.None {
+		more = ""
+	}
 	path := filepath.Join(dir, h.name+".toml")
-	if err := os.WriteFile(path, []byte(text+"]\n"+h.c.spec.Operator), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(text+"]\n"+more), 0o600); err != nil {
 		return err
 	}
 	f, err := operator.Read(path)
@@ -323,7 +337,7 @@
 		return err
 	}
 	log := h.c.log.With("sidecar", h.name)
-	p, err := control.Open(control.Config{File: f, Check: read, Log: log, Plant: h.c.plant})
+	p, err := control.Open(control.Config{File: f, Check: read, Log: log, Plant: h.c.plant.Plant})
 	if err != nil {
 		return err
 	}
@@ -335,6 +349,11 @@
 			h.c.log.Error("no session is seen", "error", err)
 		}
 	}
+	if h.c.plant.Twice {
+		if _, err := p.Tasks.Presence(time.Duration(f.Limits.Lease) - time.Millisecond); err != nil {
+			h.c.log.Error("no second session", "error", err)
+		}
+	}
 	h.mu.Unlock()
 	heard := func() {
 		h.mu.Lock()
@@ -417,7 +436,29 @@
 }
 
 // picture is what a decision module would know of its servers: of each about as much as one does that sends them a few requests a second.
-func (h *hollow) picture(context.Context) ([]byte, error) {
+func (h *hollow) picture(ctx context.Context) ([]byte, error) {
+	h.mu.Lock()
+	p := h.parts
+	h.mu.Unlock()
+	known, err := h.draw()
+	if err != nil || !h.c.plant.All || p == nil {
+		return known, err
+	}
+	held := 0
+	if _, err := p.Store.View(ctx, true, func(s *store.State) {
+		s.Range(policy.PicturePrefix, store.PrefixEnd(policy.PicturePrefix), func(store.Item) bool { held++; return true })
+	}); err != nil {
+		return nil, err
+	}
+	for range held {
+		if _, err := p.Store.Do(ctx, store.Command{Txn: policy.Picture{By: h.name, Known: known}.Put(policy.PictureKey(h.name, ""))}); err != nil {
+			return nil, err
+		}
+	}
+	return known, nil
+}
+
+func (h *hollow) draw() ([]byte, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	mean := func(v float64) balancer.Mean {
--- a/internal/lab/scale/measure.go
+++ b/internal/lab/scale/measure.go
@@ -44,6 +44,7 @@
 	done   chan struct{}
 
 	last    map[string]meter.Reading // by process
+	firsts  map[string]meter.Reading
 	samples map[string]map[string][]sample
 	at      time.Time
 	cpu     [2]uint64 // of the machine, busy and all, at the beginning
@@ -56,7 +57,7 @@
 	sent    uint64
 	sentAt  time.Time
 
-	mu     sync.Mutex
+	mu     sync.Mutex // of firsts, last and passed
 	passed []*process // that are stopped, and would answer late
 }
 
@@ -81,7 +82,8 @@
 // begin begins to count; end ends it.
 func (s *sampler) begin(ctx context.Context) {
 	ctx, s.cancel = context.WithCancel(ctx)
-	s.done, s.last, s.samples, s.at, s.lead = make(chan struct{}), map[string]meter.Reading{}, map[string]map[string][]sample{}, time.Now(), -1
+	s.done, s.last, s.firsts, s.samples = make(chan struct{}), map[string]meter.Reading{}, map[string]meter.Reading{}, map[string]map[string][]sample{}
+	s.at, s.lead = time.Now(), -1
 	s.cpu, s.first, s.stored = machine(), stored{}, stored{}
 	s.sentAt = time.Time{}
 	go func() {
@@ -182,7 +184,14 @@
 			s.add(RoleHollow, was, x, before, float64(len(p.of)))
 		}
 	}
-	s.last = took
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, x := range took {
+		if _, ok := s.firsts[name]; !ok {
+			s.firsts[name] = x
+		}
+		s.last[name] = x
+	}
 	var sent uint64
 	for _, b := range r.boards {
 		sent += b.Sent()
@@ -288,6 +297,36 @@
 	return all
 }
 
+// counts are what was counted in all, and for how long: at the replica that has applied the most, and at all hollow sidecars together.
+func (s *sampler) counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := Counts{Applied: map[string]uint64{}, In: map[string]uint64{}, Out: map[string]uint64{}, RealOut: map[string]uint64{}}
+	since := func(name string, f func(now, was *meter.Flow)) (seconds float64) {
+		was, now := s.firsts[name], s.last[name]
+		for i := range was.Purposes {
+			f(&now.Purposes[i], &was.Purposes[i])
+		}
+		return now.Seconds - was.Seconds
+	}
+	for i, d := range s.r.fleet.Daemons {
+		c.Seconds = max(c.Seconds, since(d.Name(), func(now, was *meter.Flow) {
+			if i < s.r.o.Replicas {
+				c.Applied[now.Purpose] = max(c.Applied[now.Purpose], now.Applied-was.Applied)
+			} else {
+				c.RealOut[now.Purpose] += now.MessagesOut - was.MessagesOut
+			}
+		}))
+	}
+	for _, p := range s.r.processes() {
+		c.Seconds = max(c.Seconds, since(p.name, func(now, was *meter.Flow) {
+			c.In[now.Purpose] += now.MessagesIn - was.MessagesIn
+			c.Out[now.Purpose] += now.MessagesOut - was.MessagesOut
+		}))
+	}
+	return c
+}
+
 func (s *sampler) store() Store {
 	d := s.seconds()
 	return Store{Keys: s.stored.keys, Bytes: s.stored.bytes, Entries: float64(s.stored.applied-min(s.stored.applied, s.first.applied)) / d,
@@ -309,6 +348,7 @@
 	Failed    int             `json:"failed"`  // changes of the settings
 	Store     Store           `json:"store"`
 	Roles     map[string]Role `json:"roles"`
+	Counts    Counts          `json:"counts"`
 	Honest    []Pair          `json:"honest,omitempty"`
 	Settings  InForce         `json:"settings"`
 
@@ -318,6 +358,15 @@
 	Took       float64         `json:"took_s"`
 }
 
+// Counts are of the quiet phase, by purpose.
+type Counts struct {
+	Seconds float64           `json:"seconds"`
+	Applied map[string]uint64 `json:"applied"`  // entries of the log
+	In      map[string]uint64 `json:"in"`       // messages to all hollow sidecars together
+	Out     map[string]uint64 `json:"out"`      // and from them
+	RealOut map[string]uint64 `json:"real_out"` // from all real ones
+}
+
 // Store is what the store holds, and how its log grows by second.
 type Store struct {
 	Keys      int     `json:"keys"`
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -294,12 +294,15 @@
 		}
 	}
 	pause(ctx, time.Until(end))
+	for most := time.Now().Add(time.Minute); r.o.Until != nil && !r.o.Until(r.meter.counts()) && time.Now().Before(most) && ctx.Err() == nil; {
+		pause(ctx, 200*time.Millisecond)
+	}
 	s := r.meter.end()
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
 	x.Seconds, x.Roles, x.Busy = s.seconds(), s.roles(), s.busy()
-	x.Store = s.store()
+	x.Store, x.Counts = s.store(), s.counts()
 	x.Settings = r.changes.result(r.o.Sidecars - r.o.Real)
 	x.Honest = honest(x.Roles[RoleReal], x.Roles[RoleHollow])
 	if l, _, err := r.lookFor(ctx, order{Do: "look", Mark: r.changes.newest()}, r.processes()); err == nil {
--- a/internal/lab/scale/table.go
+++ b/internal/lab/scale/table.go
@@ -106,9 +106,154 @@
 		s.N, s.Missing)
 }
 
-// Markdown prints the tables of the page.
-func Markdown(w io.Writer, all []*Result) {
+// Budget of the users' letter, of a sidecar: bytes are both ways together.
+var budget = map[string]float64{"cpu": 0.023, "resident_mb": 128, "bytes": 8 << 10}
+
+// Markdown prints the tables of the page. Sizes under target foretell it; with fewer than four of them nothing is foretold.
+func Markdown(w io.Writer, all []*Result, target int) {
+	fmt.Fprintf(w, "Printed by `birchmoor lab scale --markdown`, seed %d: ", all[0].Seed)
+	for i, x := range all {
+		if i > 0 {
+			fmt.Fprint(w, ", ")
+		}
+		fmt.Fprintf(w, "%d sidecars for %.0f s", x.Sidecars, x.Seconds)
+	}
+	fmt.Fprintf(w, "; %d of them real, %d replicas. Figures are means by second, of one process or one sidecar, the worst second in brackets.\n", all[0].Real, all[0].Replicas)
+	fmt.Fprintf(w, "A fit is through the sizes under %d; beyond the largest that was run it is extrapolated. `power` is by which a figure grows with the sidecars.\n", target)
+	row := func(cells ...string) { fmt.Fprintf(w, "| %s |\n", strings.Join(cells, " | ")) }
+	head := func(cells ...string) {
+		row(cells...)
+		row(slices.Repeat([]string{"---"}, len(cells))...)
+	}
+	by := func(f func(x *Result) string) (cells []string) {
+		for _, x := range all {
+			cells = append(cells, f(x))
+		}
+		return cells
+	}
+	sizes := by(func(x *Result) string { return fmt.Sprint(x.Sidecars) })
+	fmt.Fprintf(w, "\n### The fleet\n\n")
+	head(append([]string{"of", "unit"}, sizes...)...)
+	for _, line := range []struct {
+		of, unit string
+		f        func(x *Result) string
+	}{
+		{"services", "", func(x *Result) string { return fmt.Sprint(x.Services) }},
+		{"all right after the first began", "s", func(x *Result) string { return fmt.Sprintf("%.1f", x.Began) }},
+		{"machine busy", "%", func(x *Result) string { return fmt.Sprintf("%.0f", 100*x.Busy) }},
+		{"hollow sidecars that are right at the end", "", func(x *Result) string { return fmt.Sprintf("%d of %d", x.Right, x.Sidecars-x.Real) }},
+		{"keys of the store", "", func(x *Result) string { return fmt.Sprint(x.Store.Keys) }},
+		{"keys and values", "bytes", func(x *Result) string { return tell("", float64(x.Store.Bytes)) }},
+		{"entries of the log", "/s", func(x *Result) string { return tell("", x.Store.Entries) }},
+		{"settings in force: p50, p99, worst", "s", func(x *Result) string { return inForceCell(&x.Settings) }},
+		{"in a burst", "s", func(x *Result) string {
+			if x.Burst == nil {
+				return "not run"
+			}
+			return inForceCell(x.Burst)
+		}},
+	} {
+		row(append([]string{line.of, line.unit}, by(line.f)...)...)
+	}
+	for _, role := range roleOrder {
+		var have []Role
+		for _, x := range all {
+			have = append(have, x.Roles[role])
+		}
+		names := namesOf(have...)
+		if len(names) == 0 {
+			continue
+		}
+		fmt.Fprintf(w, "\n### %s\n\n", role)
+		head(append(append([]string{"figure", "unit"}, sizes...), "base and slope", "power", "off", fmt.Sprintf("foretold of %d", target))...)
+		for _, n := range names {
+			cells := []string{n, unitOf(n)}
+			var x, y []float64
+			for i, r := range have {
+				s := r[n]
+				cells = append(cells, fmt.Sprintf("%s (%s)", tell(n, s.Mean), tell(n, s.Worst)))
+				if all[i].Sidecars < target {
+					x, y = append(x, float64(all[i].Sidecars)), append(y, s.Mean)
+				}
+			}
+			if f, ok := fit(x, y); ok {
+				how := fmt.Sprintf("%s + %s·S", tell(n, f.Base), tell(n, f.Slope))
+				if f.curve {
+					how = fmt.Sprintf("%s·S^%.2f", tell(n, f.scale), f.Power)
+				}
+				cells = append(cells, how, fmt.Sprintf("%.2f", f.Power), fmt.Sprintf("%.0f%%", 100*f.Off), tell(n, f.At(float64(target))))
+			} else {
+				cells = append(cells, "", "", "", "not known")
+			}
+			row(cells...)
+		}
+	}
+	fmt.Fprintf(w, "\n### A sidecar and its budget\n\n")
+	head(append([]string{"figure", "budget"}, sizes...)...)
+	for _, n := range []string{"cpu", "resident_mb", "bytes"} {
+		row(append([]string{n, tell(n, budget[n])}, by(func(x *Result) string {
+			h := x.Roles[RoleHollow]
+			s := h[n]
+			if n == "bytes" {
+				s = Spread{Mean: h["bytes_in"].Mean + h["bytes_out"].Mean, Worst: h["bytes_in"].Worst + h["bytes_out"].Worst}
+			}
+			return fmt.Sprintf("%s: %.2f of it (worst %.2f)", tell(n, s.Mean), s.Mean/budget[n], s.Worst/budget[n])
+		})...)...)
+	}
+	fmt.Fprintf(w, "\n### The hollow by the real\n\n")
+	head(append([]string{"figure"}, sizes...)...)
+	var names []string
 	for _, x := range all {
-		Print(w, x)
+		for _, p := range x.Honest {
+			if !slices.Contains(names, p.Figure) {
+				names = append(names, p.Figure)
+			}
+		}
+	}
+	for _, n := range names {
+		row(append([]string{n}, by(func(x *Result) string {
+			for _, p := range x.Honest {
+				if p.Figure == n && p.Ratio > 0 {
+					return fmt.Sprintf("%.2f (%s of %s)", p.Ratio, tell(n, p.Hollow), tell(n, p.Real))
+				}
+			}
+			return ""
+		})...)...)
+	}
+	faults(w, all, row, head)
+}
+
+func inForceCell(s *InForce) string {
+	if s.Changes == 0 {
+		return "no change"
+	}
+	text := fmt.Sprintf("%.2f, %.2f, %.2f", s.P50, s.P99, s.Worst)
+	if s.Missing > 0 {
+		text += fmt.Sprintf("; %d of %d had not come", s.Missing, s.Missing+s.N)
+	}
+	return text
+}
+
+// faults tells what was measured of them.
+func faults(w io.Writer, all []*Result, row, head func(...string)) {
+	if !slices.ContainsFunc(all, func(x *Result) bool { return x.Fault != nil }) {
+		return
+	}
+	fmt.Fprintf(w, "\n### The fault\n\n")
+	head("sidecars", "fault", "what", "all right after", "role", "worst second: cpu, resident MB, bytes in, bytes out")
+	for _, x := range all {
+		if x.Fault == nil {
+			continue
+		}
+		right := fmt.Sprintf("%.1f s", x.Fault.Right)
+		if x.Fault.Missed != "" {
+			right = x.Fault.Missed
+		}
+		for _, role := range roleOrder {
+			if r := x.Fault.Roles[role]; r != nil && role != RoleList {
+				row(fmt.Sprint(x.Sidecars), x.Fault.Name, x.Fault.What, right, role, fmt.Sprintf("%s%%, %s, %s, %s", tell("cpu", r["cpu"].Worst),
+					tell("", r["resident_mb"].Worst), tell("", r["bytes_in"].Worst), tell("", r["bytes_out"].Worst)))
+			}
+		}
 	}
 }
--- a/internal/lab/scale/world.go
+++ b/internal/lab/scale/world.go
@@ -29,12 +29,13 @@
 	Services int
 	For      time.Duration // of the quiet phase
 	Seed     uint64
-	Fault    string        // after it; empty: none
-	Changes  float64       // of the settings, a day
-	Burst    int           // so many within BurstFor, after the quiet phase; 0: none
-	Each     int           // hollow sidecars of a process, about
-	Warm     time.Duration // between the start of the last sidecar and the quiet phase
-	Begin    float64       // sidecars begun a second
+	Fault    string            // after it; empty: none
+	Changes  float64           // of the settings, a day
+	Burst    int               // so many within BurstFor, after the quiet phase; 0: none
+	Each     int               // hollow sidecars of a process, about
+	Warm     time.Duration     // between the start of the last sidecar and the quiet phase
+	Begin    float64           // sidecars begun a second
+	Until    func(Counts) bool // the quiet phase goes on until this, a minute at most; nil: it does not
 	Say      func(string)
 }
 
