--- a/cmd/birchmoor/store.go
+++ b/cmd/birchmoor/store.go
@@ -31,6 +31,7 @@
 
 type storeCommands struct {
 	Status   storeStatus   `cmd:"" help:"How a replica of the store stands."`
+	Meter    storeMeter    `cmd:"" help:"What the control plane cost this daemon since its start, by purpose."`
 	Members  storeMembers  `cmd:"" help:"List the replicas."`
 	Add      storeAdd      `cmd:"" help:"Add a replica, which waits with an empty disk."`
 	Remove   storeRemove   `cmd:"" help:"Remove a replica for good."`
@@ -174,6 +175,45 @@
 	})
 }
 
+type storeMeter struct{ socketFlag }
+
+func (k *storeMeter) Help() string {
+	return `Messages and bytes each way, entries of the log, and what was synced and written, counted since the start; and how the
+process stands. Bytes of messages are those before TLS, without the heads of HTTP; those of connections are all.
+
+Examples:
+  birchmoor store meter
+  birchmoor store meter --json --socket state/store.sock`
+}
+
+func (k *storeMeter) Run(ctx context.Context, c *console) error {
+	return k.call(ctx, c, func(ctx context.Context, a *operate.Client) error {
+		r, err := a.Meter(ctx)
+		if err != nil {
+			return err
+		}
+		return k.print(c, r, func(w *tabwriter.Writer) {
+			fmt.Fprintln(w, "PURPOSE\tMESSAGES IN\tBYTES IN\tMESSAGES OUT\tBYTES OUT\tENTRIES PROPOSED\tAPPLIED\tBYTES APPLIED")
+			for _, p := range r.Purposes {
+				fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", p.Purpose, p.MessagesIn, p.BytesIn, p.MessagesOut, p.BytesOut, p.Proposed, p.Applied,
+					p.AppliedBytes)
+			}
+			fmt.Fprintf(w, "connections (%d opened)\t\t%d\t\t%d\n", r.Connections.Opened, r.Connections.BytesIn, r.Connections.BytesOut)
+			fmt.Fprintln(w, "\nFILE\tSYNCS\tBYTES WRITTEN")
+			for _, f := range r.Written {
+				fmt.Fprintf(w, "%s\t%d\t%d\n", f.File, f.Syncs, f.Bytes)
+			}
+			p := r.Process
+			fmt.Fprintln(w, "\nPROCESS")
+			for _, x := range [][2]any{{"seconds", fmt.Sprintf("%.1f", r.Seconds)}, {"cpu user seconds", fmt.Sprintf("%.2f", p.CPUUserSeconds)},
+				{"cpu system seconds", fmt.Sprintf("%.2f", p.CPUSystemSeconds)}, {"heap bytes", p.HeapBytes}, {"resident bytes", p.ResidentBytes},
+				{"descriptors", p.Descriptors}, {"goroutines", p.Goroutines}} {
+				fmt.Fprintf(w, "%v\t%v\n", x[0], x[1])
+			}
+		})
+	})
+}
+
 type storeMembers struct{ socketFlag }
 
 func (k *storeMembers) Run(ctx context.Context, c *console) error {
--- a/cmd/birchmoor/store_test.go
+++ b/cmd/birchmoor/store_test.go
@@ -12,6 +12,7 @@
 	"testing"
 
 	"birchmoor/internal/proctest"
+	"birchmoor/internal/store/meter"
 )
 
 // replicaUnderTest runs a replica in this process until the test ends or stop is called.
@@ -175,3 +176,30 @@
 	}
 	a.must(t, "get", "other")
 }
+
+// What the control plane cost is shown by purpose, and as JSON with the same figures or later ones.
+func TestMeter(t *testing.T) {
+	a := newDaemon(t, t.TempDir(), "a", false)
+	a.start(t)
+	a.until(t, "a write", func() bool { code, _, _ := a.say("put", "out/ban/x", "{}"); return code == 0 })
+	table := a.must(t, "meter")
+	for _, row := range []string{`(?m)^PURPOSE +MESSAGES IN +BYTES IN +MESSAGES OUT`, `(?m)^words +0 +0 +0 +0 +[1-9]\d* +[1-9]\d* +[1-9]\d*$`, `(?m)^pictures( +0){7}$`,
+		`(?m)^connections \(\d+ opened\)`, `(?m)^log +[1-9]\d* +[1-9]\d*$`, `(?m)^copy +0 +0$`, `(?m)^seconds +\d+\.\d$`, `(?m)^cpu user seconds +\d`,
+		`(?m)^resident bytes +[1-9]`, `(?m)^descriptors +[1-9]`} {
+		if !regexp.MustCompile(row).MatchString(table) {
+			t.Errorf("no %s in\n%s", row, table)
+		}
+	}
+	var r meter.Reading
+	if err := json.Unmarshal([]byte(a.must(t, "meter", "--json")), &r); err != nil {
+		t.Fatal(err)
+	}
+	if w := r.Purposes[meter.Words]; w.Purpose != "words" || w.Applied == 0 || w.AppliedBytes == 0 || r.Seconds <= 0 || r.Process.Goroutines == 0 ||
+		r.Written[meter.Log].Syncs == 0 {
+		t.Errorf("%+v", r)
+	}
+	a.stop()
+	if code, _, errs := a.say("meter"); code != exitInput || errs == "" {
+		t.Errorf("of nobody: exit code %d, %q", code, errs)
+	}
+}
--- /dev/null
+++ b/internal/store/follow/meter_test.go
@@ -0,0 +1,122 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"birchmoor/internal/proctest"
+	"birchmoor/internal/store"
+	"birchmoor/internal/store/admin"
+	"birchmoor/internal/store/disk"
+	"birchmoor/internal/store/engine"
+	"birchmoor/internal/store/meter"
+)
+
+// A follower and its replica count the same messages and bytes, each way and for each purpose, and the replica as many entries as were
+// put to it.
+func TestBothEndsCountTheSame(t *testing.T) {
+	prefixes := []meter.Prefix{{Prefix: "out/", Purpose: meter.Words}, {Prefix: "known/", Purpose: meter.Pictures}}
+	here, there := meter.New(prefixes...), meter.New(prefixes...)
+	e, err := engine.Open(engine.Config{Name: "a", Dir: t.TempDir(), Tick: 5 * time.Millisecond, Disk: disk.Options{NoSync: true}, Meter: there})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Kill()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := admin.ServeFollowers(ln, e, admin.Rules{May: func(store.Op, string) bool { return true },
+		Ages: func() map[string]time.Duration { return nil }, Meter: there}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer o.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	proctest.Until(t, "the replica leads", func() bool { _, err := e.View(ctx, false, func(*store.State) {}); return err == nil })
+	proctest.Until(t, "the cluster knows owners", func() bool {
+		s, err := e.Status(ctx)
+		return err == nil && s.Level >= store.LevelOwners
+	})
+	dir := t.TempDir()
+	f, err := Open(Config{Name: "h", Dir: dir, Replicas: []Replica{{Name: "a", Addr: ln.Addr().String()}}, Wait: time.Minute,
+		Log: slog.New(slog.DiscardHandler), Meter: here})
+	if err != nil {
+		t.Fatal(err)
+	}
+	do := func(c store.Command) store.Result {
+		t.Helper()
+		r, err := f.Do(ctx, c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	put := func(key string) { do(store.Command{Txn: &store.Txn{Then: []store.Op{{Key: key, Value: []byte("v")}}}}) }
+	lease := do(store.Command{Grant: &store.Grant{TTL: 60_000, Owner: "h"}}).Lease
+	for range 3 {
+		do(store.Command{Renew: &store.Renew{Lease: lease, Owner: "h"}})
+		put("out/drain/x")
+		put("known/h/")
+	}
+	do(store.Command{End: &store.End{Lease: lease, Owner: "h"}})
+	if _, err := f.View(ctx, false, func(*store.State) {}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.Do(ctx, store.Command{Renew: &store.Renew{Lease: lease, Owner: "h"}}); err != store.ErrNoLease {
+		t.Fatalf("a lease that ended: %v", err)
+	}
+	// A beat may be on its way at any one look.
+	var mine, its meter.Reading
+	var differ string
+	proctest.Until(t, "both ends agree", func() bool {
+		its, mine = there.Read(), here.Read()
+		differ = ""
+		for i, a := range mine.Purposes {
+			b := its.Purposes[i]
+			if a.MessagesIn != b.MessagesOut || a.BytesIn != b.BytesOut || a.MessagesOut != b.MessagesIn || a.BytesOut != b.BytesIn {
+				differ = fmt.Sprintf("the follower: %+v\nits replica: %+v", a, b)
+			}
+		}
+		return differ == "" && mine.Purposes[meter.Beats].MessagesIn > 0
+	}, func() string { return differ })
+	for p, want := range map[meter.Purpose][4]uint64{ // in and out of the follower, proposed and applied
+		meter.Sessions: {6, 6, 6, 6}, meter.Words: {6, 3, 3, 3}, meter.Pictures: {6, 3, 3, 3}, meter.Snapshots: {1, 1, 0, 0},
+		meter.Requests: {1, 1, 0, 0}, meter.Settings: {},
+	} {
+		a, b := mine.Purposes[p], its.Purposes[p]
+		if got := [4]uint64{a.MessagesIn, a.MessagesOut, b.Proposed, b.Applied}; got != want || (a.BytesIn > 0) != (want[0] > 0) || (b.AppliedBytes > 0) != (want[3] > 0) {
+			t.Errorf("%v: %v, and not %v; %+v, %+v", p, got, want, a, b)
+		}
+	}
+	if a := mine.Purposes[meter.Beats]; a.MessagesOut != 1 {
+		t.Errorf("the stream was begun %d times", a.MessagesOut)
+	}
+	if w := its.Written[meter.Log]; w.Bytes == 0 || w.Syncs != 0 { // this disk does not sync
+		t.Errorf("%+v", w)
+	}
+	if err := f.Close(); err != nil {
+		t.Fatal(err)
+	}
+	info, err := os.Stat(filepath.Join(dir, "copy"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if w := here.Read().Written[meter.Copy]; w.Syncs == 0 || w.Bytes < uint64(info.Size()) || w.Syncs == 1 && w.Bytes != uint64(info.Size()) {
+		t.Errorf("%+v, and the file has %d bytes", w, info.Size())
+	}
+	var sum uint64
+	for _, p := range its.Purposes {
+		sum += p.BytesOut
+	}
+	if c := there.Read().Connections; c.Opened == 0 || c.BytesOut <= sum {
+		t.Errorf("%+v, of which %d bytes of messages", c, sum)
+	}
+}
