--- a/internal/store/follow/follow.go
+++ b/internal/store/follow/follow.go
@@ -278,6 +278,7 @@
 		return false, f.fetch(at)
 	}
 	if a.StatusCode != http.StatusOK {
+		f.cfg.Meter.Count(meter.Beats, meter.In, 1, int(max(0, a.ContentLength)))
 		return false, fmt.Errorf("%w: %s", errBehind, a.Status)
 	}
 	lines := bufio.NewScanner(a.Body)
@@ -372,10 +373,11 @@
 	}
 	defer a.Body.Close()
 	f.cfg.Meter.Count(meter.Snapshots, meter.Out, 1, 0)
+	f.cfg.Meter.Count(meter.Snapshots, meter.In, 1, 0)
 	if a.StatusCode != http.StatusOK {
+		f.cfg.Meter.Count(meter.Snapshots, meter.In, 0, int(max(0, a.ContentLength)))
 		return fmt.Errorf("%w: %s", errBehind, a.Status)
 	}
-	f.cfg.Meter.Count(meter.Snapshots, meter.In, 1, 0)
 	s, err := store.Load(&countedBody{a.Body, f.cfg.Meter, meter.Snapshots})
 	if err != nil {
 		return err
@@ -581,11 +583,14 @@
 	a, err := f.http[at].Do(r)
 	if err != nil {
 		var dial *net.OpError
-		return !(errors.As(err, &dial) && dial.Op == "dial"), err
+		if reached = !(errors.As(err, &dial) && dial.Op == "dial"); reached {
+			f.cfg.Meter.Count(of, meter.Out, 1, len(body))
+		}
+		return reached, err
 	}
 	defer a.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(a.Body, lineMost)) // an error shows by what is missing
 	f.cfg.Meter.Count(of, meter.Out, 1, len(body))
+	answer, err := io.ReadAll(io.LimitReader(a.Body, lineMost)) // an error shows by what is missing
 	f.cfg.Meter.Count(of, meter.In, 1, len(answer))
 	if a.StatusCode != http.StatusOK {
 		e := &admin.Error{Status: a.StatusCode}
