--- a/cmd/dunlinsail/main_test.go
+++ b/cmd/dunlinsail/main_test.go
@@ -3,7 +3,9 @@
 import (
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -94,3 +96,20 @@
 		t.Errorf("%d lines say so, want one:\n%s", n, log)
 	}
 }
+
+// The platform's program links nothing of the store or of what stands on it, and nothing from elsewhere but a CBOR codec.
+func TestImports(t *testing.T) {
+	out, err := exec.Command("go", "list", "-deps", "-f", "{{if not .Standard}}{{.ImportPath}}{{end}}", ".").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	codec := []string{"github.com/fxamacker/cbor/v2", "github.com/x448/float16"}
+	above := []string{"store", "daemon", "tasks", "lease", "limit", "limits", "rollout", "operate", "operator", "lab"}
+	for _, p := range strings.Fields(string(out)) {
+		inner, ours := strings.CutPrefix(p, "birchmoor/internal/")
+		part, _, _ := strings.Cut(inner, "/")
+		if ours && slices.Contains(above, part) || !strings.HasPrefix(p, "birchmoor/") && !slices.Contains(codec, p) {
+			t.Errorf("the program links %s", p)
+		}
+	}
+}
