--- a/internal/lab/scale/faults.go
+++ b/internal/lab/scale/faults.go
@@ -29,7 +29,7 @@
 	{"leader", "the replica that leads is killed; it starts again once all are right", leaderLost},
 	{"rack", "the sidecars of a rack are lost at once, and back at once", rackLost},
 	{"zone", "a zone is lost with its replica, and back at once", zoneLost},
-	{"restarts", "sidecars and their servers are restarted, one a second", restarted},
+	{"restarts", "sidecars and their servers are restarted, one after the other", restarted},
 	{"lag", "half of the sidecars are stopped until they must take the whole copy again", lagged},
 	{"region", "a region is cut off while settings change on the other side", regionCut},
 	{"replica", "a replica's machine is replaced by an empty one", replicaReplaced},
@@ -73,7 +73,7 @@
 		err = after(ctx)
 	}
 	s := r.meter.end()
-	x.Fault = &FaultResult{Name: f.Name, What: what, Right: took.Seconds(), Seconds: s.seconds(), Roles: s.roles()}
+	x.Fault = &FaultResult{Name: f.Name, What: what, Right: took.Seconds(), Copies: s.counts().In["snapshots"], Seconds: s.seconds(), Roles: s.roles()}
 	if missed != nil {
 		x.Fault.Missed = missed.Error()
 	} else {
@@ -167,7 +167,7 @@
 }
 
 func restarted(ctx context.Context, r *run) (string, time.Time, func(context.Context) error, error) {
-	n := 0
+	begun := time.Now()
 	for i := range restartsOf {
 		p := r.hollow[i%len(r.hollow)]
 		s := p.of[i/len(r.hollow)%len(p.of)]
@@ -189,10 +189,11 @@
 		in.Lifecycle, in.StartedMs = "up", time.Now().UnixMilli()
 		r.w.servers[v][s/r.w.services] = in
 		tell()
-		n++
 		pause(ctx, 500*time.Millisecond)
 	}
-	return fmt.Sprintf("%d sidecars and their servers were restarted, about one a second", n), time.Now(), nil, nil
+	took := time.Since(begun)
+	return fmt.Sprintf("%d sidecars and their servers were restarted within %v, %.0f times the rate of 130 a day", restartsOf, took.Round(time.Second),
+		restartsOf/took.Hours()*24/130), time.Now(), nil, nil
 }
 
 func lagged(ctx context.Context, r *run) (string, time.Time, func(context.Context) error, error) {
--- a/internal/lab/scale/measure.go
+++ b/internal/lab/scale/measure.go
@@ -21,7 +21,8 @@
 	RoleDivider = "divider"
 	RoleReal    = "sidecar (real)"
 	RoleHollow  = "sidecar (hollow)"
-	RoleList    = "discovery" // the stand-in: of one sidecar
+	RoleList    = "discovery"          // the stand-in: of one sidecar
+	RoleLinks   = "links (of the rig)" // a zone's: what they take is the machine's, and no role's of a fleet
 )
 
 // Role is what one role costs: figures by name, such as cpu (part of a core), bytes_in and bytes_in.sessions (a second), heap_mb.
@@ -146,10 +147,11 @@
 		})
 	}
 	hollow := r.processes()
+	all := slices.Concat(hollow, r.links)
 	s.mu.Lock()
 	passed := s.passed
 	s.mu.Unlock()
-	for _, p := range hollow {
+	for _, p := range all {
 		if !p.runs() || slices.Contains(passed, p) {
 			continue
 		}
@@ -178,10 +180,14 @@
 			}
 		}
 	}
-	for _, p := range hollow {
+	for _, p := range all {
 		if x, ok := took[p.name]; ok {
 			was, before := s.last[p.name]
-			s.add(RoleHollow, was, x, before, float64(len(p.of)))
+			if len(p.of) > 0 {
+				s.add(RoleHollow, was, x, before, float64(len(p.of)))
+			} else {
+				s.add(RoleLinks, was, x, before, 1)
+			}
 		}
 	}
 	s.mu.Lock()
@@ -380,6 +386,7 @@
 	Name    string          `json:"name"`
 	What    string          `json:"what"`
 	Right   float64         `json:"right_s"` // from when all could be reached again until all were right
+	Copies  uint64          `json:"copies"`  // whole ones that hollow sidecars took meanwhile
 	Missed  string          `json:"missed,omitempty"`
 	Seconds float64         `json:"seconds"` // that were measured
 	Roles   map[string]Role `json:"roles"`
--- a/internal/lab/scale/table.go
+++ b/internal/lab/scale/table.go
@@ -11,7 +11,7 @@
 )
 
 // order in which roles are told.
-var roleOrder = []string{RoleLeader, RoleVoter, RoleDivider, RoleReal, RoleHollow, RoleList}
+var roleOrder = []string{RoleLeader, RoleVoter, RoleDivider, RoleReal, RoleHollow, RoleList, RoleLinks}
 
 // figure is how one is told.
 type figure struct{ name, unit string }
@@ -94,7 +94,7 @@
 	}
 	t.Flush()
 	if f := x.Fault; f != nil {
-		fmt.Fprintf(w, "fault %s: %s; all right %.1f s after\n", f.Name, f.What, f.Right)
+		fmt.Fprintf(w, "fault %s: %s; all right %.1f s after; %d whole copies were taken\n", f.Name, f.What, f.Right, f.Copies)
 		if f.Missed != "" {
 			fmt.Fprintln(w, f.Missed)
 		}
@@ -240,7 +240,7 @@
 		return
 	}
 	fmt.Fprintf(w, "\n### The fault\n\n")
-	head("sidecars", "fault", "what", "all right after", "role", "worst second: cpu, resident MB, bytes in, bytes out")
+	head("sidecars", "fault", "what", "all right after", "whole copies", "role", "worst second: cpu, resident MB, bytes in, bytes out")
 	for _, x := range all {
 		if x.Fault == nil {
 			continue
@@ -250,8 +250,8 @@
 			right = x.Fault.Missed
 		}
 		for _, role := range roleOrder {
-			if r := x.Fault.Roles[role]; r != nil && role != RoleList {
-				row(fmt.Sprint(x.Sidecars), x.Fault.Name, x.Fault.What, right, role, fmt.Sprintf("%s%%, %s, %s, %s", tell("cpu", r["cpu"].Worst),
+			if r := x.Fault.Roles[role]; r != nil && role != RoleList && role != RoleLinks {
+				row(fmt.Sprint(x.Sidecars), x.Fault.Name, x.Fault.What, right, fmt.Sprint(x.Fault.Copies), role, fmt.Sprintf("%s%%, %s, %s, %s", tell("cpu", r["cpu"].Worst),
 					tell("", r["resident_mb"].Worst), tell("", r["bytes_in"].Worst), tell("", r["bytes_out"].Worst)))
 			}
 		}
