--- a/internal/lab/scale/faults.go
+++ b/internal/lab/scale/faults.go
@@ -38,7 +38,8 @@
 const (
 	lostFor    = 10 * time.Second // two sessions
 	cutFor     = 20 * time.Second
-	restartsOf = 30 // so many
+	tailFor    = 12 * time.Second // that are counted behind a fault: who began anew puts its first picture
+	restartsOf = 30               // so many
 	lagBytes   = 64 << 10
 )
 
@@ -69,7 +70,7 @@
 		return fmt.Errorf("fault %s: %w", f.Name, err)
 	}
 	took, missed := r.right(ctx, at, rightMost)
-	if pause(ctx, 3*time.Second); after != nil { // what comes of it counts, too
+	if pause(ctx, tailFor); after != nil { // what comes of it counts, too
 		err = after(ctx)
 	}
 	s := r.meter.end()
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -258,7 +258,9 @@
 	x.Began = took.Seconds()
 	r.say("all are right %.1f s after the first began", x.Began)
 	if rate == 0 {
-		x.Fault = &FaultResult{Name: "start", What: "all sidecars begin at once", Right: x.Began, Roles: r.meter.end().roles()}
+		pause(ctx, tailFor)
+		s := r.meter.end()
+		x.Fault = &FaultResult{Name: "start", What: "all sidecars began at once", Right: x.Began, Copies: s.counts().In["snapshots"], Seconds: s.seconds(), Roles: s.roles()}
 	}
 	pause(ctx, r.o.Warm)
 	if err := r.quiet(ctx, x); err != nil {
