Have hollow sidecars that put a picture for each ask a replica how many there are

A copy that does not hold all pictures can not tell: the plant put none then, and TestScaleOfSmallFleets/picture-for-each failed after 68 s with followers by interest.

--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -445,7 +445,8 @@
 		return known, err
 	}
 	held := 0
-	if _, err := p.Store.View(ctx, true, func(s *store.State) {
+	if _, err := p.Store.View(ctx, false, func(s *store.State) {
+		held = 0 // it is called again where its copy does not hold them
 		s.Range(policy.PicturePrefix, store.PrefixEnd(policy.PicturePrefix), func(store.Item) bool { held++; return true })
 	}); err != nil {
 		return nil, err
