--- a/cmd/birchmoor/run.go
+++ b/cmd/birchmoor/run.go
@@ -64,6 +64,9 @@
 	cfg := control.Config{File: f, Hup: hup, Log: log, Plant: control.Plant{Clock: boot.Clock{Pace: inside.Pace}, File: inside.File,
 		Store: plantedStore, Session: plantedSession(), Table: plantedTable(), Limit: inside.Limit}}
 	if runs {
+		if c, err := config.Read(os.Getenv); err == nil { // else the sidecar says why
+			cfg.Sidecar = c.Name
+		}
 		cfg.Check = func(settings json.RawMessage) error {
 			_, err := config.ReadWith(os.Getenv, settings)
 			return err
--- a/cmd/birchmoor/store.go
+++ b/cmd/birchmoor/store.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"strings"
 	"text/tabwriter"
 	"time"
 	"unicode/utf8"
@@ -163,6 +164,9 @@
 			for _, r := range s.Began.Recalled {
 				began += fmt.Sprintf("; the module recalled %d servers from %s (%d pictures), %v old", r.Servers, r.From, r.Pictures, r.Age.Round(time.Millisecond))
 			}
+			if s.Holds != nil {
+				copied += fmt.Sprintf("; a part: %s", strings.Join(slices.Concat(s.Holds.Prefixes, s.Holds.Keys), " "))
+			}
 			k := s.Daemon
 			for _, x := range [][2]any{{"began with", began}, {"holds", fmt.Sprintf("%d out, %d starts, %d pictures of %d bytes; %d changes owed",
 				k.Out, k.Starts, k.Pictures, k.Bytes, k.Owed)}, {"name", s.Name}, {"cluster", fmt.Sprintf("%x", s.Self.Cluster)}, {"member", s.Self.Member}, {"state", state}, {"copy", copied},
@@ -355,7 +359,7 @@
 
 func (k *storeServers) Run(ctx context.Context, c *console) error {
 	return k.call(ctx, c, func(ctx context.Context, a *operate.Client) error {
-		all, err := a.Servers(ctx)
+		all, err := a.ServersOfAll(ctx)
 		if err != nil {
 			return err
 		}
@@ -379,6 +383,9 @@
 				if f.Sidecars > 1 {
 					by = fmt.Sprintf("%s and %d more", f.By, f.Sidecars-1)
 				}
+				if f.Alone {
+					by += " (no replica tells of the others)"
+				}
 				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%v\n", f.ID, cmp.Or(f.Addr, "-"), start, f.What, by, ageOf(f.AgeMs), left, f.Agreed)
 			}
 		})
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -35,11 +35,13 @@
 
 // Config says what is started.
 type Config struct {
-	File  *operator.File   // with a [store]
-	Check daemon.Check     // of settings, for the sidecar that runs beside; nil where none does
-	Hup   <-chan os.Signal // a signal of the system's to read the settings anew; nil: none comes
-	Log   *slog.Logger
-	Plant Plant
+	File  *operator.File // with a [store]
+	Check daemon.Check   // of settings, for the sidecar that runs beside; nil where none does
+	// Sidecar is the name of the one that runs beside, whose picture a follower's copy holds; "" where none does, or it is not known.
+	Sidecar string
+	Hup     <-chan os.Signal // a signal of the system's to read the settings anew; nil: none comes
+	Log     *slog.Logger
+	Plant   Plant
 }
 
 // Plant is what builds for tests do within; no other sets it.
@@ -108,6 +110,9 @@
 	}
 	p := &Parts{log: log, Meter: cfg.Meter, Servers: daemon.NewServers(s.Name, log), Settings: daemon.NewSettings(s.Name, c.Check, log),
 		Tasks: tasks.New(tasks.Config{Host: s.Name, Skew: s.Skew, Log: log, Clock: clock, Table: c.Plant.Table, Plant: c.Plant.Session})}
+	if c.Sidecar != "" {
+		p.Servers.Own(c.Sidecar)
+	}
 	parts := append(p.Servers.Parts(), p.Settings, p.Tasks)
 	if l := c.File.Limits; l != nil {
 		p.Limits = limits.New(limits.Config{Host: s.Name, TTL: time.Duration(l.Lease), Tell: time.Duration(l.Tell), Each: time.Duration(l.Each), Skew: s.Skew,
@@ -133,7 +138,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	p.working.Go(func() { d.Run(ctx) })
-	p.working.Go(func() { _ = p.Tasks.Take(ctx, sweep(d, time.Duration(s.Lease))) }) // which has no fault to tell
+	p.working.Go(func() { _ = p.Tasks.Take(ctx, sweep(d, p.Servers, time.Duration(s.Lease))) }) // which has no fault to tell
 	p.working.Go(func() { p.signals(ctx, c.Hup) })
 	p.working.Go(func() { _ = p.Tasks.Take(ctx, drive(p.Settings, time.Duration(s.Lease))) })
 	if p.Limits != nil && len(s.Follow) == 0 {
@@ -198,10 +203,17 @@
 }
 
 // sweep is the task of ending what nobody has told for long.
-func sweep(d *daemon.Daemon, ttl time.Duration) tasks.Task {
+func sweep(d *daemon.Daemon, servers *daemon.Servers, ttl time.Duration) tasks.Task {
+	var token uint64 // of the holding for which all is known
 	return tasks.Task{Want: tasks.Want{Task: daemon.FleetTask, TTL: ttl, Note: "ends drains, starts and pictures that nobody tells any more"},
 		Every: sweepEvery, Most: ttl / 2, Progress: 6 * sweepEvery, HoldDown: 6 * sweepEvery,
-		Do: func(ctx context.Context, _ *tasks.Hold) error { return d.Sweep(ctx) }}
+		Do: func(ctx context.Context, h *tasks.Hold) error {
+			if h.Token() != token {
+				token = h.Token()
+				servers.Sweeps(h.Context())
+			}
+			return d.Sweep(ctx)
+		}}
 }
 
 // drive is the task of taking settings that come in force in steps further, or back.
@@ -249,6 +261,9 @@
 	}
 	cfg.Event, cfg.Reset = d.Hooks()
 	cfg.Settled, cfg.Proved = d.Settled, d.Proved
+	if s.Interest != operator.InterestAll {
+		cfg.Needs, cfg.Sum = d.Needs, d.Sum
+	}
 	f, err := follow.Open(cfg)
 	if err != nil {
 		return nil, err
--- a/internal/daemon/bans.go
+++ b/internal/daemon/bans.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"birchmoor/internal/store"
+	"birchmoor/internal/store/feed"
 	"birchmoor/internal/store/policy"
 )
 
@@ -34,6 +35,9 @@
 	return server
 }
 
+// Needs is of Needy.
+func (b *Bans) Needs() feed.Needs { return needs(policy.Prefix) }
+
 // Event is of Part.
 func (b *Bans) Event(e store.Event) {
 	if _, drain := drainOf(e.Item.Key); drain || !strings.HasPrefix(e.Item.Key, policy.Prefix) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/engine"
+	"birchmoor/internal/store/feed"
 )
 
 const (
@@ -50,6 +51,13 @@
 	}
 	// Prover is told how long ago a quorum confirmed the copy.
 	Prover interface{ Proved(ago time.Duration) }
+	// Needy says what a part needs of a copy that does not hold all: of what else there is it is told nothing, and takes nothing for
+	// not there. The copy is told by its Rescope that this has changed. A daemon with a part that does not say needs all.
+	Needy interface{ Needs() feed.Needs }
+	// Summed is told how many keys there are with a prefix of its Needs, where the copy does not hold them.
+	Summed interface {
+		Sum(prefix string, n store.Sum)
+	}
 	// Sweeper says how what nobody has told for long ends: transactions that do nothing if it was told again meanwhile.
 	Sweeper interface {
 		Over(now time.Time) []*store.Txn
@@ -60,7 +68,8 @@
 type Store interface {
 	// Do makes a change; see engine.Engine.
 	Do(ctx context.Context, c store.Command) (store.Result, error)
-	// View has f read the copy, for which others are asked first unless stale is set.
+	// View has f read the copy, for which others are asked first unless stale is set. f may be called again, where it reads more than
+	// the copy holds: it begins anew then.
 	View(ctx context.Context, stale bool, f func(*store.State)) (engine.Age, error)
 	// Next returns the changes of keys with a prefix after a revision.
 	Next(ctx context.Context, prefix string, after uint64, most int) ([]store.Event, uint64, error)
@@ -101,6 +110,35 @@
 	}
 }
 
+// Needs are what all parts need.
+func (d *Daemon) Needs() feed.Needs {
+	all := feed.Needs{Of: &store.Interest{}}
+	for _, p := range d.parts {
+		n := feed.Needs{}
+		if p, ok := p.(Needy); ok {
+			n = p.Needs()
+		}
+		all = all.Join(n)
+	}
+	return all
+}
+
+// Sum tells the parts how many keys there are with a prefix.
+func (d *Daemon) Sum(prefix string, n store.Sum) { each(d, func(s Summed) { s.Sum(prefix, n) }) }
+
+// needs are those of a part that needs some prefixes, for the next start as well.
+func needs(prefixes ...string) feed.Needs {
+	of := store.Interest{Prefixes: prefixes}
+	return feed.Needs{Of: &of, Kept: of}
+}
+
+// rescope has a copy that does not hold all asked anew what it is to hold. No part's lock is held.
+func rescope(s Store) {
+	if c, ok := s.(interface{ Rescope() }); ok {
+		c.Rescope()
+	}
+}
+
 // each calls f with the parts that are of a kind.
 func each[T any](d *Daemon, f func(T)) {
 	for _, p := range d.parts {
--- a/internal/daemon/drains.go
+++ b/internal/daemon/drains.go
@@ -8,6 +8,7 @@
 
 	"birchmoor/internal/discovery"
 	"birchmoor/internal/store"
+	"birchmoor/internal/store/feed"
 	"birchmoor/internal/store/policy"
 )
 
@@ -65,6 +66,10 @@
 	}
 }
 
+// Needs is of Needy: all, whatever servers the list tells of. One that it does not tell of yet may come with its next word, and
+// must not be sent anything in the moment until the copy knows of its drain.
+func (d *Drains) Needs() feed.Needs { return needs(policy.Prefix) }
+
 // Event is of Part.
 func (d *Drains) Event(e store.Event) {
 	p, ok := drainOf(e.Item.Key)
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -12,6 +12,7 @@
 	"birchmoor/internal/recovery"
 	"birchmoor/internal/snapshot"
 	"birchmoor/internal/store"
+	"birchmoor/internal/store/feed"
 	"birchmoor/internal/store/policy"
 )
 
@@ -28,6 +29,13 @@
 	bytes    int
 	proved   int64 // when a quorum last confirmed the copy; 0: not since the start
 	recalled []Recalled
+
+	own    []string  // prefixes of this daemon's sidecar's pictures
+	seen   bool      // there was a copy
+	begun  bool      // a picture was put since the start, or refused
+	sweeps int       // this daemon ends for all what nobody puts any more
+	part   bool      // the copy does not hold all pictures:
+	sum    store.Sum // there are so many
 }
 
 type picture struct {
@@ -41,6 +49,74 @@
 	return &Memory{desk: newDesk(name, log), all: map[string]picture{}, turns: policy.NewTurns(name, policy.TurnRules{Spread: 1, Keep: int64(picturesKept)})}
 }
 
+// Own says whose pictures are this daemon's own: those of its sidecar. It is called before the copy is opened, and by Keep.
+func (k *Memory) Own(sidecar string) {
+	k.mu.Lock()
+	if prefix := policy.PicturesOf(sidecar); !slices.Contains(k.own, prefix) {
+		k.own = append(k.own, prefix)
+	}
+	s := k.store
+	k.mu.Unlock()
+	rescope(s)
+}
+
+// Needs is of Needy. Others' pictures are of use to a sidecar that begins without one of its own, and to who ends them.
+func (k *Memory) Needs() feed.Needs {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	own := store.Interest{Prefixes: k.own}
+	n := feed.Needs{Of: &own, Kept: own}
+	if len(k.own) > 0 {
+		n.Sums = []string{policy.PicturePrefix}
+	}
+	all := store.Interest{Prefixes: []string{policy.PicturePrefix}}
+	if len(k.own) > 0 && k.seen && !k.begun && !k.has() {
+		n.Of, n.Kept = &all, all
+	}
+	if k.sweeps > 0 {
+		n.Of = &all
+	}
+	return n
+}
+
+// has says whether there is a picture of its own. The lock is held.
+func (k *Memory) has() bool {
+	for key := range k.all {
+		if slices.ContainsFunc(k.own, func(p string) bool { return strings.HasPrefix(key, p) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// Sum is of Summed.
+func (k *Memory) Sum(prefix string, n store.Sum) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if prefix == policy.PicturePrefix && k.part {
+		k.sum = n
+	}
+}
+
+// Sweeps says that this daemon ends for all what nobody puts any more, until ctx ends: it needs all of it.
+func (k *Memory) Sweeps(ctx context.Context) {
+	add := func(n int) {
+		k.mu.Lock()
+		k.sweeps += n
+		s := k.store
+		k.mu.Unlock()
+		rescope(s)
+	}
+	add(1)
+	context.AfterFunc(ctx, func() { add(-1) })
+}
+
+// holdsPart says whether a copy does not hold all keys with a prefix.
+func holdsPart(s *store.State, prefix string) bool {
+	of := s.Interest()
+	return of != nil && !of.CoversPrefix(prefix)
+}
+
 // Run is of Part: sidecars put their pictures by Keep.
 func (k *Memory) Run(ctx context.Context) { <-ctx.Done() }
 
@@ -77,6 +153,9 @@
 func (k *Memory) Reset(s *store.State) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.seen, k.part = true, holdsPart(s, policy.PicturePrefix); !k.part {
+		k.sum = store.Sum{}
+	}
 	for key := range k.all {
 		if _, ok := s.Get(key); !ok {
 			k.set(key, picture{}, true)
@@ -182,9 +261,13 @@
 func (k *Memory) Keep(ctx context.Context, sidecar, protocol string, take func(context.Context) ([]byte, error), paused func() bool) {
 	key := policy.PictureKey(sidecar, protocol)
 	failing := false
+	k.Own(sidecar)
 	for {
 		k.mu.Lock()
-		wait := time.Duration(policy.PictureWait(k.bytes))
+		wait := time.Duration(policy.PictureWait(max(k.bytes, k.sum.Bytes)))
+		if !k.begun && k.part && !k.has() {
+			wait = time.Duration(policy.PictureWait(0)) // until then a start would find nothing of its own
+		}
 		k.mu.Unlock()
 		select {
 		case <-ctx.Done():
@@ -195,6 +278,13 @@
 			continue
 		}
 		err := k.keep(ctx, key, take)
+		if err == nil || errors.Is(err, store.ErrFull) || errors.Is(err, store.ErrLevel) {
+			k.mu.Lock()
+			k.begun = true
+			s := k.store
+			k.mu.Unlock()
+			rescope(s)
+		}
 		if err != nil && ctx.Err() == nil && !failing && !errors.Is(err, store.ErrLevel) {
 			k.log.Warn("the store does not keep what is known here", "key", key, "error", err)
 		}
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -2,15 +2,20 @@
 
 import (
 	"cmp"
+	"context"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"birchmoor/internal/snapshot"
+	"birchmoor/internal/store"
 	"birchmoor/internal/store/policy"
 )
 
+const picturesWait = 3 * time.Second // for a replica's pictures, when people ask
+
 // Fact is one thing that is known of a server, from whom and how old.
 type Fact struct {
 	ID        string `json:"id"`
@@ -22,6 +27,7 @@
 	AgeMs     int64  `json:"age_ms"`            // since the store's latest word came here; -1: before this daemon's start
 	LeftMs    int64  `json:"left_ms,omitempty"` // for which it matters yet
 	Agreed    bool   `json:"agreed"`            // the store has it; if not, it is this daemon's word alone
+	Alone     bool   `json:"alone,omitempty"`   // counted by the pictures that this daemon's copy holds, which are not all
 }
 
 // Servers are the parts that tell of servers, seen together: what a sidecar has of them (sidecar.Fleet, maintenance.Shared) and what
@@ -51,8 +57,9 @@
 	return all
 }
 
-// List lists all that this copy and this daemon know of servers.
-func (s *Servers) List() []Fact {
+// List lists all that this copy and this daemon know of servers. Where the copy does not hold all pictures a replica's are read, if ctx
+// is not nil.
+func (s *Servers) List(ctx context.Context) []Fact {
 	var all []Fact
 	for _, o := range s.Outs() {
 		f := Fact{ID: o.Server, What: "banned", By: o.By, AgeMs: o.AgeMs, Agreed: o.Agreed}
@@ -61,7 +68,7 @@
 		}
 		all = append(all, f)
 	}
-	all = append(append(all, s.Starts.facts()...), s.Memory.facts()...)
+	all = append(append(all, s.Starts.facts()...), s.Memory.facts(ctx)...)
 	slices.SortFunc(all, func(a, b Fact) int {
 		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Addr, b.Addr), cmp.Compare(a.StartedMs, b.StartedMs), cmp.Compare(a.What, b.What))
 	})
@@ -69,17 +76,31 @@
 }
 
 // facts adds up what the pictures tell: by whom a server is known, and held to be cold.
-func (k *Memory) facts() []Fact {
+func (k *Memory) facts(ctx context.Context) []Fact {
 	k.mu.Lock()
-	defer k.mu.Unlock()
-	now := k.now(time.Now())
+	pictures, alone, now := maps.Clone(k.all), k.part, k.now(time.Now())
+	k.mu.Unlock()
+	if alone && ctx != nil {
+		found := map[string]picture{}
+		wait, cancel := context.WithTimeout(ctx, picturesWait)
+		defer cancel()
+		if _, err := k.store.View(wait, false, func(s *store.State) {
+			clear(found)
+			s.Range(policy.PicturePrefix, store.PrefixEnd(policy.PicturePrefix), func(i store.Item) bool {
+				found[i.Key] = picture{value: i.Value, at: pictures[i.Key].at}
+				return true
+			})
+		}); err == nil {
+			pictures, alone = found, false
+		}
+	}
 	type server struct {
 		id, addr string
 		start    int64
 		what     string
 	}
 	at := map[server]*Fact{}
-	for _, p := range k.all {
+	for _, p := range pictures {
 		v, err := policy.DecodePicture(p.value)
 		if err != nil {
 			continue
@@ -102,7 +123,7 @@
 			}
 			f := at[s]
 			if f == nil {
-				f = &Fact{ID: s.id, Addr: s.addr, StartedMs: s.start, What: s.what, By: v.By, AgeMs: age, Agreed: true}
+				f = &Fact{ID: s.id, Addr: s.addr, StartedMs: s.start, What: s.what, By: v.By, AgeMs: age, Agreed: true, Alone: alone}
 				at[s] = f
 			}
 			f.Sidecars++
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"birchmoor/internal/store"
+	"birchmoor/internal/store/feed"
 )
 
 // ConfigPrefix is that of the keys of the settings.
@@ -81,6 +82,14 @@
 // Attach is of Part.
 func (x *Settings) Attach(s Store) { x.store = s }
 
+// Needs is of Needy: what is in force or comes in force in steps. Candidates are for replicas to judge, and older versions and what
+// others report for those who ask.
+func (x *Settings) Needs() feed.Needs {
+	kept := store.Interest{Keys: []string{keyCurrent, keyPlan, keyStepped}}
+	of := kept.Join(store.Interest{Keys: []string{ReportKey(x.name)}})
+	return feed.Needs{Of: &of, Kept: kept}
+}
+
 // Event is of Part.
 func (x *Settings) Event(e store.Event) {
 	if strings.HasPrefix(e.Item.Key, ConfigPrefix) {
@@ -335,6 +344,7 @@
 	var all []Version
 	var bad error
 	_, err := x.store.View(ctx, false, func(s *store.State) {
+		all, bad = nil, nil
 		s.Range(keyHistory, store.PrefixEnd(keyHistory), func(i store.Item) bool {
 			var v Version
 			if err := json.Unmarshal(i.Value, &v); err != nil {
--- a/internal/daemon/starts.go
+++ b/internal/daemon/starts.go
@@ -8,6 +8,7 @@
 	"birchmoor/internal/core"
 	"birchmoor/internal/discovery"
 	"birchmoor/internal/store"
+	"birchmoor/internal/store/feed"
 	"birchmoor/internal/store/policy"
 )
 
@@ -72,6 +73,9 @@
 	d.poke()
 }
 
+// Needs is of Needy: all, as of drains.
+func (d *Starts) Needs() feed.Needs { return needs(policy.StartPrefix) }
+
 // Event is of Part.
 func (d *Starts) Event(e store.Event) {
 	if _, ok := policy.ParseStart(e.Item.Key); !ok {
--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -194,6 +194,7 @@
 func (x *Settings) Plan(ctx context.Context) (p rollout.Plan, set uint64, err error) {
 	var bad error = ErrNoPlan
 	_, err = x.store.View(ctx, false, func(s *store.State) {
+		p, set, bad = rollout.Plan{}, 0, ErrNoPlan
 		if i, there := s.Get(keyPlan); there {
 			set, bad = i.Modified, json.Unmarshal(i.Value, &p)
 		}
@@ -243,11 +244,16 @@
 	var bad error
 	reports, fleet := map[string]rollout.Report{}, map[string]bool{}
 	if _, err := x.store.View(ctx, false, func(s *store.State) {
+		p, set, bad, text = rollout.Plan{}, 0, nil, nil
+		clear(reports)
+		clear(fleet)
 		i, there := s.Get(keyPlan)
 		if !there {
 			return
 		}
-		set, bad = i.Modified, json.Unmarshal(i.Value, &p)
+		if set, bad = i.Modified, json.Unmarshal(i.Value, &p); bad != nil || p.State != rollout.Running {
+			return // a follower's copy has not what others report: it is read while there is a plan
+		}
 		if i, there := s.Get(keyStepped); there {
 			text = i.Value
 		}
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -337,7 +337,7 @@
 		return err
 	}
 	log := h.c.log.With("sidecar", h.name)
-	p, err := control.Open(control.Config{File: f, Check: read, Log: log, Plant: h.c.plant.Plant})
+	p, err := control.Open(control.Config{File: f, Sidecar: h.name, Check: read, Log: log, Plant: h.c.plant.Plant})
 	if err != nil {
 		return err
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -19,6 +19,7 @@
 	"birchmoor/internal/daemon"
 	"birchmoor/internal/limit"
 	"birchmoor/internal/store"
+	"birchmoor/internal/store/feed"
 	"birchmoor/internal/tasks"
 )
 
@@ -59,6 +60,9 @@
 	news    chan struct{}
 	said    map[string]uint64 // refusals that were logged, by limit
 	fault   string            // of the limits in force, or empty
+
+	part bool      // the copy does not hold what all tell:
+	sum  store.Sum // there are so many
 }
 
 // New returns one that has no store yet.
@@ -73,6 +77,27 @@
 // Attach is of daemon.Part.
 func (l *Limits) Attach(s daemon.Store) { l.store = s }
 
+// Needs is of daemon.Needy: this daemon's own shares, and how many there are that have some. Others' are for who divides, which
+// followers do not.
+func (l *Limits) Needs() feed.Needs {
+	kept := store.Interest{Keys: []string{limit.ConfKey}}
+	of := kept.Join(store.Interest{Prefixes: []string{limit.NeedPrefix + l.cfg.Host + "/", limit.GrantPrefix + l.cfg.Host + "/"}})
+	return feed.Needs{Of: &of, Kept: kept, Sums: []string{limit.NeedPrefix}}
+}
+
+// Sum is of daemon.Summed.
+func (l *Limits) Sum(prefix string, n store.Sum) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if prefix == limit.NeedPrefix && l.part {
+		l.sum = n
+		l.count()
+	}
+}
+
+// count says how many processes there are. The lock is held.
+func (l *Limits) count() { l.holder.Others(max(len(l.others), l.sum.Keys)) }
+
 // Event is of daemon.Part.
 func (l *Limits) Event(e store.Event) {
 	if !strings.HasPrefix(e.Item.Key, limit.Prefix) {
@@ -88,7 +113,7 @@
 		if l.others[key] = true; e.Deleted {
 			delete(l.others, key)
 		}
-		l.holder.Others(len(l.others))
+		l.count()
 	case !e.Deleted && l.me.Session != 0 && key == l.me.GrantKey():
 		l.granted(e.Item)
 	}
@@ -103,7 +128,12 @@
 	l.configure(i.Value, !there)
 	clear(l.others)
 	s.Range(limit.NeedPrefix, store.PrefixEnd(limit.NeedPrefix), func(i store.Item) bool { l.others[i.Key] = true; return true })
-	l.holder.Others(len(l.others))
+	if of := s.Interest(); of == nil || of.CoversPrefix(limit.NeedPrefix) {
+		l.part, l.sum = false, store.Sum{}
+	} else {
+		l.part = true
+	}
+	l.count()
 	l.regrant(s)
 }
 
@@ -346,8 +376,29 @@
 	Over  string       `json:"over"` // how far over it may be now, in words
 }
 
-// Show shows them by this daemon's copy.
-func (l *Limits) Show(name string) (*State, error) {
+// dividing is what divides here, or, for people, knows what a replica knows of all. alone says that no replica told.
+func (l *Limits) dividing(ctx context.Context) (d *limit.Divider, alone bool, err error) {
+	l.mu.Lock()
+	part, conf := l.part, l.conf
+	l.mu.Unlock()
+	if !part {
+		return l.divider, false, nil
+	}
+	d = limit.NewDivider(limit.Rules{Skew: l.cfg.Skew, Tell: int64(l.cfg.Tell), Each: int64(l.cfg.Each)}, limit.PlantNone)
+	wait, cancel := context.WithTimeout(ctx, tellTime)
+	defer cancel()
+	if _, err := l.store.View(wait, false, func(s *store.State) {
+		d.SetConf(conf)
+		d.Reset(l.now(), s)
+	}); err != nil {
+		return l.divider, true, err
+	}
+	return d, false, nil
+}
+
+// Show shows them by this daemon's copy, or where that does not hold what all tell by a replica's.
+func (l *Limits) Show(ctx context.Context, name string) (*State, error) {
+	divider, alone, err := l.dividing(ctx)
 	holder := ""
 	if holders := l.runner.Holders(Task); len(holders) > 0 {
 		holder = holders[0]
@@ -357,14 +408,17 @@
 	now := l.now()
 	s := &State{Version: l.conf.Version, Fault: l.fault, Divider: holder, Skew: l.cfg.Skew, TTLMs: l.cfg.TTL.Milliseconds(), Here: l.me,
 		LeftMs: max(0, l.holder.Until()-now) / 1e6, Limits: []*LimitState{}}
-	if why := l.divider.Fault(); s.Fault == "" && why != "" {
+	if alone {
+		s.Fault = fmt.Sprintf("no replica tells of the others: shares are this daemon's alone: %v", err)
+	}
+	if why := divider.Fault(); s.Fault == "" && why != "" {
 		s.Fault = "nothing is divided here: " + why
 	}
 	for _, x := range l.conf.Limits {
 		if name != "" && x.Name != name {
 			continue
 		}
-		st := &LimitState{Limit: x, Parts: l.divider.Show(now, x)}
+		st := &LimitState{Limit: x, Parts: divider.Show(now, x)}
 		away := 0
 		for _, p := range st.Parts[0].Of {
 			if p.Gone {
--- a/internal/operate/limits.go
+++ b/internal/operate/limits.go
@@ -13,11 +13,11 @@
 
 var errNoLimits = errors.New("this daemon shares no limits: its operator file has no [limits]")
 
-func (s *server) listLimits(_ context.Context, _ http.ResponseWriter, r *http.Request) (any, error) {
+func (s *server) listLimits(ctx context.Context, _ http.ResponseWriter, r *http.Request) (any, error) {
 	if s.Limits == nil {
 		return nil, errNoLimits
 	}
-	st, err := s.Limits.Show(r.URL.Query().Get("limit"))
+	st, err := s.Limits.Show(ctx, r.URL.Query().Get("limit"))
 	return st, admin.Missing(err)
 }
 
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"net/url"
 	"sync"
 	"time"
 
@@ -86,7 +87,12 @@
 		return s.Parts.Meter.Read(), nil
 	})
 	m.Call("GET /v1/out", func(context.Context, http.ResponseWriter, *http.Request) (any, error) { return s.Servers.Outs(), nil })
-	m.Call("GET /v1/servers", func(context.Context, http.ResponseWriter, *http.Request) (any, error) { return s.Servers.List(), nil })
+	m.Call("GET /v1/servers", func(ctx context.Context, _ http.ResponseWriter, r *http.Request) (any, error) {
+		if r.URL.Query().Get("all") != "true" {
+			ctx = nil
+		}
+		return s.Servers.List(ctx), nil
+	})
 }
 
 // Followers are the rules for daemons without a replica: each part says what is theirs to write.
@@ -179,7 +185,12 @@
 	return all, c.Call(ctx, "GET", "/v1/out", nil, nil, &all)
 }
 
-// Servers lists what is known of servers.
+// Servers lists what a daemon knows of servers by its own copy.
 func (c *Client) Servers(ctx context.Context) (all []daemon.Fact, err error) {
 	return all, c.Call(ctx, "GET", "/v1/servers", nil, nil, &all)
 }
+
+// ServersOfAll lists what is known of servers, by a replica's pictures where the daemon's copy does not hold all.
+func (c *Client) ServersOfAll(ctx context.Context) (all []daemon.Fact, err error) {
+	return all, c.Call(ctx, "GET", "/v1/servers", url.Values{"all": {"true"}}, nil, &all)
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -81,10 +81,18 @@
 	Follow []string `toml:"follow"` // replicas, NAME=ADDRESS of their serve: this daemon has a copy and no replica
 	Wait   Duration `toml:"wait"`   // of a follower without a disk for its first copy, before its sidecar serves
 
+	Interest string `toml:"interest"` // what a follower's copy holds: "own", what its daemon needs, or "all"
+
 	Lease Duration `toml:"lease"` // a task of a daemon that falls silent goes to another after this
 	Skew  float64  `toml:"skew"`  // part that the fastest clock of two hosts gains on the other at most
 }
 
+// What a follower's copy holds.
+const (
+	InterestOwn = "own" // what its daemon needs, where replicas know how to tell it that alone
+	InterestAll = "all" // the whole store
+)
+
 // Limits are shared with the fleet by the store.
 type Limits struct {
 	Lease Duration `toml:"lease"` // a share ends so long after its sidecar falls silent
@@ -242,6 +250,15 @@
 			}
 			met[addr] = true
 		}
+		if s.Interest != "" && len(s.Follow) == 0 {
+			bad("store.interest", "is for a daemon that follows: a replica holds all")
+		}
+		if s.Interest == "" {
+			s.Interest = InterestOwn
+		}
+		if s.Interest != InterestOwn && s.Interest != InterestAll {
+			bad("store.interest", fmt.Sprintf("%q is not %q or %q", s.Interest, InterestOwn, InterestAll))
+		}
 		if len(s.Follow) > 0 && (s.Listen != "" || s.Serve != "" || s.Join || s.Address != "") {
 			bad("store.follow", "is for a daemon without a replica: listen, serve, join and address are of one")
 		}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -86,7 +86,7 @@
 func TestFollowers(t *testing.T) {
 	base := "[store]\nname = \"h\"\ndir = \"d\"\nsocket = \"s\"\n"
 	f, err := read(t, base+"plain = true\nfollow = [\"a=127.0.0.1:1\", \"b=[::1]:2\"]\n")
-	if err != nil || len(f.Store.Follow) != 2 || time.Duration(f.Store.Wait) != 500*time.Millisecond {
+	if err != nil || len(f.Store.Follow) != 2 || f.Store.Interest != InterestOwn || time.Duration(f.Store.Wait) != 500*time.Millisecond {
 		t.Errorf("%+v, %v", f, err)
 	}
 	for text, want := range map[string]string{
@@ -99,6 +99,8 @@
 		"plain = true\nlisten = \"127.0.0.1:3\"\nserve = \"192.0.2.1:4\"\n":      "store.plain",
 		"plain = true\nserve = \"127.0.0.1:4\"\n":                                "store.listen",
 		"plain = true\nfollow = [\"a=127.0.0.1:1\"]\nwait = \"2h\"\n":            "store.wait",
+		"plain = true\nfollow = [\"a=127.0.0.1:1\"]\ninterest = \"some\"\n":      "store.interest",
+		"plain = true\nlisten = \"127.0.0.1:3\"\ninterest = \"all\"\n":           "store.interest",
 	} {
 		if _, err := read(t, base+text); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%q: %v, want %s named", text, err, want)
--- a/internal/store/admin/admin.go
+++ b/internal/store/admin/admin.go
@@ -206,6 +206,8 @@
 		status, f.NoLease = http.StatusConflict, errors.Is(err, store.ErrNoLease)
 	case errors.As(err, new(missing)):
 		status = http.StatusNotFound
+	case errors.As(err, new(*store.OutsideError)):
+		status = http.StatusMisdirectedRequest
 	case errors.Is(err, replica.ErrNoLeader):
 		w.Header().Set("Retry-After", "1")
 	}
@@ -276,6 +278,7 @@
 	}
 	out := Items{Items: []store.Item{}, Stale: q.Get("stale") == "true"}
 	out.Age, err = s.cfg.Store.View(ctx, out.Stale, func(st *store.State) {
+		out.Items, out.More = []store.Item{}, false
 		st.Range(from, end, func(i store.Item) bool {
 			if out.More = uint64(len(out.Items)) == limit; out.More {
 				return false
@@ -342,6 +345,7 @@
 	all := []Lease{}
 	if _, err := s.cfg.Store.View(ctx, false, func(st *store.State) {
 		at := map[uint64]int{}
+		all = []Lease{}
 		for _, l := range st.Leases() {
 			at[l.ID] = len(all)
 			all = append(all, Lease{ID: l.ID, TTLms: l.TTL, Owner: l.Owner, Keys: []string{}})
--- a/internal/store/admin/outer.go
+++ b/internal/store/admin/outer.go
@@ -7,11 +7,15 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/url"
+	"slices"
+	"sync"
 	"time"
 
 	"birchmoor/internal/keys"
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/engine"
+	"birchmoor/internal/store/feed"
 	"birchmoor/internal/store/meter"
 	"birchmoor/internal/store/policy"
 )
@@ -23,8 +27,16 @@
 	followersMost = 512 // at once, of one replica
 	beatEvery     = time.Second
 	changeMost    = 256 // changes of followers at once
+
+	progressEvery = 250 * time.Millisecond // between two words that nothing of a follower's interest has changed, at least
+	sumEvery      = time.Second            // between two reckonings of a sum
+	sumsMost      = 4                      // of a follower
+	lookMost      = 4096                   // changes that the replica's loop looks at at once
 )
 
+// Scoped is a header of the answers of replicas that tell followers of what they ask for alone.
+const Scoped = "Store-Scoped"
+
 // Beat is sent between changes, so that a follower knows that its copy is up to date and how old it may be.
 type Beat struct {
 	Cluster  uint64        `json:"cluster"`
@@ -32,6 +44,8 @@
 	Proved   bool          `json:"proved"`
 	Age      time.Duration `json:"age_ns"`
 	Ages     []KeyAge      `json:"ages,omitempty"` // of pictures, with the first beat: how long ago they were put
+
+	Sums map[string]store.Sum `json:"sums,omitempty"` // by prefix: those that were asked for, and are others than were told
 }
 
 // KeyAge is how long ago the store was told of a key.
@@ -40,11 +54,15 @@
 	Age time.Duration `json:"age_ns"`
 }
 
-// Line is one of a follower's stream: a change or a beat.
+// Line is one of a follower's stream. One that asked for all is told of each change by a line; one that asked for an interest of all
+// that a revision changed of it, and up to which revision it was told all.
 type Line struct {
 	Event *store.Event `json:"event,omitempty"`
 	Beat  *Beat        `json:"beat,omitempty"`
 	Fault *Fault       `json:"fault,omitempty"`
+
+	Events  []store.Event `json:"events,omitempty"`
+	Through uint64        `json:"through,omitempty"`
 }
 
 // Outer answers followers.
@@ -54,6 +72,18 @@
 	http    *http.Server
 	slots   chan struct{}
 	changes chan struct{}
+	feed    *feed.Feed
+	stop    context.CancelFunc
+	feeding sync.WaitGroup
+
+	mu   sync.Mutex
+	sums map[string]summed
+}
+
+// summed is a sum as it was last reckoned.
+type summed struct {
+	store.Sum
+	at time.Time
 }
 
 // Rules are what others say of followers.
@@ -72,13 +102,21 @@
 	if a, ok := ln.Addr().(*net.TCPAddr); pair == nil && (!ok || !a.IP.IsLoopback()) {
 		return nil, fmt.Errorf("store: plain TCP on %s, which is not a loopback address", ln.Addr())
 	}
-	o := &Outer{e: e, rules: rules, slots: make(chan struct{}, followersMost), changes: make(chan struct{}, changeMost)}
+	o := &Outer{e: e, rules: rules, slots: make(chan struct{}, followersMost), changes: make(chan struct{}, changeMost), sums: map[string]summed{}}
+	ctx, stop := context.WithCancel(context.Background())
+	a, err := e.View(ctx, true, func(*store.State) {})
+	if err != nil {
+		stop()
+		return nil, err
+	}
+	o.feed, o.stop = feed.New(a.Revision, feed.PlantNone), stop
+	o.feeding.Go(func() { o.run(ctx) })
 	m := http.NewServeMux()
 	m.HandleFunc("GET /v1/copy", o.counted(meter.Snapshots, o.copy))
 	m.HandleFunc("GET /v1/follow", o.counted(meter.Beats, o.follow))
 	m.HandleFunc("GET /v1/revision", o.counted(meter.Requests, handle(o.revision)))
 	m.HandleFunc("POST /v1/change", o.counted(meter.Other, handle(o.change)))
-	o.http = &http.Server{Handler: m, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 8 << 10}
+	o.http = &http.Server{Handler: m, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 32 << 10}
 	ln = rules.Meter.Listener(ln)
 	if pair != nil {
 		o.http.TLSConfig = pair.Server()
@@ -90,7 +128,12 @@
 }
 
 // Close ends all streams.
-func (o *Outer) Close() error { return o.http.Close() }
+func (o *Outer) Close() error {
+	o.stop()
+	err := o.http.Close()
+	o.feeding.Wait()
+	return err
+}
 
 // counted counts an answer for a purpose, which the handler may say better by answerIs, and the request that it answers. A
 // request without a body is a message of no bytes.
@@ -130,10 +173,69 @@
 	}
 }
 
-// copy sends the state as this replica has it: a follower that starts must not wait for a quorum.
+// run hands out what changes: one reader of the history for all streams.
+func (o *Outer) run(ctx context.Context) {
+	for {
+		at, _ := o.feed.At()
+		events, to, err := o.e.Next(ctx, "", at, 256)
+		var gone *store.ErrCompacted
+		switch {
+		case errors.As(err, &gone): // as after a leader's snapshot
+			a, err := o.e.View(ctx, true, func(*store.State) {})
+			if err != nil {
+				return
+			}
+			o.feed.Skip(a.Revision)
+		case err != nil:
+			return
+		default:
+			o.feed.Advance(events, to)
+		}
+	}
+}
+
+// interestOf reads what a follower wants of the state; nil is all.
+func interestOf(q url.Values) (*store.Interest, error) {
+	if !q.Has("prefix") && !q.Has("key") {
+		return nil, nil
+	}
+	of := store.Interest{Prefixes: q["prefix"], Keys: q["key"]}
+	if err := of.Check(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrBad, err)
+	}
+	of = store.Interest{}.Join(of)
+	return &of, nil
+}
+
+// Query is an interest as a replica is asked for it.
+func Query(of *store.Interest) url.Values {
+	q := url.Values{}
+	if of != nil {
+		q["prefix"], q["key"] = of.Prefixes, of.Keys
+		if len(of.Prefixes)+len(of.Keys) == 0 {
+			q["key"] = []string{nothing}
+		}
+	}
+	return q
+}
+
+const nothing = "\x00" // a key that nobody puts
+
+// copy sends the state, or what is asked for of it, as this replica has it: a follower that starts must not wait for a quorum.
 func (o *Outer) copy(w http.ResponseWriter, r *http.Request) {
+	of, err := interestOf(r.URL.Query())
+	if err != nil {
+		Fail(w, err)
+		return
+	}
 	var s *store.State
-	if _, err := o.e.View(r.Context(), true, func(now *store.State) { s = now.Clone() }); err != nil || s == nil {
+	if _, err := o.e.View(r.Context(), true, func(now *store.State) {
+		if of != nil {
+			s = now.Part(*of)
+		} else {
+			s = now.Clone()
+		}
+	}); err != nil || s == nil {
 		Fail(w, errors.Join(errors.New("this replica has no copy yet"), err))
 		return
 	}
@@ -150,58 +252,211 @@
 		Fail(w, fmt.Errorf("%d followers are here already", followersMost))
 		return
 	}
-	after, err := Number(r.URL.Query(), "after")
-	if err != nil {
+	q := r.URL.Query()
+	after, err := Number(q, "after")
+	of, bad := interestOf(q)
+	sums := q["sum"]
+	if len(sums) > sumsMost || slices.Contains(sums, "") {
+		bad = errors.Join(bad, fmt.Errorf("%w: sum: %d prefixes are more than %d, or one is empty", ErrBad, len(sums), sumsMost))
+	}
+	if err := errors.Join(err, bad); err != nil {
 		Fail(w, err)
 		return
 	}
-	enc, c := json.NewEncoder(w), http.NewResponseController(w)
-	send := func(of meter.Purpose, l Line) bool {
-		answerIs(w, of)
-		_ = c.SetWriteDeadline(time.Now().Add(waitMost))
-		return enc.Encode(l) == nil
+	x := &stream{o: o, of: of, sums: sums, after: after, w: w, c: http.NewResponseController(w), told: map[string]store.Sum{}}
+	if of != nil {
+		w.Header().Set(Scoped, "1")
+	}
+	x.run(r.Context())
+}
+
+// stream is the connection of one follower.
+type stream struct {
+	o     *Outer
+	of    *store.Interest
+	sums  []string
+	after uint64 // up to where it has all
+	w     http.ResponseWriter
+	c     *http.ResponseController
+	t     *feed.Teller
+	ages  map[string]time.Duration // that are to go with the next beat
+	told  map[string]store.Sum
+}
+
+// send writes a line, which is for a purpose.
+func (x *stream) send(of meter.Purpose, b []byte) bool {
+	answerIs(x.w, of)
+	_ = x.c.SetWriteDeadline(time.Now().Add(waitMost))
+	_, err := x.w.Write(append(b, '\n'))
+	return err == nil
+}
+
+func (x *stream) line(l Line) bool {
+	b, err := json.Marshal(l)
+	return err == nil && x.send(meter.Beats, b)
+}
+
+func (x *stream) run(ctx context.Context) {
+	x.ages = x.o.rules.Ages()
+	x.t = x.o.feed.Tell(x.of, x.after)
+	defer x.o.feed.Leave(x.t.Stream)
+	if !x.beat(ctx, false) || !x.catchUp(ctx) || !x.beat(ctx, true) { // a beat first, so that it is known of which cluster this is
+		return
+	}
+	beat, progress := time.NewTicker(beatEvery), time.NewTicker(progressEvery)
+	defer beat.Stop()
+	defer progress.Stop()
+	if x.of == nil {
+		progress.Stop()
 	}
-	ages := o.rules.Ages()
 	for {
-		var b Beat
-		a, err := o.e.View(r.Context(), true, func(s *store.State) { b.Cluster = s.Cluster() })
-		if err != nil {
+		ok := true
+		select {
+		case <-ctx.Done():
 			return
+		case <-x.t.Wake():
+			ok = x.take(false)
+		case <-progress.C:
+			ok = x.take(true)
+		case <-beat.C:
+			ok = x.beat(ctx, true)
 		}
-		b.Revision, b.Proved, b.Age, b.Ages = a.Revision, a.Proved, a.Age, nil
-		for key, age := range ages {
-			b.Ages = append(b.Ages, KeyAge{key, age})
+		if !ok || x.c.Flush() != nil {
+			return
 		}
-		if b.Revision < after {
-			b.Revision, b.Proved = after, false // this replica is behind what the follower has: it confirms nothing
+	}
+}
+
+// catchUp tells what changed between where the follower is and where its stream begins.
+func (x *stream) catchUp(ctx context.Context) bool {
+	for done := false; !done; {
+		var txns []feed.Txn
+		var gone error
+		if _, err := x.o.e.View(ctx, true, func(s *store.State) { txns, done, gone = x.t.CatchUp(s, lookMost) }); err != nil {
+			return false
 		}
-		ages = nil
-		if !send(meter.Beats, Line{Beat: &b}) || c.Flush() != nil {
-			return
+		var compacted *store.ErrCompacted
+		if errors.As(gone, &compacted) {
+			x.line(Line{Fault: &Fault{Error: gone.Error(), Oldest: compacted.Oldest}})
 		}
-		for end := time.Now().Add(beatEvery); time.Now().Before(end); {
-			wait, cancel := context.WithDeadline(r.Context(), end)
-			events, to, err := o.e.Next(wait, "", after, 256)
-			cancel()
-			var gone *store.ErrCompacted
-			switch {
-			case errors.As(err, &gone):
-				send(meter.Beats, Line{Fault: &Fault{Error: err.Error(), Oldest: gone.Oldest}})
-				return
-			case err != nil && r.Context().Err() == nil && errors.Is(err, context.DeadlineExceeded):
-			case err != nil:
-				return
-			}
-			for i := range events {
-				if !send(o.rules.Meter.KeyPurpose(events[i].Item.Key), Line{Event: &events[i]}) {
-					return
+		if gone != nil || !x.tell(txns, 0) {
+			return false
+		}
+	}
+	return true
+}
+
+// tell sends what some revisions changed, and up to where that is all, if it is not 0.
+func (x *stream) tell(txns []feed.Txn, through uint64) bool {
+	for i, t := range txns {
+		if x.of == nil {
+			for _, c := range t.Changes {
+				if !x.send(x.o.rules.Meter.KeyPurpose(c.Item.Key), slices.Concat([]byte(`{"event":`), c.JSON(), []byte("}"))) {
+					return false
 				}
 			}
-			if after = to; c.Flush() != nil {
-				return
+			continue
+		}
+		b := []byte(`{"events":[`)
+		for i, c := range t.Changes {
+			if i > 0 {
+				b = append(b, ',')
+			}
+			b = append(b, c.JSON()...)
+		}
+		b = append(b, ']')
+		if i == len(txns)-1 && through > 0 {
+			b = fmt.Appendf(b, `,"through":%d`, through)
+		}
+		if !x.send(x.o.rules.Meter.KeyPurpose(t.Changes[0].Item.Key), append(b, '}')) {
+			return false
+		}
+	}
+	return true
+}
+
+// take sends what there is. progress has it said up to where that is all, also if nothing changed.
+func (x *stream) take(progress bool) bool {
+	txns, through, over := x.t.Take(progress)
+	if over || !x.tell(txns, through) {
+		return false // it comes again from where it is, and has the history, or a copy
+	}
+	return x.of == nil || len(txns) > 0 || through == 0 || x.line(Line{Through: through})
+}
+
+// beat says how this replica stands, behind all that it says is confirmed. With whole set the follower was told of that.
+func (x *stream) beat(ctx context.Context, whole bool) bool {
+	var b Beat
+	a, err := x.o.e.View(ctx, true, func(s *store.State) { b.Cluster = s.Cluster() })
+	if err != nil {
+		return false
+	}
+	l := Line{Beat: &b}
+	if whole {
+		x.o.reach(ctx, a.Revision)
+		if !x.take(true) {
+			return false
+		}
+		for _, prefix := range x.sums {
+			n, err := x.o.sum(ctx, prefix)
+			if err != nil {
+				return false
+			}
+			if was, told := x.told[prefix]; !told || was != n {
+				if b.Sums == nil {
+					b.Sums = map[string]store.Sum{}
+				}
+				x.told[prefix], b.Sums[prefix] = n, n
 			}
 		}
 	}
+	b.Revision, b.Proved = x.t.Confirms(a.Revision, a.Proved)
+	b.Age = a.Age
+	for key, age := range x.ages {
+		if x.of == nil || x.of.Covers(key) {
+			b.Ages = append(b.Ages, KeyAge{key, age})
+		}
+	}
+	x.ages = nil
+	return x.line(l) && x.c.Flush() == nil
+}
+
+// reach waits a moment until all is handed out up to a revision.
+func (o *Outer) reach(ctx context.Context, revision uint64) {
+	wait, cancel := context.WithTimeout(ctx, beatEvery)
+	defer cancel()
+	for {
+		at, moved := o.feed.At()
+		if at >= revision {
+			return
+		}
+		select {
+		case <-moved:
+		case <-wait.Done():
+			return
+		}
+	}
+}
+
+// sum adds up the keys with a prefix, for all followers that ask within a while.
+func (o *Outer) sum(ctx context.Context, prefix string) (store.Sum, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	if was, ok := o.sums[prefix]; ok && now.Sub(was.at) < sumEvery {
+		return was.Sum, nil
+	}
+	for p, was := range o.sums {
+		if now.Sub(was.at) >= 2*sumEvery {
+			delete(o.sums, p)
+		}
+	}
+	s := summed{at: now}
+	_, err := o.e.View(ctx, true, func(now *store.State) { s.Sum = now.SumOf(prefix) })
+	if err == nil {
+		o.sums[prefix] = s
+	}
+	return s.Sum, err
 }
 
 // revision tells up to where a copy has to be to show all that was answered before the call.
--- a/internal/store/command.go
+++ b/internal/store/command.go
@@ -443,16 +443,24 @@
 // happened adds to the history; the first event of a revision is what counts it.
 func (s *State) happened(e Event) {
 	s.revision = e.Revision
-	h := &s.history
-	h.push(e, e.Item.size())
-	for h.len() > 1 && (h.len() > s.limits.Events || h.bytes > s.limits.History) {
-		h.drop(h.at(0).Item.size(), h.at(0).Revision)
-	}
+	s.remember(e)
 	if s.fresh != nil {
 		s.fresh(e)
 	}
 }
 
+// remember adds to the history within its bounds.
+func (s *State) remember(e Event) {
+	h, events, bytes := &s.history, s.limits.Events, s.limits.History
+	if s.part != nil {
+		events, bytes = min(events, partEvents), min(bytes, partHistory)
+	}
+	h.push(e, e.Item.size())
+	for h.len() > 1 && (h.len() > events || h.bytes > bytes) {
+		h.drop(h.at(0).Item.size(), h.at(0).Revision)
+	}
+}
+
 func (s *State) end(id uint64) Result {
 	l, ok := s.leases[id]
 	if !ok {
--- a/internal/store/engine/engine.go
+++ b/internal/store/engine/engine.go
@@ -496,7 +496,7 @@
 	Stale    bool          `json:"stale"`  // longer than a few questions to the quorum take
 }
 
-// View has f read the state. If stale is not set, it shows all that was answered to anyone before the call; else it is
+// View has f read the state; where that holds a part of it, f may be called again (follow.Follower), and begins anew then. If stale is not set, it shows all that was answered to anyone before the call; else it is
 // this copy as it is, whose age is told. f runs in the loop and must be short.
 func (e *Engine) View(ctx context.Context, stale bool, f func(*store.State)) (Age, error) {
 	for wait := retryMin; !stale; wait = min(2*wait, retryMost) {
@@ -573,13 +573,16 @@
 	WaitingToJoin bool   `json:"waiting_to_join,omitempty"`
 	Follower      bool   `json:"follower,omitempty"` // has no replica: a copy of others'
 	Follows       string `json:"follows,omitempty"`  // the replica that it hears now, or "" for none
-	Age           Age    `json:"copy"`
-	Disk          int64  `json:"disk_bytes"`
-	Refused       int64  `json:"peers_refused"`
-	Untaken       int64  `json:"connections_refused"`
-	Dropped       int64  `json:"messages_dropped"`
-	Sent          int64  `json:"messages_sent"`
-	Received      int64  `json:"messages_received"`
+
+	Holds *store.Interest `json:"holds,omitempty"` // what a follower's copy holds; nil: all
+
+	Age      Age   `json:"copy"`
+	Disk     int64 `json:"disk_bytes"`
+	Refused  int64 `json:"peers_refused"`
+	Untaken  int64 `json:"connections_refused"`
+	Dropped  int64 `json:"messages_dropped"`
+	Sent     int64 `json:"messages_sent"`
+	Received int64 `json:"messages_received"`
 }
 
 // Status returns it.
--- a/internal/store/follow/follow.go
+++ b/internal/store/follow/follow.go
@@ -4,11 +4,15 @@
 //
 // A follower costs the cluster one stream of changes; it takes no part in what a quorum agrees on, and however many there are
 // no write waits for them. Cut off, it goes on with what it has, and says how old that is.
+//
+// It may hold a part of the state alone (package feed; docs/design/interest.md). Who reads more of it reads a replica's copy, or is told
+// that it is not here: never that a key is not there which this copy does not hold.
 package follow
 
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
@@ -32,6 +36,7 @@
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/admin"
 	"birchmoor/internal/store/engine"
+	"birchmoor/internal/store/feed"
 	"birchmoor/internal/store/meter"
 	"birchmoor/internal/store/policy"
 	"birchmoor/internal/store/replica"
@@ -62,6 +67,12 @@
 	Proved func(ago time.Duration)
 	// Age is told how long ago, by a replica's clock, a picture was put that the copy came with.
 	Age func(key string, age time.Duration)
+
+	// Needs is asked what the copy is to hold, at the start, after each whole copy, and after Rescope. nil: all.
+	Needs func() feed.Needs
+	// Sum is told of those sums that were asked for, as they change.
+	Sum   func(prefix string, n store.Sum)
+	Plant feed.Plant // for tests
 }
 
 const (
@@ -74,6 +85,8 @@
 	askTime    = 3 * time.Second  // for a replica's answer, before another is asked
 	staleAfter = 3 * time.Second  // as a replica's own copy
 	loadMost   = 60 * time.Second // for a whole copy
+	againMost  = 4                // times that a replica is asked for something else, before another is
+	widerMost  = 4                // copies that a read asks for that finds more to read
 )
 
 // Follower is a running copy. All methods may be called by any goroutine.
@@ -89,7 +102,9 @@
 	synced chan struct{} // closed once the first beat came
 
 	mu      sync.Mutex
-	state   *store.State  // nil before the first copy
+	copy    *feed.Copy
+	needs   feed.Needs
+	rescope chan struct{} // closed when the copy is to hold something else
 	changed chan struct{} // closed when the revision goes on
 	follows string
 	proved  time.Duration // when a quorum confirmed the copy, since begun; 0 never
@@ -111,7 +126,8 @@
 		return nil, err
 	}
 	f := &Follower{cfg: cfg, client: binary.BigEndian.Uint64(b[:])>>1 | 1, begun: time.Now(), changed: make(chan struct{}),
-		synced: make(chan struct{})}
+		synced: make(chan struct{}), rescope: make(chan struct{}), copy: feed.NewCopy(nil, cfg.Plant)}
+	f.need()
 	for _, r := range cfg.Replicas {
 		t := &http.Transport{DialContext: f.dial, MaxIdleConnsPerHost: 4, TLSHandshakeTimeout: askTime}
 		if cfg.Keys != nil {
@@ -160,7 +176,7 @@
 	if err != nil {
 		return false, err
 	}
-	s, err := store.Load(bytes.NewReader(b))
+	s, err := store.LoadPart(bytes.NewReader(b))
 	if err != nil {
 		return false, err
 	}
@@ -170,21 +186,41 @@
 	if info, err := os.Stat(f.path()); err == nil {
 		f.kept = info.ModTime()
 	}
-	f.adopt(s)
+	f.mu.Lock()
+	f.copy.Found(s)
+	f.adopted()
+	f.mu.Unlock()
 	f.cfg.Log.Info("the store's copy of an earlier start", "revision", s.Revision(), "keys", s.Len(),
 		"written", time.Since(f.kept).Round(time.Second).String()+" ago by this host's clock")
 	return true, nil
 }
 
-// adopt takes a whole copy.
-func (f *Follower) adopt(s *store.State) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.state = s
+// adopted tells of a copy that is another as a whole. The lock is held.
+func (f *Follower) adopted() {
 	f.went()
 	if f.cfg.Reset != nil {
-		f.cfg.Reset(s)
+		f.cfg.Reset(f.copy.State())
+	}
+	f.need()
+}
+
+// need takes what the copy is to hold. The lock is held, or nothing runs yet.
+func (f *Follower) need() {
+	if f.cfg.Needs == nil {
+		return
 	}
+	f.needs = f.cfg.Needs()
+	if f.copy.Want(f.needs.Of) {
+		close(f.rescope)
+		f.rescope = make(chan struct{})
+	}
+}
+
+// Rescope has Needs asked again: what the copy is to hold has changed. It is not called by the hooks, which are asked behind.
+func (f *Follower) Rescope() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.need()
 }
 
 // went wakes those who wait for a change. The lock is held.
@@ -214,9 +250,12 @@
 
 // run follows one replica after another, from one drawn by chance on, so that many followers spread.
 func (f *Follower) run() {
-	at, wait := mathrand.IntN(len(f.cfg.Replicas)), backMin
+	at, wait, again := mathrand.IntN(len(f.cfg.Replicas)), backMin, 0
 	for f.ctx.Err() == nil {
-		heard, err := f.follow(at)
+		f.mu.Lock()
+		rescope := f.rescope
+		f.mu.Unlock()
+		heard, err := f.follow(at, rescope)
 		f.mu.Lock()
 		f.follows = ""
 		f.mu.Unlock()
@@ -225,8 +264,14 @@
 		}
 		f.cfg.Log.Debug("a replica is followed no more", "replica", f.cfg.Replicas[at].Name, "error", err)
 		if heard {
-			wait = backMin
+			wait, again = backMin, 0
+		}
+		if err == nil || errors.Is(err, errAgain) { // it is to be asked for something else
+			if again++; again < againMost {
+				continue
+			}
 		}
+		again = 0
 		at = (at + 1) % len(f.cfg.Replicas)
 		select {
 		case <-f.ctx.Done():
@@ -245,24 +290,34 @@
 }
 
 // errBehind says that a replica has less than this copy, or is of another cluster.
-var errBehind = errors.New("the replica cannot be followed")
+var errBehind = feed.ErrBehind
 
-// follow hears one replica until that ends, and says whether it was heard at all.
-func (f *Follower) follow(at int) (heard bool, err error) {
+// errAgain says that the same replica is to be asked for something else.
+var errAgain = errors.New("something else is needed")
+
+// follow hears one replica until that ends, or rescope is closed, and says whether it was heard at all.
+func (f *Follower) follow(at int, rescope chan struct{}) (heard bool, err error) {
 	f.mu.Lock()
-	have := f.state
+	ask, sums := f.copy.Ask(), f.needs.Sums
 	f.mu.Unlock()
-	if have == nil {
-		if err := f.fetch(at); err != nil {
+	if ask.Fetch {
+		if err := f.fetch(at, ask.Of); err != nil {
 			return false, err
 		}
+		return false, errAgain // what is there now says what is needed
 	}
 	f.mu.Lock()
-	after, cluster := f.state.Revision(), f.state.Cluster()
+	cluster := f.copy.State().Cluster()
 	f.mu.Unlock()
 	ctx, cancel := context.WithCancel(f.ctx)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, f.url(at, "/v1/follow", url.Values{"after": {strconv.FormatUint(after, 10)}}), nil)
+	defer f.until(rescope, cancel)()
+	q := admin.Query(ask.Of)
+	q.Set("after", strconv.FormatUint(ask.After, 10))
+	if ask.Of != nil {
+		q["sum"] = sums
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, f.url(at, "/v1/follow", q), nil)
 	if err != nil {
 		return false, err
 	}
@@ -270,19 +325,35 @@
 	defer silence.Stop()
 	a, err := f.http[at].Do(r)
 	if err != nil {
-		return false, err
+		return false, f.why(rescope, err)
 	}
 	defer a.Body.Close()
 	f.cfg.Meter.Count(meter.Beats, meter.Out, 1, 0)
 	if a.StatusCode == http.StatusGone {
-		return false, f.fetch(at)
+		return false, f.fetch(at, ask.Of)
 	}
 	if a.StatusCode != http.StatusOK {
 		f.cfg.Meter.Count(meter.Beats, meter.In, 1, int(max(0, a.ContentLength)))
 		return false, fmt.Errorf("%w: %s", errBehind, a.Status)
 	}
+	scoped := a.Header.Get(admin.Scoped) != ""
+	if ask.Of != nil {
+		f.mu.Lock()
+		anew, fetch := f.copy.Scoped(scoped)
+		if anew {
+			f.fresh = true
+			f.adopted()
+		}
+		f.mu.Unlock()
+		if fetch { // a replica of an older version gives all or nothing
+			if err := f.fetch(at, nil); err != nil {
+				return false, err
+			}
+			return false, errAgain
+		}
+	}
 	lines := bufio.NewScanner(a.Body)
-	lines.Buffer(make([]byte, 0, 64<<10), lineMost)
+	lines.Buffer(make([]byte, 0, 4<<10), lineMost)
 	for lines.Scan() {
 		silence.Reset(silentFor)
 		var l admin.Line
@@ -290,38 +361,97 @@
 			return heard, fmt.Errorf("%w: %w", errBehind, err)
 		}
 		of := meter.Beats
-		if l.Event != nil {
+		switch {
+		case l.Event != nil:
 			of = f.cfg.Meter.KeyPurpose(l.Event.Item.Key)
+		case len(l.Events) > 0:
+			of = f.cfg.Meter.KeyPurpose(l.Events[0].Item.Key)
 		}
 		f.cfg.Meter.Count(of, meter.In, 1, len(lines.Bytes())+len("\n"))
-		switch {
-		case l.Fault != nil && l.Fault.Oldest > 0:
-			return heard, f.fetch(at)
-		case l.Fault != nil:
+		if l.Fault != nil && l.Fault.Oldest > 0 {
+			return heard, f.fetch(at, ask.Of)
+		}
+		if l.Fault != nil {
 			return heard, fmt.Errorf("%w: %s", errBehind, l.Fault.Error)
-		case l.Beat != nil:
-			if l.Beat.Cluster != cluster {
-				return heard, fmt.Errorf("%w: it is of cluster %x, and this copy of %x", errBehind, l.Beat.Cluster, cluster)
-			}
+		}
+		if l.Beat != nil && l.Beat.Cluster != cluster {
+			return heard, fmt.Errorf("%w: it is of cluster %x, and this copy of %x", errBehind, l.Beat.Cluster, cluster)
+		}
+		if err := f.line(&l); err != nil {
+			return heard, err
+		}
+		if l.Beat != nil {
 			heard = true
 			f.beat(at, l.Beat)
 			// One that is cut off from the quorum tells nothing new: another may.
 			if (!l.Beat.Proved || l.Beat.Age > staleAfter) && len(f.cfg.Replicas) > 1 {
 				return false, fmt.Errorf("%w: no quorum confirms its copy", errBehind)
 			}
-		case l.Event != nil:
-			if err := f.event(*l.Event); err != nil {
-				return heard, err
-			}
 		}
 	}
-	return heard, lines.Err()
+	return heard, f.why(rescope, cmp.Or(lines.Err(), io.EOF))
+}
+
+// until calls stop once rescope is closed, until the function that it returns is called.
+func (f *Follower) until(rescope chan struct{}, stop func()) (end func()) {
+	over := make(chan struct{})
+	go func() {
+		select {
+		case <-rescope:
+			stop()
+		case <-over:
+		}
+	}()
+	return sync.OnceFunc(func() { close(over) })
+}
+
+// why is errAgain in the place of an error that comes of rescope.
+func (f *Follower) why(rescope chan struct{}, err error) error {
+	select {
+	case <-rescope:
+		return errAgain
+	default:
+		return err
+	}
+}
+
+// line takes what changed, and up to where that is all.
+func (f *Follower) line(l *admin.Line) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	events := l.Events
+	switch {
+	case l.Event != nil:
+		if err := f.copy.Change(*l.Event); err != nil {
+			return err
+		}
+		events = []store.Event{*l.Event}
+	case len(events) > 0:
+		if err := f.copy.Changes(events); err != nil {
+			return err
+		}
+	}
+	for _, e := range events {
+		f.fresh = f.fresh || f.copy.State().Interest() == nil || f.needs.Kept.Covers(e.Item.Key)
+		if f.cfg.Event != nil {
+			f.cfg.Event(e)
+		}
+	}
+	if l.Through > 0 {
+		if err := f.copy.Through(l.Through); err != nil {
+			return err
+		}
+	}
+	if len(events) > 0 || l.Through > 0 {
+		f.went()
+	}
+	return nil
 }
 
 func (f *Follower) beat(at int, b *admin.Beat) {
 	f.mu.Lock()
 	f.follows = f.cfg.Replicas[at].Addr
-	first, proved := false, b.Proved && b.Revision <= f.state.Revision()
+	first, proved := false, b.Proved && f.copy.Confirmed(b.Revision)
 	if proved {
 		first = f.proved == 0
 		f.proved = max(f.proved, time.Since(f.begun)-b.Age, 1)
@@ -338,6 +468,11 @@
 			f.cfg.Age(x.Key, x.Age)
 		}
 	}
+	if f.cfg.Sum != nil {
+		for prefix, n := range b.Sums {
+			f.cfg.Sum(prefix, n)
+		}
+	}
 	select {
 	case <-f.synced:
 	default:
@@ -345,58 +480,49 @@
 	}
 }
 
-func (f *Follower) event(e store.Event) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if err := f.state.Mirror(e); err != nil {
-		return err
-	}
-	f.fresh = true
-	f.went()
-	if f.cfg.Event != nil {
-		f.cfg.Event(e)
-	}
-	return nil
-}
-
-// fetch takes a replica's whole copy, unless it is older than what is here.
-func (f *Follower) fetch(at int) error {
-	ctx, cancel := context.WithTimeout(f.ctx, loadMost)
+// get takes a copy of an interest, nil for all, from one replica.
+func (f *Follower) get(ctx context.Context, at int, of *store.Interest) (*store.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadMost)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, f.url(at, "/v1/copy", nil), nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, f.url(at, "/v1/copy", admin.Query(of)), nil)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	a, err := f.http[at].Do(r)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer a.Body.Close()
 	f.cfg.Meter.Count(meter.Snapshots, meter.Out, 1, 0)
 	f.cfg.Meter.Count(meter.Snapshots, meter.In, 1, 0)
 	if a.StatusCode != http.StatusOK {
 		f.cfg.Meter.Count(meter.Snapshots, meter.In, 0, int(max(0, a.ContentLength)))
-		return fmt.Errorf("%w: %s", errBehind, a.Status)
+		return nil, fmt.Errorf("%w: %s", errBehind, a.Status)
 	}
-	s, err := store.Load(&countedBody{a.Body, f.cfg.Meter, meter.Snapshots})
+	s, err := store.LoadPart(&countedBody{a.Body, f.cfg.Meter, meter.Snapshots})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if s.Level() > store.Level {
 		f.cfg.Log.Error("the cluster uses commands that this build does not know: start a newer one", "level", s.Level(), "knows", store.Level)
-		return store.ErrUnknownOp
+		return nil, store.ErrUnknownOp
 	}
-	f.mu.Lock()
-	have := f.state
-	f.mu.Unlock()
-	if have != nil && (s.Cluster() != have.Cluster() || s.Revision() < have.Revision()) {
-		return fmt.Errorf("%w: revision %d of cluster %x, and here is revision %d of cluster %x", errBehind, s.Revision(), s.Cluster(),
-			have.Revision(), have.Cluster())
+	return s, nil
+}
+
+// fetch takes a replica's copy of an interest, nil for all, in the place of this one, unless it is older.
+func (f *Follower) fetch(at int, of *store.Interest) error {
+	s, err := f.get(f.ctx, at, of)
+	if err != nil {
+		return err
 	}
-	f.adopt(s)
 	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.copy.Took(s); err != nil {
+		return err
+	}
 	f.fresh = true
-	f.mu.Unlock()
+	f.adopted()
 	return nil
 }
 
@@ -449,11 +575,11 @@
 // save puts the copy in the place of the file, if that lacks something.
 func (f *Follower) save() error {
 	f.mu.Lock()
-	if !f.fresh || f.state == nil {
+	if !f.fresh || f.copy.State() == nil {
 		f.mu.Unlock()
 		return nil
 	}
-	s := f.state.Clone()
+	s := f.copy.Kept(f.needs.Kept)
 	f.fresh = false
 	f.mu.Unlock()
 	if err := write(f.path(), s, f.cfg.Meter); err != nil {
@@ -511,7 +637,9 @@
 		var x admin.Change
 		reached, err := f.ask(ctx, at, f.cfg.Meter.CommandPurpose(&c), http.MethodPost, "/v1/change", body, &x)
 		if err == nil {
-			f.await(ctx, x.Revision)
+			if c.Txn != nil || c.End != nil { // the others change no keys
+				f.await(ctx, x.Revision)
+			}
 			return store.Result{Revision: x.Revision, Held: x.Held, Lease: x.Lease}, nil
 		}
 		var told *admin.Error
@@ -541,7 +669,7 @@
 func (f *Follower) await(ctx context.Context, revision uint64) {
 	for {
 		f.mu.Lock()
-		changed, there := f.changed, f.state != nil && f.state.Revision() >= revision
+		changed, there := f.changed, f.copy.Confirmed(revision)
 		f.mu.Unlock()
 		if there {
 			return
@@ -605,8 +733,9 @@
 	return true, nil
 }
 
-// View has f read the copy; see engine.Engine. Unless stale is set, a replica is asked up to where the quorum is, and the
-// copy waited for.
+// View has read read the copy; see engine.Engine. Unless stale is set, a replica is asked up to where the quorum is, and the
+// copy waited for. If it reads what this copy does not hold, it is called again with what a replica holds, and what it read then
+// counts; with stale set, or if no replica gives it, the error says so.
 func (f *Follower) View(ctx context.Context, stale bool, read func(*store.State)) (engine.Age, error) {
 	var need engine.Age
 	for at, asked := mathrand.IntN(len(f.http)), false; !stale && !asked; at = (at + 1) % len(f.http) {
@@ -624,14 +753,19 @@
 	}
 	for {
 		f.mu.Lock()
-		changed := f.changed
-		if f.state != nil && f.state.Revision() >= need.Revision {
+		changed, none := f.changed, f.copy.State() == nil
+		if f.copy.Confirmed(need.Revision) {
 			a := f.age()
-			read(f.state)
+			what, held := f.copy.Read(read)
 			f.mu.Unlock()
-			return a, nil
+			switch {
+			case held:
+				return a, nil
+			case stale:
+				return a, &store.OutsideError{Of: what}
+			}
+			return f.elsewhere(ctx, need, what, read)
 		}
-		none := f.state == nil
 		f.mu.Unlock()
 		if stale && none {
 			return engine.Age{Stale: true}, replica.ErrNoLeader
@@ -646,9 +780,47 @@
 	}
 }
 
+// elsewhere has read read a replica's copy of what it reads, which has all that need has.
+func (f *Follower) elsewhere(ctx context.Context, need engine.Age, what store.Interest, read func(*store.State)) (engine.Age, error) {
+	last := error(&store.OutsideError{Of: what})
+	at, wait := mathrand.IntN(len(f.http)), backMin
+	for more := 0; more < widerMost; {
+		of := &what
+		if what.Check() != nil { // such as all keys
+			of = nil
+		}
+		s, err := f.get(ctx, at, of)
+		if err == nil && s.Revision() >= need.Revision {
+			s.Watch()
+			read(s)
+			found, held := s.Watched()
+			if held {
+				need.Revision = s.Revision()
+				return need, nil
+			}
+			what = what.Join(found)
+			more++
+			continue
+		}
+		if err != nil {
+			last = fmt.Errorf("%w: %w", &store.OutsideError{Of: what}, err)
+		}
+		at = (at + 1) % len(f.http)
+		select {
+		case <-ctx.Done():
+			return engine.Age{}, errors.Join(last, ctx.Err())
+		case <-f.ctx.Done():
+			return engine.Age{}, engine.ErrClosed
+		case <-time.After(wait/2 + mathrand.N(wait)):
+		}
+		wait = min(2*wait, backMost)
+	}
+	return engine.Age{}, last
+}
+
 // age is how old the copy may be. The lock is held.
 func (f *Follower) age() engine.Age {
-	a := engine.Age{Revision: f.state.Revision(), Proved: f.proved > 0}
+	a := engine.Age{Revision: f.copy.State().Revision(), Proved: f.proved > 0}
 	if a.Proved {
 		a.Age = time.Since(f.begun) - f.proved
 	}
@@ -664,8 +836,8 @@
 		var events []store.Event
 		var gone error
 		to := after
-		if f.state != nil {
-			events, to, gone = f.state.Changes(nil, prefix, after, most)
+		if s := f.copy.State(); s != nil {
+			events, to, gone = s.Changes(nil, prefix, after, most)
 		}
 		f.mu.Unlock()
 		if gone != nil || len(events) > 0 {
@@ -682,10 +854,13 @@
 	}
 }
 
-// Save returns a copy of the state; see engine.Engine.
+// Save returns a copy of the whole state; see engine.Engine.
 func (f *Follower) Save(ctx context.Context) (*store.State, error) {
 	var s *store.State
-	_, err := f.View(ctx, false, func(now *store.State) { s = now.Clone() })
+	_, err := f.View(ctx, false, func(now *store.State) {
+		now.Range("", "", func(store.Item) bool { return false }) // all of it is read
+		s = now.Clone()
+	})
 	return s, err
 }
 
@@ -700,13 +875,14 @@
 	defer f.mu.Unlock()
 	s := engine.Status{Follower: true, Follows: f.follows}
 	s.Name = f.cfg.Name
-	if f.state == nil {
+	now := f.copy.State()
+	if now == nil {
 		s.Age.Stale = true
 		return s, nil
 	}
-	s.Age = f.age()
-	s.Self.Cluster, s.Revision, s.Keys, s.Bytes, s.Level = f.state.Cluster(), f.state.Revision(), f.state.Len(), f.state.Size(), f.state.Level()
-	for _, m := range f.state.Members() {
+	s.Age, s.Holds = f.age(), now.Interest()
+	s.Self.Cluster, s.Revision, s.Keys, s.Bytes, s.Level = now.Cluster(), now.Revision(), now.Len(), now.Size(), now.Level()
+	for _, m := range now.Members() {
 		s.Peers = append(s.Peers, replica.Peer{Member: m})
 	}
 	if info, err := os.Stat(f.path()); err == nil {
--- /dev/null
+++ b/internal/store/interest.go
@@ -0,0 +1,234 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Interest is what a copy holds of a state: some keys, and all keys with some prefixes. As a pointer nil is everything, the
+// zero value is nothing.
+type Interest struct {
+	Prefixes []string `cbor:"1,keyasint,omitempty" json:"prefixes,omitempty"`
+	Keys     []string `cbor:"2,keyasint,omitempty" json:"keys,omitempty"`
+}
+
+// Bounds of an interest that one may ask for.
+const (
+	InterestMost      = 128     // prefixes and keys
+	InterestBytesMost = 8 << 10 // of all of them
+)
+
+// ErrInterest says that an interest is out of bounds.
+var ErrInterest = errors.New("not an interest")
+
+// OutsideError says that a copy was asked for what it does not hold: whether that is there, it cannot say.
+type OutsideError struct{ Of Interest }
+
+func (e *OutsideError) Error() string {
+	what := "keys"
+	if all := append(slices.Clone(e.Of.Keys), e.Of.Prefixes...); len(all) > 0 {
+		what = fmt.Sprintf("%q", all[0])
+	}
+	return fmt.Sprintf("this daemon's copy does not hold %s: a replica has to be asked", what)
+}
+
+// Check says what is out of bounds.
+func (i Interest) Check() error {
+	if n := len(i.Prefixes) + len(i.Keys); n > InterestMost {
+		return fmt.Errorf("%w: %d prefixes and keys are more than %d", ErrInterest, n, InterestMost)
+	}
+	bytes := 0
+	for _, all := range [][]string{i.Prefixes, i.Keys} {
+		for _, k := range all {
+			if k == "" || len(k) > DefaultLimits.Key {
+				return fmt.Errorf("%w: %q is not of 1 to %d bytes", ErrInterest, k, DefaultLimits.Key)
+			}
+			bytes += len(k)
+		}
+	}
+	if bytes > InterestBytesMost {
+		return fmt.Errorf("%w: %d bytes are more than %d", ErrInterest, bytes, InterestBytesMost)
+	}
+	return nil
+}
+
+// Join is what either of them holds, in order and each once.
+func (i Interest) Join(o Interest) Interest {
+	var all Interest
+	prefixes := slices.Concat(i.Prefixes, o.Prefixes)
+	slices.Sort(prefixes)
+	for _, p := range prefixes { // a shorter one stands before those that it covers
+		if n := len(all.Prefixes); n == 0 || !strings.HasPrefix(p, all.Prefixes[n-1]) {
+			all.Prefixes = append(all.Prefixes, p)
+		}
+	}
+	keys := slices.Concat(i.Keys, o.Keys)
+	slices.Sort(keys)
+	for _, k := range slices.Compact(keys) {
+		if !all.Covers(k) {
+			all.Keys = append(all.Keys, k)
+		}
+	}
+	return all
+}
+
+// Covers says whether a key is of it.
+func (i Interest) Covers(key string) bool {
+	return slices.ContainsFunc(i.Prefixes, func(p string) bool { return strings.HasPrefix(key, p) }) || slices.Contains(i.Keys, key)
+}
+
+// CoversPrefix says whether all keys with a prefix are of it.
+func (i Interest) CoversPrefix(prefix string) bool {
+	return slices.ContainsFunc(i.Prefixes, func(p string) bool { return strings.HasPrefix(prefix, p) })
+}
+
+// Contains says whether all that another holds is of it.
+func (i Interest) Contains(o Interest) bool {
+	return !slices.ContainsFunc(o.Prefixes, func(p string) bool { return !i.CoversPrefix(p) }) &&
+		!slices.ContainsFunc(o.Keys, func(k string) bool { return !i.Covers(k) })
+}
+
+// Equal says whether two that Join made are the same.
+func (i Interest) Equal(o Interest) bool {
+	return slices.Equal(i.Prefixes, o.Prefixes) && slices.Equal(i.Keys, o.Keys)
+}
+
+// Bounds of the history of a state that holds a part: it is for those who watch at that copy.
+const (
+	partEvents  = 4096
+	partHistory = 1 << 20
+)
+
+// partial is what a state has that holds a part alone.
+type partial struct {
+	of       Interest
+	watching bool     // it is noted what is read:
+	read     Interest // this,
+	outside  bool     // some of which is not held
+}
+
+// Interest is what this state holds, or nil if it holds all.
+func (s *State) Interest() *Interest {
+	if s.part == nil {
+		return nil
+	}
+	i := s.part.of
+	return &i
+}
+
+// Part is a state that holds what this one does of an interest, at the same revision, and no history. The items are shared;
+// neither changes them. It is mirrored, and never given to Apply. Its cost goes by the items that it holds.
+func (s *State) Part(of Interest) *State {
+	p := New(s.cluster, s.limits)
+	p.revision, p.level, p.index, p.lastID, p.members = s.revision, s.level, s.index, s.lastID, slices.Clone(s.members)
+	p.history.oldest, p.results.ring.oldest = s.revision, s.index
+	p.part = &partial{of: Interest{}.Join(of)}
+	take := func(i *Item) {
+		p.items.ReplaceOrInsert(i)
+		p.size += i.size()
+		if l := s.leases[i.Lease]; l != nil && p.leases[i.Lease] == nil {
+			p.leases[i.Lease] = &lease{Lease: l.Lease, keys: map[string]struct{}{}}
+		}
+		if l := p.leases[i.Lease]; l != nil {
+			l.keys[i.Key] = struct{}{}
+		}
+	}
+	for _, prefix := range p.part.of.Prefixes {
+		s.ascend(prefix, PrefixEnd(prefix), func(i *Item) bool { take(i); return true })
+	}
+	for _, key := range p.part.of.Keys {
+		if i, ok := s.items.Get(&Item{Key: key}); ok {
+			take(i)
+		}
+	}
+	return p
+}
+
+// Narrow is a Part that keeps the history of what it holds, as far as it is known and has room.
+func (s *State) Narrow(of Interest) *State {
+	p := s.Part(of)
+	p.history.oldest = s.history.oldest
+	for n := range s.history.len() {
+		if e := s.history.at(n); p.part.of.Covers(e.Item.Key) {
+			p.remember(*e)
+		}
+	}
+	return p
+}
+
+// Watch has it noted from now on what is read of a state that holds a part.
+func (s *State) Watch() {
+	if s.part != nil {
+		s.part.watching, s.part.read, s.part.outside = true, Interest{}, false
+	}
+}
+
+// Watched ends that. It returns what was read, and whether the state holds all of it.
+func (s *State) Watched() (read Interest, held bool) {
+	if s.part == nil {
+		return Interest{}, true
+	}
+	p := s.part
+	p.watching = false
+	return p.read, !p.outside
+}
+
+func (p *partial) reads(o Interest) {
+	if p == nil || !p.watching {
+		return
+	}
+	p.read = p.read.Join(o)
+	p.outside = p.outside || !p.of.Contains(o)
+}
+
+// rangeOf is an interest that covers the keys from one on and before another.
+func rangeOf(from, end string) Interest {
+	switch {
+	case end == from+"\x00":
+		return Interest{Keys: []string{from}}
+	case end == PrefixEnd(from):
+		return Interest{Prefixes: []string{from}}
+	}
+	n := 0
+	for n < len(from) && n < len(end) && from[n] == end[n] {
+		n++
+	}
+	return Interest{Prefixes: []string{from[:n]}}
+}
+
+// ChangesOf appends to buf the events of an interest after a revision, and returns the revision up to which nothing was left
+// out: it looks at n events at most, but never parts those of one revision. After a revision that the history no longer covers the
+// error is ErrCompacted. nil is all keys.
+func (s *State) ChangesOf(buf []Event, of *Interest, after uint64, n int) ([]Event, uint64, error) {
+	if oldest := s.Oldest(); after+1 < oldest {
+		return buf, after, &ErrCompacted{Oldest: oldest}
+	}
+	if after > s.revision {
+		return buf, after, nil
+	}
+	start := s.history.search(func(e *Event) bool { return e.Revision > after })
+	for i := start; i < s.history.len(); i++ {
+		e := s.history.at(i)
+		if i-start >= n && e.Revision != s.history.at(i-1).Revision {
+			return buf, s.history.at(i - 1).Revision, nil
+		}
+		if of == nil || of.Covers(e.Item.Key) {
+			buf = append(buf, *e)
+		}
+	}
+	return buf, s.revision, nil
+}
+
+// Sum is how many keys a range has, and how many bytes they and their values take.
+type Sum struct {
+	Keys  int `json:"keys"`
+	Bytes int `json:"bytes"`
+}
+
+// SumOf adds up the keys with a prefix.
+func (s *State) SumOf(prefix string) (n Sum) {
+	s.ascend(prefix, PrefixEnd(prefix), func(i *Item) bool { n.Keys++; n.Bytes += i.size(); return true })
+	return n
+}
--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -15,6 +15,44 @@
 	if e.Revision < s.revision || e.Item.Key == "" {
 		return fmt.Errorf("%w: revision %d after %d", ErrOrder, e.Revision, s.revision)
 	}
+	if s.part != nil && !s.part.of.Covers(e.Item.Key) {
+		return fmt.Errorf("%w: %q", ErrOrder, e.Item.Key)
+	}
+	s.mirror(e)
+	return nil
+}
+
+// MirrorAll makes all changes of one revision that a copy is to know of, or none: whoever reads between two calls sees whole
+// revisions.
+func (s *State) MirrorAll(events []Event) error {
+	if len(events) == 0 {
+		return nil
+	}
+	for i := range events {
+		e := &events[i]
+		if e.Revision <= s.revision || e.Revision != events[0].Revision || e.Item.Key == "" {
+			return fmt.Errorf("%w: revision %d after %d", ErrOrder, e.Revision, s.revision)
+		}
+		if s.part != nil && !s.part.of.Covers(e.Item.Key) {
+			return fmt.Errorf("%w: %q is not held", ErrOrder, e.Item.Key)
+		}
+	}
+	for _, e := range events {
+		s.mirror(e)
+	}
+	return nil
+}
+
+// Progress says that the copy has been told of all that it holds up to a revision.
+func (s *State) Progress(revision uint64) error {
+	if revision < s.revision {
+		return fmt.Errorf("%w: revision %d after %d", ErrOrder, revision, s.revision)
+	}
+	s.revision = revision
+	return nil
+}
+
+func (s *State) mirror(e Event) {
 	old, had := s.items.Get(&Item{Key: e.Item.Key})
 	if e.Deleted {
 		if had {
@@ -33,5 +71,4 @@
 		s.detach(old)
 	}
 	s.happened(e)
-	return nil
 }
--- a/internal/store/policy/pictures.go
+++ b/internal/store/policy/pictures.go
@@ -30,6 +30,9 @@
 	return PicturePrefix + url.QueryEscape(sidecar) + "/" + url.QueryEscape(protocol)
 }
 
+// PicturesOf is the prefix of a sidecar's.
+func PicturesOf(sidecar string) string { return PicturePrefix + url.QueryEscape(sidecar) + "/" }
+
 // ParsePicture reads such a key.
 func ParsePicture(key string) (sidecar, protocol string, ok bool) {
 	rest, ok := strings.CutPrefix(key, PicturePrefix)
--- a/internal/store/snapshot.go
+++ b/internal/store/snapshot.go
@@ -13,9 +13,12 @@
 
 // A saved state is a head, records and a foot. The head is eight bytes that name the format. A record is its length in
 // four bytes, big endian, a kind in one, and CBOR. The foot is a record of kind 0 with the CRC-32C of all before it.
-// Equal states are saved as equal bytes.
+// Equal states are saved as equal bytes. A state that holds a part has a head of its own, so that nobody takes it for a whole one.
 
-const savedHead = "bmstore1"
+const (
+	savedHead = "bmstore1"
+	savedPart = "bmstore2"
+)
 
 const (
 	recFoot = iota
@@ -47,6 +50,8 @@
 	LastID    uint64 `cbor:"6,keyasint"`
 	Oldest    uint64 `cbor:"7,keyasint"` // of the history
 	Forgotten uint64 `cbor:"8,keyasint"` // of the results
+
+	Part *Interest `cbor:"9,keyasint,omitempty"` // what it holds; nil: all
 }
 
 type savedDone struct {
@@ -67,9 +72,13 @@
 	sum := crc32.New(castagnoli)
 	b := bufio.NewWriterSize(w, 64<<10)
 	out := &saver{w: io.MultiWriter(b, sum)}
-	out.bytes([]byte(savedHead))
+	head, part := savedHead, s.Interest()
+	if part != nil {
+		head = savedPart
+	}
+	out.bytes([]byte(head))
 	out.record(recHead, &savedState{Limits: s.limits, Cluster: s.cluster, Revision: s.revision, Level: s.level,
-		Index: s.index, LastID: s.lastID, Oldest: s.history.oldest, Forgotten: s.results.ring.oldest})
+		Index: s.index, LastID: s.lastID, Oldest: s.history.oldest, Forgotten: s.results.ring.oldest, Part: part})
 	for i := range s.members {
 		out.record(recMember, &s.members[i])
 	}
@@ -124,9 +133,18 @@
 	o.bytes(b)
 }
 
-// Load reads what Save wrote. All of it is checked; what is damaged, cut or of another format is an error that
-// says where, and no state.
+// Load reads what Save wrote of a state that holds all. All of it is checked; what is damaged, cut or of another format is an error
+// that says where, and no state.
 func Load(r io.Reader) (*State, error) {
+	s, err := LoadPart(r)
+	if err == nil && s.part != nil {
+		return nil, &ErrDamaged{Reason: "it holds a part of a store alone"}
+	}
+	return s, err
+}
+
+// LoadPart reads what Save wrote of a state that holds all, or a part; see Load.
+func LoadPart(r io.Reader) (*State, error) {
 	l := &loader{r: bufio.NewReaderSize(r, 64<<10), sum: crc32.New(castagnoli)}
 	s, err := l.load()
 	if err != nil {
@@ -158,7 +176,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if string(head) != savedHead {
+	part := string(head) == savedPart
+	if string(head) != savedHead && !part {
 		return nil, errors.New("not a saved store of this format")
 	}
 	l.sum.Write(head)
@@ -194,6 +213,9 @@
 			if s, err = loadHead(b); err != nil {
 				return nil, err
 			}
+			if part != (s.part != nil) {
+				return nil, errors.New("what it holds is not what its head says")
+			}
 		case s == nil || kind <= recHead || kind < last || kind > recDone:
 			return nil, fmt.Errorf("a record of kind %d where none belongs", kind)
 		default:
@@ -217,6 +239,9 @@
 	s := New(h.Cluster, h.Limits)
 	s.revision, s.level, s.index, s.lastID = h.Revision, h.Level, h.Index, h.LastID
 	s.history.oldest, s.results.ring.oldest = h.Oldest, h.Forgotten
+	if h.Part != nil {
+		s.part = &partial{of: *h.Part}
+	}
 	return s, nil
 }
 
@@ -248,6 +273,9 @@
 		if last, ok := s.items.Max(); ok && last.Key >= i.Key {
 			return errors.New("keys out of order")
 		}
+		if s.part != nil && !s.part.of.Covers(i.Key) {
+			return errors.New("a key that it does not hold")
+		}
 		if i.Lease != 0 {
 			l := s.leases[i.Lease]
 			if l == nil {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -126,6 +126,7 @@
 	history  ring[Event]
 	results  results
 	fresh    func(Event) // told of every event as it happens, or nil
+	part     *partial    // what a copy holds that does not hold all; nil: all
 }
 
 type lease struct {
@@ -163,6 +164,7 @@
 
 // Get returns an item. It must not be changed.
 func (s *State) Get(key string) (Item, bool) {
+	s.part.reads(Interest{Keys: []string{key}})
 	i, ok := s.items.Get(&Item{Key: key})
 	if !ok {
 		return Item{}, false
@@ -173,7 +175,11 @@
 // Range calls f with the items from a key on and before another, in order, until f says no. An empty end is none.
 // The values must not be changed.
 func (s *State) Range(from, end string, f func(Item) bool) {
-	each := func(i *Item) bool { return f(*i) }
+	s.part.reads(rangeOf(from, end))
+	s.ascend(from, end, func(i *Item) bool { return f(*i) })
+}
+
+func (s *State) ascend(from, end string, each func(*Item) bool) {
 	if end == "" {
 		s.items.AscendGreaterOrEqual(&Item{Key: from}, each)
 		return
@@ -208,8 +214,9 @@
 	return slices.IndexFunc(s.members, func(m Member) bool { return m.ID == id })
 }
 
-// Leases are those that run, by id.
+// Leases are those that run, by id; a state that holds a part has those of its keys alone.
 func (s *State) Leases() []Lease {
+	s.part.reads(rangeOf("", ""))
 	all := make([]Lease, 0, len(s.leases))
 	for _, l := range s.leases {
 		all = append(all, l.Lease)
@@ -220,6 +227,7 @@
 
 // Lease returns one by its id.
 func (s *State) Lease(id uint64) (Lease, bool) {
+	s.part.reads(rangeOf("", ""))
 	l, ok := s.leases[id]
 	if !ok {
 		return Lease{}, false
@@ -229,8 +237,12 @@
 
 // Changes appends to buf the events of keys with a prefix after a revision, at most n of them, and returns the
 // revision up to which nothing was left out: the next call goes on from there. Events of one revision are never
-// parted, so that more than n may come. After a revision that the history no longer covers the error is ErrCompacted.
+// parted, so that more than n may come. After a revision that the history no longer covers the error is ErrCompacted; of keys
+// that this state does not hold it is an OutsideError.
 func (s *State) Changes(buf []Event, prefix string, after uint64, n int) ([]Event, uint64, error) {
+	if s.part != nil && !s.part.of.CoversPrefix(prefix) {
+		return buf, after, &OutsideError{Of: Interest{Prefixes: []string{prefix}}}
+	}
 	if oldest := s.Oldest(); after+1 < oldest {
 		return buf, after, &ErrCompacted{Oldest: oldest}
 	}
@@ -264,6 +276,9 @@
 func (s *State) Clone() *State {
 	c := *s
 	c.items, c.fresh = s.items.Clone(), nil
+	if s.part != nil {
+		c.part = &partial{of: s.part.of}
+	}
 	c.members = slices.Clone(s.members)
 	c.history, c.results = s.history.clone(), s.results.clone()
 	c.leases = make(map[uint64]*lease, len(s.leases))
--- a/internal/tasks/runner.go
+++ b/internal/tasks/runner.go
@@ -19,6 +19,7 @@
 	"birchmoor/internal/daemon"
 	"birchmoor/internal/lease"
 	"birchmoor/internal/store"
+	"birchmoor/internal/store/feed"
 )
 
 // Config is what a Runner goes by.
@@ -84,6 +85,12 @@
 // Attach gives the copy of the store, once it is open and before anything else but the hooks is called.
 func (r *Runner) Attach(s daemon.Store) { r.store = s }
 
+// Needs is of daemon.Needy: all queues. Whose turn it is follows from those before it, whoever they are; the next start has no use
+// for what goes with sessions.
+func (r *Runner) Needs() feed.Needs {
+	return feed.Needs{Of: &store.Interest{Prefixes: []string{lease.Prefix}}}
+}
+
 // Run waits until ctx ends. With Attach, Event and Reset it makes a Runner a part of a daemon.
 func (r *Runner) Run(ctx context.Context) { <-ctx.Done() }
 
--- a/internal/tasks/show.go
+++ b/internal/tasks/show.go
@@ -40,8 +40,10 @@
 
 // List shows all tasks, or those of one name, as the store has them.
 func (r *Runner) List(ctx context.Context, name string) ([]Info, error) {
-	last := map[string]*Report{}
+	last, table := map[string]*Report{}, lease.NewTable(lease.TableNone)
 	if _, err := r.store.View(ctx, false, func(s *store.State) {
+		clear(last)
+		table.Reset(s)
 		s.Range(DonePrefix, store.PrefixEnd(DonePrefix), func(i store.Item) bool {
 			var x Report
 			if json.Unmarshal(i.Value, &x) == nil {
@@ -62,7 +64,7 @@
 		return -1
 	}
 	names := map[string]bool{}
-	for _, n := range r.table.Tasks() {
+	for _, n := range table.Tasks() {
 		names[n] = true
 	}
 	for n := range last {
@@ -76,11 +78,11 @@
 		if name != "" && n != name {
 			continue
 		}
-		i := Info{Task: n, Slots: r.table.Slots(n), Places: []Place{}, Last: last[n], LastMs: age(DonePrefix + n)}
-		i.Order, _ = r.table.Order(n)
+		i := Info{Task: n, Slots: table.Slots(n), Places: []Place{}, Last: last[n], LastMs: age(DonePrefix + n)}
+		i.Order, _ = table.Order(n)
 		holders := 0
-		for _, p := range r.table.Places(n) {
-			_, holds := r.table.Holds(n, p.Key)
+		for _, p := range table.Places(n) {
+			_, holds := table.Holds(n, p.Key)
 			x := Place{Host: p.Host, Token: p.Token, Holds: holds && !i.Order.Pause, TTLMs: p.TTL, Note: p.Note, AgeMs: age(p.Key)}
 			if h := r.holds[p.Key]; h != nil {
 				x.Here = true
@@ -98,7 +100,7 @@
 		}
 		switch {
 		case holders > 0:
-		case r.table.Held():
+		case table.Held():
 			i.Why = "the store was restored a moment ago"
 		case i.Order.Pause:
 			i.Why = "it is paused"
