Hold what parts need of pictures, words and reports in tests, and show people all by way of a replica

Pictures are held by who begins without one; words are paced by the count of all, which replicas tell; a change costs the streams that it concerns, by counts; limit list, task list and store get at a follower show all.

--- a/cmd/birchmoor/followers_test.go
+++ b/cmd/birchmoor/followers_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/url"
 	"os"
 	"path/filepath"
 	"runtime"
@@ -18,10 +19,13 @@
 	"time"
 
 	"birchmoor/internal/core"
+	"birchmoor/internal/daemon"
 	"birchmoor/internal/lab/address"
 	"birchmoor/internal/limit"
 	"birchmoor/internal/operate"
 	"birchmoor/internal/operator"
+	"birchmoor/internal/proctest"
+	"birchmoor/internal/store"
 )
 
 // counting forwards connections to an address, and counts the bytes that pass.
@@ -92,55 +96,132 @@
 	}
 }
 
-func measureFollowers(b *testing.B, n int, span time.Duration) {
-	quiet := slog.New(slog.DiscardHandler)
-	if os.Getenv("SHOW") != "" {
-		quiet = slog.New(slog.NewTextHandler(os.Stderr, nil))
+// openDaemon starts a daemon of this process, without a sidecar; more is of its [store].
+func openDaemon(tb testing.TB, dir, name, more string, log *slog.Logger) (x *extras, end func()) {
+	tb.Helper()
+	file := filepath.Join(dir, name+".toml")
+	text := fmt.Sprintf("[store]\nname = %q\ndir = %q\nsocket = %q\nplain = true\n%s\n[limits]\n", name, name, name+".sock", more)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		tb.Fatal(err)
 	}
-	dir, err := os.MkdirTemp("", "f") // short: sockets' paths are bounded
+	f, err := operator.Read(file)
 	if err != nil {
-		b.Fatal(err)
+		tb.Fatal(err)
+	}
+	if x, end, err = openStore(f, false, nil, log); err != nil {
+		tb.Fatal(err)
 	}
-	defer os.RemoveAll(dir)
-	serve, err := address.Free()
+	return x, end
+}
+
+// shortDir is a folder whose name leaves room for those of sockets.
+func shortDir(tb testing.TB) string {
+	dir, err := os.MkdirTemp("", "f")
 	if err != nil {
-		b.Fatal(err)
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { os.RemoveAll(dir) })
+	return dir
+}
+
+func freeAddress(tb testing.TB) string {
+	addr, err := address.Free()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return addr
+}
+
+// rateOfParts is a limit whose parts are the classes class0 to class3.
+func rateOfParts() *limit.Conf {
+	l := &limit.Limit{Name: "all", Kind: limit.Rate, Of: limit.Requests, Span: 1e8, Without: limit.Strict, By: []string{"class"},
+		Nodes: []limit.Node{{Most: 10000 * limit.One, Weight: 1}}}
+	for i := range 4 {
+		l.Nodes = append(l.Nodes, limit.Node{Path: fmt.Sprint("class", i), Most: 5000 * limit.One, Weight: 1})
+	}
+	return &limit.Conf{Limits: []*limit.Limit{l}}
+}
+
+// A follower's copy holds what its daemon needs; its people are shown what there is all the same, by way of a replica, or told that it is
+// not shown. One whose file says so holds all, as one of the version before.
+func TestAFollowerHoldsItsOwn(t *testing.T) {
+	t.Parallel()
+	quiet, dir, serve := slog.New(slog.DiscardHandler), shortDir(t), freeAddress(t)
+	_, end := openDaemon(t, dir, "a", fmt.Sprintf("listen = %q\nserve = %q", freeAddress(t), serve), quiet)
+	over := sync.OnceFunc(end)
+	defer over()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+	defer cancel()
+	clients := map[string]*operate.Client{"a": operate.Dial(filepath.Join(dir, "a.sock"))}
+	proctest.Until(t, "limits are put", func() bool { _, err := clients["a"].PutLimits(ctx, rateOfParts()); return err == nil })
+	var ending sync.WaitGroup
+	defer ending.Wait()
+	for name, more := range map[string]string{"h0": "", "h1": "", "h2": "interest = \"all\"\n"} {
+		_, end := openDaemon(t, dir, name, fmt.Sprintf("follow = [\"a=%s\"]\n%s", serve, more), quiet)
+		defer ending.Go(end)
+		clients[name] = operate.Dial(filepath.Join(dir, name+".sock"))
+	}
+	words := url.Values{"prefix": {limit.NeedPrefix}}
+	stale := url.Values{"prefix": {limit.NeedPrefix}, "stale": {"true"}}
+	proctest.Until(t, "all tell", func() bool {
+		i, err := clients["a"].Range(ctx, words)
+		return err == nil && len(i.Items) == 4
+	})
+	proctest.Until(t, "each holds its own", func() bool {
+		st, err := clients["h0"].Status(ctx)
+		return err == nil && st.Holds != nil && st.Holds.Covers(limit.NeedPrefix+"h0/1") && !st.Holds.Covers(limit.NeedPrefix+"h1/1")
+	})
+	if i, err := clients["h0"].Range(ctx, words); err != nil || len(i.Items) != 4 {
+		t.Errorf("by way of a replica: %d, %v", len(i.Items), err)
+	}
+	if i, err := clients["h0"].Range(ctx, stale); err == nil || !strings.Contains(err.Error(), "does not hold") {
+		t.Errorf("its own copy: %d, %v", len(i.Items), err)
+	}
+	if err := clients["h0"].Watch(ctx, words, func(store.Event) error { return nil }); err == nil || !strings.Contains(err.Error(), "does not hold") {
+		t.Errorf("a watch: %v", err)
 	}
+	if i, err := clients["h2"].Range(ctx, stale); err != nil || len(i.Items) != 4 {
+		t.Errorf("a copy of all: %d, %v", len(i.Items), err)
+	}
+	if l, err := clients["h0"].Limits(ctx, ""); err != nil || l.Fault != "" || len(l.Limits) != 1 || len(l.Limits[0].Parts[0].Of) != 4 {
+		t.Errorf("limits: %+v, %v", l, err)
+	}
+	proctest.Until(t, "all take part", func() bool {
+		all, err := clients["h0"].Tasks(ctx, daemon.FleetTask)
+		return err == nil && len(all) == 1 && len(all[0].Places) == 4
+	})
+	if code, _, errs := birchmoor("store", "watch", "limit/", "--socket", filepath.Join(dir, "h0.sock")); code != 2 || !strings.Contains(errs, "a replica has to be asked") {
+		t.Errorf("%d %s", code, errs)
+	}
+	if code, out, errs := birchmoor("store", "status", "--socket", filepath.Join(dir, "h0.sock")); code != 0 || !strings.Contains(out, "a part: limit/grant/h0/ ") {
+		t.Errorf("%d %s %s", code, out, errs)
+	}
+	over()
+	if l, err := clients["h0"].Limits(ctx, ""); err != nil || !strings.Contains(l.Fault, "no replica tells of the others") {
+		t.Errorf("limits with no replica: %+v, %v", l, err)
+	}
+}
+
+func measureFollowers(b *testing.B, n int, span time.Duration) {
+	quiet := slog.New(slog.DiscardHandler)
+	if os.Getenv("SHOW") != "" {
+		quiet = slog.New(slog.NewTextHandler(os.Stderr, nil))
+	}
+	dir, serve := shortDir(b), freeAddress(b)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var ends []func()
 	open := func(name, more string) *extras {
-		file := filepath.Join(dir, name+".toml")
-		text := fmt.Sprintf("[store]\nname = %q\ndir = %q\nsocket = %q\nplain = true\n%s\n[limits]\n", name, name, name+".sock", more)
-		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-			b.Fatal(err)
-		}
-		f, err := operator.Read(file)
-		if err != nil {
-			b.Fatal(err)
-		}
-		x, end, err := openStore(f, false, nil, quiet)
-		if err != nil {
-			b.Fatal(err)
-		}
+		x, end := openDaemon(b, dir, name, more, quiet)
 		ends = append(ends, end)
 		return x
 	}
 	var down, up atomic.Int64
-	listen, err := address.Free()
-	if err != nil {
-		b.Fatal(err)
-	}
-	open("a", fmt.Sprintf("listen = %q\nserve = %q", listen, serve))
+	open("a", fmt.Sprintf("listen = %q\nserve = %q", freeAddress(b), serve))
 	via := counting(b, serve, &down, &up)
 	client := operate.Dial(filepath.Join(dir, "a.sock"))
-	l := &limit.Limit{Name: "all", Kind: limit.Rate, Of: limit.Requests, Span: 1e8, Without: limit.Strict, By: []string{"class"},
-		Nodes: []limit.Node{{Most: 10000 * limit.One, Weight: 1}}}
-	for i := range 4 {
-		l.Nodes = append(l.Nodes, limit.Node{Path: fmt.Sprint("class", i), Most: 5000 * limit.One, Weight: 1})
-	}
 	for begun := time.Now(); ; time.Sleep(100 * time.Millisecond) {
-		if _, err = client.PutLimits(ctx, &limit.Conf{Limits: []*limit.Limit{l}}); err == nil {
+		if _, err := client.PutLimits(ctx, rateOfParts()); err == nil {
 			break
 		} else if time.Since(begun) > 10*time.Second {
 			b.Fatal(err)
--- /dev/null
+++ b/internal/daemon/interest_test.go
@@ -0,0 +1,84 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+
+	"birchmoor/internal/store"
+	"birchmoor/internal/store/policy"
+)
+
+// copied is a store whose copy is told what it is to hold.
+type copied struct {
+	Store
+	asked int
+}
+
+func (c *copied) Rescope() { c.asked++ }
+
+// Others' pictures are held by a sidecar that begins and has none of its own, until it has put one or was refused, and by who ends them for
+// all; the pace of pictures goes by the bytes of all, also of those that are not held.
+func TestWhichPicturesAreHeld(t *testing.T) {
+	with := func(keys ...string) *store.State {
+		s := store.New(1, store.DefaultLimits)
+		for i, k := range keys {
+			s.Apply(uint64(i+1), &store.Command{Txn: &store.Txn{Then: []store.Op{{Key: k, Value: []byte("x")}}}})
+		}
+		return s
+	}
+	own, others := policy.PictureKey("me", ""), policy.PictureKey("you", "")
+	k, c := NewMemory("h", slog.New(slog.DiscardHandler)), &copied{}
+	all := func() bool { return k.Needs().Of.Covers(others) }
+	k.Attach(c)
+	if k.Reset(with(others)); all() || k.Needs().Of.Covers(own) || len(k.Needs().Sums) != 0 {
+		t.Errorf("without a sidecar: %+v", k.Needs())
+	}
+	k = NewMemory("h", slog.New(slog.DiscardHandler))
+	k.Attach(c)
+	if k.Own("me"); c.asked != 1 || all() || !k.Needs().Of.Covers(own) {
+		t.Errorf("before the first copy: %+v", k.Needs())
+	}
+	if k.Reset(with(others).Part(*k.Needs().Of)); !all() || !k.Needs().Kept.Covers(others) {
+		t.Errorf("with none of its own: %+v", k.Needs())
+	}
+	if k.Reset(with(others, own).Part(store.Interest{Prefixes: []string{policy.PicturesOf("me")}})); all() || k.Needs().Kept.Covers(others) {
+		t.Errorf("with its own: %+v", k.Needs())
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	if k.Sweeps(ctx); !all() || k.Needs().Kept.Covers(others) {
+		t.Errorf("while it ends what nobody tells: %+v", k.Needs())
+	}
+	cancel()
+	for all() { // the context's end is told beside it
+	}
+	if k.Sum(policy.PicturePrefix, store.Sum{Keys: 1200, Bytes: 18 << 20}); k.sum.Bytes != 18<<20 {
+		t.Error("the bytes of all are not known")
+	}
+	if k.Reset(with(others, own)); k.sum.Bytes != 0 {
+		t.Error("a copy that holds all counts for itself")
+	}
+}
+
+// A daemon needs what its parts do, and all if one of them does not say.
+func TestNeedsOfADaemon(t *testing.T) {
+	quiet := slog.New(slog.DiscardHandler)
+	parts := append(NewServers("h", quiet).Parts(), NewSettings("h", nil, quiet))
+	n := New(quiet, parts...).Needs()
+	for key, held := range map[string]bool{"out/drain/x": true, "out/ban/x": true, "start/x": true, keyCurrent: true, keyPlan: true, ReportKey("h"): true,
+		ReportKey("g"): false, keyCandidate: false, historyKey(1): false, policy.PictureKey("x", ""): false, "anything": false} {
+		if n.Of.Covers(key) != held || n.Kept.Covers(key) != (held && key != ReportKey("h")) {
+			t.Errorf("%s: held %v, kept %v", key, n.Of.Covers(key), n.Kept.Covers(key))
+		}
+	}
+	if n := New(quiet, append(parts, untold{})...).Needs(); n.Of != nil {
+		t.Errorf("with a part that does not say: %+v", n.Of)
+	}
+}
+
+type untold struct{}
+
+func (untold) Event(store.Event)   {}
+func (untold) Reset(*store.State)  {}
+func (untold) Attach(Store)        {}
+func (untold) Run(context.Context) {}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -339,6 +339,7 @@
 	was, at := &limit.Conf{}, uint64(0)
 	var bad error
 	if _, err := l.store.View(ctx, false, func(s *store.State) {
+		*was, at, bad = limit.Conf{}, 0, nil
 		if i, ok := s.Get(limit.ConfKey); ok {
 			at, bad = i.Modified, json.Unmarshal(i.Value, was)
 		}
--- a/internal/store/feed/feed_test.go
+++ b/internal/store/feed/feed_test.go
@@ -417,3 +417,57 @@
 		}
 	}
 }
+
+// What a change costs goes by whom it concerns: of a thousand streams one is woken by one daemon's word, and a change that all hear is
+// written out once.
+func TestAChangeCostsWhomItConcerns(t *testing.T) {
+	f, all := New(0, PlantNone), []*Teller{}
+	for i := range 1000 {
+		all = append(all, f.Tell(&store.Interest{Prefixes: []string{"out/", fmt.Sprintf("need/h%d/", i)}, Keys: []string{"conf"}}, 0))
+	}
+	word := func(revision uint64, key string) (told int, first *Change) {
+		f.Advance([]store.Event{{Revision: revision, Item: store.Item{Key: key}}}, revision)
+		for _, s := range all {
+			select {
+			case <-s.Wake():
+			default:
+				continue
+			}
+			txns, through, _ := s.Take(false)
+			if told++; len(txns) != 1 || through != revision || first != nil && txns[0].Changes[0] != first {
+				t.Fatalf("%s: %+v through %d", key, txns, through)
+			}
+			first = txns[0].Changes[0]
+		}
+		return told, first
+	}
+	for i, x := range []struct {
+		key  string
+		told int
+	}{{"need/h7/1", 1}, {"need/h77/1", 1}, {"need/g", 0}, {"out/drain/x", 1000}, {"conf", 1000}, {"conf2", 0}} {
+		if n, _ := word(uint64(i+1), x.key); n != x.told {
+			t.Errorf("%s: %d are told, and not %d", x.key, n, x.told)
+		}
+	}
+	for _, s := range all {
+		if txns, through, _ := s.Take(true); len(txns) != 0 || through != 6 {
+			t.Fatalf("%+v through %d", txns, through)
+		}
+		f.Leave(s.Stream)
+	}
+	if len(f.keys)+len(f.prefixes)+len(f.whole) != 0 {
+		t.Error("streams that left are held")
+	}
+}
+
+// Who does not take what waits is cut off before it holds more than its bound.
+func TestWhoDoesNotTakeIsCutOff(t *testing.T) {
+	f := New(0, PlantNone)
+	s := f.Tell(nil, 0)
+	for i := range uint64(streamMost/(1<<20) + 1) {
+		f.Advance([]store.Event{{Revision: i + 1, Item: store.Item{Key: "k", Value: make([]byte, 1<<20)}}}, i+1)
+	}
+	if txns, _, over := s.Take(true); !over || len(txns) != 0 || s.bytes != 0 {
+		t.Errorf("%d wait, over %v", len(txns), over)
+	}
+}
--- a/internal/store/follow/follow.go
+++ b/internal/store/follow/follow.go
@@ -751,20 +751,24 @@
 		case <-time.After(backMin):
 		}
 	}
-	for {
+	for looked := false; ; {
 		f.mu.Lock()
 		changed, none := f.changed, f.copy.State() == nil
-		if f.copy.Confirmed(need.Revision) {
+		there := f.copy.Confirmed(need.Revision)
+		if there || !none && !looked { // what is not held need not be waited for
 			a := f.age()
 			what, held := f.copy.Read(read)
 			f.mu.Unlock()
 			switch {
-			case held:
+			case held && there:
 				return a, nil
-			case stale:
+			case !held && stale:
 				return a, &store.OutsideError{Of: what}
+			case !held:
+				return f.elsewhere(ctx, need, what, read)
 			}
-			return f.elsewhere(ctx, need, what, read)
+			looked = true
+			continue
 		}
 		f.mu.Unlock()
 		if stale && none {
