--- a/cmd/birchmoor/followers_test.go
+++ b/cmd/birchmoor/followers_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/url"
 	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -282,6 +285,20 @@
 	if err != nil {
 		b.Fatal(err)
 	}
+	purposes := map[string]int{} // bytes of what changes, as followers are told it, by the keys' beginning
+	told, quit := context.WithTimeout(ctx, span)
+	busy.Go(func() {
+		_ = client.Watch(told, url.Values{"after": {strconv.FormatUint(before.Revision, 10)}}, func(e store.Event) error {
+			text, _ := json.Marshal(e)
+			of, rest, _ := strings.Cut(e.Item.Key, "/")
+			if of == "limit" {
+				rest, _, _ = strings.Cut(rest, "/")
+				of += "/" + rest
+			}
+			purposes[of] += len(text)
+			return nil
+		})
+	})
 	time.Sleep(span)
 	s := time.Since(at).Seconds()
 	each := s * float64(n)
@@ -300,8 +317,14 @@
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
 	b.ReportMetric(float64(m.HeapAlloc)/float64(n)/1e6, "heap-MB")
+	quit()
 	cancel()
 	busy.Wait()
+	var text []string
+	for _, p := range slices.Sorted(maps.Keys(purposes)) {
+		text = append(text, fmt.Sprintf("%s %.0f", p, float64(purposes[p])/s))
+	}
+	b.Logf("bytes a second of all changes: %s", strings.Join(text, ", "))
 	for _, end := range ends[1:] {
 		busy.Go(end)
 	}
--- a/internal/daemon/interest_test.go
+++ b/internal/daemon/interest_test.go
@@ -17,8 +17,7 @@
 
 func (c *copied) Rescope() { c.asked++ }
 
-// Others' pictures are held by a sidecar that begins and has none of its own, until it has put one or was refused, and by who ends them for
-// all; the pace of pictures goes by the bytes of all, also of those that are not held.
+// Others' pictures are held by a sidecar that begins and has none of its own, until it serves, and by who ends them for all; the pace of pictures goes by the bytes of all, also of those that are not held.
 func TestWhichPicturesAreHeld(t *testing.T) {
 	with := func(keys ...string) *store.State {
 		s := store.New(1, store.DefaultLimits)
@@ -45,7 +44,13 @@
 	if k.Reset(with(others, own).Part(store.Interest{Prefixes: []string{policy.PicturesOf("me")}})); all() || k.Needs().Kept.Covers(others) {
 		t.Errorf("with its own: %+v", k.Needs())
 	}
+	k.Reset(with(others).Part(*k.Needs().Of))
 	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if k.Keep(ctx, "me", "", nil, func() bool { return true }); all() {
+		t.Errorf("once it serves: %+v", k.Needs())
+	}
+	ctx, cancel = context.WithCancel(t.Context())
 	if k.Sweeps(ctx); !all() || k.Needs().Kept.Covers(others) {
 		t.Errorf("while it ends what nobody tells: %+v", k.Needs())
 	}
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -32,7 +32,7 @@
 
 	own    []string  // prefixes of this daemon's sidecar's pictures
 	seen   bool      // there was a copy
-	begun  bool      // a picture was put since the start, or refused
+	begun  bool      // the sidecar serves: others' pictures have done their part
 	sweeps int       // this daemon ends for all what nobody puts any more
 	part   bool      // the copy does not hold all pictures:
 	sum    store.Sum // there are so many
@@ -261,11 +261,14 @@
 func (k *Memory) Keep(ctx context.Context, sidecar, protocol string, take func(context.Context) ([]byte, error), paused func() bool) {
 	key := policy.PictureKey(sidecar, protocol)
 	failing := false
+	k.mu.Lock()
+	k.begun = true
+	k.mu.Unlock()
 	k.Own(sidecar)
 	for {
 		k.mu.Lock()
 		wait := time.Duration(policy.PictureWait(max(k.bytes, k.sum.Bytes)))
-		if !k.begun && k.part && !k.has() {
+		if k.part && !k.has() {
 			wait = time.Duration(policy.PictureWait(0)) // until then a start would find nothing of its own
 		}
 		k.mu.Unlock()
@@ -278,13 +281,6 @@
 			continue
 		}
 		err := k.keep(ctx, key, take)
-		if err == nil || errors.Is(err, store.ErrFull) || errors.Is(err, store.ErrLevel) {
-			k.mu.Lock()
-			k.begun = true
-			s := k.store
-			k.mu.Unlock()
-			rescope(s)
-		}
 		if err != nil && ctx.Err() == nil && !failing && !errors.Is(err, store.ErrLevel) {
 			k.log.Warn("the store does not keep what is known here", "key", key, "error", err)
 		}
--- a/internal/store/follow/follow.go
+++ b/internal/store/follow/follow.go
@@ -101,6 +101,9 @@
 	wg     sync.WaitGroup
 	synced chan struct{} // closed once the first beat came
 
+	saving sync.Mutex // of the file
+	saved  uint64     // the number of the copy in it
+
 	mu      sync.Mutex
 	copy    *feed.Copy
 	needs   feed.Needs
@@ -109,6 +112,7 @@
 	follows string
 	proved  time.Duration // when a quorum confirmed the copy, since begun; 0 never
 	fresh   bool          // the file lacks something
+	number  uint64        // of copies for the file
 	kept    time.Time     // when the file that this start found was written; zero: there was none
 }
 
@@ -340,8 +344,7 @@
 	if ask.Of != nil {
 		f.mu.Lock()
 		anew, fetch := f.copy.Scoped(scoped)
-		if anew {
-			f.fresh = true
+		if anew { // what the file has beyond it is as true as it was, and of use to a start until something changes
 			f.adopted()
 		}
 		f.mu.Unlock()
@@ -523,6 +526,12 @@
 	}
 	f.fresh = true
 	f.adopted()
+	select {
+	case <-f.synced:
+	default: // it may hold less a moment later: a start is to know what this one began with
+		s, n := f.keeps()
+		f.wg.Go(func() { f.lacks(f.put(s, n)) })
+	}
 	return nil
 }
 
@@ -579,16 +588,40 @@
 		f.mu.Unlock()
 		return nil
 	}
-	s := f.copy.Kept(f.needs.Kept)
-	f.fresh = false
+	s, n := f.keeps()
 	f.mu.Unlock()
-	if err := write(f.path(), s, f.cfg.Meter); err != nil {
+	return f.lacks(f.put(s, n))
+}
+
+// lacks notes that the file was not written, if that is so.
+func (f *Follower) lacks(err error) error {
+	if err != nil {
 		f.mu.Lock()
 		f.fresh = true
 		f.mu.Unlock()
-		return err
 	}
-	return nil
+	return err
+}
+
+// keeps is what is to be put in the place of the file, and its number. The lock is held.
+func (f *Follower) keeps() (*store.State, uint64) {
+	f.fresh = false
+	f.number++
+	return f.copy.Kept(f.needs.Kept), f.number
+}
+
+// put writes a copy in the place of the file, unless a newer one is there.
+func (f *Follower) put(s *store.State, number uint64) error {
+	f.saving.Lock()
+	defer f.saving.Unlock()
+	if number < f.saved {
+		return nil
+	}
+	err := write(f.path(), s, f.cfg.Meter)
+	if err == nil {
+		f.saved = number
+	}
+	return err
 }
 
 func write(path string, s *store.State, m *meter.Meter) error {
