--- a/internal/store/follow/part_test.go
+++ b/internal/store/follow/part_test.go
@@ -303,3 +303,38 @@
 		}
 	}
 }
+
+// What a first copy had is kept for the next start also where less is held a moment later, until something of what is kept changes.
+func TestTheFirstCopyIsKept(t *testing.T) {
+	e, addr := replicaHere(t)
+	put(t, e, "a/1", "v")
+	put(t, e, "b/1", "w")
+	dir := t.TempDir()
+	wide := feed.Needs{Of: prefixes("a/", "b/"), Kept: *prefixes("a/", "b/")}
+	narrow := feed.Needs{Of: prefixes("a/"), Kept: *prefixes("a/")}
+	next := func(change string) string {
+		f := open(t, dir, wide, addr)
+		f.needs.Store(&narrow)
+		f.Rescope()
+		soon(t, "less is held", func() bool { _, err := f.read(t, "b/1", true); return isOutside(err) })
+		if change != "" {
+			put(t, f, "a/1", change)
+		}
+		if err := f.Close(); err != nil {
+			t.Fatal(err)
+		}
+		f = open(t, dir, narrow, nowhere(t))
+		defer f.Close()
+		got, err := f.read(t, "b/1", true)
+		if isOutside(err) {
+			return "not held"
+		}
+		return got
+	}
+	if got := next(""); got != "w" {
+		t.Errorf("the next start has %q", got)
+	}
+	if got := next("changed"); got != "not held" {
+		t.Errorf("after a change it has %q", got)
+	}
+}
