--- a/internal/lab/scale/process.go
+++ b/internal/lab/scale/process.go
@@ -52,6 +52,10 @@
 	defer log.Close()
 	p.cmd = exec.Command(o.Program, "lab", "hollow", path)
 	p.cmd.Env = append(os.Environ(), o.Env...)
+	if n := len(spec.Hollow); n > 0 { // beyond what is reckoned its heap is collected more often
+		part := o.hollowsMB() * float64(n) / float64(o.Sidecars-o.Real)
+		p.cmd.Env = append(p.cmd.Env, fmt.Sprintf("GOMEMLIMIT=%dMiB", int(part)))
+	}
 	p.cmd.Stderr = log
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	if p.in, err = p.cmd.StdinPipe(); err != nil {
