--- a/internal/store/follow/meter_test.go
+++ b/internal/store/follow/meter_test.go
@@ -15,12 +15,20 @@
 	"birchmoor/internal/store/admin"
 	"birchmoor/internal/store/disk"
 	"birchmoor/internal/store/engine"
+	"birchmoor/internal/store/feed"
 	"birchmoor/internal/store/meter"
 )
 
 // A follower and its replica count the same messages and bytes, each way and for each purpose, and the replica as many entries as were
-// put to it.
+// put to it: of a stream of all, and of one by interest, by which a line has all that a transaction changed and counts as its first key.
 func TestBothEndsCountTheSame(t *testing.T) {
+	own := feed.Needs{Of: &store.Interest{Prefixes: []string{"known/h/", "out/"}}, Sums: []string{"known/"}}
+	t.Run("all", func(t *testing.T) { bothEndsCountTheSame(t, nil, [2]uint64{4, 5}) })
+	t.Run("own", func(t *testing.T) { bothEndsCountTheSame(t, func() feed.Needs { return own }, [2]uint64{4, 3}) })
+}
+
+// events are those of words and of pictures that the follower is told of.
+func bothEndsCountTheSame(t *testing.T, needs func() feed.Needs, events [2]uint64) {
 	prefixes := []meter.Prefix{{Prefix: "out/", Purpose: meter.Words}, {Prefix: "known/", Purpose: meter.Pictures}}
 	here, there := meter.New(prefixes...), meter.New(prefixes...)
 	e, err := engine.Open(engine.Config{Name: "a", Dir: t.TempDir(), Tick: 5 * time.Millisecond, Disk: disk.Options{NoSync: true}, Meter: there})
@@ -47,7 +55,7 @@
 	})
 	dir := t.TempDir()
 	f, err := Open(Config{Name: "h", Dir: dir, Replicas: []Replica{{Name: "a", Addr: ln.Addr().String()}}, Wait: time.Minute,
-		Log: slog.New(slog.DiscardHandler), Meter: here})
+		Log: slog.New(slog.DiscardHandler), Meter: here, Needs: needs})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -66,7 +74,13 @@
 		put("out/drain/x")
 		put("known/h/")
 	}
+	// One that changes two keys, which is told by two lines of a stream of all, and by one of another.
+	do(store.Command{Txn: &store.Txn{Then: []store.Op{{Key: "out/drain/y", Value: []byte("v")}, {Key: "known/h/", Value: []byte("w")}}}})
 	do(store.Command{End: &store.End{Lease: lease, Owner: "h"}})
+	// Another's picture, of which a copy by interest is told nothing but up to where it has all.
+	if _, err := e.Do(ctx, store.Command{Txn: &store.Txn{Then: []store.Op{{Key: "known/other/", Value: []byte("v")}}}}); err != nil {
+		t.Fatal(err)
+	}
 	if _, err := f.View(ctx, false, func(*store.State) {}); err != nil {
 		t.Fatal(err)
 	}
@@ -88,7 +102,7 @@
 		return differ == "" && mine.Purposes[meter.Beats].MessagesIn > 0
 	}, func() string { return differ })
 	for p, want := range map[meter.Purpose][4]uint64{ // in and out of the follower, proposed and applied
-		meter.Sessions: {6, 6, 6, 6}, meter.Words: {6, 3, 3, 3}, meter.Pictures: {6, 3, 3, 3}, meter.Snapshots: {1, 1, 0, 0},
+		meter.Sessions: {6, 6, 6, 6}, meter.Words: {4 + events[0], 4, 4, 4}, meter.Pictures: {3 + events[1], 3, 4, 4}, meter.Snapshots: {1, 1, 0, 0},
 		meter.Requests: {1, 1, 0, 0}, meter.Settings: {},
 	} {
 		a, b := mine.Purposes[p], its.Purposes[p]
