Judge small scale runs by what each sidecar reads of its own: pictures and shares, by messages and bytes

The check let each sidecar be told of all pictures, which is over now: one reads of its own picture, need and grant, and one at a time (who ends others' pictures) of all. Messages of pictures to sidecars were bounded by their number times all that is put, 23 x (24 + 24) at 24 sidecars; the bound is now about twice what they put and once what all put. Bytes of pictures are bounded likewise, messages of shares by five for each that is sent, and none of these grows for each sidecar and second. Each of three is held by a planted fault: pictures told to all, interest = "all", and, as before, pictures put for each that the store has.

--- a/cmd/birchmoor/labscale.go
+++ b/cmd/birchmoor/labscale.go
@@ -31,6 +31,7 @@
 	Warm     time.Duration `help:"Between the last sidecar's start and the quiet phase." default:"15s"`
 	Begin    float64       `help:"Sidecars that begin a second." default:"40"`
 	Dir      string        `help:"Folder for a temporary one." default:"." type:"existingdir"`
+	Interest string        `help:"What copies of sidecars hold: own, what their daemons need, or all." default:"own"`
 	JSON     bool          `help:"As JSON."`
 	Markdown bool          `help:"As the tables of docs/CAPACITY.md."`
 	Report   string        `help:"File for the result as JSON, besides." placeholder:"FILE"`
@@ -68,7 +69,7 @@
 func (k *scaleCommand) options(size, largest int) (scale.Options, error) {
 	self, err := os.Executable()
 	return scale.Options{Program: self, Dir: k.Dir, Sidecars: size, Real: k.Real, Replicas: k.Replicas,
-		Services: max(min(size, scale.Calls+1), k.Services*size/max(1, largest)), For: k.For, Seed: k.Seed, Fault: k.Fault, Changes: k.Changes, Burst: k.Burst,
+		Services: max(min(size, scale.Calls+1), k.Services*size/max(1, largest)), For: k.For, Seed: k.Seed, Fault: k.Fault, Interest: k.Interest, Changes: k.Changes, Burst: k.Burst,
 		Each: k.Each, Warm: k.Warm, Begin: k.Begin}, err
 }
 
--- a/cmd/birchmoor/labscale_test.go
+++ b/cmd/birchmoor/labscale_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"birchmoor/internal/lab/scale"
+	"birchmoor/internal/operator"
 	"birchmoor/internal/proctest"
 )
 
@@ -25,6 +26,8 @@
 		hollowPlant.All = true
 	case "part-left-out":
 		hollowPlant.None = true
+	case "pictures-to-all":
+		hollowPlant.Told = true
 	}
 }
 
@@ -38,13 +41,16 @@
 	all, faults := make([]*scale.Result, len(sizes)), make([]error, len(sizes))
 	var wg sync.WaitGroup
 	for i, n := range sizes {
-		dir, pictures := t.TempDir(), uint64(n)
+		dir, pictures, interest := t.TempDir(), uint64(n), ""
+		if plant == "interest-all" {
+			interest = operator.InterestAll
+		}
 		if plant == "picture-for-each" && i > 0 {
 			pictures *= 3 // they grow by rounds
 		}
 		wg.Go(func() {
 			all[i], faults[i] = scale.Run(t.Context(), scale.Options{Program: self, Env: []string{asProgram + "=1", hollowPlantEnv + "=" + plant}, Dir: dir, Sidecars: n, Real: 1,
-				Replicas: 1, Services: scale.Calls + 1, For: 6 * time.Second, Seed: 1, Changes: 86400 / 6, Each: 100, Begin: 40,
+				Replicas: 1, Services: scale.Calls + 1, For: 6 * time.Second, Seed: 1, Changes: 86400 / 6, Each: 100, Begin: 40, Interest: interest,
 				Until: func(c scale.Counts) bool {
 					return c.Applied["pictures"] >= pictures && c.RealOut["shares"] >= 3 && c.Applied["sessions"] >= uint64(4*n)
 				}})
@@ -65,24 +71,32 @@
 	for _, c := range []struct {
 		plant string
 		sizes []int
-		want  string
+		want  []string
 	}{
-		{"", []int{6, 24}, ""},
-		{"renewed-twice", []int{6}, "entries of sessions are over"},
-		{"picture-for-each", []int{6, 24}, "entries of pictures for each daemon and second grow"},
-		{"part-left-out", []int{6}, "messages of shares, and hollow ones none"},
+		{"", []int{6, 24}, nil},
+		{"renewed-twice", []int{6}, []string{"entries of sessions are over"}},
+		{"picture-for-each", []int{6, 24}, []string{"entries of pictures for each daemon and second grow"}},
+		{"part-left-out", []int{6}, []string{"messages of shares, and hollow ones none"}},
+		{"pictures-to-all", []int{24}, []string{"messages of pictures to sidecars are over", "bytes of pictures to sidecars are over"}},
+		{"interest-all", []int{6, 24}, []string{"24 sidecars: messages of pictures to sidecars are over", "24 sidecars: bytes of pictures to sidecars are over", "24 sidecars: messages of shares to sidecars are over",
+			"messages of shares to each sidecar and second grow", "bytes of shares to each sidecar and second grow", "messages of pictures to each sidecar and second grow"}},
 	} {
 		t.Run("plant "+c.plant, func(t *testing.T) {
 			t.Parallel()
 			all := scaled(t, c.plant, c.sizes...)
 			broken := strings.Join(scale.Judge(all...), "\n")
-			if c.want == "" && broken != "" || !strings.Contains(broken, c.want) {
-				t.Errorf("%q is to be found, and it says %q", c.want, broken)
+			if len(c.want) == 0 && broken != "" {
+				t.Errorf("it says %q", broken)
+			}
+			for _, want := range c.want {
+				if !strings.Contains(broken, want) {
+					t.Errorf("%q is to be found, and it says %q", want, broken)
+				}
 			}
 			for _, x := range all {
 				t.Logf("%d sidecars: %+v", x.Sidecars, x.Counts)
-				if x.Settings.Changes == 0 || x.Settings.N == 0 { // that all came to be right is what a run waits for
-					t.Errorf("%d sidecars: settings: %+v", x.Sidecars, x.Settings)
+				if x.Right != x.Sidecars-x.Real || x.Settings.Changes == 0 || x.Settings.N == 0 {
+					t.Errorf("%d sidecars: %d are right at the end; settings: %+v", x.Sidecars, x.Right, x.Settings)
 				}
 			}
 		})
@@ -101,6 +115,7 @@
 		{"--fault flood", `--fault: "flood" is none of start, leader`},
 		{"--sidecars 4900 --each 50", "--sidecars: 4900 need"},
 		{"--sidecars 2 --real 1", "--sidecars: 2 is not within 5 and 5000"},
+		{"--interest some", `--interest: "some" is not "own" or "all"`},
 		{"--replicas 0", "--replicas: 0 is not within 1 and 9"},
 		{"--for 1ms", "--for: 1ms is not within 1s and 1h"},
 	} {
--- a/internal/lab/fleetlab/fleet.go
+++ b/internal/lab/fleetlab/fleet.go
@@ -49,6 +49,7 @@
 	Handle   http.Handler              // what servers do, in place of counting and answering at once
 	EnvOf    func(daemon int) []string // and of one daemon's alone
 	Skew     float64                   // of the operator file; 0: none stands there
+	Interest string                    // of followers; "": as is usual
 	More     string                    // of the operator file, behind [store]
 
 	Tick         time.Duration                         // of replicas; 0: 20 ms
@@ -299,6 +300,9 @@
 		if f.cfg.Wait > 0 {
 			file += fmt.Sprintf("wait = %q\n", f.cfg.Wait)
 		}
+		if f.cfg.Interest != "" {
+			file += fmt.Sprintf("interest = %q\n", f.cfg.Interest)
+		}
 	} else {
 		own := f.doors[i]
 		d.in, d.peer = own.in, own.address
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -37,6 +37,7 @@
 	Hollow   []HollowSpec `json:",omitempty"`
 	Links    []LinkSpec   `json:",omitempty"`
 	Settings json.RawMessage
+	Interest string // of the hollow sidecars' copies; "": as is usual
 	Operator string // text of the operator file, behind [store]
 }
 
@@ -98,6 +99,7 @@
 	control.Plant
 	Twice bool // each has a second session
 	All   bool // each puts its picture once more for each that the store has
+	Told  bool // each is told of all pictures
 	None  bool // limits are left out
 }
 
@@ -306,12 +308,16 @@
 		}
 		text += strconv.Quote(r)
 	}
+	text += "]\n"
+	if h.c.spec.Interest != "" {
+		text += fmt.Sprintf("interest = %q\n", h.c.spec.Interest)
+	}
 	more := h.c.spec.Operator
 	if h.c.plant.None {
 		more = ""
 	}
 	path := filepath.Join(dir, h.name+".toml")
-	if err := os.WriteFile(path, []byte(text+"]\n"+more), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(text+more), 0o600); err != nil {
 		return err
 	}
 	f, err := operator.Read(path)
@@ -360,6 +366,9 @@
 		h.words++
 		h.mu.Unlock()
 	}
+	if h.c.plant.Told {
+		p.Servers.Sweeps(ctx)
+	}
 	p.Servers.Bind(func(context.Context, discovery.Process, bool) error { heard(); return nil })
 	p.Servers.Warm(func(context.Context, core.Start) error { heard(); return nil })
 	p.Servers.Begin(func(context.Context, string, bool) error { heard(); return nil })
--- a/internal/lab/scale/measure.go
+++ b/internal/lab/scale/measure.go
@@ -307,7 +307,7 @@
 func (s *sampler) counts() Counts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := Counts{Applied: map[string]uint64{}, In: map[string]uint64{}, Out: map[string]uint64{}, RealOut: map[string]uint64{}}
+	c := Counts{Applied: map[string]uint64{}, In: map[string]uint64{}, Out: map[string]uint64{}, Read: map[string]uint64{}, Sent: map[string]uint64{}, RealOut: map[string]uint64{}}
 	since := func(name string, f func(now, was *meter.Flow)) (seconds float64) {
 		was, now := s.firsts[name], s.last[name]
 		for i := range was.Purposes {
@@ -328,6 +328,8 @@
 		c.Seconds = max(c.Seconds, since(p.name, func(now, was *meter.Flow) {
 			c.In[now.Purpose] += now.MessagesIn - was.MessagesIn
 			c.Out[now.Purpose] += now.MessagesOut - was.MessagesOut
+			c.Read[now.Purpose] += now.BytesIn - was.BytesIn
+			c.Sent[now.Purpose] += now.BytesOut - was.BytesOut
 		}))
 	}
 	return c
@@ -349,7 +351,7 @@
 	Processes int             `json:"processes"`
 	Began     float64         `json:"began_s"` // from the first sidecar's start until all were right
 	Seconds   float64         `json:"seconds"` // of the quiet phase
-	Right     int             `json:"right"`   // hollow sidecars, at its end
+	Right     int             `json:"right"`   // hollow sidecars, at its end or within a minute of it
 	Busy      float64         `json:"busy"`    // part of the machine, meanwhile
 	Failed    int             `json:"failed"`  // changes of the settings
 	Store     Store           `json:"store"`
@@ -370,7 +372,9 @@
 	Applied map[string]uint64 `json:"applied"`  // entries of the log
 	In      map[string]uint64 `json:"in"`       // messages to all hollow sidecars together
 	Out     map[string]uint64 `json:"out"`      // and from them
-	RealOut map[string]uint64 `json:"real_out"` // from all real ones
+	Read    map[string]uint64 `json:"read"`     // bytes of those to them
+	Sent    map[string]uint64 `json:"sent"`     // and of those from them
+	RealOut map[string]uint64 `json:"real_out"` // messages from all real ones
 }
 
 // Store is what the store holds, and how its log grows by second.
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -115,7 +115,7 @@
 	zone := r.zoneOfDaemon
 	var err error
 	r.fleet, err = fleetlab.Begin(ctx, fleetlab.Config{Program: o.Program, Args: []string{"run", "--config"}, Env: o.Env, Dir: r.dir, Replicas: o.Replicas, Follow: o.Real,
-		Seed: o.Seed, BareReplicas: true, Tick: 100 * time.Millisecond, More: operatorText, // the tick of a shipped replica
+		Seed: o.Seed, BareReplicas: true, Tick: 100 * time.Millisecond, More: operatorText, Interest: o.Interest, // the tick of a shipped replica
 		Known: func(d int) []discovery.Instance {
 			if d < o.Replicas {
 				return nil
@@ -178,7 +178,7 @@
 // startHollow starts a process of hollow sidecars; they do not run yet.
 func (r *run) startHollow(ctx context.Context, name string, group []int) (*process, error) {
 	z := zoneOf(group[0])
-	spec := Spec{Dir: r.dir, Settings: json.RawMessage(fleetlab.Settings()), Operator: operatorText}
+	spec := Spec{Dir: r.dir, Settings: json.RawMessage(fleetlab.Settings()), Interest: r.o.Interest, Operator: operatorText}
 	var follow []string
 	for n, l := range r.links[z].spec.Links {
 		follow = append(follow, l.Name+"="+r.links[z].ready[n])
@@ -307,8 +307,10 @@
 	x.Store, x.Counts = s.store(), s.counts()
 	x.Settings = r.changes.result(r.o.Sidecars - r.o.Real)
 	x.Honest = honest(x.Roles[RoleReal], x.Roles[RoleHollow])
-	if l, _, err := r.lookFor(ctx, order{Do: "look", Mark: r.changes.newest()}, r.processes()); err == nil {
-		x.Right = l.Right
+	for most := time.Now().Add(time.Minute); x.Right < r.o.Sidecars-r.o.Real && time.Now().Before(most) && ctx.Err() == nil; pause(ctx, 100*time.Millisecond) {
+		if l, _, err := r.lookFor(ctx, order{Do: "look", Mark: r.changes.newest()}, r.processes()); err == nil {
+			x.Right = l.Right
+		}
 	}
 	r.say("quiet for %.0f s, the machine %.0f%% busy", x.Seconds, 100*x.Busy)
 	return nil
--- a/internal/lab/scale/world.go
+++ b/internal/lab/scale/world.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"birchmoor/internal/discovery"
+	"birchmoor/internal/operator"
 
 	"golang.org/x/sys/unix"
 )
@@ -29,6 +30,7 @@
 	Services int
 	For      time.Duration // of the quiet phase
 	Seed     uint64
+	Interest string            // of sidecars' copies: operator.InterestOwn or InterestAll; empty: as is usual
 	Fault    string            // after it; empty: none
 	Changes  float64           // of the settings, a day
 	Burst    int               // so many within BurstFor, after the quiet phase; 0: none
@@ -217,6 +219,8 @@
 		return fmt.Errorf("--burst: %d is not within 0 and 600", o.Burst)
 	case o.Each < 1 || o.Each > 400:
 		return fmt.Errorf("--each: %d is not within 1 and 400", o.Each)
+	case o.Interest != "" && o.Interest != operator.InterestOwn && o.Interest != operator.InterestAll:
+		return fmt.Errorf("--interest: %q is not %q or %q", o.Interest, operator.InterestOwn, operator.InterestAll)
 	case o.Fault != "" && faultOf(o.Fault) == nil:
 		return fmt.Errorf("--fault: %q is none of %s", o.Fault, strings.Join(FaultNames(), ", "))
 	}
