Have a planted fleet put as many pictures on a busy machine as on a free one

The plant of pictures that grow with the fleet counted pictures that were there already, which a busy machine has come late: one run of TestScaleOfSmallFleets/picture-for-each under the race detector, at a load average of 106 to 163, found 95 entries with 24 sidecars, and named the bound alone and not the growth (2.2 and not 2.5).

--- a/cmd/birchmoor/labscale_test.go
+++ b/cmd/birchmoor/labscale_test.go
@@ -45,8 +45,8 @@
 		if plant == "interest-all" {
 			interest = operator.InterestAll
 		}
-		if plant == "picture-for-each" && i > 0 {
-			pictures *= 3 // they grow by rounds
+		if plant == "picture-for-each" {
+			pictures *= uint64(n) // of one round, of each that is hollow as many as there are daemons, and one more
 		}
 		wg.Go(func() {
 			all[i], faults[i] = scale.Run(t.Context(), scale.Options{Program: self, Env: []string{asProgram + "=1", hollowPlantEnv + "=" + plant}, Dir: dir, Sidecars: n, Real: 1,
@@ -75,7 +75,7 @@
 	}{
 		{"", []int{6, 24}, nil},
 		{"renewed-twice", []int{6}, []string{"entries of sessions are over"}},
-		{"picture-for-each", []int{6, 24}, []string{"entries of pictures for each daemon and second grow"}},
+		{"picture-for-each", []int{5, 32}, []string{"entries of pictures for each daemon and second grow"}},
 		{"part-left-out", []int{6}, []string{"messages of shares, and hollow ones none"}},
 		{"pictures-to-all", []int{24}, []string{"messages of pictures to sidecars are over", "bytes of pictures to sidecars are over"}},
 		{"interest-all", []int{6, 24}, []string{"24 sidecars: messages of pictures to sidecars are over", "24 sidecars: bytes of pictures to sidecars are over", "24 sidecars: messages of shares to sidecars are over",
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -21,8 +21,10 @@
 	"birchmoor/internal/config"
 	"birchmoor/internal/control"
 	"birchmoor/internal/core"
+	"birchmoor/internal/daemon"
 	"birchmoor/internal/discovery"
 	"birchmoor/internal/lab/relay"
+	"birchmoor/internal/lease"
 	"birchmoor/internal/operator"
 	"birchmoor/internal/snapshot"
 	"birchmoor/internal/store"
@@ -98,7 +100,7 @@
 type Plant struct {
 	control.Plant
 	Twice bool // each has a second session
-	All   bool // each puts its picture once more for each that the store has
+	All   bool // each puts its picture once more for each daemon that there is
 	Told  bool // each is told of all pictures
 	None  bool // limits are left out
 }
@@ -453,17 +455,23 @@
 	if err != nil || !h.c.plant.All || p == nil {
 		return known, err
 	}
-	held := 0
-	if _, err := p.Store.View(ctx, false, func(s *store.State) {
-		held = 0 // it is called again where its copy does not hold them
-		s.Range(policy.PicturePrefix, store.PrefixEnd(policy.PicturePrefix), func(store.Item) bool { held++; return true })
+	daemons, places := 0, lease.PlacePrefix+daemon.FleetTask+"/" // each has one
+	if _, err := p.Store.View(ctx, true, func(s *store.State) {
+		s.Range(places, store.PrefixEnd(places), func(store.Item) bool { daemons++; return true })
 	}); err != nil {
 		return nil, err
 	}
-	for range held {
-		if _, err := p.Store.Do(ctx, store.Command{Txn: policy.Picture{By: h.name, Known: known}.Put(policy.PictureKey(h.name, ""))}); err != nil {
-			return nil, err
-		}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	slots := make(chan struct{}, 8) // a replica takes 256 changes of followers at once
+	for range daemons {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			if _, err := p.Store.Do(ctx, store.Command{Txn: policy.Picture{By: h.name, Known: known}.Put(policy.PictureKey(h.name, ""))}); err != nil {
+				h.c.log.Error("a picture that is planted is not put", "sidecar", h.name, "error", err)
+			}
+		})
 	}
 	return known, nil
 }
