Call a follower's change unsent while no replica was connected to in its time

A dial or greeting that the caller's time ended was counted as a request that may have been read, so that a change that went nowhere was told as unknown. Whether there was a connection decides now; TestTimeUpBeforeTheConnection was seen to fail without it.

--- a/internal/store/follow/follow.go
+++ b/internal/store/follow/follow.go
@@ -24,6 +24,7 @@
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"os"
 	"path/filepath"
@@ -71,8 +72,7 @@
 	// Needs is asked what the copy is to hold, at the start, after each whole copy, and after Rescope. nil: all.
 	Needs func() feed.Needs
 	// Sum is told of those sums that were asked for, as they change.
-	Sum   func(prefix string, n store.Sum)
-	Plant feed.Plant // for tests
+	Sum func(prefix string, n store.Sum)
 }
 
 const (
@@ -130,7 +130,7 @@
 		return nil, err
 	}
 	f := &Follower{cfg: cfg, client: binary.BigEndian.Uint64(b[:])>>1 | 1, begun: time.Now(), changed: make(chan struct{}),
-		synced: make(chan struct{}), rescope: make(chan struct{}), copy: feed.NewCopy(nil, cfg.Plant)}
+		synced: make(chan struct{}), rescope: make(chan struct{}), copy: feed.NewCopy(nil, feed.PlantNone)}
 	f.need()
 	for _, r := range cfg.Replicas {
 		t := &http.Transport{DialContext: f.dial, MaxIdleConnsPerHost: 4, TLSHandshakeTimeout: askTime}
@@ -315,7 +315,7 @@
 	f.mu.Unlock()
 	ctx, cancel := context.WithCancel(f.ctx)
 	defer cancel()
-	defer f.until(rescope, cancel)()
+	defer until(rescope, cancel)()
 	q := admin.Query(ask.Of)
 	q.Set("after", strconv.FormatUint(ask.After, 10))
 	if ask.Of != nil {
@@ -329,7 +329,7 @@
 	defer silence.Stop()
 	a, err := f.http[at].Do(r)
 	if err != nil {
-		return false, f.why(rescope, err)
+		return false, whyEnded(rescope, err)
 	}
 	defer a.Body.Close()
 	f.cfg.Meter.Count(meter.Beats, meter.Out, 1, 0)
@@ -392,11 +392,11 @@
 			}
 		}
 	}
-	return heard, f.why(rescope, cmp.Or(lines.Err(), io.EOF))
+	return heard, whyEnded(rescope, cmp.Or(lines.Err(), io.EOF))
 }
 
 // until calls stop once rescope is closed, until the function that it returns is called.
-func (f *Follower) until(rescope chan struct{}, stop func()) (end func()) {
+func until(rescope chan struct{}, stop func()) (end func()) {
 	over := make(chan struct{})
 	go func() {
 		select {
@@ -408,8 +408,8 @@
 	return sync.OnceFunc(func() { close(over) })
 }
 
-// why is errAgain in the place of an error that comes of rescope.
-func (f *Follower) why(rescope chan struct{}, err error) error {
+// whyEnded is errAgain in the place of an error that comes of rescope.
+func whyEnded(rescope chan struct{}, err error) error {
 	select {
 	case <-rescope:
 		return errAgain
@@ -741,13 +741,14 @@
 	if err != nil {
 		return false, err
 	}
+	var connected atomic.Bool // else nothing can have been read, also where the time was up while it was tried
+	r = r.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}))
 	a, err := f.http[at].Do(r)
 	if err != nil {
-		var dial *net.OpError
-		if reached = !(errors.As(err, &dial) && dial.Op == "dial"); reached {
+		if connected.Load() {
 			f.cfg.Meter.Count(of, meter.Out, 1, len(body))
 		}
-		return reached, err
+		return connected.Load(), err
 	}
 	defer a.Body.Close()
 	f.cfg.Meter.Count(of, meter.Out, 1, len(body))
@@ -788,7 +789,7 @@
 		f.mu.Lock()
 		changed, none := f.changed, f.copy.State() == nil
 		there := f.copy.Confirmed(need.Revision)
-		if there || !none && !looked { // what is not held need not be waited for
+		if there || !none && !looked && f.copy.State().Interest() != nil { // what is not held need not be waited for
 			a := f.age()
 			what, held := f.copy.Read(read)
 			f.mu.Unlock()
--- a/internal/store/follow/follow_test.go
+++ b/internal/store/follow/follow_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"birchmoor/internal/keys"
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/engine"
 	"birchmoor/internal/store/replica"
@@ -88,3 +89,32 @@
 		t.Error("a follower of nobody")
 	}
 }
+
+// A change whose time is up while a replica is still being connected to was not sent.
+func TestTimeUpBeforeTheConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // it takes connections, and never answers their greeting
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	dir := t.TempDir()
+	if err := errors.Join(keys.Init(dir, "c"), keys.Issue(dir, "h", time.Hour, false)); err != nil {
+		t.Fatal(err)
+	}
+	pair, err := keys.Open(dir, "h")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := Open(Config{Name: "h", Dir: t.TempDir(), Replicas: []Replica{{Name: "a", Addr: ln.Addr().String()}}, Keys: pair, Wait: time.Millisecond,
+		Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	_, err = f.Do(ctx, store.Command{Txn: &store.Txn{Then: []store.Op{{Key: "out/ban/x"}}}})
+	if unknown := (*engine.UnknownError)(nil); err == nil || errors.As(err, &unknown) {
+		t.Errorf("a change that went nowhere: %v", err)
+	}
+}
