--- a/cmd/birchmoor/followers_test.go
+++ b/cmd/birchmoor/followers_test.go
@@ -193,10 +193,11 @@
 		all, err := clients["h0"].Tasks(ctx, daemon.FleetTask)
 		return err == nil && len(all) == 1 && len(all[0].Places) == 4
 	})
-	if code, _, errs := birchmoor("store", "watch", "limit/", "--socket", filepath.Join(dir, "h0.sock")); code != 2 || !strings.Contains(errs, "a replica has to be asked") {
+	socket := filepath.Join(dir, "h0.sock")
+	if code, _, errs := birchmoor("store", "watch", "limit/", "--socket", socket); code != 2 || !strings.Contains(errs, "a replica has to be asked") {
 		t.Errorf("%d %s", code, errs)
 	}
-	if code, out, errs := birchmoor("store", "status", "--socket", filepath.Join(dir, "h0.sock")); code != 0 || !strings.Contains(out, "a part: limit/grant/h0/ ") {
+	if code, out, errs := birchmoor("store", "status", "--socket", socket); code != 0 || !strings.Contains(out, "a part: limit/grant/h0/ ") {
 		t.Errorf("%d %s %s", code, out, errs)
 	}
 	over()
--- a/internal/daemon/interest_test.go
+++ b/internal/daemon/interest_test.go
@@ -17,7 +17,8 @@
 
 func (c *copied) Rescope() { c.asked++ }
 
-// Others' pictures are held by a sidecar that begins and has none of its own, until it serves, and by who ends them for all; the pace of pictures goes by the bytes of all, also of those that are not held.
+// Others' pictures are held by a sidecar that begins and has none of its own, until it serves, and by who ends them for all;
+// the pace of pictures goes by the bytes of all, also of those that are not held.
 func TestWhichPicturesAreHeld(t *testing.T) {
 	with := func(keys ...string) *store.State {
 		s := store.New(1, store.DefaultLimits)
--- a/internal/store/engine/engine.go
+++ b/internal/store/engine/engine.go
@@ -496,8 +496,9 @@
 	Stale    bool          `json:"stale"`  // longer than a few questions to the quorum take
 }
 
-// View has f read the state; where that holds a part of it, f may be called again (follow.Follower), and begins anew then. If stale is not set, it shows all that was answered to anyone before the call; else it is
-// this copy as it is, whose age is told. f runs in the loop and must be short.
+// View has f read the state. If stale is not set, it shows all that was answered to anyone before the call; else it is
+// this copy as it is, whose age is told. f runs in the loop and must be short. Of a copy that holds a part (follow.Follower) f may be
+// called again, and begins anew then.
 func (e *Engine) View(ctx context.Context, stale bool, f func(*store.State)) (Age, error) {
 	for wait := retryMin; !stale; wait = min(2*wait, retryMost) {
 		d, err := e.ask(ctx, func(t replica.Token) { e.node.Read(t) })
