--- a/cmd/birchmoor/labscale.go
+++ b/cmd/birchmoor/labscale.go
@@ -30,7 +30,7 @@
 	Each     int           `help:"Hollow sidecars of a process, about." default:"100"`
 	Warm     time.Duration `help:"Between the last sidecar's start and the quiet phase." default:"15s"`
 	Begin    float64       `help:"Sidecars that begin a second." default:"40"`
-	Dir      string        `help:"Folder for a temporary one." default:"." type:"existingdir"`
+	Dir      string        `help:"Folder for a temporary one: /dev/shm keeps the syncs of a whole fleet off one disk." default:"." type:"existingdir"`
 	Interest string        `help:"What copies of sidecars hold: own, what their daemons need, or all." default:"own"`
 	JSON     bool          `help:"As JSON."`
 	Markdown bool          `help:"As the tables of docs/CAPACITY.md."`
--- a/internal/lab/scale/world.go
+++ b/internal/lab/scale/world.go
@@ -193,9 +193,19 @@
 	return n*(sidecarMB+collected*o.copyMB()) + float64(len((&world{o: *o}).groups()))*hollowMB
 }
 
+// inMemory says whether files of a folder are.
+func inMemory(dir string) bool {
+	var s unix.Statfs_t
+	return unix.Statfs(dir, &s) == nil && (s.Type == unix.TMPFS_MAGIC || s.Type == unix.RAMFS_MAGIC)
+}
+
 // MemoryMB is what a run of so many takes, about.
 func (o *Options) MemoryMB() int {
-	return int(labMB + float64(zones)*hollowMB + float64(o.Real)*(realMB+2*o.copyMB()) + float64(o.Replicas)*(replicaMB+float64(o.Sidecars)*followerMB) + o.hollowsMB())
+	files := 0.0
+	if inMemory(o.Dir) { // each copy is written beside the one before
+		files = 2*float64(o.Sidecars)*float64(o.Sidecars)*pictureMB + float64(o.Replicas)*replicaMB
+	}
+	return int(files + labMB + float64(zones)*hollowMB + float64(o.Real)*(realMB+2*o.copyMB()) + float64(o.Replicas)*(replicaMB+float64(o.Sidecars)*followerMB) + o.hollowsMB())
 }
 
 // Check says what of the options makes no sense, or is more than the machine has; nothing is started. Errors name flag and value.
