--- a/internal/lab/scale/table.go
+++ b/internal/lab/scale/table.go
@@ -177,7 +177,11 @@
 				}
 			}
 			if f, ok := fit(x, y); ok {
-				how := fmt.Sprintf("%s + %s·S", tell(n, f.Base), tell(n, f.Slope))
+				sign := "+"
+				if f.Slope < 0 {
+					sign = "-"
+				}
+				how := fmt.Sprintf("%s %s %s·S", tell(n, f.Base), sign, tell(n, math.Abs(f.Slope)))
 				if f.curve {
 					how = fmt.Sprintf("%s·S^%.2f", tell(n, f.scale), f.Power)
 				}
