--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -31,8 +31,23 @@
 	"birchmoor/internal/metrics"
 )
 
-// answerMargin is kept from the client's time, so that the final answer reaches it before that is up.
-const answerMargin = 5 * time.Millisecond
+// answerMargin is kept from the client's time, so that the final answer reaches it before that is up; of a time that is short, but
+// longer than this, one part in marginShare.
+const (
+	answerMargin = 5 * time.Millisecond
+	marginShare  = 20
+)
+
+// Margin is what is kept of a client's time, in microseconds. Calls come in rows: each level is told what the one above will wait,
+// which may be little beside its own client's time, and were 5 ms kept of that at each, the eleventh would have none of 50 ms. A time
+// that is no longer than the margin is all kept: nothing is begun in it.
+func Margin(left balancer.Micros) balancer.Micros {
+	most := answerMargin.Microseconds()
+	if left <= most {
+		return left
+	}
+	return min(most, left/marginShare)
+}
 
 const (
 	HeaderMost  = 16 << 10
@@ -503,7 +518,7 @@
 	}
 	c := &core.Call{ID: id, Class: name, View: config, Answer: make(chan core.Answer, 1), In: balancer.Request{Class: uint8(class), Tenant: tenant(config.Config, r), Rules: config.Rules,
 		Key: key(r.Header.Get("X-Object")), Retry: r.Header.Get("X-Second-Try") == "1"},
-		Left: left - answerMargin.Microseconds()}
+		Left: left - Margin(left)}
 	if hint, err := strconv.ParseInt(r.Header.Get("X-Size-Hint"), 10, 64); err == nil && hint > 0 {
 		c.In.Hint, c.In.HasHint = hint, true
 	}
