Reckon how many attempts one call can become over a row of levels

By class and outcome max_attempts to the power of the levels, or 1 where nothing may be repeated; beside it what the retry budget of the decision module (10 at most, 0.2 earned a request, 1 a retry) leaves of that.

--- /dev/null
+++ b/internal/lab/chain/formula_test.go
@@ -0,0 +1,53 @@
+package chain
+
+import (
+	"math"
+	"testing"
+
+	"birchmoor/balancer"
+)
+
+// One call becomes max_attempts to the power of the levels where its class may be repeated behind the outcome, and stays one elsewhere.
+func TestWorst(t *testing.T) {
+	for _, c := range []struct {
+		repeat balancer.Repeat
+		how    How
+		most   int
+		levels int
+		want   float64
+	}{
+		{balancer.Safe, Errors, 3, 14, 4782969}, {balancer.Safe, Refuses, 2, 14, 16384}, {balancer.Safe, Silent, 4, 3, 64},
+		{balancer.Keyed, Errors, 3, 3, 27}, {balancer.Keyed, Refuses, 3, 5, 243}, {balancer.Keyed, Silent, 3, 14, 1},
+		{balancer.Unsafe, Errors, 4, 14, 1}, {balancer.Unsafe, Silent, 4, 14, 1}, {balancer.Unsafe, Refuses, 4, 2, 16},
+		{balancer.Safe, Errors, 1, 14, 1}, {balancer.Safe, Errors, 3, 0, 1},
+	} {
+		if got := Worst(c.repeat, c.how, c.most, c.levels); got != c.want {
+			t.Errorf("repeat %d, %s, %d attempts, %d levels: %v, want %v", c.repeat, c.how, c.most, c.levels, got, c.want)
+		}
+		for _, calls := range []int{1, 7, 1000} {
+			if b := Budgeted(c.repeat, c.how, c.most, c.levels, calls, 1); b > float64(calls)*c.want || b < float64(calls) {
+				t.Errorf("%+v: the budget bounds %d calls by %v", c, calls, b)
+			}
+		}
+	}
+}
+
+// The budget binds once max_attempts asks for more than it has: 1, 3, 9, then 9+11, 20+14, 34+16 and so on; for many calls it is a
+// fifth more at each level.
+func TestBudgeted(t *testing.T) {
+	for levels, want := range []float64{1, 3, 9, 20, 34, 50} {
+		if got := Budgeted(balancer.Safe, Errors, 3, levels, 1, 1); got != want {
+			t.Errorf("%d levels: %v, want %v", levels, got, want)
+		}
+	}
+	if got := Budgeted(balancer.Safe, Errors, 3, 3, 1, 10); got != 27 {
+		t.Errorf("with ten sidecars a level: %v", got)
+	}
+	per := Budgeted(balancer.Safe, Errors, 3, 14, 1e9, 1) / 1e9
+	if steady := Steady(balancer.Safe, Errors, 3, 14); math.Abs(per-steady) > 1e-3 || math.Abs(steady-12.839) > 1e-3 {
+		t.Errorf("many calls: %v a call, %v in the long run", per, steady)
+	}
+	if Steady(balancer.Safe, Errors, 1, 14) != 1 || Steady(balancer.Unsafe, Errors, 3, 14) != 1 {
+		t.Error("what is not repeated grows")
+	}
+}
