Play a row of sidecars: birchmoor lab chain

A row of levels on loopback, each an application whose call goes through its own process of the sidecar program to the next. Told: what one level and the row add, by pairs with the same calls without sidecars; what of the time left each level hands on; attempts at a leaf that errs, refuses or is silent; connections, probes, processor time and memory of each sidecar.

--- a/cmd/birchmoor/lab.go
+++ b/cmd/birchmoor/lab.go
@@ -30,6 +30,7 @@
 	BenchPeer benchPeerCommand `cmd:"" hidden:""`
 	Scale     scaleCommand     `cmd:"" help:"Run a fleet far larger than the machine: real daemons beside hollow ones, and what each role costs."`
 	Hollow    hollowCommand    `cmd:"" hidden:""`
+	Chain     chainCommand     `cmd:"" help:"Play a row of sidecars: the time that it adds, the time left that it passes on, and attempts at a leaf that fails."`
 }
 
 // console is where a command prints.
