--- a/cmd/birchmoor/labchain.go
+++ b/cmd/birchmoor/labchain.go
@@ -21,6 +21,8 @@
 	Fail     string        `help:"What fails: leaf, the last server." placeholder:"leaf"`
 	How      string        `help:"How it fails: error, refuse (unseen) or silent." default:"error"`
 	Share    []float64     `help:"Of what reaches the leaf, that fails; several are played in turn." default:"1" placeholder:"X,..."`
+	Warm     time.Duration `help:"Of calls that are made first and not measured, where nothing fails; probes have their pace some 15 s after a start." default:"1s"`
+	Virtual  bool          `help:"In virtual time, by the decision modules alone, with a sidecar for each server: for attempts, not for times."`
 	Seed     uint64        `help:"All that is drawn comes from it." default:"1"`
 	Bin      string        `help:"The sidecar program; without it, dunlinsail beside this command." type:"existingfile" placeholder:"PATH"`
 	JSON     bool          `help:"As JSON."`
@@ -51,7 +53,7 @@
 	var all []chain.Options
 	for _, share := range shares { // before any is started
 		for _, n := range k.Attempts {
-			o := chain.Options{Bin: k.Bin, Depth: k.Depth, Servers: k.Servers, Rate: k.Rate, For: k.For, Attempts: n, Class: k.Class, Fail: how, Share: share, Seed: k.Seed}
+			o := chain.Options{Bin: k.Bin, Depth: k.Depth, Servers: k.Servers, Rate: k.Rate, For: k.For, Warm: k.Warm, Attempts: n, Class: k.Class, Fail: how, Share: share, Seed: k.Seed}
 			if err := o.Check(); err != nil {
 				return err
 			}
@@ -61,7 +63,7 @@
 			all = append(all, o)
 		}
 	}
-	if k.Bin == "" {
+	if k.Bin == "" && !k.Virtual {
 		bin, err := rig.Program()
 		if err != nil {
 			return err
@@ -73,7 +75,11 @@
 	var results []*chain.Result
 	for i, o := range all {
 		o.Say = func(s string) { fmt.Fprintf(c.err, "run %d of %d: %s\n", i+1, len(all), s) }
-		x, err := chain.Run(ctx, o)
+		play := chain.Run
+		if k.Virtual {
+			play = chain.Virtual
+		}
+		x, err := play(ctx, o)
 		if err != nil {
 			return err
 		}
