--- a/internal/lab/chain/virtual.go
+++ b/internal/lab/chain/virtual.go
@@ -105,13 +105,17 @@
 			})
 		})
 	}
-	err = v.q.Run(ctx, func() bool { return answered == len(v.leaf) && v.open == 0 || v.sent > mostSent })
+	end := settle + int64(o.For.Seconds()*float64(evq.Second)) + late.Microseconds()
+	err = v.q.Run(ctx, func() bool { return answered == len(v.leaf) && v.open == 0 || v.sent > mostSent || v.q.Now() > end })
 	if err == nil && v.sent > mostSent {
 		err = fmt.Errorf("over %d attempts: --depth %d, --attempts %d and %d calls are too many for a row in virtual time", mostSent, o.Depth, o.Attempts, o.Calls())
 	}
 	if err != nil {
 		return nil, err
 	}
+	if n := len(v.leaf) - answered; n > 0 {
+		v.x.Answers["0"] = n
+	}
 	v.x.Took = float64(v.q.Now()-settle) / float64(evq.Second)
 	v.x.leaves(slices.Values(v.leaf))
 	for k := range v.x.Levels {
