--- a/internal/lab/chain/virtual_test.go
+++ b/internal/lab/chain/virtual_test.go
@@ -55,6 +55,9 @@
 // Where nothing fails and nothing is repeated, each level hands on what it was told less a front's margin.
 func TestTimeLeft(t *testing.T) {
 	x := rowed(t, Options{Depth: 14, Rate: 1, For: 3 * time.Second, Attempts: 1, Class: "look"})
+	if x.Answers["200"] != 3 {
+		t.Errorf("answers: %v, want three of 200", x.Answers)
+	}
 	for k, l := range x.Levels {
 		if want := int64(rootMs - 5*(k+1)); l.LeftMax != want || l.LeftMin != want || l.Attempts != 3 {
 			t.Errorf("level %d: %d attempts were told of %d to %d ms, want 3 of %d", k+1, l.Attempts, l.LeftMin, l.LeftMax, want)
