--- a/internal/lab/chain/chain.go
+++ b/internal/lab/chain/chain.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"iter"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -143,8 +144,9 @@
 	Load     [2]string      `json:"load_average"` // of the machine, at the beginning and at the end
 	Answers  map[string]int `json:"answers"`      // of calls through the sidecars, by code
 	Broken   uint64         `json:"broken"`       // calls, of root and applications, whose connection ended without an answer
-	Surplus  uint64         `json:"surplus"`      // answers with something behind them
-	LateRoot uint64         `json:"late"`         // calls of the root that were begun more than 10 ms after their time
+	Why      map[string]int `json:"broken_by,omitempty"`
+	Surplus  uint64         `json:"surplus"` // answers with something behind them
+	LateRoot uint64         `json:"late"`    // calls of the root that were begun more than 10 ms after their time
 
 	Row      Spread  `json:"row"`        // what the whole row adds, pair by pair
 	One      Spread  `json:"one"`        // what one level adds, over all levels
@@ -173,6 +175,9 @@
 	broken, surplus, lateRoot atomic.Uint64
 	quit                      chan struct{} // what is silent ends then
 	wg                        sync.WaitGroup
+
+	mu  sync.Mutex
+	why map[string]int // of what is broken
 }
 
 // Run plays one row. Whatever happens, no process and no listener is left when it returns.
@@ -185,7 +190,7 @@
 		return nil, err
 	}
 	defer os.RemoveAll(dir)
-	r := &row{o: o, draw: draw.Seed(o.Seed), failed: o.Fail != "", quit: make(chan struct{})}
+	r := &row{o: o, draw: draw.Seed(o.Seed), failed: o.Fail != "", quit: make(chan struct{}), why: map[string]int{}}
 	if !r.failed {
 		r.warm = int(o.Rate * o.Warm.Seconds())
 	}
@@ -375,6 +380,9 @@
 	after := r.usage()
 	x.Load[1], x.Took = loadAverage(), took.Seconds()
 	x.Broken, x.Surplus, x.LateRoot = r.broken.Load(), r.surplus.Load(), r.lateRoot.Load()
+	r.mu.Lock()
+	x.Why = maps.Clone(r.why)
+	r.mu.Unlock()
 	x.leaves(func(yield func(uint64) bool) {
 		for n := r.warm; n < len(r.leaf) && yield(uint64(r.leaf[n].Load())); n++ {
 		}
--- a/internal/lab/chain/level.go
+++ b/internal/lab/chain/level.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -245,12 +246,15 @@
 		method, r.o.Class, n, by+1, id, r.o.Class, left, headCame, came, headBegan, began.UnixNano(), key, more)
 	code, took, err := l.to[way].ask(text, time.Duration(left)*time.Millisecond+late)
 	if err != nil {
-		r.broken.Add(1)
+		r.broke(err)
 		return 0, 0
 	}
 	return code, took
 }
 
+// keptFor is how long a connection without a call is used again: a sidecar ends it after 15 s, and a call may cross that.
+const keptFor = 5 * time.Second
+
 // pool is the kept connections of callers to a sidecar, or to servers in turn.
 type pool struct {
 	r     *row
@@ -264,7 +268,32 @@
 
 type line struct {
 	net.Conn
-	in *bufio.Reader
+	in   *bufio.Reader
+	used bool      // it has carried an answer,
+	at   time.Time // the last one then
+}
+
+// brokenError says where a call ended without an answer.
+type brokenError struct {
+	where string
+	err   error
+}
+
+// Error leaves out addresses.
+func (e *brokenError) Error() string {
+	err := e.err
+	if op := (*net.OpError)(nil); errors.As(err, &op) {
+		err = op.Err
+	}
+	return e.where + ": " + err.Error()
+}
+
+// broke counts a call without an answer, by its cause.
+func (r *row) broke(err error) {
+	r.broken.Add(1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.why[err.Error()]++
 }
 
 func (p *pool) close() {
@@ -279,9 +308,13 @@
 
 func (p *pool) get() (*line, error) {
 	p.mu.Lock()
-	if n := len(p.idle); n > 0 {
+	for n := len(p.idle); n > 0; n = len(p.idle) {
 		c := p.idle[n-1]
 		p.idle = p.idle[:n-1]
+		if time.Since(c.at) > keptFor {
+			c.Close()
+			continue
+		}
 		p.mu.Unlock()
 		return c, nil
 	}
@@ -290,9 +323,9 @@
 	p.mu.Unlock()
 	c, err := net.DialTimeout("tcp", addr, time.Second)
 	if err != nil {
-		return nil, err
+		return nil, &brokenError{"no connection", err}
 	}
-	return &line{c, bufio.NewReader(c)}, nil
+	return &line{Conn: c, in: bufio.NewReader(c)}, nil
 }
 
 // ask writes a request once and reads its one answer.
@@ -312,13 +345,18 @@
 			c.Close()
 		}
 	}()
+	where := "first call of a connection"
+	if c.used {
+		where = "kept connection"
+	}
 	if _, err := io.WriteString(c, text); err != nil {
-		return 0, 0, err
+		return 0, 0, &brokenError{where + ", write", err}
 	}
 	resp, err := http.ReadResponse(c.in, nil)
 	if err != nil {
-		return 0, 0, err
+		return 0, 0, &brokenError{where + ", answer", err}
 	}
+	c.used, c.at = true, time.Now()
 	defer resp.Body.Close()
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		return 0, 0, err
--- a/internal/lab/chain/show.go
+++ b/internal/lab/chain/show.go
@@ -16,6 +16,9 @@
 	fmt.Fprintf(w, "%d sidecars in a row, %d servers each, %s, max_attempts %d, %.0f calls a second, %d calls, by %s; load average %s\n",
 		x.Depth, x.Servers, x.Class, x.Attempts, x.Rate, x.Calls, x.By, busy(x))
 	fmt.Fprintf(w, "answers: %s; %d broken, %d with something behind them, %d begun over 10 ms late\n", codes(x), x.Broken, x.Surplus, x.LateRoot)
+	for _, why := range slices.Sorted(maps.Keys(x.Why)) {
+		fmt.Fprintf(w, "broken, %d: %s\n", x.Why[why], why)
+	}
 	if x.Fail != "" {
 		fmt.Fprintf(w, "the leaf fails %v of its attempts (%s): %.2f attempts there a call, %d at most; by the rules %.6g, by the budgets %.2f a call, %.2f for ever\n",
 			x.Share, x.Fail, x.PerCall, x.LeafMost, x.Worst, x.Budgeted/float64(x.Calls), x.Steady)
