--- a/internal/lab/chain/virtual.go
+++ b/internal/lab/chain/virtual.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"birchmoor/balancer"
+	"birchmoor/internal/httpfront"
 	"birchmoor/internal/lab/draw"
 	"birchmoor/internal/lab/evq"
 	"birchmoor/internal/lab/told"
@@ -16,7 +17,6 @@
 	origin   = 1_000_000_000_000_000 // the modules' clock at the start
 	wire     = 50                    // one way between any two
 	serves   = 100                   // the leaf's time for an answer
-	margin   = 5_000                 // a front keeps it from its client's time
 	mostSent = 20_000_000            // attempts of a run
 	settle   = 20 * evq.Second       // before the first call, for the probes' pace
 )
@@ -138,8 +138,8 @@
 	v := n.v
 	v.ids++
 	v.open++
-	id, now := v.ids, v.q.Now()
-	c := &vcall{root: root, came: left, deadline: now + min(left, rootMs)*1000 - margin, answer: answer}
+	id, now, told := v.ids, v.q.Now(), min(left, rootMs)*1000
+	c := &vcall{root: root, came: left, deadline: now + told - httpfront.Margin(told), answer: answer}
 	n.calls[id] = c
 	n.b.Request(n.now(), balancer.Request{ID: id, Class: classIndex(v.o.Class), Deadline: origin + c.deadline})
 }
--- a/internal/lab/chain/virtual_test.go
+++ b/internal/lab/chain/virtual_test.go
@@ -64,3 +64,11 @@
 		}
 	}
 }
+
+// A row of safe calls is served to its end, though each sidecar tells the next of no more than it waits for an attempt.
+func TestRowsOfSafeCallsAreServed(t *testing.T) {
+	x := rowed(t, Options{Depth: 14, Rate: 2250, For: time.Second, Attempts: 3, Class: "look"})
+	if x.Answers["200"] != 2250 {
+		t.Errorf("answers: %v, want 2250 of 200", x.Answers)
+	}
+}
