--- a/cmd/birchmoor/followers_test.go
+++ b/cmd/birchmoor/followers_test.go
@@ -29,6 +29,8 @@
 	"birchmoor/internal/operator"
 	"birchmoor/internal/proctest"
 	"birchmoor/internal/store"
+	"birchmoor/internal/store/admin"
+	"birchmoor/internal/store/replica"
 )
 
 // counting forwards connections to an address, and counts the bytes that pass.
@@ -211,7 +213,7 @@
 	if os.Getenv("SHOW") != "" {
 		quiet = slog.New(slog.NewTextHandler(os.Stderr, nil))
 	}
-	dir, serve := shortDir(b), freeAddress(b)
+	dir := shortDir(b)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var ends []func()
@@ -221,8 +223,21 @@
 		return x
 	}
 	var down, up atomic.Int64
-	open("a", fmt.Sprintf("listen = %q\nserve = %q", freeAddress(b), serve))
-	via := counting(b, serve, &down, &up)
+	var via []string // a replica takes 512 followers at most
+	for i := range (n + 399) / 400 {
+		name, listen, serve := string(rune('a'+i)), freeAddress(b), freeAddress(b)
+		open(name, fmt.Sprintf("listen = %q\nserve = %q\njoin = %v", listen, serve, i > 0))
+		via = append(via, fmt.Sprintf("%q", name+"="+counting(b, serve, &down, &up)))
+		if i == 0 {
+			continue
+		}
+		proctest.Until(b, "a replica more votes", func() bool {
+			c := operate.Dial(filepath.Join(dir, "a.sock"))
+			_, _ = c.Change(ctx, admin.Request{ID: store.RequestID{Client: 39, Seq: uint64(i)}, Add: &store.Join{Name: name, Address: listen}})
+			s, err := c.Status(ctx)
+			return err == nil && len(s.Peers) > i && !slices.ContainsFunc(s.Peers, func(p replica.Peer) bool { return p.Learner })
+		})
+	}
 	client := operate.Dial(filepath.Join(dir, "a.sock"))
 	for begun := time.Now(); ; time.Sleep(100 * time.Millisecond) {
 		if _, err := client.PutLimits(ctx, rateOfParts()); err == nil {
@@ -234,7 +249,7 @@
 	var all []*extras
 	var busy sync.WaitGroup
 	for i := range n {
-		x := open(fmt.Sprint("host", i), fmt.Sprintf("follow = [\"a=%s\"]\n%s", via, os.Getenv("INTEREST")))
+		x := open(fmt.Sprint("host", i), fmt.Sprintf("follow = [%s]\n%s", strings.Join(via, ", "), os.Getenv("INTEREST")))
 		all = append(all, x)
 		known := make([]byte, 15<<10)
 		busy.Go(func() {
@@ -326,9 +341,11 @@
 		text = append(text, fmt.Sprintf("%s %.0f", p, float64(purposes[p])/s))
 	}
 	b.Logf("bytes a second of all changes: %s", strings.Join(text, ", "))
-	for _, end := range ends[1:] {
+	for _, end := range ends[len(via):] {
 		busy.Go(end)
 	}
 	busy.Wait()
-	ends[0]()
+	for _, end := range ends[:len(via)] {
+		end()
+	}
 }
