Give lab scale one service for each ten sidecars where none are named

Tried as a newcomer would: the first example of the command's own help, and of the capacity page, was refused, since 120 services do not fit 75 sidecars. TestScaleServices holds it.

--- a/cmd/birchmoor/labscale.go
+++ b/cmd/birchmoor/labscale.go
@@ -20,7 +20,7 @@
 	Sidecars int           `help:"Of the fleet, the real ones among them." default:"1200"`
 	Real     int           `help:"Of them as processes of their own, with a sidecar and a little traffic." default:"8"`
 	Replicas int           `help:"Machines that are set aside: replicas, without a sidecar." default:"7"`
-	Services int           `help:"Of --sidecars; smaller sizes have as many sidecars a service." default:"120"`
+	Services int           `help:"Of --sidecars; smaller sizes have as many sidecars a service. 0 is one for each ten sidecars."`
 	For      time.Duration `help:"Of the quiet phase at each size." default:"60s"`
 	Seed     uint64        `help:"All that is drawn comes from it." default:"1"`
 	Sizes    *string       `help:"Sizes in place of --sidecars alone, such as 75,150,300,600,1200." placeholder:"N,..."`
@@ -68,8 +68,12 @@
 // options are those of one size.
 func (k *scaleCommand) options(size, largest int) (scale.Options, error) {
 	self, err := os.Executable()
+	services := k.Services
+	if services == 0 {
+		services = max(scale.Calls+1, largest/10)
+	}
 	return scale.Options{Program: self, Dir: k.Dir, Sidecars: size, Real: k.Real, Replicas: k.Replicas,
-		Services: max(min(size, scale.Calls+1), k.Services*size/max(1, largest)), For: k.For, Seed: k.Seed, Fault: k.Fault, Interest: k.Interest, Changes: k.Changes, Burst: k.Burst,
+		Services: max(min(size, scale.Calls+1), services*size/max(1, largest)), For: k.For, Seed: k.Seed, Fault: k.Fault, Interest: k.Interest, Changes: k.Changes, Burst: k.Burst,
 		Each: k.Each, Warm: k.Warm, Begin: k.Begin}, err
 }
 
--- a/cmd/birchmoor/labscale_test.go
+++ b/cmd/birchmoor/labscale_test.go
@@ -170,3 +170,13 @@
 		t.Errorf("%v is left, %v", left, err)
 	}
 }
+
+// The sizes of the help's examples and of docs/CAPACITY.md have services as the size of two years from now has: one for each ten sidecars.
+func TestScaleServices(t *testing.T) {
+	for _, tc := range []struct{ given, size, largest, want int }{{0, 75, 75, 7}, {0, 1200, 1200, 120}, {0, 75, 1200, 7}, {0, 20, 20, 5}, {30, 60, 60, 30}} {
+		k := scaleCommand{Services: tc.given}
+		if o, err := k.options(tc.size, tc.largest); err != nil || o.Services != tc.want {
+			t.Errorf("%+v: %d services, %v", tc, o.Services, err)
+		}
+	}
+}
