Read the kernel's account of the lab's processes in one place

lab chain had written again what lab bench has: processor time and memory of a process by its number. Both ask package procfs now; no figure changes.

--- a/internal/lab/bench/bench.go
+++ b/internal/lab/bench/bench.go
@@ -21,6 +21,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"birchmoor/internal/lab/procfs"
 	"birchmoor/internal/lab/scenario"
 	"birchmoor/internal/lab/told"
 )
@@ -56,7 +57,6 @@
 
 const (
 	warmUp = 500 * time.Millisecond
-	tick   = 10 * time.Millisecond // of the kernel's accounts of processor time
 )
 
 // party is a process under measurement.
@@ -113,31 +113,9 @@
 }
 
 // cpu is the processor time that the process has had.
-func (p *party) cpu() time.Duration {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	_, rest, _ := strings.Cut(string(text), ") ")
-	f := strings.Fields(rest)
-	if len(f) < 13 {
-		return 0
-	}
-	user, _ := strconv.Atoi(f[11])
-	system, _ := strconv.Atoi(f[12])
-	return time.Duration(user+system) * tick
-}
+func (p *party) cpu() time.Duration { return procfs.CPU(p.cmd.Process.Pid) }
 
-func (p *party) peakMB() float64 {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	_, rest, _ := strings.Cut(string(text), "VmHWM:")
-	kb, _, _ := strings.Cut(strings.TrimSpace(rest), " ")
-	n, _ := strconv.ParseFloat(kb, 64)
-	return n / 1024
-}
+func (p *party) peakMB() float64 { return procfs.MB(p.cmd.Process.Pid, "VmHWM") }
 
 // Run measures all parties at all numbers of connections over ten servers, then the sidecar's growth with the number
 // of servers. Within a round the parties take turns, so that what else the machine does meets all of them.
--- a/internal/lab/chain/process.go
+++ b/internal/lab/chain/process.go
@@ -9,17 +9,17 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
-	"strconv"
 	"strings"
 	"syscall"
 	"time"
+
+	"birchmoor/internal/lab/procfs"
 )
 
 const (
 	readyMost = 30 * time.Second
 	readyPoll = 20 * time.Millisecond
-	stopMost  = 3 * time.Second       // for a process to end when it is asked to
-	tick      = 10 * time.Millisecond // of the kernel's accounts of processor time
+	stopMost  = 3 * time.Second // for a process to end when it is asked to
 )
 
 // sidecar is a process of the program.
@@ -158,28 +158,6 @@
 	return v
 }
 
-func (p *sidecar) cpu() time.Duration {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	_, rest, _ := strings.Cut(string(text), ") ")
-	f := strings.Fields(rest)
-	if len(f) < 13 {
-		return 0
-	}
-	user, _ := strconv.Atoi(f[11])
-	system, _ := strconv.Atoi(f[12])
-	return time.Duration(user+system) * tick
-}
+func (p *sidecar) cpu() time.Duration { return procfs.CPU(p.cmd.Process.Pid) }
 
-func (p *sidecar) rss() float64 {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	_, rest, _ := strings.Cut(string(text), "VmRSS:")
-	kb, _, _ := strings.Cut(strings.TrimSpace(rest), " ")
-	n, _ := strconv.ParseFloat(kb, 64)
-	return n / 1024
-}
+func (p *sidecar) rss() float64 { return procfs.MB(p.cmd.Process.Pid, "VmRSS") }
