Count a departed process's age once, so that its quota lingers as long as it has to

What callers saw: a limit over a window, or of concurrency, lets through up to twice its amount after a process is stopped, cut off or killed. An hour's window was granted again after 200 s.

Cause: Allocator.outlived returned Grant.OutlivedNanos + now - goneSince, and goneSince stayed at the departure when the age was written to the grant (each second, or each twentieth of the linger). What was written counted a second time from then on, and again with each write. Reset forgot goneSince as the grant's revision changed, so only allocators that follow by events, as daemons do, were wrong; the unit tests reset before each allocation.

Mend: an allocator keeps one instant, the earliest at which it knows that the process had departed. A deletion seen at t says t; an age X read at t says t - X; each is a bound from above, so the smallest holds, and nothing is added up. The age that operators see (limit explain) is taken from the same instant. A copy that is replaced keeps the instant, for sessions never return; a new allocator loses at most what was not written yet.

--- a/internal/controlplane/quota/allocator.go
+++ b/internal/controlplane/quota/allocator.go
@@ -38,7 +38,16 @@
 	reportedAt    int64
 	grant         Grant
 	grantRevision uint64 // 0: there is no grant
-	goneSince     int64  // by this clock; 0: alive, or not known yet
+	departed      bool   // it is not alive, and departedAt is known
+	departedAt    int64  // by this clock, no earlier than it departed
+}
+
+// departedBy notes that the process had departed by an instant.
+func (s *processState) departedBy(at int64) {
+	if !s.departed || at < s.departedAt {
+		s.departed = true
+		s.departedAt = at
+	}
 }
 
 const (
@@ -82,7 +91,7 @@
 		return
 	}
 	if name, ok := strings.CutPrefix(key, GrantPrefix); ok {
-		a.applyGrant(name, e.Item, e.Deleted)
+		a.applyGrant(now, name, e.Item, e.Deleted)
 	}
 }
 
@@ -101,13 +110,13 @@
 		return true
 	})
 	s.Range(GrantPrefix, store.PrefixEnd(GrantPrefix), func(item store.Item) bool {
-		a.applyGrant(strings.TrimPrefix(item.Key, GrantPrefix), item, false)
+		a.applyGrant(now, strings.TrimPrefix(item.Key, GrantPrefix), item, false)
 		return true
 	})
 	for p, state := range a.processes {
 		old := previous[p]
-		if old != nil && !state.alive && old.goneSince != 0 && old.grantRevision == state.grantRevision {
-			state.goneSince = old.goneSince
+		if old != nil && old.departed && !state.alive {
+			state.departedBy(old.departedAt)
 		}
 	}
 }
@@ -123,13 +132,13 @@
 	delete(a.decodeErrors, item.Key)
 	if deleted {
 		state.alive = false
-		state.goneSince = now
+		state.departedBy(now)
 		a.forgetIfUnknown(p)
 		return
 	}
 	state.alive = true
 	state.reportedAt = now
-	state.goneSince = 0
+	state.departed = false
 	demand, err := DecodeDemand(item.Value)
 	if err != nil {
 		a.decodeErrors[item.Key] = err.Error()
@@ -138,8 +147,9 @@
 	state.demand = demand
 }
 
-// applyGrant applies a change of the grant of the process with a name.
-func (a *Allocator) applyGrant(name string, item store.Item, deleted bool) {
+// applyGrant applies a change of the grant of the process with a name. The age that an allocator wrote to the grant of a
+// departed process is how long it had departed by then, at least.
+func (a *Allocator) applyGrant(now int64, name string, item store.Item, deleted bool) {
 	p, ok := parseProcess(name)
 	if !ok {
 		return
@@ -158,6 +168,9 @@
 		a.decodeErrors[item.Key] = err.Error()
 	} else {
 		state.grant = grant
+		if !state.alive {
+			state.departedBy(now - grant.OutlivedNanos)
+		}
 	}
 	a.forgetIfUnknown(p)
 }
@@ -213,16 +226,17 @@
 // outlived returns for how many nanoseconds the grant of a process that is gone has outlived it, and for how many its
 // quotas count.
 func (a *Allocator) outlived(now int64, state *processState) (age, linger int64) {
-	if state.goneSince == 0 {
-		state.goneSince = now
-	}
+	state.departedBy(now)
 	for _, quota := range state.grant.Quotas {
 		linger = max(linger, quota.Linger)
 	}
 	if a.defect == NoLinger {
 		linger = 0
 	}
-	age = state.grant.OutlivedNanos + now - state.goneSince
+	age = now - state.departedAt
+	if a.defect == CountAgeTwice {
+		age += state.grant.OutlivedNanos
+	}
 	return age, int64(float64(linger) * (1 + a.rules.MaxClockSkew))
 }
 
--- a/internal/controlplane/quota/status.go
+++ b/internal/controlplane/quota/status.go
@@ -80,9 +80,8 @@
 		q.AgeMs = milliseconds(now - state.reportedAt)
 		return q
 	}
-	q.AgeMs = milliseconds(state.grant.OutlivedNanos)
-	if state.goneSince > 0 {
-		q.AgeMs += milliseconds(now - state.goneSince)
+	if state.departed {
+		q.AgeMs = milliseconds(now - state.departedAt)
 	}
 	return q
 }
