Let each quota of a departed process expire after its own linger

Each departure reduces all limits.

Cause: a grant expired as a whole, after the longest linger of its quotas (Allocator.outlived).

Mend: in each allocation the quotas whose linger is over are removed from the grant, and what is removed is free in the next, as before for whole grants; so an allocator that takes over does not count them again (tested). The age is written each twentieth of the shortest linger that is left.

--- a/internal/controlplane/quota/allocate.go
+++ b/internal/controlplane/quota/allocate.go
@@ -42,28 +42,44 @@
 	return a.transaction(now, grants, expired)
 }
 
-// expireGrants returns the processes whose grants no longer count, and adds to grants those whose age is to be updated.
-// What expires in an allocation is free in the next.
+// expireGrants returns the processes none of whose quotas counts any longer, and adds to grants those of which some do
+// not, or whose age is to be updated. What expires in an allocation is free in the next.
 func (a *Allocator) expireGrants(now int64, processes []Process, grants map[Process]Grant) (expired []Process) {
-	const updatesPerLinger = 20
 	for _, p := range processes {
 		state := a.processes[p]
 		if state.alive || state.grantRevision == 0 {
 			continue
 		}
-		age, linger := a.outlived(now, state)
+		age := a.age(now, state)
+		lingering, shortestLinger := a.lingeringQuotas(age, state.grant.Quotas)
 		switch {
-		case age >= linger:
+		case len(lingering) == 0:
 			expired = append(expired, p)
-		case age-state.grant.OutlivedNanos >= max(ageWriteInterval, linger/updatesPerLinger):
-			grant := state.grant
-			grant.OutlivedNanos = age
-			grants[p] = grant
+		case len(lingering) < len(state.grant.Quotas),
+			age-state.grant.OutlivedNanos >= max(ageWriteInterval, shortestLinger/ageWritesPerLinger):
+			grants[p] = Grant{Quotas: lingering, OutlivedNanos: age}
 		}
 	}
 	return expired
 }
 
+// lingeringQuotas returns those quotas of a process that is gone which still count, and the shortest time for which one
+// of them counts in all.
+func (a *Allocator) lingeringQuotas(age int64, quotas map[string]Quota) (lingering map[string]Quota, shortest int64) {
+	lingering = map[string]Quota{}
+	for key, quota := range quotas {
+		linger := a.lingerOf(quota)
+		if age >= linger {
+			continue
+		}
+		if len(lingering) == 0 || linger < shortest {
+			shortest = linger
+		}
+		lingering[key] = quota
+	}
+	return lingering, shortest
+}
+
 // dropEmptyQuotas drops quotas that count for nothing from the new grants of live processes.
 func (a *Allocator) dropEmptyQuotas(grants map[Process]Grant) {
 	for p, grant := range grants {
--- a/internal/controlplane/quota/allocator.go
+++ b/internal/controlplane/quota/allocator.go
@@ -53,7 +53,8 @@
 const (
 	maxOpsPerAllocation = 100
 	minChangeInterval   = int64(150 * time.Millisecond) // between two changes of a process's quotas
-	ageWriteInterval    = int64(time.Second)            // between two updates of Grant.OutlivedNanos
+	ageWriteInterval    = int64(time.Second)            // between two updates of Grant.OutlivedNanos, at least
+	ageWritesPerLinger  = 20                            // of the shortest linger of a grant, at most
 	settleInterval      = int64(2 * time.Second)
 	idleInterval        = int64(time.Second)     // between two allocations where nothing has changed
 	rotationInterval    = int64(2 * time.Second) // for which processes that take turns keep a quota
@@ -223,21 +224,22 @@
 	return s.alive && s.demand.SeenRevision >= s.grantRevision
 }
 
-// outlived returns for how many nanoseconds the grant of a process that is gone has outlived it, and for how many its
-// quotas count.
-func (a *Allocator) outlived(now int64, state *processState) (age, linger int64) {
+// age returns for how many nanoseconds a process has been gone, at least.
+func (a *Allocator) age(now int64, state *processState) int64 {
 	state.departedBy(now)
-	for _, quota := range state.grant.Quotas {
-		linger = max(linger, quota.Linger)
-	}
-	if a.defect == NoLinger {
-		linger = 0
-	}
-	age = now - state.departedAt
+	age := now - state.departedAt
 	if a.defect == CountAgeTwice {
 		age += state.grant.OutlivedNanos
 	}
-	return age, int64(float64(linger) * (1 + a.rules.MaxClockSkew))
+	return age
+}
+
+// lingerOf returns for how many nanoseconds a quota counts after its process is gone, by any clock.
+func (a *Allocator) lingerOf(q Quota) int64 {
+	if a.defect == NoLinger {
+		return 0
+	}
+	return int64(float64(q.Linger) * (1 + a.rules.MaxClockSkew))
 }
 
 // ignored reports whether an injected defect has the allocator not count a process.
--- a/internal/controlplane/quota/departure_test.go
+++ b/internal/controlplane/quota/departure_test.go
@@ -163,3 +163,37 @@
 		}
 	}
 }
+
+// Guards against a departed process's quota being withheld for the longest linger of all its quotas, by which one limit
+// over an hour had each departure reduce every other limit for an hour.
+func TestQuotasOfDepartedProcessExpireOneByOne(t *testing.T) {
+	rate := newRateLimit(10, sec)
+	short := newWindowLimit("window-3s", 3*time.Second)
+	long := newWindowLimit("window-60s", time.Minute)
+	for _, l := range []*Limit{rate, short, long} {
+		t.Run(l.Name, func(t *testing.T) {
+			d, a := depart(t, rate, short, long)
+			after := d.grantedAfter(t, a, l, undisturbed)
+			linger := int64(float64(l.linger()) * (1 + testSkew))
+			if latest := linger + idleInterval + 3*allocateInterval; after < linger || after > latest {
+				t.Errorf("granted again %v after the departure, not between %v and %v",
+					time.Duration(after), time.Duration(linger), time.Duration(latest))
+			}
+		})
+	}
+	t.Run("next allocator", func(t *testing.T) {
+		d, a := depart(t, rate, short, long)
+		after := d.grantedAfter(t, a, short, undisturbed)
+		next := d.follow(departedAt + after)
+		for now := departedAt + after; now < departedAt+2*after; now += allocateInterval {
+			next.allocate(t, now)
+			grant, _ := d.grant(d.successor)
+			for _, l := range []*Limit{rate, short} {
+				if amount := grant.Quotas[l.Key(0)].Amount; amount != l.Nodes[0].Capacity {
+					t.Fatalf("%v after the departure the next allocator leaves %s of %s",
+						time.Duration(now-departedAt), FormatAmount(amount), l.Name)
+				}
+			}
+		}
+	})
+}
