Have a follower save limits and settings before they take effect

What callers saw: after a daemon without a replica is killed within two seconds of new limits, or of its first copy with limits, its restart admits everything until its copy comes: 50 of 50 requests by a strict limit that allows none, and as many as are asked where no replica answers.

Cause: the follower's file is written 2 s after a change at the earliest (minSaveInterval), and asynchronously after a first copy, while the hooks that put limits in force are called at once. A start reads the file, finds no limits, and Manager.Admit admits all while there is no matcher.

The unit test shows the file without the limit at the moment of each hook (3 of 3 changes).

Mend: a Subscription names what is Durable, limits and settings. A change or a first copy that has some of it is written to the file before the hooks are called. A disk that fails or hangs delays the effect by a second at most, with a warning, since a limit in force matters more than one remembered. Drains have their own log already, administrative drains the sidecar's file.

--- a/internal/controlplane/daemon/settings.go
+++ b/internal/controlplane/daemon/settings.go
@@ -94,11 +94,12 @@
 func (s *Settings) Attach(copied Store) { s.store = copied }
 
 // Subscription implements Subscriber: the settings in effect and those of a rollout. Candidates are checked by
-// replicas; older versions and the reports of others are read on demand.
+// replicas; older versions and the reports of others are read on demand. What is in effect is durable: a process that
+// starts without it returns to the settings of its file.
 func (s *Settings) Subscription() changefeed.Subscription {
 	kept := store.Interest{Keys: []string{keyCurrent, keyPlan, keyPlanSettings}}
 	interest := kept.Union(store.Interest{Keys: []string{ReportKey(s.name)}})
-	return changefeed.Subscription{Interest: &interest, Retained: kept}
+	return changefeed.Subscription{Interest: &interest, Retained: kept, Durable: kept}
 }
 
 // Event implements Component.
--- a/internal/controlplane/quotasync/manager.go
+++ b/internal/controlplane/quotasync/manager.go
@@ -90,13 +90,19 @@
 func (m *Manager) Attach(s daemon.Store) { m.store = s }
 
 // Subscription implements daemon.Subscriber: the limits, this daemon's own demand and grant, and how many processes
-// report. The demand and the grants of others are for allocators, which followers do not run.
+// report. The demand and the grants of others are for allocators, which followers do not run. The limits are durable:
+// a process that starts without them admits everything.
 func (m *Manager) Subscription() changefeed.Subscription {
 	retained := store.Interest{Keys: []string{quota.ConfigKey}}
 	ownPrefix := m.cfg.Host + "/"
 	own := store.Interest{Prefixes: []string{quota.DemandPrefix + ownPrefix, quota.GrantPrefix + ownPrefix}}
 	all := retained.Union(own)
-	return changefeed.Subscription{Interest: &all, Retained: retained, SizePrefixes: []string{quota.DemandPrefix}}
+	return changefeed.Subscription{
+		Interest:     &all,
+		Retained:     retained,
+		Durable:      retained,
+		SizePrefixes: []string{quota.DemandPrefix},
+	}
 }
 
 // ObservePrefixSize implements daemon.PrefixSizeObserver.
--- a/internal/store/changefeed/subscription.go
+++ b/internal/store/changefeed/subscription.go
@@ -10,6 +10,7 @@
 type Subscription struct {
 	Interest     *store.Interest // nil: all keys
 	Retained     store.Interest  // the part of Interest that is of use to the next start
+	Durable      store.Interest  // the part of Retained that the next start has to know whenever this process did
 	SizePrefixes []string        // prefixes of which the daemon needs the number and size of keys
 }
 
@@ -19,6 +20,7 @@
 	slices.Sort(prefixes)
 	union := Subscription{
 		Retained:     s.Retained.Union(other.Retained),
+		Durable:      s.Durable.Union(other.Durable),
 		SizePrefixes: slices.Compact(prefixes),
 	}
 	if s.Interest != nil && other.Interest != nil {
--- a/internal/store/follower/copyfile.go
+++ b/internal/store/follower/copyfile.go
@@ -17,6 +17,8 @@
 	copyFileName    = "copy"
 	minSaveInterval = 2 * time.Second
 	saveTimeFactor  = 100 // the interval between two saves is at least so many times as long as a save took
+
+	maxEffectDelay = time.Second // by a disk that hangs, of what is to be saved before it takes effect
 )
 
 // Where a start got its copy from, as the status of a daemon says it.
@@ -98,6 +100,27 @@
 	return f.writeCopy(state, number)
 }
 
+// saveBeforeEffect writes the copy to the file before the hooks are called, for what the next start has to know
+// whenever this process did. If the disk fails or hangs, the hooks are called nevertheless. The lock is held, and
+// released meanwhile.
+func (f *Follower) saveBeforeEffect() {
+	state, number := f.takeUnsaved()
+	f.mu.Unlock()
+	defer f.mu.Lock()
+	saved := make(chan error, 1)
+	f.background.Go(func() { saved <- f.writeCopy(state, number) })
+	timeout := time.NewTimer(maxEffectDelay)
+	defer timeout.Stop()
+	select {
+	case err := <-saved:
+		if err != nil {
+			f.cfg.Log.Warn("in effect, and not saved for the next start", "error", err)
+		}
+	case <-timeout.C:
+		f.cfg.Log.Warn("in effect, and not saved yet for the next start", "waited", maxEffectDelay)
+	}
+}
+
 // takeUnsaved returns what is to be written to the file, and its number, and counts it as saved. The lock is held.
 func (f *Follower) takeUnsaved() (*store.State, uint64) {
 	f.unsaved = false
--- a/internal/store/follower/fetch.go
+++ b/internal/store/follower/fetch.go
@@ -28,8 +28,11 @@
 		return err
 	}
 	f.unsaved = true
+	if state.Subset(f.subscription.Durable).Len() > 0 {
+		f.saveBeforeEffect()
+	}
 	f.stateReplaced()
-	if !f.hasHeartbeat() { // the copy may be narrowed soon: the next start is to begin with what this one began with
+	if f.unsaved && !f.hasHeartbeat() { // the copy may be narrowed soon: the next start is to begin with what this one began with
 		unsaved, number := f.takeUnsaved()
 		f.background.Go(func() { _ = f.writeCopy(unsaved, number) }) // a copy that cannot be written stays unsaved
 	}
--- a/internal/store/follower/interest_test.go
+++ b/internal/store/follower/interest_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/url"
 	"os"
@@ -251,3 +252,55 @@
 		t.Errorf("after a change the next start has %q, %v", got, err)
 	}
 }
+
+// Guards against a start that does not know what the process before it acted on: a limit was in force up to two seconds
+// before it was in the copy's file, and a process that was killed in between started without it.
+func TestDurableKeysAreSavedBeforeTheyTakeEffect(t *testing.T) {
+	replica, addr := startReplica(t, nil)
+	put(t, replica, "limit", "first")
+	dir := t.TempDir()
+	subscription := changefeed.Subscription{
+		Interest: prefixes("l"),
+		Retained: store.Interest{Prefixes: []string{"l"}},
+		Durable:  store.Interest{Keys: []string{"limit"}},
+	}
+	savedLimit := func() string {
+		file, err := os.ReadFile(filepath.Join(dir, copyFileName))
+		if err != nil {
+			return err.Error()
+		}
+		saved, err := store.LoadSubset(bytes.NewReader(file))
+		if err != nil {
+			return err.Error()
+		}
+		item, _ := saved.Get("limit")
+		return string(item.Value)
+	}
+	inEffect := make(chan string, 10) // and then what is saved at that moment
+	takesEffect := func(value string) {
+		inEffect <- value
+		inEffect <- savedLimit()
+	}
+	f, err := Open(Config{
+		Name: "h", Dir: dir, FirstCopyTimeout: testTimeout, Log: slog.New(slog.DiscardHandler),
+		Replicas:     []Replica{{Name: "a", Addr: addr}},
+		Subscription: func() changefeed.Subscription { return subscription },
+		OnReset: func(state *store.State) {
+			item, _ := state.Get("limit")
+			takesEffect(string(item.Value))
+		},
+		OnEvent: func(event store.Event) { takesEffect(string(event.Item.Value)) },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	for _, value := range []string{"first", "second", "third"} {
+		if value != "first" {
+			put(t, replica, "limit", value)
+		}
+		if got, saved := <-inEffect, <-inEffect; got != value || saved != value {
+			t.Errorf("%q is in effect, and the next start would have %q; put was %q", got, saved, value)
+		}
+	}
+}
--- a/internal/store/follower/stream.go
+++ b/internal/store/follower/stream.go
@@ -245,10 +245,17 @@
 	if err != nil {
 		return err
 	}
+	isDurable := false
 	for _, event := range events {
 		isSaved := f.mirror.State().Interest() == nil || f.subscription.Retained.Covers(event.Item.Key)
 		f.unsaved = f.unsaved || isSaved
-		if f.cfg.OnEvent != nil {
+		isDurable = isDurable || f.subscription.Durable.Covers(event.Item.Key)
+	}
+	if isDurable {
+		f.saveBeforeEffect()
+	}
+	if f.cfg.OnEvent != nil {
+		for _, event := range events {
 			f.cfg.OnEvent(event)
 		}
 	}
