Say in the log and in limit list that a daemon has no copy, and so limits nothing

A process that never had a copy of the store knows no limits and admits everything; the design page excepts it from what is guaranteed, for a daemon with an empty disk must serve when no replica can be reached. Neither the log of limits nor "limit list" said so. Now a warning is logged and the status shows the fault until the first copy. Waiting longer before serving was not chosen: the page promises that no request waits for the store. Tested before and after the first copy.

--- a/internal/controlplane/quotasync/manager.go
+++ b/internal/controlplane/quotasync/manager.go
@@ -65,6 +65,7 @@
 	reporting        map[string]bool   // demand keys of the copy
 	loggedRejections map[string]uint64 // by limit
 
+	hasCopy       bool             // of the store; without one no limits are known
 	partialCopy   bool             // the copy does not hold the demand of all processes,
 	reportingSize store.PrefixSize // of which there are so many
 }
@@ -148,6 +149,7 @@
 func (m *Manager) Reset(s *store.State) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.hasCopy = true
 	m.allocator.Reset(m.now(), s)
 	item, exists := s.Get(quota.ConfigKey)
 	m.setConfig(item.Value, exists)
--- a/internal/controlplane/quotasync/manager_test.go
+++ b/internal/controlplane/quotasync/manager_test.go
@@ -20,6 +20,9 @@
 		Clock:                    bootclock.Clock{},
 		Log:                      slog.New(slog.DiscardHandler),
 	}, nil)
+	if fault := m.faultOf(m.allocator, nil); fault != faultNoCopy {
+		t.Errorf("before the first copy the fault is %q", fault)
+	}
 	own, other := quota.Process{Host: "h", Session: 7}, quota.Process{Host: "h2", Session: 8}
 	subscription := m.Subscription()
 	interest := subscription.Interest
@@ -49,6 +52,9 @@
 		return time.Duration(next - now)
 	}
 	m.Reset(full.Subset(*interest))
+	if fault := m.faultOf(m.allocator, nil); fault != "" {
+		t.Errorf("with a copy the fault is %q", fault)
+	}
 	m.ObservePrefixSize(quota.DemandPrefix, store.PrefixSize{Keys: 1200})
 	if d := interval(); d != 6*time.Second {
 		t.Errorf("among 1,200 processes: %v", d)
--- a/internal/controlplane/quotasync/run.go
+++ b/internal/controlplane/quotasync/run.go
@@ -47,6 +47,7 @@
 		return
 	}
 	defer presence.Close()
+	m.logMissingCopy()
 	var reporter sync.WaitGroup
 	defer reporter.Wait()
 	reporter.Go(func() { m.report(ctx) })
@@ -65,6 +66,15 @@
 	}
 }
 
+// logMissingCopy logs that no limits are known.
+func (m *Manager) logMissingCopy() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.hasCopy {
+		m.cfg.Log.Warn("limits of the fleet are not known", "fault", faultNoCopy)
+	}
+}
+
 // setSession takes the present session. If it is a new one, a grant may have come before it was known to be this
 // process's.
 func (m *Manager) setSession(ctx context.Context, session uint64, validUntil int64) {
--- a/internal/controlplane/quotasync/status.go
+++ b/internal/controlplane/quotasync/status.go
@@ -103,8 +103,14 @@
 	return status, nil
 }
 
+// faultNoCopy is the fault of a daemon that never had a copy of the store.
+const faultNoCopy = "there is no copy of the store yet: nothing is limited here"
+
 // faultOf returns the fault that a status shows. The lock is held.
 func (m *Manager) faultOf(allocator *quota.Allocator, replicaErr error) string {
+	if !m.hasCopy {
+		return faultNoCopy
+	}
 	fault := m.configFault
 	if replicaErr != nil {
 		fault = fmt.Sprintf("no replica tells of the others: shares are this daemon's alone: %v", replicaErr)
