Judge limits over whole windows by when requests were sent, and play a long window

Now clients stamp requests, and those that were sent and arrived within an interval count in it: they were admitted in between, whatever they took. A limit of 1,000 in 10 s is played beside the others; a fifth client of each daemon asks for it.

The judge's tests are unchanged; one more has requests of known ages. limit check counts 5 limits.

--- a/cmd/birchmoor/limit_test.go
+++ b/cmd/birchmoor/limit_test.go
@@ -94,7 +94,7 @@
 			t.Errorf("%v: exit code %d: %s%s", x.args, code, out, errs)
 		}
 	}
-	if code, out, _ := birchmoor("limit", "check", good); code != 0 || !strings.Contains(out, "4 limits") {
+	if code, out, _ := birchmoor("limit", "check", good); code != 0 || !strings.Contains(out, "5 limits") {
 		t.Error(out)
 	}
 }
--- a/internal/lab/limitlab/judge.go
+++ b/internal/lab/limitlab/judge.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -11,167 +13,251 @@
 	"birchmoor/internal/controlplane/quota"
 )
 
-// Judge is the servers: it counts what comes, by limit and part, on one clock, and knows of limits what their file says and the formula of
-// their bound, nothing of how they hold. A request counts once, when it first comes, however often it is tried; at once it counts from its
-// first try's beginning to its last one's end; a try that its sidecar gave up, by closing its connection, is none from then on, which a server
-// hears a little later.
-type Judge struct {
-	begun time.Time
-	conf  *quota.Config
-	match *quota.Matcher
-	skew  float64
-	late  time.Duration
-	hosts int
-
-	mu     sync.Mutex
-	rows   map[string]*row
-	seen   map[string]*request
-	order  []string // of seen, the oldest first
-	total  int
-	crowds []crowd
-}
+// Headers of the lab's requests. A sidecar forwards them.
+const (
+	sentHeader   = "X-Sent-Ns" // when the client sent it, in nanoseconds of the judge's clock
+	daemonHeader = "X-From"    // the daemon that it was sent to
+)
 
-// lateMost is how long after a sidecar let a request through it may come: its client's patience.
-const lateMost = time.Second
+const (
+	rateJudgedFor     = 4 * time.Second       // length of the intervals in which a rate is judged
+	heldFor           = 60 * time.Millisecond // how long servers take for a request of a concurrency limit
+	maxKnownRequests  = 1 << 17               // far more than can be open
+	maxStoredExcesses = 1000
+	maxClockSkew      = 0.02 // of the daemons, by their default
+)
 
-// seenMost is how many requests are remembered by their ids, far more than can be open.
-const seenMost = 1 << 17
+// Judge is the servers: it counts what arrives, by limit and part, on one clock, and knows of limits what their file says
+// and the formula of their bound, nothing of how they are enforced. A request counts once, when it first arrives,
+// however often it is tried. It was admitted after its client sent it and before it arrived, so that a request of which
+// both lie within an interval was admitted in it, however late it was. Of a concurrency limit it counts from its first
+// attempt's start to its last one's end; an attempt that its sidecar cancelled, by closing its connection, does not from
+// then on, which a server observes a little later.
+type Judge struct {
+	startedAt time.Time
+	config    *quota.Config
+	matcher   *quota.Matcher
+	daemons   int
 
-const crowdsMost = 1000 // kept, to be judged at the end
+	mu       sync.Mutex
+	tallies  map[string]*tally // by quota.Limit.Key
+	requests map[string]*request
+	order    []string // of requests, the oldest first
+	total    int
+	excesses []excess
+}
 
 type request struct {
-	open   int
-	came   time.Duration
-	gaveUp bool // a try of it has ended by its connection's end
+	daemon    string
+	sentAt    time.Duration
+	arrivedAt time.Duration
+	open      int  // attempts
+	cancelled bool // an attempt of it has ended by its connection's end
 }
 
-// crowd is that more were there at once than a limit lets through, by those of whose connections' ends nothing was heard yet.
-type crowd struct {
-	row *row
-	at  time.Duration
-	who []*request
+// excess is that more requests were open at once than a limit admits, not counting those that are known to be cancelled.
+type excess struct {
+	tally    *tally
+	at       time.Duration
+	requests []*request
 }
 
-// row is one part of one limit.
-type row struct {
-	l      *quota.Limit
+// tally is what arrived of one part of one limit.
+type tally struct {
+	limit  *quota.Limit
 	node   int
-	at     []time.Duration   // of the last windows
-	open   map[*request]bool // AtOnce: those that are there
+	recent []*request        // sent within the length that is judged
+	open   map[*request]bool // of a concurrency limit
 	count  int
-	near   float64
-	most   float64 // seen, in the window that is judged
+	most   float64 // in the length that is judged
+	near   float64 // the most, by the bound
 	broken string
+	from   time.Duration // when the interval began in which it was exceeded
+	to     time.Duration
 }
 
-func newJudge(conf *quota.Config, hosts int) *Judge {
-	j := &Judge{begun: time.Now(), conf: conf, match: quota.NewMatcher(conf), skew: 0.02, late: lateMost, hosts: hosts, rows: map[string]*row{}, seen: map[string]*request{}}
-	for _, l := range conf.Limits {
+func newJudge(config *quota.Config, daemons int) *Judge {
+	j := &Judge{
+		startedAt: time.Now(),
+		config:    config,
+		matcher:   quota.NewMatcher(config),
+		daemons:   daemons,
+		tallies:   map[string]*tally{},
+		requests:  map[string]*request{},
+	}
+	for _, l := range config.Limits {
 		for i := range l.Nodes {
-			j.rows[l.Key(i)] = &row{l: l, node: i, open: map[*request]bool{}}
+			j.tallies[l.Key(i)] = &tally{limit: l, node: i, open: map[*request]bool{}}
 		}
 	}
 	return j
 }
 
-// window is the length of time in which a limit's requests are counted, and the bound of them. Of a window it is shorter than its own by
-// what a request may be late.
-func (r *row) window(late time.Duration, skew float64, away int) (time.Duration, float64) {
-	length := 4 * time.Second
-	if r.l.Kind == quota.Window {
-		length = max(time.Duration(r.l.Window)-late, late)
-		bound, _ := r.l.UpperBound(r.node, int64(length), int64(late), skew, away)
-		return length, bound
+// now is the time on the judge's clock.
+func (j *Judge) now() time.Duration { return time.Since(j.startedAt) }
+
+// judgedFor is the length of the intervals in which requests are counted: of a window its own.
+func (t *tally) judgedFor() time.Duration {
+	if t.limit.Kind == quota.Window {
+		return time.Duration(t.limit.Window)
 	}
-	bound, _ := r.l.UpperBound(r.node, int64(length), int64(late), skew, away)
-	return length, bound
+	return rateJudgedFor
+}
+
+// bound is the most that may be admitted in such an interval while all daemons are cut off from the store.
+func (t *tally) bound(daemons int) float64 {
+	bound, _ := t.limit.UpperBound(t.node, int64(t.judgedFor()), 0, maxClockSkew, daemons)
+	return bound
 }
 
-// ServeHTTP takes a request as a server does, and takes a while with what is limited at once.
+// ServeHTTP serves a request as a server does.
 func (j *Judge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := quota.Request{Class: "look", Path: r.URL.Path, Header: r.Header.Get}
-	id := r.Header.Get("X-Trace-Id")
+	arrived, held := j.arrive(r)
+	if strings.HasPrefix(r.URL.Path, "/look/held") {
+		ctx, cancel := context.WithTimeout(r.Context(), heldFor)
+		<-ctx.Done() // or the client has gone
+		cancel()
+	}
+	j.leave(arrived, held, r.Context().Err() != nil)
+	_, _ = w.Write([]byte("ok"))
+}
+
+// arrive counts an attempt, and returns its request and the concurrency limits that it counts for.
+func (j *Judge) arrive(r *http.Request) (arrived *request, held []*tally) {
 	j.mu.Lock()
-	x := j.seen[id]
-	first := x == nil
-	if first {
-		x = &request{came: time.Since(j.begun)}
-		j.seen[id] = x
-		if j.order = append(j.order, id); len(j.order) > seenMost {
-			delete(j.seen, j.order[0])
-			j.order = j.order[1:]
-		}
-		j.total++
-	}
-	x.open++
-	var held []*row
-	for _, c := range j.match.Match(nil, &q) {
-		for at := c.Node; ; at = c.Limit.Nodes[at].Parent {
-			row := j.rows[c.Limit.Key(at)]
-			if first {
-				row.count++
-			}
-			if row.l.Kind == quota.Concurrency {
-				row.open[x] = true
-				held = append(held, row)
+	defer j.mu.Unlock()
+	now := j.now()
+	arrived, isFirst := j.request(r, now)
+	arrived.open++
+	query := quota.Request{Class: "look", Path: r.URL.Path, Header: r.Header.Get}
+	for _, charge := range j.matcher.Match(nil, &query) {
+		for node := charge.Node; ; node = charge.Limit.Nodes[node].Parent {
+			t := j.tallies[charge.Limit.Key(node)]
+			if isFirst {
+				t.count++
 			}
-			if first || row.l.Kind == quota.Concurrency {
-				j.look(row, time.Since(j.begun))
+			if t.limit.Kind == quota.Concurrency {
+				t.open[arrived] = true
+				held = append(held, t)
+				j.judgeConcurrency(t, now)
+			} else if isFirst {
+				j.judgeInterval(t, arrived, now)
 			}
-			if at == 0 {
+			if node == 0 {
 				break
 			}
 		}
 	}
-	j.mu.Unlock()
-	if strings.HasPrefix(r.URL.Path, "/look/held") {
-		ctx, cancel := context.WithTimeout(r.Context(), 60*time.Millisecond)
-		<-ctx.Done() // or the client has gone
-		cancel()
+	return arrived, held
+}
+
+// request returns the request of an attempt, and whether it is the first of it. The lock is held.
+func (j *Judge) request(r *http.Request, now time.Duration) (x *request, isFirst bool) {
+	id := r.Header.Get("X-Trace-Id")
+	if x := j.requests[id]; x != nil {
+		return x, false
+	}
+	x = &request{daemon: r.Header.Get(daemonHeader), sentAt: now, arrivedAt: now}
+	if sent, err := strconv.ParseInt(r.Header.Get(sentHeader), 10, 64); err == nil {
+		x.sentAt = time.Duration(sent)
+	}
+	j.requests[id] = x
+	j.order = append(j.order, id)
+	if len(j.order) > maxKnownRequests {
+		delete(j.requests, j.order[0])
+		j.order = j.order[1:]
 	}
+	j.total++
+	return x, true
+}
+
+// leave notes the end of an attempt.
+func (j *Judge) leave(x *request, held []*tally, cancelled bool) {
 	j.mu.Lock()
-	x.gaveUp = x.gaveUp || r.Context().Err() != nil
-	if x.open--; x.open == 0 {
-		for _, row := range held {
-			delete(row.open, x)
-		}
+	defer j.mu.Unlock()
+	x.cancelled = x.cancelled || cancelled
+	x.open--
+	if x.open > 0 {
+		return
+	}
+	for _, t := range held {
+		delete(t.open, x)
 	}
-	j.mu.Unlock()
-	_, _ = w.Write([]byte("ok"))
 }
 
-// look holds a row against its bound. The lock is held.
-func (j *Judge) look(r *row, now time.Duration) {
-	length, bound := r.window(j.late, j.skew, j.hosts)
-	n := float64(len(r.open))
-	if r.l.Kind != quota.Concurrency {
-		r.at = append(r.at, now)
-		for r.at[0] <= now-length {
-			r.at = r.at[1:]
-		}
-		n = float64(len(r.at))
+// judgeInterval compares the requests that were sent and arrived within the last interval with their bound. The lock is
+// held.
+func (j *Judge) judgeInterval(t *tally, arrived *request, now time.Duration) {
+	length := t.judgedFor()
+	bound := t.bound(j.daemons)
+	t.recent = slices.DeleteFunc(append(t.recent, arrived), func(x *request) bool { return x.sentAt <= now-length })
+	n := float64(len(t.recent))
+	t.most = max(t.most, n)
+	t.near = max(t.near, n/bound)
+	if n > bound && t.broken == "" {
+		t.from, t.to = now-length, now
+		t.broken = fmt.Sprintf("%s, part %q: %.0f in %v at %v, and the bound is %.1f; by daemon: %s",
+			t.limit.Name, t.limit.Nodes[t.node].Path, n, length, now.Round(time.Millisecond), bound, describe(t.recent))
 	}
-	if r.l.Kind == quota.Concurrency && n > bound {
-		c := crowd{row: r, at: now}
-		for x := range r.open {
-			c.who = append(c.who, x)
-		}
-		if len(j.crowds) < crowdsMost {
-			j.crowds = append(j.crowds, c)
+}
+
+// describe says for each daemon how many of the requests were sent to it, from when to when they arrived, and the
+// longest that one took.
+func describe(requests []*request) string {
+	byDaemon := map[string][]*request{}
+	for _, x := range requests {
+		byDaemon[x.daemon] = append(byDaemon[x.daemon], x)
+	}
+	var parts []string
+	for daemon, all := range byDaemon {
+		first, last, longest := all[0].arrivedAt, all[0].arrivedAt, time.Duration(0)
+		for _, x := range all {
+			first, last = min(first, x.arrivedAt), max(last, x.arrivedAt)
+			longest = max(longest, x.arrivedAt-x.sentAt)
 		}
+		parts = append(parts, fmt.Sprintf("d%s %d from %v to %v, %v old at most", daemon, len(all),
+			first.Round(time.Millisecond), last.Round(time.Millisecond), longest.Round(time.Millisecond)))
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, "; ")
+}
+
+// judgeConcurrency compares the open requests with the limit. Whether an excess counts is decided at the end, when all
+// cancelled requests are known. The lock is held.
+func (j *Judge) judgeConcurrency(t *tally, now time.Duration) {
+	n := float64(len(t.open))
+	bound := t.bound(j.daemons)
+	if n <= bound {
+		t.most = max(t.most, n)
+		t.near = max(t.near, n/bound)
 		return
 	}
-	r.most = max(r.most, n)
-	if r.near = max(r.near, n/bound); n > bound && r.broken == "" {
-		r.broken = fmt.Sprintf("%s, part %q: %.0f in %v at %v, and the bound is %.1f", r.l.Name, r.l.Nodes[r.node].Path, n, length, now.Round(time.Millisecond), bound)
+	e := excess{tally: t, at: now}
+	for x := range t.open {
+		e.requests = append(e.requests, x)
 	}
+	if len(j.excesses) < maxStoredExcesses {
+		j.excesses = append(j.excesses, e)
+	}
+}
+
+// firstExcess is the interval in which a limit was first exceeded; ok is false if none was.
+func (j *Judge) firstExcess() (from, to time.Duration, ok bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, t := range j.tallies {
+		if t.broken != "" && (!ok || t.to < to) {
+			from, to, ok = t.from, t.to, true
+		}
+	}
+	return from, to, ok
 }
 
-// counts are all requests, and those of a limit's whole.
-func (j *Judge) counts(name string) (all, of int) {
+// counts are all requests, and those of a whole limit.
+func (j *Judge) counts(name string) (all, ofLimit int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.total, j.rows[j.conf.Find(name).Key(0)].count
+	return j.total, j.tallies[j.config.Find(name).Key(0)].count
 }
 
 // Seen is what servers saw of a part of a limit.
@@ -187,30 +273,36 @@
 func (j *Judge) result() (all []Seen, broken []string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	for _, c := range j.crowds {
-		n := 0
-		r := c.row
-		for _, x := range c.who { // one that lasts for longer than the limit says is not of its terms
-			if !x.gaveUp && c.at-x.came < time.Duration(r.l.Window) {
-				n++
-			}
-		}
-		bound := float64(r.l.Nodes[r.node].Capacity) / float64(quota.AmountUnit)
-		r.most = max(r.most, float64(n))
-		r.near = max(r.near, float64(n)/bound)
-		if float64(n) > bound && r.broken == "" {
-			r.broken = fmt.Sprintf("%s, part %q: %d at once at %v, and the limit is %.0f", r.l.Name, r.l.Nodes[r.node].Path, n, c.at.Round(time.Millisecond), bound)
-		}
+	for _, e := range j.excesses {
+		e.judge()
 	}
-	for _, l := range j.conf.Limits {
+	for _, l := range j.config.Limits {
 		for i, n := range l.Nodes {
-			r := j.rows[l.Key(i)]
-			_, bound := r.window(j.late, j.skew, j.hosts)
-			all = append(all, Seen{l.Name, n.Path, r.count, r.most, bound, r.near})
-			if r.broken != "" {
-				broken = append(broken, r.broken)
+			t := j.tallies[l.Key(i)]
+			all = append(all, Seen{l.Name, n.Path, t.count, t.most, t.bound(j.daemons), t.near})
+			if t.broken != "" {
+				broken = append(broken, t.broken)
 			}
 		}
 	}
 	return all, broken
 }
+
+// judge counts the requests of an excess that were neither cancelled nor longer open than the limit allows for.
+func (e *excess) judge() {
+	t := e.tally
+	n := 0
+	for _, x := range e.requests {
+		if !x.cancelled && e.at-x.arrivedAt < time.Duration(t.limit.Window) {
+			n++
+		}
+	}
+	bound := float64(t.limit.Nodes[t.node].Capacity) / float64(quota.AmountUnit)
+	t.most = max(t.most, float64(n))
+	t.near = max(t.near, float64(n)/bound)
+	if float64(n) > bound && t.broken == "" {
+		t.from, t.to = e.at, e.at
+		t.broken = fmt.Sprintf("%s, part %q: %d at once at %v, and the limit is %.0f",
+			t.limit.Name, t.limit.Nodes[t.node].Path, n, e.at.Round(time.Millisecond), bound)
+	}
+}
--- a/internal/lab/limitlab/judge_test.go
+++ b/internal/lab/limitlab/judge_test.go
@@ -69,3 +69,45 @@
 		})
 	}
 }
+
+// A request was admitted at some time between its sending and its arrival: it counts against a window that holds both,
+// and not against one that began after it was sent.
+func TestWindowIsJudgedBySendingAndArrival(t *testing.T) {
+	config, err := quota.ParseFile("limits.toml", []byte(Limits))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, x := range map[string]struct {
+		sentBefore time.Duration // the first request arrives
+		isBroken   bool
+	}{
+		"sent and arrived within the window": {500 * time.Millisecond, true},
+		"sent before the window":             {3 * time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				j := newJudge(config, 8)
+				time.Sleep(10 * time.Second)
+				for i := range 301 {
+					sentAt := j.now()
+					if i == 0 {
+						sentAt -= x.sentBefore
+					}
+					r := httptest.NewRequest("GET", "/look/quota", nil)
+					r.Header.Set("X-Trace-Id", fmt.Sprint(i))
+					r.Header.Set(daemonHeader, "4")
+					r.Header.Set(sentHeader, fmt.Sprint(int64(sentAt)))
+					j.ServeHTTP(httptest.NewRecorder(), r)
+					time.Sleep(time.Millisecond)
+				}
+				_, broken := j.result()
+				if _, _, exceeded := j.firstExcess(); exceeded != x.isBroken || len(broken) > 0 != x.isBroken {
+					t.Errorf("broken: %q", broken)
+				}
+				if x.isBroken && !strings.Contains(broken[0], "d4 301 from 10s to 10.3s, 500ms old at most") {
+					t.Errorf("the message is %q", broken[0])
+				}
+			})
+		})
+	}
+}
--- a/internal/lab/limitlab/limitlab.go
+++ b/internal/lab/limitlab/limitlab.go
@@ -10,10 +10,12 @@
 	"net/http"
 	"os"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"birchmoor/internal/controlplane/adminapi"
 	"birchmoor/internal/controlplane/quota"
 	"birchmoor/internal/lab/fleetlab"
 )
@@ -53,6 +55,7 @@
 	Seen     []Seen         `json:"seen"`
 	Use      float64        `json:"use"` // of the rate limit, once all was calm
 	Broken   []string       `json:"broken"`
+	History  []string       `json:"history,omitempty"` // of the store, around the first excess
 	Schedule []Blow         `json:"schedule"`
 }
 
@@ -75,6 +78,10 @@
 amount = 300.0
 window = "3s"
 paths = ["/look/quota"]
+[limit.long]
+amount = 1000.0
+window = "10s"
+paths = ["/look/long"]
 [limit.held]
 at_once = 16.0
 longest = "1s"
@@ -167,6 +174,7 @@
 	}
 	conf.AssignGenerations(&quota.Config{})
 	x := &run{Torture: t, judge: newJudge(conf, t.Replicas+t.Follow)}
+	changes := &history{now: x.judge.now}
 	x.fleet, err = fleetlab.Begin(ctx, fleetlab.Config{Program: t.Program, Args: []string{"run", "--config"}, Env: t.Env, Dir: dir, Replicas: t.Replicas,
 		Follow: t.Follow, Servers: 4, Seed: t.Seed, Handle: x.judge, More: fmt.Sprintf("[limits]\nlease = %q\ntell = \"50ms\"\neach = \"2ms\"\n", TTL)})
 	if err != nil {
@@ -184,11 +192,15 @@
 		asking.Wait()
 		r.Seen, r.Broken = x.judge.result()
 		r.Requests, _ = x.judge.counts("orders")
-		r.Crowds = len(x.judge.crowds)
+		r.Crowds = len(x.judge.excesses)
+		if from, to, exceeded := x.judge.firstExcess(); exceeded {
+			r.History = changes.between(from-historyBefore, to)
+		}
 		r.Refused, r.NoTime = int(x.refused.Load()), int(x.noTime.Load())
 	}()
+	asking.Go(func() { changes.record(load, x.replicaClients()) })
 	for _, d := range x.fleet.Daemons {
-		for i := range askers {
+		for i := range askedPaths {
 			asking.Go(func() { x.ask(load, d, i) })
 		}
 	}
@@ -288,19 +300,28 @@
 		case <-time.After(wait):
 		}
 		_, after := x.judge.counts("orders")
-		r.Use = float64(after-before) / time.Since(begun).Seconds() / (float64(x.judge.conf.Find("orders").Nodes[0].Capacity) / float64(quota.AmountUnit))
+		r.Use = float64(after-before) / time.Since(begun).Seconds() / (float64(x.judge.config.Find("orders").Nodes[0].Capacity) / float64(quota.AmountUnit))
 	}
 	return nil
 }
 
-const askers = 4 // of each daemon, one a path
+// replicaClients are the clients of the daemons with a replica, the first of all.
+func (x *run) replicaClients() (clients []*adminapi.Client) {
+	for _, d := range x.fleet.Daemons[:x.Replicas] {
+		clients = append(clients, d.Client)
+	}
+	return clients
+}
+
+// askedPaths are what each daemon is asked for, one by each of its askers.
+var askedPaths = []string{"orders", "quota", "held", "fair", "long"}
 
 // ask asks one daemon again and again, of one limit; more where it is busy.
 func (x *run) ask(ctx context.Context, d *fleetlab.Daemon, n int) {
 	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}, Timeout: 2 * time.Second}
 	defer c.CloseIdleConnections()
-	path := []string{"orders", "quota", "held", "fair"}[n]
-	rng := rand.New(rand.NewPCG(x.Seed, uint64(d.Number*askers+n)))
+	path := askedPaths[n]
+	rng := rand.New(rand.NewPCG(x.Seed, uint64(d.Number*len(askedPaths)+n)))
 	room := make(chan struct{}, 8)
 	var open sync.WaitGroup
 	defer open.Wait()
@@ -332,7 +353,15 @@
 	if err != nil {
 		return
 	}
-	for name, value := range map[string]string{"X-Trace-Id": id, "X-Qos": "look", "X-Customer": "acme", "X-Org": org, "X-Expires-In-Ms": "900"} {
+	for name, value := range map[string]string{
+		"X-Trace-Id":      id,
+		"X-Qos":           "look",
+		"X-Customer":      "acme",
+		"X-Org":           org,
+		"X-Expires-In-Ms": "900",
+		daemonHeader:      strconv.Itoa(d.Number),
+		sentHeader:        strconv.FormatInt(int64(x.judge.now()), 10),
+	} {
 		r.Header.Set(name, value)
 	}
 	resp, err := c.Do(r)
--- a/internal/lab/limitsim/faults.go
+++ b/internal/lab/limitsim/faults.go
@@ -28,5 +28,6 @@
 	{"nothing-lingers", Plant{Limit: quota.NoLinger}, "what the gone have begun does not count"},
 	{"one-level", Plant{Limit: quota.IgnoreParts}, "the whole is looked at, and its parts are not"},
 	{"not-taken-over", Plant{Limit: quota.IgnorePredecessor}, "who divides next does not count what others gave"},
+	{"age-twice", Plant{Limit: quota.CountAgeTwice}, "an age that is written to the grant of a process that is gone counts twice"},
 	{"rounded-up", Plant{Limit: quota.RoundUp}, "shares are rounded up"},
 }
--- a/internal/lab/limitsim/limitsim.go
+++ b/internal/lab/limitsim/limitsim.go
@@ -172,6 +172,7 @@
 			Nodes: []quota.Node{{Capacity: a(60), Weight: 1}, {Path: "a", Capacity: a(30), Guaranteed: a(12), Weight: 2}, {Path: "b", Capacity: a(36), Weight: 1},
 				{Path: "a/x", Parent: 1, Capacity: a(16), Guaranteed: a(3), Weight: 1}}},
 		{Name: "window", Generation: 1, Kind: quota.Window, Unit: quota.Requests, Window: 1500e6, Fallback: quota.Strict, Paths: []string{"/window"}, Nodes: []quota.Node{{Capacity: a(12), Weight: 1}}},
+		{Name: "long", Generation: 1, Kind: quota.Window, Unit: quota.Requests, Window: 5e9, Fallback: quota.Strict, Paths: []string{"/long"}, Nodes: []quota.Node{{Capacity: a(20), Weight: 1}}},
 		{Name: "held", Generation: 1, Kind: quota.Concurrency, Unit: quota.Requests, Window: 150e6, Fallback: quota.Strict, Paths: []string{"/held"}, Nodes: []quota.Node{{Capacity: a(3), Weight: 1}}},
 		{Name: "slow", Generation: 1, Kind: quota.Rate, Unit: quota.Requests, Window: 1e9, Fallback: quota.Strict, Paths: []string{"/slow"}, Nodes: []quota.Node{{Capacity: a(6), Weight: 1}}},
 		{Name: "fair", Generation: 1, Kind: quota.Rate, Unit: quota.Requests, Window: 100e6, Fallback: quota.Fair, FallbackFraction: 0.5, MinProcesses: w.o.Sidecars, Paths: []string{"/fair"}, Nodes: []quota.Node{{Capacity: a(8), Weight: 1}}},
--- a/internal/lab/limitsim/proc.go
+++ b/internal/lab/limitsim/proc.go
@@ -286,7 +286,7 @@
 	p.send(store.Command{Txn: t}, func(store.Result, error) { p.busy = false })
 }
 
-var paths = []string{"/rate", "/rate", "/rate", "/rate", "/rate", "/rate", "/rate", "/rate", "/rate", "/rate", "/window", "/window", "/window", "/held", "/held", "/fair", "/fair", "/slow", "/slow", "/slow", "/open"}
+var paths = []string{"/rate", "/rate", "/rate", "/rate", "/rate", "/rate", "/rate", "/rate", "/rate", "/rate", "/window", "/window", "/window", "/held", "/held", "/fair", "/fair", "/slow", "/slow", "/slow", "/open", "/long"}
 
 // arrive is what clients ask of this sidecar, one at a time.
 func (p *proc) arrive() {
