Check settings of the fleet against those that the sidecar runs, as its reload does

The fleet's settings and what is in effect differ until each process restarts.

Cause: a daemon's check read the settings by config.ReadWithSettings alone; the sidecar's reload compares them with its own by CheckReload besides. In a rollout the check compared nothing either, so that a step whose sidecars had all rejected it was judged by the old settings' answers.

Now both are rejected, with the key, and settings with the key are applied.

Mend: the sidecar tells its host each configuration that takes effect, and the daemon's check, for candidates and for reports on a rollout, compares with that.

--- a/cmd/birchmoor/configput_test.go
+++ b/cmd/birchmoor/configput_test.go
@@ -137,3 +137,36 @@
 	}
 	return true
 }
+
+// Guards against settings that pass every check and are then rejected by every sidecar, as those that leave out an
+// optional key which is in effect.
+func TestConfigPutRejectsSettingsThatSidecarsWouldReject(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+	defer cancel()
+	f := &rolloutFleet{startFleet(ctx, t, fleetlab.Config{Replicas: 1, Servers: 1}), t, ctx}
+	defer f.End()
+	d := f.Daemons[0]
+	if err := d.Ready(ctx); err != nil {
+		t.Fatalf("%v\n%s", err, d.Log())
+	}
+	const optional = `"cancel":true,`
+	for _, steps := range [][]string{nil, {"--steps", "all", "--settle", "300ms"}} {
+		file := writeFile(t, "s.json", fleetlab.Settings(optional, ""))
+		args := append([]string{"config", "put", file, "--socket", f.socket()}, steps...)
+		code, out, errs := birchmoor(args...)
+		if code == 0 || !strings.Contains(errs, "settings.limits.cancel: is missing") {
+			t.Errorf("%v: exit code %d: %s%s\n%s", steps, code, out, errs, d.Log())
+		}
+	}
+	file := writeFile(t, "s.json", fleetlab.Settings())
+	if code, _, errs := birchmoor("config", "put", file, "--socket", f.socket()); code != 0 {
+		t.Errorf("settings with the key: exit code %d: %s", code, errs)
+	}
+	processtest.Until(t, "the settings are applied", func() bool {
+		return strings.Contains(d.Log(), "configuration applied")
+	}, d.Log)
+	if strings.Contains(d.Log(), "configuration rejected") {
+		t.Errorf("the sidecar rejected what was put in force\n%s", d.Log())
+	}
+}
--- a/cmd/birchmoor/daemon.go
+++ b/cmd/birchmoor/daemon.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 
 	"birchmoor/internal/controlplane"
@@ -78,14 +79,14 @@
 			Quota:         processFaults.Limit,
 		},
 	}
+	var inEffect atomic.Pointer[config.Config]
 	if hasSidecar {
 		c, err := config.Read(os.Getenv)
 		if err == nil { // the sidecar reports an error when it starts
 			cfg.Sidecar = c.Name
 		}
 		cfg.SettingsCheck = func(settings json.RawMessage) error {
-			_, err := config.ReadWithSettings(os.Getenv, settings)
-			return err
+			return checkSettings(settings, inEffect.Load())
 		}
 	}
 	p, err := controlplane.Open(cfg)
@@ -98,9 +99,20 @@
 		fleet:            p.Servers,
 		currentSettings:  p.Settings.Current,
 		setAnswerCounter: p.Settings.SetAnswerCounter,
+		onConfig:         inEffect.Store,
 	}
 	if p.Limits != nil {
 		services.limiter = p.Limits
 	}
 	return services, p.Close, nil
 }
+
+// checkSettings checks settings the way the sidecar does before it applies them. The configuration that it runs is nil
+// before its start.
+func checkSettings(settings json.RawMessage, inEffect *config.Config) error {
+	next, err := config.ReadWithSettings(os.Getenv, settings)
+	if err != nil || inEffect == nil {
+		return err
+	}
+	return next.CheckReload(inEffect)
+}
--- a/cmd/birchmoor/sidecar.go
+++ b/cmd/birchmoor/sidecar.go
@@ -66,6 +66,7 @@
 	currentSettings  func() json.RawMessage // replace those of the configuration file
 	limiter          core.Limiter
 	setAnswerCounter func(daemon.AnswerCounter) // gets the function that returns how clients were answered
+	onConfig         func(*config.Config)       // is called with each configuration that takes effect
 }
 
 // readConfig reads the sidecar's configuration, with the settings that the store has.
@@ -87,6 +88,7 @@
 		return err
 	}
 	h.FleetOverrides, h.Fleet, h.Limiter, h.ReadConfig = x.overrides, x.fleet, x.limiter, x.readConfig
+	h.OnConfig = x.onConfig
 	if x.setAnswerCounter != nil && h.Management != nil {
 		at := h.Management.Addr().String()
 		x.setAnswerCounter(func() (uint64, uint64, error) { return answerCounts(at) })
--- a/internal/dataplane/sidecar/host.go
+++ b/internal/dataplane/sidecar/host.go
@@ -28,6 +28,7 @@
 	HandoverPath   string                     // where old and new processes meet; empty for nowhere
 	Reload         <-chan os.Signal           // ReadConfig is called for each
 	ReadConfig     func() (*config.Config, error)
+	OnConfig       func(*config.Config) // is called with each configuration that takes effect; nil for none
 	Log            *slog.Logger
 }
 
--- a/internal/dataplane/sidecar/reload.go
+++ b/internal/dataplane/sidecar/reload.go
@@ -19,6 +19,7 @@
 	read          func() (*config.Config, error)
 	apply         func(context.Context, *config.Config) error
 	moveDiscovery func(addr string)
+	onApplied     func(*config.Config) // nil for none
 	metrics       *metrics.Registry
 	log           *slog.Logger
 }
@@ -66,7 +67,7 @@
 		return &config.Error{Key: "settings", Err: err}
 	}
 	moved := next.DiscoveryInFile != "" && next.DiscoveryInFile != r.config.DiscoveryInFile
-	r.config = next
+	r.setConfig(next)
 	r.metrics.ConfigsLoaded.Inc()
 	r.log.Info("configuration applied", "moved", moved, "discovery", next.DiscoveryInFile, "classes", next.Classes)
 	if moved {
@@ -74,3 +75,11 @@
 	}
 	return nil
 }
+
+// setConfig sets the configuration in effect.
+func (r *reloader) setConfig(c *config.Config) {
+	r.config = c
+	if r.onApplied != nil {
+		r.onApplied(c)
+	}
+}
--- a/internal/dataplane/sidecar/sidecar.go
+++ b/internal/dataplane/sidecar/sidecar.go
@@ -185,16 +185,18 @@
 }
 
 func (n *instance) newReloader() *reloader {
-	return &reloader{
-		config:  n.config,
-		read:    n.host.ReadConfig,
-		metrics: n.stacks.http().metrics,
-		log:     n.log,
-		apply:   n.stacks.reload,
+	r := &reloader{
+		read:      n.host.ReadConfig,
+		metrics:   n.stacks.http().metrics,
+		log:       n.log,
+		apply:     n.stacks.reload,
+		onApplied: n.host.OnConfig,
 		moveDiscovery: func(addr string) {
 			n.feed.SwitchTo(n.newWatcher(addr, discovery.NoGeneration))
 		},
 	}
+	r.setConfig(n.config)
+	return r
 }
 
 // startLoops starts the event loops and the service for operators.
