State a fair limit's bound by the processes that it is configured for

What operators saw: limit list promises less than may be spent when more sidecars are cut off than the limit's hosts: with part 0.5, hosts 2 and 5 of 10 cut off, 3,150 in 20 s, where 4,500 were admitted.

Cause: Limit.UpperBound and the text of limit list divide by the larger of MinProcesses and the processes cut off; each process spends by MinProcesses alone (fallbackAmount), on purpose, since one that starts without the store has seen nobody.

Evidence: the new case of the unit test (3,150 stated, 4,500 admitted; now 4,725). The simulation never came near: a process's fallback held no whole request there, so that the fair limit admitted nothing without the store.

--- a/internal/controlplane/quota/allocator_test.go
+++ b/internal/controlplane/quota/allocator_test.go
@@ -240,9 +240,17 @@
 
 // While half of ten processes cannot reach the store and the others have all of the limit, what is admitted beyond
 // it comes near the upper bound, and does not exceed it.
-func TestFairFallbackComesNearUpperBound(t *testing.T) {
+func TestFairFallbackComesNearUpperBound(t *testing.T) { testFairFallback(t, 10) }
+
+// Guards against an upper bound below what may be spent: it assumed that as many processes as are cut off share the
+// fallback, while each spends its part of the configured number.
+func TestFairFallbackStaysWithinUpperBoundOfFewerProcesses(t *testing.T) { testFairFallback(t, 2) }
+
+// testFairFallback plays half of ten processes cut off, by a limit that is configured for a number of processes.
+func testFairFallback(t *testing.T, minProcesses int) {
+	t.Helper()
 	l := newRateLimit(100, sec)
-	l.Fallback, l.FallbackFraction, l.MinProcesses = Fair, 0.5, 10
+	l.Fallback, l.FallbackFraction, l.MinProcesses = Fair, 0.5, minProcesses
 	f := newFleet(l)
 	d := f.newAllocator(NoDefect)
 	var processes []Process
--- a/internal/controlplane/quota/limit.go
+++ b/internal/controlplane/quota/limit.go
@@ -211,7 +211,7 @@
 	case l.Fallback == Open:
 		return 0, false
 	}
-	fallback := capacity * l.FallbackFraction * float64(unreachable) / float64(max(l.MinProcesses, unreachable))
+	fallback := capacity * l.FallbackFraction * float64(unreachable) / float64(max(1, l.MinProcesses))
 	return boundOf(capacity) + boundOf(fallback), true
 }
 
--- a/internal/controlplane/quota/status.go
+++ b/internal/controlplane/quota/status.go
@@ -132,6 +132,6 @@
 // fallbackSum returns what a number of processes without the store may spend of a Fair limit.
 func (l *Limit) fallbackSum(processes int) Amount {
 	capacity := float64(l.Nodes[0].Capacity)
-	divisor := float64(max(l.MinProcesses, processes))
+	divisor := float64(max(1, l.MinProcesses))
 	return Amount(math.Ceil(capacity * l.FallbackFraction * float64(processes) / divisor))
 }
--- a/internal/lab/limitsim/limitsim.go
+++ b/internal/lab/limitsim/limitsim.go
@@ -175,7 +175,7 @@
 		{Name: "long", Generation: 1, Kind: quota.Window, Unit: quota.Requests, Window: 5e9, Fallback: quota.Strict, Paths: []string{"/long"}, Nodes: []quota.Node{{Capacity: a(20), Weight: 1}}},
 		{Name: "held", Generation: 1, Kind: quota.Concurrency, Unit: quota.Requests, Window: 150e6, Fallback: quota.Strict, Paths: []string{"/held"}, Nodes: []quota.Node{{Capacity: a(3), Weight: 1}}},
 		{Name: "slow", Generation: 1, Kind: quota.Rate, Unit: quota.Requests, Window: 1e9, Fallback: quota.Strict, Paths: []string{"/slow"}, Nodes: []quota.Node{{Capacity: a(6), Weight: 1}}},
-		{Name: "fair", Generation: 1, Kind: quota.Rate, Unit: quota.Requests, Window: 100e6, Fallback: quota.Fair, FallbackFraction: 0.5, MinProcesses: w.o.Sidecars, Paths: []string{"/fair"}, Nodes: []quota.Node{{Capacity: a(8), Weight: 1}}},
+		{Name: "fair", Generation: 1, Kind: quota.Rate, Unit: quota.Requests, Window: 1e9, Fallback: quota.Fair, FallbackFraction: 0.5, MinProcesses: max(1, w.o.Sidecars/2), Paths: []string{"/fair"}, Nodes: []quota.Node{{Capacity: a(8), Weight: 1}}},
 		{Name: "open", Generation: 1, Kind: quota.Rate, Unit: quota.Requests, Window: 500e6, Fallback: quota.Open, FallbackTimeout: 300e6, Paths: []string{"/open"}, Nodes: []quota.Node{{Capacity: a(6), Weight: 1}}},
 	}}
 	if err := w.conf.Check(); err != nil {
@@ -184,7 +184,7 @@
 	w.match = quota.NewMatcher(w.conf)
 	for _, l := range w.conf.Limits {
 		for i := range l.Nodes {
-			w.judges[l.Key(i)] = newJudge(l, i, w.fast)
+			w.judges[l.Key(i)] = newJudge(l, i, w.fast, w.o.Sidecars)
 		}
 	}
 	w.shift()
@@ -326,7 +326,10 @@
 		p.cut(true, false, long)
 	case 4: // what it is sent is lost
 		p.cut(false, true, long)
-	case 5, 6: // a part of all
+	case 5, 6: // a part of all, sometimes until the others have what it had
+		if w.rng.IntN(3) == 0 {
+			long *= 4
+		}
 		for _, x := range w.nodes {
 			if x == p || w.rng.IntN(3) == 0 {
 				x.cut(true, true, long)
@@ -361,6 +364,8 @@
 	near   float64
 	passed float64
 
+	fallback float64 // the fraction that sidecars may admit beside it while all are cut off, by the limit's upper bound
+
 	level, burst, rate float64 // Rate: a bucket that is filled by the fastest clock
 	at                 int64
 	log                []seen // Window
@@ -373,10 +378,15 @@
 	of float64
 }
 
-func newJudge(l *quota.Limit, node int, fast float64) *judge {
+func newJudge(l *quota.Limit, node int, fast float64, sidecars int) *judge {
 	of := float64(l.Nodes[node].Capacity) / float64(quota.AmountUnit)
 	j := &judge{l: l, node: node, most: of, burst: of * float64(l.Window) / 1e9, rate: of * fast}
 	j.level = j.burst
+	if l.Fallback == quota.Fair {
+		within, _ := l.UpperBound(node, l.Window, 0, 0, 0)
+		beyond, _ := l.UpperBound(node, l.Window, 0, 0, sidecars)
+		j.fallback = beyond/within - 1
+	}
 	return j
 }
 
@@ -389,7 +399,7 @@
 		j.near = max(j.near, 1-j.level/j.burst)
 		allowed := 0.0
 		if j.l.Fallback == quota.Fair { // a second bucket, of the part
-			allowed = j.l.FallbackFraction
+			allowed = j.fallback
 			if j.level < 0 {
 				j.passed = max(j.passed, -j.level/j.most)
 			}
@@ -407,7 +417,7 @@
 			}
 			j.log = append(j.log[:0], seen{at: now})
 			if j.held < -allowed*j.burst-1e-6 {
-				return fmt.Sprintf("%.2f over what %g of it allows", -j.held-allowed*j.burst, j.l.FallbackFraction)
+				return fmt.Sprintf("%.2f over what %g of it allows", -j.held-allowed*j.burst, allowed)
 			}
 			return ""
 		}
