Keep a connection whose request waits for memory, and answer it

What callers saw: a request whose body waits for memory (up to 2 s) got no answer at all, on a reset connection, when descriptors ran out or connections were at their limit: "one final answer" broken.

Cause: the connection is not read while its request waits, so that after 500 ms it passed for one whose client had stalled in its request, the first after silent ones to be closed for a new one. The request was then counted as unanswered (beginRequest), which is where it had been seen.

Evidence: the new test has a complete request wait for memory for 510 ms, then one eviction: without the mend "connection reset by peer", on a first request and on a later one. With it an answer.

Mend: a connection notes that its request waits for memory, and is not a candidate meanwhile. The wait ends after 2 s by an answer of 503 at the latest.

--- a/internal/dataplane/httpfront/clients.go
+++ b/internal/dataplane/httpfront/clients.go
@@ -46,6 +46,7 @@
 	state       connState
 	askedToEnd  bool          // to end unless something of another request has come
 	endsReading bool          // the reading of an incomplete request is to end
+	waiting     bool          // its request waits for memory here, not for its client
 	element     *list.Element // in list
 	list        *list.List    // one of those of clients
 	since       time.Time     // when it was added to list
@@ -171,6 +172,16 @@
 	return true
 }
 
+// setWaiting notes whether the request that is being read waits for memory.
+func (k *clients) setWaiting(c *client, waiting bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	c.waiting = waiting
+	if !waiting {
+		c.lastReadAt.Store(time.Now().UnixMicro()) // its client has not stalled meanwhile
+	}
+}
+
 // endRequest notes that a request has its answer. If connections end with their answers, the owner still looks
 // whether another request has begun.
 func (k *clients) endRequest(c *client) {
--- a/internal/dataplane/httpfront/clients_test.go
+++ b/internal/dataplane/httpfront/clients_test.go
@@ -1,9 +1,11 @@
 package httpfront
 
 import (
+	"container/list"
 	"fmt"
 	"net"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -74,3 +76,48 @@
 		})
 	}
 }
+
+// Guards against a request that gets no answer: a connection was taken for stalled, and evicted, while its request
+// waited for memory for its body.
+func TestRequestThatWaitsForMemoryIsNotEvicted(t *testing.T) {
+	for _, used := range []bool{false, true} {
+		t.Run(fmt.Sprint("used before: ", used), func(t *testing.T) {
+			endpoint := newTestEndpoint(t)
+			endpoint.mayAnswer <- struct{}{}
+			endpoint.mayAnswer <- struct{}{}
+			f := startFront(t, readyInstances(endpoint.addr), longTimeouts...)
+			waitUntil(t, "readiness", f.eventLoop.Ready)
+			conn := f.connect(t)
+			if used {
+				r := sidecartest.IdempotentRequest(900_000)
+				write(t, conn, encode(t, r))
+				readAnswer(t, conn, r)
+			}
+			f.bodies.Resize(unbudgetedBytes)
+			if err := f.bodies.Acquire(t.Context(), unbudgetedBytes); err != nil {
+				t.Fatal(err)
+			}
+			r := sidecartest.Request("POST", "/pay", "pay", 900_000, strings.Repeat("b", 2*unbudgetedBytes))
+			write(t, conn, encode(t, r))
+			waitUntil(t, "a request that waits for memory", func() bool { return countWaiting(f) == 1 })
+			time.Sleep(stalledRequestTimeout + 10*time.Millisecond) // without a byte from the client
+			f.clients.evict()
+			f.bodies.Release(unbudgetedBytes)
+			readAnswer(t, conn, r) // 503 after budgetTimeout on a machine that is too slow
+		})
+	}
+}
+
+// countWaiting returns the number of connections whose requests wait for memory.
+func countWaiting(f *testFront) (n int) {
+	f.clients.mu.Lock()
+	defer f.clients.mu.Unlock()
+	for _, of := range []*list.List{f.clients.unused, f.clients.idle} {
+		for at := of.Front(); at != nil; at = at.Next() {
+			if at.Value.(*client).waiting {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/dataplane/httpfront/eviction.go
+++ b/internal/dataplane/httpfront/eviction.go
@@ -36,7 +36,7 @@
 
 // leastNeededLocked returns a connection whose end has begun; else one that never sent anything, one that stalled
 // in its first request, or one that was used long ago, in this order; and if all seem in use, the oldest without a
-// request.
+// request. One whose request waits for memory has not stalled: it gets its answer.
 func (k *clients) leastNeededLocked() *client {
 	now := time.Now()
 	silent, stalled, oldest := k.unusedCandidatesLocked(now)
@@ -62,6 +62,7 @@
 		c := at.Value.(*client)
 		lastRead := c.lastReadAt.Load()
 		switch {
+		case c.waiting:
 		case lastRead == 0:
 			if now.Sub(c.since) > firstRequestTimeout {
 				silent = c
@@ -83,7 +84,7 @@
 	for at := k.idle.Front(); at != nil; at = at.Next() {
 		c := at.Value.(*client)
 		stalled := now.Sub(time.UnixMicro(c.lastReadAt.Load())) > stalledRequestTimeout
-		if c.state == stateIdle || stalled {
+		if c.state == stateIdle || stalled && !c.waiting {
 			return c
 		}
 	}
--- a/internal/dataplane/httpfront/parse.go
+++ b/internal/dataplane/httpfront/parse.go
@@ -186,9 +186,7 @@
 	length := r.ContentLength
 	want := int(min(uint64(length), MaxBufferedBody)) // the maximum for an unknown length, which is negative
 	if want > unbudgetedBytes {
-		ctx, cancel := context.WithTimeout(context.Background(), budgetTimeout)
-		defer cancel()
-		if s.bodies.Acquire(ctx, want) != nil {
+		if s.acquireBodyMemory(c, want) != nil {
 			return newBadRequest(http.StatusServiceUnavailable, "no room for the body")
 		}
 		k.BudgetBytes = want
@@ -223,6 +221,15 @@
 	return nil
 }
 
+// acquireBodyMemory waits for the memory of a body. The connection is not given up meanwhile.
+func (s *Server) acquireBodyMemory(c *client, bytes int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), budgetTimeout)
+	defer cancel()
+	s.clients.setWaiting(c, true)
+	defer s.clients.setWaiting(c, false)
+	return s.bodies.Acquire(ctx, bytes)
+}
+
 // acceptExpect answers an expectation before the body.
 func acceptExpect(c *client, r *http.Request) error {
 	expect := r.Header.Get("Expect")
