Count connections closed for lack of room, and answers that could not be written

A connection that is closed at once because all others have open requests, and a final answer that its client's connection does not take, were seen in no metric: on-call staff could not tell a full sidecar from a network fault. app_full_total and app_unwritten_total count them, beside the others, at the second address.

--- a/internal/dataplane/httpfront/answer.go
+++ b/internal/dataplane/httpfront/answer.go
@@ -42,7 +42,7 @@
 	r := responseTo(a)
 	if a.StreamEnded == nil {
 		s.countEnd(k, a.Disposition)
-		written := c.write(r, last)
+		written := s.write(c, r, last)
 		a.Discard()
 		s.clients.endRequest(c)
 		return written && !last
@@ -51,7 +51,9 @@
 	flow := a.Reply.Content.(*upstreamAnswer).stream
 	how := core.StreamAbandoned
 	c.setWriteDeadline(time.Now().Add(maxStreamStall))
-	if _, err := c.Write(r.head(flow.length, last)); err == nil {
+	if _, err := c.Write(r.head(flow.length, last)); err != nil {
+		s.unwritten.Inc()
+	} else {
 		how = flow.copyTo(c, func() { c.setWriteDeadline(time.Now().Add(maxStreamStall)) })
 	}
 	flow.done(how)
@@ -65,6 +67,15 @@
 	return !last
 }
 
+// write writes a complete final answer, counts it if that failed, and reports whether it succeeded.
+func (s *Server) write(c *client, r *response, last bool) bool {
+	written := c.write(r, last)
+	if !written {
+		s.unwritten.Inc()
+	}
+	return written
+}
+
 // response is a final answer as it is written to the client.
 type response struct {
 	code   int
--- a/internal/dataplane/httpfront/clients.go
+++ b/internal/dataplane/httpfront/clients.go
@@ -70,6 +70,7 @@
 	closing   bool
 	serving   sync.WaitGroup
 
+	full         *metrics.Counter // connections closed at once, since all others have open requests
 	unanswered   *metrics.Counter // requests past their deadline
 	overdue      int              // of them, those that were not logged yet
 	overdueTimer *time.Timer      // calls reportOverdue
@@ -77,7 +78,7 @@
 }
 
 func newClients(maxConns int, serve func(*client), unanswered *metrics.Counter, log *slog.Logger) *clients {
-	return &clients{maxConns: maxConns, serve: serve, unanswered: unanswered, log: log,
+	return &clients{maxConns: maxConns, serve: serve, full: new(metrics.Counter), unanswered: unanswered, log: log,
 		active: list.New(), unused: list.New(), idle: list.New(), lingering: list.New()}
 }
 
@@ -124,6 +125,7 @@
 		if out = k.evictLocked(); out == nil {
 			k.mu.Unlock()
 			nc.Close() // all others wait for their answers
+			k.full.Inc()
 			return
 		}
 	}
--- a/internal/dataplane/httpfront/clients_test.go
+++ b/internal/dataplane/httpfront/clients_test.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"fmt"
 	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -108,6 +109,40 @@
 	}
 }
 
+// Guards against ends of connections that no metric shows.
+func TestClosedConnectionsAndUnwrittenAnswersAreCounted(t *testing.T) {
+	f := startFront(t, nil)
+	hold := make(chan struct{})
+	k := newClients(1, func(*client) { <-hold }, new(metrics.Counter), sidecartest.DiscardLog)
+	k.full = f.clients.full
+	for range 2 {
+		here, there := net.Pipe()
+		defer here.Close()
+		k.add(there)
+		k.mu.Lock()
+		for at := k.unused.Front(); at != nil; at = k.unused.Front() { // it has an open request from now on
+			k.moveLocked(at.Value.(*client), k.active)
+		}
+		k.mu.Unlock()
+	}
+	close(hold)
+	k.serving.Wait()
+	_, there := net.Pipe()
+	there.Close()
+	if f.write(&client{Conn: there}, newResponse(http.StatusOK, "ok"), true) {
+		t.Error("written to a closed connection")
+	}
+	var text strings.Builder
+	if err := f.figures.WriteText(&text); err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range []string{"app_full_total 1\n", "app_unwritten_total 1\n"} {
+		if !strings.Contains(text.String(), line) {
+			t.Errorf("no %q in\n%s", line, text.String())
+		}
+	}
+}
+
 // countWaiting returns the number of connections whose requests wait for memory.
 func countWaiting(f *testFront) (n int) {
 	f.clients.mu.Lock()
--- a/internal/dataplane/httpfront/exchange.go
+++ b/internal/dataplane/httpfront/exchange.go
@@ -233,7 +233,7 @@
 		c.linger(up.body, MaxBody, bodyGrace)
 		return false
 	}
-	written := c.write(a, last)
+	written := s.write(c, a, last)
 	s.clients.endRequest(c)
 	return written && !last
 }
@@ -255,7 +255,7 @@
 	}
 	s.figures.InFlight.Add(1)
 	s.countEnd(k, a.Disposition)
-	c.write(responseTo(a), true)
+	s.write(c, responseTo(a), true)
 	up := k.Payload.(*message).upload
 	up.endWatch()
 	up.halted.Store(true)
--- a/internal/dataplane/httpfront/server.go
+++ b/internal/dataplane/httpfront/server.go
@@ -29,6 +29,7 @@
 	limits      core.Limiter // or nil
 	log         *slog.Logger
 	allRejected rejectionEpisode
+	unwritten   *metrics.Counter // answers that the client's connection did not take
 
 	mu          sync.Mutex
 	listener    net.Listener
@@ -40,6 +41,8 @@
 	log *slog.Logger) *Server {
 	s := &Server{loop: l, socket: socket, figures: figures, bodies: bytebudget.New(c.MaxBufferedBytes(1)), log: log}
 	s.clients = newClients(c.MaxClientConns(1), s.serve, &figures.Unanswered, log)
+	s.clients.full = figures.NewCounter("full_total")
+	s.unwritten = figures.NewCounter("unwritten_total")
 	return s
 }
 
