Have one of two processes that start together take over from the other

What callers saw: two processes of one sidecar that start in the same moment both serve for good, on the shared socket: each with the whole of the limits on connections and memory, an operator's call to one of them alone, and a drain known to both only by discovery.

Cause: a process looks for another once, before it serves, and listens for a successor only once it is ready. Two that start within that time find nobody.

Evidence: the new test starts two on one socket and holds them up until both are ready; without the second look both serve for the whole minute that it waits.

Mend: what makes a process the one that others find - looking for the old one, taking over and listening - is done under a lock of a file beside the socket, and who found nobody at its start looks again there. The system releases the lock of a process that is killed; where it cannot be had, an error is logged and the process starts as before.

--- /dev/null
+++ b/internal/dataplane/handover/lock.go
@@ -0,0 +1,41 @@
+package handover
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"syscall"
+	"time"
+)
+
+const (
+	lockFileSuffix   = ".lock"
+	lockPollInterval = 10 * time.Millisecond
+)
+
+// Lock waits until no other process holds the lock beside path. Its holder looks for the process that is found at path,
+// takes over from it, and listens there: one process at a time, so that of two that start together the second finds
+// the first. The system releases the lock of a process that ends.
+func Lock(ctx context.Context, path string) (unlock func(), err error) {
+	file, err := os.OpenFile(path+lockFileSuffix, os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	for {
+		err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+		if err == nil {
+			return func() { _ = file.Close() }, nil
+		}
+		if !errors.Is(err, syscall.EWOULDBLOCK) && !errors.Is(err, syscall.EINTR) {
+			_ = file.Close()
+			return nil, fmt.Errorf("handover: lock %s: %w", file.Name(), err)
+		}
+		select {
+		case <-time.After(lockPollInterval):
+		case <-ctx.Done():
+			_ = file.Close()
+			return nil, ctx.Err()
+		}
+	}
+}
--- a/internal/dataplane/sidecar/handover.go
+++ b/internal/dataplane/sidecar/handover.go
@@ -25,14 +25,7 @@
 
 // join looks for an old process and applies its state, or what was saved if there is none.
 func (n *instance) join(ctx context.Context) *handover.Predecessor {
-	var old *handover.Predecessor
-	var state handover.State
-	if n.host.HandoverPath != "" {
-		old, state = handover.Join(ctx, n.host.HandoverPath, n, n.log)
-	}
-	if len(state.List) > 0 {
-		n.applyListOf(ctx, state.List)
-	}
+	old, state := n.joinProcess(ctx)
 	for _, s := range n.stacks {
 		data := state.Snapshot
 		if s.name != httpName {
@@ -40,10 +33,22 @@
 		}
 		n.restore(ctx, s, data)
 	}
+	return old
+}
+
+// joinProcess looks for an old process, and applies its list and overrides.
+func (n *instance) joinProcess(ctx context.Context) (*handover.Predecessor, handover.State) {
+	if n.host.HandoverPath == "" {
+		return nil, handover.State{}
+	}
+	old, state := handover.Join(ctx, n.host.HandoverPath, n, n.log)
+	if len(state.List) > 0 {
+		n.applyListOf(ctx, state.List)
+	}
 	if err := n.overrides.Merge(ctx, state.Overrides...); err != nil {
 		n.log.Error("cannot apply the overrides of the old process", "error", err)
 	}
-	return old
+	return old, state
 }
 
 // applyListOf applies the list of an old process, which is later than the configured one.
@@ -111,15 +116,40 @@
 	if !n.awaitReady(ctx) {
 		return
 	}
-	if old != nil {
-		old.TakeOver(ctx, n.log)
+	ln, late := n.becomeCurrent(ctx, old)
+	if late != nil {
+		defer late.Close()
 	}
-	// An operator who is told that this process serves may start the next one, which has to find it.
-	ln := n.listenForSuccessor()
 	n.serving.Store(true)
-	if ln != nil {
-		handover.Serve(ctx, ln, n, n.log)
+	if ln == nil {
+		<-ctx.Done()
+		return
+	}
+	handover.Serve(ctx, ln, n, n.log)
+}
+
+// becomeCurrent has the old process stop accepting, and listens for a successor: an operator who is told that this
+// process serves may start the next one, which has to find it. late is a process that was not found at the start, since
+// it started together with this one. There may be neither.
+func (n *instance) becomeCurrent(
+	ctx context.Context, old *handover.Predecessor,
+) (ln net.Listener, late *handover.Predecessor) {
+	if n.host.HandoverPath != "" {
+		unlock, err := handover.Lock(ctx, n.host.HandoverPath)
+		if err != nil {
+			n.log.Error("a process that starts together with this one may not find it", "error", err)
+		} else {
+			defer unlock()
+		}
+	}
+	if old == nil {
+		late, _ = n.joinProcess(ctx)
+		old = late
+	}
+	if old != nil {
+		old.TakeOver(ctx, n.log)
 	}
+	return n.listenForSuccessor(), late
 }
 
 // awaitReady returns false if ctx ends before an endpoint is known to serve.
--- a/internal/dataplane/sidecar/handover_test.go
+++ b/internal/dataplane/sidecar/handover_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"birchmoor/internal/dataplane/config"
+	"birchmoor/internal/dataplane/handover"
 	"birchmoor/internal/dataplane/maintenance"
 	"birchmoor/internal/testutil/sidecartest"
 )
@@ -106,6 +107,61 @@
 	fresh.wantReply(t, "status", "YES")
 }
 
+// Guards against two processes of one sidecar that serve for good: started together, neither found the other.
+func TestOneOfTwoProcessesStartedTogetherServes(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	dir, err := os.MkdirTemp("", "h") //nolint:usetesting // t.TempDir is too long for the path of a Unix socket
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer os.RemoveAll(dir)
+	addr := sidecartest.HTTPEndpoint(t, func(http.ResponseWriter, *http.Request) {})
+	c := configure(t, []string{addr})
+	socket := sharedSocket{ln.(*net.TCPListener)}
+	// The lock holds both up once they are ready, so that neither has found the other by then.
+	unlock, err := handover.Lock(t.Context(), filepath.Join(dir, "sock"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all []*testSidecar
+	for range 2 {
+		all = append(all, launchSidecar(t, c, socket, ln.Addr().String(), dir))
+	}
+	for _, s := range all {
+		until(t, "an endpoint is known", func() bool { return s.metric(t, "cluster_size") > 0 })
+	}
+	unlock()
+	until(t, "one serves", func() bool {
+		return all[0].manage(t, "status") == "YES\n" || all[1].manage(t, "status") == "YES\n"
+	})
+	left := all[1]
+	select {
+	case <-all[0].ended:
+	case <-all[1].ended:
+		left = all[0]
+	case <-time.After(sidecartest.WaitTimeout):
+		t.Fatal("both serve")
+	}
+	until(t, "the other one serves", func() bool { return left.manage(t, "status") == "YES\n" })
+	if resp, _ := left.do(t, sidecartest.IdempotentRequest(900)); resp.StatusCode != http.StatusOK {
+		t.Error("after the handover:", resp.Status)
+	}
+}
+
+// until waits for a condition that must become true.
+func until(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(sidecartest.WaitTimeout); !is(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
 // noSocket is a socket that cannot be listened on.
 type noSocket struct{}
 
