Free a released address for all who hold its socket, so that the lab can listen again

Cause: a fleet's links refuse while their daemon does not run, by closing a listener and listening again at the daemon's start. A child process that another goroutine (a parallel test) is starting holds a copy of the socket until its program runs, and it listens there meanwhile.

Relays, and so fleets and the rig, release this way.

--- a/internal/lab/address/address.go
+++ b/internal/lab/address/address.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync/atomic"
+	"syscall"
 )
 
 const (
@@ -33,5 +34,17 @@
 	return fmt.Sprintf("%s:%d", host(), firstPort+handedOut.Add(1)%ports)
 }
 
+// Release closes a listener so that its address can be listened on again at once. After a plain Close a child process
+// that another goroutine is starting may still hold the socket, listening; a shutdown ends that for all who hold it.
+func Release(listener net.Listener) error {
+	if conn, ok := listener.(syscall.Conn); ok {
+		if raw, err := conn.SyscallConn(); err == nil {
+			// It fails on a listener that is closed already, as Close does.
+			_ = raw.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_RD) })
+		}
+	}
+	return listener.Close()
+}
+
 // Listen listens on the next address.
 func Listen() (net.Listener, error) { return net.Listen("tcp", Next()) }
--- a/internal/lab/relay/relay.go
+++ b/internal/lab/relay/relay.go
@@ -1,7 +1,7 @@
 // Package relay simulates a faulty network between real processes: a TCP relay on loopback for each link, with delay,
 // jitter, limited bandwidth, black holes, resets, hidden half-closes, and writes that arrive slowly and in pieces.
 //
-// The package imports nothing else of this module.
+// The package imports package address, and nothing else of this module.
 package relay
 
 import (
@@ -9,6 +9,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"birchmoor/internal/lab/address"
 )
 
 // Conditions are how a link behaves. The zero value forwards everything at once.
@@ -140,7 +142,7 @@
 	l.listener = nil
 	l.mu.Unlock()
 	if listener != nil {
-		_ = listener.Close() // it stops listening whatever the error
+		_ = address.Release(listener) // it stops listening whatever the error
 	}
 }
 
