--- a/internal/dataplane/sidecar/handover_test.go
+++ b/internal/dataplane/sidecar/handover_test.go
@@ -140,8 +140,14 @@
 	})
 	left := all[1]
 	select {
-	case <-all[0].ended:
-	case <-all[1].ended:
+	case err := <-all[0].ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case err := <-all[1].ended:
+		if err != nil {
+			t.Error(err)
+		}
 		left = all[0]
 	case <-time.After(sidecartest.WaitTimeout):
 		t.Fatal("both serve")
