Tell when the requests of an exceeded concurrency were sent, ended and answered

Now it lists, for each request, its daemon, when it was sent, arrived and ended at the server, and when its client had what answer; the store's history around an excess is printed as well. Nothing that is judged has changed.

--- a/internal/lab/limitlab/judge.go
+++ b/internal/lab/limitlab/judge.go
@@ -15,8 +15,8 @@
 
 // Headers of the lab's requests. A sidecar forwards them.
 const (
-	sentHeader   = "X-Sent-Ns" // when the client sent it, in nanoseconds of the judge's clock
-	daemonHeader = "X-From"    // the daemon that it was sent to
+	SentHeader   = "X-Sent-Ns" // when the client sent it, in nanoseconds of the judge's clock
+	DaemonHeader = "X-From"    // the daemon that it was sent to
 )
 
 const (
@@ -53,6 +53,17 @@
 	arrivedAt time.Duration
 	open      int  // attempts
 	cancelled bool // an attempt of it has ended by its connection's end
+
+	leftAt       time.Duration // when its last attempt ended; 0: it is open
+	answeredAt   time.Duration // when its client had an answer, or gave up; 0: not yet
+	clientStatus int           // of the answer; 0: there was none
+}
+
+// String says when what happened to a request.
+func (x *request) String() string {
+	ms := func(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+	return fmt.Sprintf("d%s sent %v, arrived %v, left %v, client %d at %v",
+		x.daemon, ms(x.sentAt), ms(x.arrivedAt), ms(x.leftAt), x.clientStatus, ms(x.answeredAt))
 }
 
 // excess is that more requests were open at once than a limit admits, not counting those that are known to be cancelled.
@@ -76,7 +87,8 @@
 	to     time.Duration
 }
 
-func newJudge(config *quota.Config, daemons int) *Judge {
+// NewJudge returns servers that have seen no request yet.
+func NewJudge(config *quota.Config, daemons int) *Judge {
 	j := &Judge{
 		startedAt: time.Now(),
 		config:    config,
@@ -93,8 +105,8 @@
 	return j
 }
 
-// now is the time on the judge's clock.
-func (j *Judge) now() time.Duration { return time.Since(j.startedAt) }
+// Now is the time on the judge's clock.
+func (j *Judge) Now() time.Duration { return time.Since(j.startedAt) }
 
 // judgedFor is the length of the intervals in which requests are counted: of a window its own.
 func (t *tally) judgedFor() time.Duration {
@@ -126,7 +138,7 @@
 func (j *Judge) arrive(r *http.Request) (arrived *request, held []*tally) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	now := j.now()
+	now := j.Now()
 	arrived, isFirst := j.request(r, now)
 	arrived.open++
 	query := quota.Request{Class: "look", Path: r.URL.Path, Header: r.Header.Get}
@@ -157,8 +169,8 @@
 	if x := j.requests[id]; x != nil {
 		return x, false
 	}
-	x = &request{daemon: r.Header.Get(daemonHeader), sentAt: now, arrivedAt: now}
-	if sent, err := strconv.ParseInt(r.Header.Get(sentHeader), 10, 64); err == nil {
+	x = &request{daemon: r.Header.Get(DaemonHeader), sentAt: now, arrivedAt: now}
+	if sent, err := strconv.ParseInt(r.Header.Get(SentHeader), 10, 64); err == nil {
 		x.sentAt = time.Duration(sent)
 	}
 	j.requests[id] = x
@@ -180,11 +192,22 @@
 	if x.open > 0 {
 		return
 	}
+	x.leftAt = j.Now()
 	for _, t := range held {
 		delete(t.open, x)
 	}
 }
 
+// ClientEnded notes that the client of a request has an answer of a status, or 0 if it gave up. It counts for nothing,
+// and tells an excess's causes apart.
+func (j *Judge) ClientEnded(id string, status int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if x := j.requests[id]; x != nil {
+		x.answeredAt, x.clientStatus = j.Now(), status
+	}
+}
+
 // judgeInterval compares the requests that were sent and arrived within the last interval with their bound. The lock is
 // held.
 func (j *Judge) judgeInterval(t *tally, arrived *request, now time.Duration) {
@@ -270,7 +293,8 @@
 	Near  float64 `json:"near"` // the most, by the bound
 }
 
-func (j *Judge) result() (all []Seen, broken []string) {
+// Result returns what servers saw of each part of each limit, and what was exceeded.
+func (j *Judge) Result() (all []Seen, broken []string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for _, e := range j.excesses {
@@ -292,9 +316,11 @@
 func (e *excess) judge() {
 	t := e.tally
 	n := 0
+	var counted []string
 	for _, x := range e.requests {
 		if !x.cancelled && e.at-x.arrivedAt < time.Duration(t.limit.Window) {
 			n++
+			counted = append(counted, x.String())
 		}
 	}
 	bound := float64(t.limit.Nodes[t.node].Capacity) / float64(quota.AmountUnit)
@@ -302,7 +328,8 @@
 	t.near = max(t.near, float64(n)/bound)
 	if float64(n) > bound && t.broken == "" {
 		t.from, t.to = e.at, e.at
-		t.broken = fmt.Sprintf("%s, part %q: %d at once at %v, and the limit is %.0f",
-			t.limit.Name, t.limit.Nodes[t.node].Path, n, e.at.Round(time.Millisecond), bound)
+		slices.Sort(counted)
+		t.broken = fmt.Sprintf("%s, part %q: %d at once at %v, and the limit is %.0f: %s",
+			t.limit.Name, t.limit.Nodes[t.node].Path, n, e.at.Round(time.Millisecond), bound, strings.Join(counted, "; "))
 	}
 }
--- a/internal/lab/limitlab/judge_test.go
+++ b/internal/lab/limitlab/judge_test.go
@@ -39,7 +39,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				j := newJudge(conf, 8)
+				j := NewJudge(conf, 8)
 				var asking sync.WaitGroup
 				for i := range x.n {
 					tries := 1
@@ -62,7 +62,7 @@
 					time.Sleep(x.every)
 				}
 				asking.Wait()
-				if _, broken := j.result(); (x.broken == "") != (len(broken) == 0) || x.broken != "" && !strings.Contains(strings.Join(broken, "; "), x.broken) {
+				if _, broken := j.Result(); (x.broken == "") != (len(broken) == 0) || x.broken != "" && !strings.Contains(strings.Join(broken, "; "), x.broken) {
 					t.Errorf("broken: %q", broken)
 				}
 			})
@@ -86,21 +86,21 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				j := newJudge(config, 8)
+				j := NewJudge(config, 8)
 				time.Sleep(10 * time.Second)
 				for i := range 301 {
-					sentAt := j.now()
+					sentAt := j.Now()
 					if i == 0 {
 						sentAt -= x.sentBefore
 					}
 					r := httptest.NewRequest("GET", "/look/quota", nil)
 					r.Header.Set("X-Trace-Id", fmt.Sprint(i))
-					r.Header.Set(daemonHeader, "4")
-					r.Header.Set(sentHeader, fmt.Sprint(int64(sentAt)))
+					r.Header.Set(DaemonHeader, "4")
+					r.Header.Set(SentHeader, fmt.Sprint(int64(sentAt)))
 					j.ServeHTTP(httptest.NewRecorder(), r)
 					time.Sleep(time.Millisecond)
 				}
-				_, broken := j.result()
+				_, broken := j.Result()
 				if _, _, exceeded := j.firstExcess(); exceeded != x.isBroken || len(broken) > 0 != x.isBroken {
 					t.Errorf("broken: %q", broken)
 				}
--- a/internal/lab/limitlab/limitlab.go
+++ b/internal/lab/limitlab/limitlab.go
@@ -152,6 +152,13 @@
 	return b, run < t.For
 }
 
+// say passes a line on to whoever follows the run, if anybody does.
+func (t *Torture) say(line string) {
+	if t.Say != nil {
+		t.Say(line)
+	}
+}
+
 type run struct {
 	*Torture
 	fleet   *fleetlab.Fleet
@@ -173,8 +180,8 @@
 		return nil, err
 	}
 	conf.AssignGenerations(&quota.Config{})
-	x := &run{Torture: t, judge: newJudge(conf, t.Replicas+t.Follow)}
-	changes := &history{now: x.judge.now}
+	x := &run{Torture: t, judge: NewJudge(conf, t.Replicas+t.Follow)}
+	changes := &history{now: x.judge.Now}
 	x.fleet, err = fleetlab.Begin(ctx, fleetlab.Config{Program: t.Program, Args: []string{"run", "--config"}, Env: t.Env, Dir: dir, Replicas: t.Replicas,
 		Follow: t.Follow, Servers: 4, Seed: t.Seed, Handle: x.judge, More: fmt.Sprintf("[limits]\nlease = %q\ntell = \"50ms\"\neach = \"2ms\"\n", TTL)})
 	if err != nil {
@@ -190,11 +197,14 @@
 	defer func() {
 		stop()
 		asking.Wait()
-		r.Seen, r.Broken = x.judge.result()
+		r.Seen, r.Broken = x.judge.Result()
 		r.Requests, _ = x.judge.counts("orders")
 		r.Crowds = len(x.judge.excesses)
 		if from, to, exceeded := x.judge.firstExcess(); exceeded {
 			r.History = changes.between(from-historyBefore, to)
+			for _, line := range r.History {
+				t.say(line)
+			}
 		}
 		r.Refused, r.NoTime = int(x.refused.Load()), int(x.noTime.Load())
 	}()
@@ -210,7 +220,7 @@
 	begun := time.Now()
 	for n := 0; ; n++ {
 		b, more := t.blow(n, time.Since(begun))
-		if _, broken := x.judge.result(); t.Until && len(broken) > 0 {
+		if _, broken := x.judge.Result(); t.Until && len(broken) > 0 {
 			return r, nil
 		}
 		if !more {
@@ -243,8 +253,8 @@
 		}
 		if t.Say != nil {
 			all, _ := x.judge.counts("orders")
-			_, broken := x.judge.result()
-			t.Say(fmt.Sprintf("%v: %s %s; %d requests, %d refused, %d broken", time.Since(begun).Round(time.Second), f.Name, what, all, x.refused.Load(), len(broken)))
+			_, broken := x.judge.Result()
+			t.say(fmt.Sprintf("%v: %s %s; %d requests, %d refused, %d broken", time.Since(begun).Round(time.Second), f.Name, what, all, x.refused.Load(), len(broken)))
 		}
 	}
 	return r, x.calm(ctx, r)
@@ -359,15 +369,17 @@
 		"X-Customer":      "acme",
 		"X-Org":           org,
 		"X-Expires-In-Ms": "900",
-		daemonHeader:      strconv.Itoa(d.Number),
-		sentHeader:        strconv.FormatInt(int64(x.judge.now()), 10),
+		DaemonHeader:      strconv.Itoa(d.Number),
+		SentHeader:        strconv.FormatInt(int64(x.judge.Now()), 10),
 	} {
 		r.Header.Set(name, value)
 	}
 	resp, err := c.Do(r)
 	if err != nil {
+		x.judge.ClientEnded(id, 0)
 		return // its daemon was killed, or is stopped
 	}
+	x.judge.ClientEnded(id, resp.StatusCode)
 	resp.Body.Close()
 	if resp.StatusCode == http.StatusTooManyRequests {
 		if x.refused.Add(1); resp.Header.Get("Retry-After") == "" {
