Add lab soak: short, hard lives of a fleet of processes, drawn from seeds

A broken seed's schedule is kept as a file that can be shortened and played again.

Judged from outside: one final answer; no repeat of an unsafe request; limits; descriptors; crashes; and, where the lab itself is at most 50 ms late, nothing after a drain or for a client that has gone, and restarts. Not judged: budgets of cold servers, leases (task torture does), memory.

--- a/cmd/birchmoor/defects_on.go
+++ b/cmd/birchmoor/defects_on.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"birchmoor/internal/controlplane/lease"
+	"birchmoor/internal/lab/soak"
 	"birchmoor/internal/lab/tasklab"
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/admin"
@@ -27,7 +28,12 @@
 	defectReadStale       = "read-stale"       // a read is not confirmed by a quorum
 )
 
-func init() { processFaults = tasklab.ReadInside() }
+func init() {
+	processFaults = tasklab.ReadInside()
+	if err := soak.InjectDefect(); err != nil {
+		panic(err)
+	}
+}
 
 func defectEnabled(name string) bool { return os.Getenv(tasklab.PlantEnv) == name }
 
--- a/cmd/birchmoor/lab.go
+++ b/cmd/birchmoor/lab.go
@@ -13,5 +13,6 @@
 	BenchPeer benchPeerCommand `cmd:"" hidden:""`
 	Scale     scaleCommand     `cmd:"" help:"Run a fleet far larger than the machine: real daemons beside hollow ones, and what each role costs."`
 	Hollow    hollowCommand    `cmd:"" hidden:""`
+	Soak      soakCommand      `cmd:"" help:"Play hard lives of a small fleet of processes, drawn from seeds, and judge what callers saw."`
 	Chain     chainCommand     `cmd:"" help:"Play a row of sidecars: the time that it adds, the time left that it passes on, and attempts at a leaf that fails."`
 }
--- a/cmd/birchmoor/replay_test.go
+++ b/cmd/birchmoor/replay_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"birchmoor/internal/dataplane/replay"
+	"birchmoor/internal/lab/soak"
 	"birchmoor/internal/lab/tasklab"
 )
 
@@ -18,6 +19,9 @@
 	if os.Getenv(asProgramEnv) != "" {
 		processFaults = tasklab.ReadInside()
 		readHollowDefect()
+		if err := soak.InjectDefect(); err != nil {
+			panic(err)
+		}
 		main()
 	}
 	os.Exit(m.Run())
--- a/internal/lab/fleetlab/fleet.go
+++ b/internal/lab/fleetlab/fleet.go
@@ -51,6 +51,8 @@
 	Skew     float64                   // of the operator file; 0: none stands there
 	Interest string                    // of followers; "": as is usual
 	More     string                    // of the operator file, behind [store]
+	Settings string                    // of the sidecars, as JSON; "": as Settings returns them
+	Sockets  int                       // limit on each sidecar's descriptors; 0: none is configured
 
 	Tick         time.Duration                         // of replicas; 0: 20 ms
 	BareReplicas bool                                  // replicas run no sidecar; followers do, unless Bare
@@ -372,9 +374,13 @@
 
 // Start runs the process. Its temporary folder is new: what outlives it is the store's.
 func (d *Daemon) Start() error {
-	config, err := json.Marshal(map[string]any{"name": d.name, "listen": d.listen, "mgmt": d.mgmt, "discovery": d.board.Addr(),
+	entries := map[string]any{"name": d.name, "listen": d.listen, "mgmt": d.mgmt, "discovery": d.board.Addr(),
 		"seed": fmt.Sprintf("%016x", d.f.cfg.Seed+uint64(d.Number)), "known": discovery.List{Generation: 1, Reset: true, Instances: d.Known},
-		"settings": json.RawMessage(settings)})
+		"settings": json.RawMessage(cmp.Or(d.f.cfg.Settings, settings))}
+	if d.f.cfg.Sockets > 0 {
+		entries["limits"] = map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": d.f.cfg.Sockets}
+	}
+	config, err := json.Marshal(entries)
 	if err != nil {
 		return err
 	}
@@ -447,6 +453,23 @@
 	}
 }
 
+// PID is the process's number, or 0 if none runs.
+func (d *Daemon) PID() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cmd == nil {
+		return 0
+	}
+	return d.cmd.Process.Pid
+}
+
+// Ended is closed once the process that runs now has ended.
+func (d *Daemon) Ended() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.over
+}
+
 // Socket is where its operators reach it.
 func (d *Daemon) Socket() string { return d.path(".sock") }
 
