Drop the fallback limiters of a limit's old generations

Each change of a limit's kind, unit or window left the fallback limiters of its parent nodes in memory for good, where requests had come without a session: SetConfig deleted those only whose ordinary limiter it deleted too, and a parent has none. The new test changes a limit with one part ten times: 11 fallback limiters are left before, 2 now.

--- a/internal/controlplane/quota/consumer.go
+++ b/internal/controlplane/quota/consumer.go
@@ -1,5 +1,7 @@
 package quota
 
+import "maps"
+
 // Consumer is a process's side of the limits: it decides which requests its quotas admit. It is for one goroutine at a
 // time. Instants are nanoseconds of a clock that does not step.
 type Consumer struct {
@@ -54,12 +56,9 @@
 			}
 		}
 	}
-	for key := range c.limiters {
-		if !current[key] {
-			delete(c.limiters, key)
-			delete(c.fallbackLimiters, key)
-		}
-	}
+	isGone := func(key string, _ *limiter) bool { return !current[key] }
+	maps.DeleteFunc(c.limiters, isGone)
+	maps.DeleteFunc(c.fallbackLimiters, isGone)
 	c.reportDue = true
 }
 
--- a/internal/controlplane/quota/consumer_test.go
+++ b/internal/controlplane/quota/consumer_test.go
@@ -151,3 +151,23 @@
 		}
 	}
 }
+
+// Guards against limiters of parent nodes that stay for good once their limit has another generation.
+func TestLimitersOfOldGenerationsAreDropped(t *testing.T) {
+	c := NewConsumer(Rules{}, NoDefect)
+	for generation := range uint64(10) {
+		l := newRateLimit(10, sec)
+		l.Generation = generation + 1
+		l.Fallback, l.FallbackFraction, l.MinProcesses = Fair, 0.5, 1
+		l.PartitionBy = []string{"header:org"}
+		l.Nodes = append(l.Nodes, Node{Path: "a", Capacity: 10 * AmountUnit, Weight: 1})
+		c.SetConfig(0, &Config{Version: generation + 1, Limits: []*Limit{l}})
+		// Without a session its fallback is used, at the part and at the whole.
+		for now := sec; now < 5*sec; now += 2 * sec {
+			_, _ = c.Reserve(now, []Charge{{Limit: l, Node: 1, Amount: AmountUnit}}, 1)
+		}
+	}
+	if len(c.limiters) > 2 || len(c.fallbackLimiters) != 2 {
+		t.Errorf("%d limiters and %d of the fallback are left of ten generations", len(c.limiters), len(c.fallbackLimiters))
+	}
+}
