Close the replica's listener when the drain log cannot be opened

controlplane.Open listened for other replicas, and left the listener open if OpenDrainLog failed: a program that tries again in one process could not listen there ("address already in use", as the new test shows before; it passes now). The shipped program exits instead, so that callers saw nothing.

--- a/internal/controlplane/components.go
+++ b/internal/controlplane/components.go
@@ -76,6 +76,9 @@
 	d := daemon.New(c.Log, p.daemonComponents()...)
 	d.DelegateSweep()
 	if err := p.Servers.OpenDrainLog(s.Dir); err != nil {
+		if storeConfig.Listener != nil {
+			err = errors.Join(err, storeConfig.Listener.Close())
+		}
 		return nil, err
 	}
 	if isFollower(s) {
