--- a/cmd/birchmoor/limitsim.go
+++ b/cmd/birchmoor/limitsim.go
@@ -36,6 +36,9 @@
 const maxSimSidecars = 5000
 
 func (k *limitSim) Run(ctx context.Context, c *console) error {
+	if err := checkSeeds(k.Seeds); err != nil {
+		return err
+	}
 	if k.Sidecars < 1 || k.Sidecars > maxSimSidecars {
 		return fmt.Errorf("--sidecars: %d is not within 1 and %d", k.Sidecars, maxSimSidecars)
 	}
--- a/cmd/birchmoor/seeds.go
+++ b/cmd/birchmoor/seeds.go
@@ -2,11 +2,20 @@
 
 import (
 	"context"
+	"fmt"
 	"iter"
 	"runtime"
 	"sync"
 )
 
+// checkSeeds checks a number of seeds.
+func checkSeeds(seeds int) error {
+	if seeds < 1 {
+		return fmt.Errorf("--seeds: %d is less than 1", seeds)
+	}
+	return nil
+}
+
 // seedResults runs seeds side by side, as many at once as there are CPUs, and yields their results in the order of
 // the seeds. It ends early when ctx does, and waits for the runs that it has started.
 func seedResults[R any](ctx context.Context, first uint64, seeds int, run func(seed uint64) R) iter.Seq[R] {
--- a/cmd/birchmoor/store_test.go
+++ b/cmd/birchmoor/store_test.go
@@ -152,8 +152,14 @@
 			t.Errorf("%v: exit code %d, %s", args, code, errs)
 		}
 	}
-	if code, _, _ := a.runStore("put", "k", "1", "--if", "12345"); code != exitFailure {
-		t.Errorf("a condition that does not hold: exit code %d", code)
+	for _, args := range [][]string{
+		{"put", "k", "1", "--if", "12345"},
+		{"put", "k", "1", "--if", "12345", "--json"},
+		{"delete", "k", "--if", "12345", "--json"},
+	} {
+		if code, _, _ := a.runStore(args...); code != exitFailure {
+			t.Errorf("%v, whose condition does not hold: exit code %d", args, code)
+		}
 	}
 	if got := a.mustRunStore(t, "get", "k"); !strings.Contains(got, "0") {
 		t.Error(got)
--- a/cmd/birchmoor/storeclient.go
+++ b/cmd/birchmoor/storeclient.go
@@ -119,20 +119,29 @@
 func (s *clientFlags) change(
 	ctx context.Context, c *console, r admin.ChangeRequest, table func(*tabwriter.Writer, admin.ChangeResponse),
 ) error {
+	_, err := s.changeAndReturn(ctx, c, r, table)
+	return err
+}
+
+// changeAndReturn is change, and returns the response.
+func (s *clientFlags) changeAndReturn(
+	ctx context.Context, c *console, r admin.ChangeRequest, table func(*tabwriter.Writer, admin.ChangeResponse),
+) (response admin.ChangeResponse, err error) {
 	if r.ID == (store.RequestID{}) {
 		n, err := randomUint63()
 		if err != nil {
-			return err
+			return response, err
 		}
 		r.ID = store.RequestID{Client: n, Seq: 1}
 	}
-	return s.call(ctx, c, func(ctx context.Context, a *adminapi.Client) error {
-		x, err := a.Change(ctx, r)
+	err = s.call(ctx, c, func(ctx context.Context, a *adminapi.Client) error {
+		response, err = a.Change(ctx, r)
 		if err != nil {
 			return s.changeFailed(ctx, c, err, fmt.Sprintf("%d-%d", r.ID.Client, r.ID.Seq))
 		}
-		return s.print(c, x, func(w *tabwriter.Writer) { table(w, x) })
+		return s.print(c, response, func(w *tabwriter.Writer) { table(w, response) })
 	})
+	return response, err
 }
 
 // randomUint63 returns a random number below 2^63.
--- a/cmd/birchmoor/storekeys.go
+++ b/cmd/birchmoor/storekeys.go
@@ -103,15 +103,13 @@
 	if ifRevision != nil {
 		txn.If = []store.Compare{{Key: op.Key, ModRevision: *ifRevision}}
 	}
-	succeeded := true // also where the table is not printed
 	request := admin.ChangeRequest{ID: id, Txn: txn}
-	err = s.change(ctx, c, request, func(w *tabwriter.Writer, x admin.ChangeResponse) {
-		succeeded = x.Succeeded
-		if succeeded {
+	response, err := s.changeAndReturn(ctx, c, request, func(w *tabwriter.Writer, x admin.ChangeResponse) {
+		if x.Succeeded {
 			fmt.Fprintf(w, "revision %d\n", x.Revision)
 		}
 	})
-	if err == nil && !succeeded {
+	if err == nil && !response.Succeeded {
 		fmt.Fprintf(c.err, "%s was changed meanwhile: nothing was done\n", op.Key)
 		return errRunFailed
 	}
--- a/cmd/birchmoor/storesim.go
+++ b/cmd/birchmoor/storesim.go
@@ -30,6 +30,9 @@
 }
 
 func (k *storeSim) Run(ctx context.Context, c *console) error {
+	if err := checkSeeds(k.Seeds); err != nil {
+		return err
+	}
 	options := storesim.Options{Replicas: k.Replicas, Ops: k.Ops, Faults: k.Faults, Gap: k.Gap, Mixed: k.Mixed}
 	if k.Defect == listDefects {
 		for _, f := range storesim.Faults {
--- a/cmd/birchmoor/tasksim.go
+++ b/cmd/birchmoor/tasksim.go
@@ -35,6 +35,9 @@
 }
 
 func (k *taskSim) Run(ctx context.Context, c *console) error {
+	if err := checkSeeds(k.Seeds); err != nil {
+		return err
+	}
 	options := storesim.Options{
 		Replicas: k.Replicas,
 		Faults:   k.Faults,
@@ -70,7 +73,7 @@
 			return err
 		}
 		if k.Defect != allDefects {
-			return nil // whether it was found has been printed
+			return err // whether it was found has been printed
 		}
 		missed = missed || err != nil
 	}
