--- a/internal/lab/sim/ramp_test.go
+++ b/internal/lab/sim/ramp_test.go
@@ -140,3 +140,28 @@
 		t.Error(err)
 	}
 }
+
+// rampCase plays the ramp at a size, with one of the troubles, and holds it to the users' rule.
+func rampCase(t *testing.T, sidecars, servers int, trouble string) {
+	t.Helper()
+	for _, x := range troubles {
+		if x.name != trouble {
+			continue
+		}
+		y := ramped(t, sidecars, servers, 1, x.make)
+		if !y.Passed() || y.Figures["ramp_worst"] <= 0 {
+			t.Errorf("%s; missed %v; %v", y.Line(), y.Missed, y.Verdict.Violations)
+		}
+		return
+	}
+	t.Fatalf("there is no trouble %q", trouble)
+}
+
+// Guards against cold servers that fall where each sidecar is configured as the only one, at three times the load.
+func TestRampHoldsForFleetToldToBeOne(t *testing.T) { rampCase(t, 30, 12, "three times, told of one") }
+
+// Guards against cold servers that fall with 25 sidecars a server, when clients and sidecars retry.
+func TestRampHoldsForManySidecarsAServer(t *testing.T) { rampCase(t, 300, 12, "retries") }
+
+// Guards against cold servers that fall where all troubles come together in a large fleet.
+func TestRampHoldsForAllTroublesAtOnce(t *testing.T) { rampCase(t, 150, 30, "all of these") }
