Log that demand for quotas cannot be reported

A daemon whose reports fail gets no larger quota, and callers are rejected by limits that are not spent; its log said nothing. The first failure in a row is logged, with the error; the new test sees none before, and one of three now.

--- a/internal/controlplane/quotasync/manager_test.go
+++ b/internal/controlplane/quotasync/manager_test.go
@@ -1,10 +1,16 @@
 package quotasync
 
 import (
+	"bytes"
+	"context"
+	"errors"
 	"log/slog"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"birchmoor/internal/controlplane/daemon"
 	"birchmoor/internal/controlplane/quota"
 	"birchmoor/internal/platform/bootclock"
 	"birchmoor/internal/store"
@@ -69,3 +75,49 @@
 		t.Errorf("with a copy of all: %v", d)
 	}
 }
+
+// failingStore makes no change, and tells of each that it was asked for.
+type failingStore struct {
+	daemon.Store
+	asked chan struct{}
+}
+
+func (s *failingStore) Do(context.Context, store.Command) (store.Result, error) {
+	s.asked <- struct{}{}
+	return store.Result{}, errors.New("no replica")
+}
+
+// Guards against reports of demand that fail for good without a word in the log: the first failure in a row is logged,
+// and those after it are not.
+func TestFirstFailedReportIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log bytes.Buffer
+		m := New(Config{
+			Host: "h", TTL: 5 * time.Second, ReportInterval: 250 * time.Millisecond, Clock: bootclock.Clock{},
+			Log: slog.New(slog.NewTextHandler(&log, nil)),
+		}, nil)
+		failing := &failingStore{asked: make(chan struct{}, 1)}
+		m.Attach(failing)
+		m.process = quota.Process{Host: "h", Session: 7}
+		m.consumer.SetSession(m.now(), 7, m.now()+int64(time.Hour))
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			m.report(ctx)
+		}()
+		for range 3 {
+			<-failing.asked
+		}
+		cancel()
+		go func() {
+			for range failing.asked {
+			}
+		}()
+		<-ended
+		close(failing.asked)
+		if n := strings.Count(log.String(), "cannot report the demand for quotas"); n != 1 || !strings.Contains(log.String(), "no replica") {
+			t.Errorf("logged %d times:\n%s", n, log.String())
+		}
+	})
+}
--- a/internal/controlplane/quotasync/run.go
+++ b/internal/controlplane/quotasync/run.go
@@ -97,15 +97,21 @@
 	})
 }
 
-// report sends reports of demand when they are due, until ctx ends.
+// report sends reports of demand when they are due, until ctx ends. The first failure in a row is logged.
 func (m *Manager) report(ctx context.Context) {
+	failing := false
 	for ctx.Err() == nil {
 		next := m.nextReport()
 		if !next.due {
 			m.waitToReport(ctx, next.wait)
 			continue
 		}
-		if err := m.sendReport(ctx, next.process, next.demand); err != nil {
+		err := m.sendReport(ctx, next.process, next.demand)
+		if err != nil && !failing && ctx.Err() == nil {
+			m.cfg.Log.Warn("cannot report the demand for quotas", "session", next.process.Session, "error", err)
+		}
+		failing = err != nil
+		if failing {
 			m.mu.Lock()
 			m.consumer.ReportFailed()
 			m.mu.Unlock()
