--- a/internal/controlplane/quota/consumer_test.go
+++ b/internal/controlplane/quota/consumer_test.go
@@ -168,6 +168,7 @@
 		}
 	}
 	if len(c.limiters) > 2 || len(c.fallbackLimiters) != 2 {
-		t.Errorf("%d limiters and %d of the fallback are left of ten generations", len(c.limiters), len(c.fallbackLimiters))
+		t.Errorf("%d limiters and %d of the fallback are left of ten generations",
+			len(c.limiters), len(c.fallbackLimiters))
 	}
 }
--- a/internal/controlplane/quota/defect.go
+++ b/internal/controlplane/quota/defect.go
@@ -21,7 +21,7 @@
 	IgnorePredecessor    // a new allocator does not count what others granted
 	RoundUp              // quotas are rounded up
 	UncheckedRevision    // allocations are not conditional on the previous one
-	CountAgeTwice        // the age that is written to a departed process's grant is added to the time since its departure
+	CountAgeTwice        // the age in a departed process's grant is added to the time since its departure
 )
 
 // Rules are the same for all processes of a fleet.
--- a/internal/controlplane/quotasync/manager_test.go
+++ b/internal/controlplane/quotasync/manager_test.go
@@ -116,7 +116,8 @@
 		}()
 		<-ended
 		close(failing.asked)
-		if n := strings.Count(log.String(), "cannot report the demand for quotas"); n != 1 || !strings.Contains(log.String(), "no replica") {
+		n := strings.Count(log.String(), "cannot report the demand for quotas")
+		if n != 1 || !strings.Contains(log.String(), "no replica") {
 			t.Errorf("logged %d times:\n%s", n, log.String())
 		}
 	})
--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	requestTimeout  = 900 * time.Millisecond // that clients tell
+	requestTimeout  = 900 * time.Millisecond // that clients send along
 	answerGrace     = 500 * time.Millisecond // after which a request without an answer is lost
 	dialTimeout     = time.Second
 	redialPause     = 20 * time.Millisecond
@@ -39,6 +39,7 @@
 	abandoned         // the client left
 )
 
+// String names the outcome.
 func (o outcome) String() string {
 	return [...]string{"answered", "closed", "timed out", "abandoned"}[o]
 }
--- a/internal/lab/soak/defect.go
+++ b/internal/lab/soak/defect.go
@@ -41,7 +41,7 @@
 
 const (
 	defectEnv     = "BIRCHMOOR_SOAK_DEFECT"
-	keptFiles     = 2 * descriptorSlack
+	leakedFiles   = 2 * descriptorSlack
 	keepsInterval = 10 * time.Millisecond
 	keepsAfter    = 3 * time.Second // from the process's start on: after the lab has counted
 )
@@ -78,8 +78,8 @@
 	case keepsFiles:
 		go keepFiles()
 	case deafToDrains:
-		const nobody = "127.0.0.1:1"
-		return os.Setenv("ROUTER_DISCOVERY", nobody)
+		const unusedAddress = "127.0.0.1:1"
+		return os.Setenv("ROUTER_DISCOVERY", unusedAddress)
 	}
 	return nil
 }
@@ -105,7 +105,7 @@
 
 func keepFiles() {
 	time.Sleep(keepsAfter)
-	for range keptFiles {
+	for range leakedFiles {
 		time.Sleep(keepsInterval)
 		_, _ = syscall.Open(os.DevNull, syscall.O_RDONLY|syscall.O_CLOEXEC, 0)
 	}
--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -23,7 +23,7 @@
 
 const (
 	goneGrace       = 100 * time.Millisecond // after a client's leaving, in which an attempt may begin
-	drainGrace      = 500 * time.Millisecond // after a drain is told, in which an attempt may begin
+	drainGrace      = 500 * time.Millisecond // after a drain is reported, in which an attempt may begin
 	arrivalSlack    = 100 * time.Millisecond // from an attempt's first byte until the lab's server notes it
 	connectGrace    = 400 * time.Millisecond // after SIGTERM, in which clients still connect
 	crossingSlack   = 50 * time.Millisecond  // between a signal and its note in the lab
@@ -113,8 +113,9 @@
 func (e *evidence) judgeRequest(r *request) (all []Violation) {
 	attempts := e.arrivals[r.id]
 	describe := func(rule Rule, what string) Violation {
+		took := r.endedAt.Sub(r.sentAt).Round(time.Millisecond)
 		return Violation{rule, fmt.Sprintf("request %s to d%d %s: %s; %v after %v, %d attempts, new connection %v",
-			r.id, r.daemon, r.path, what, r.outcome, r.endedAt.Sub(r.sentAt).Round(time.Millisecond), len(attempts), r.newConn)}
+			r.id, r.daemon, r.path, what, r.outcome, took, len(attempts), r.newConn)}
 	}
 	if r.unsafe && len(attempts) > 1 {
 		all = append(all, describe(NoRepeat, "it came to servers more than once"))
@@ -182,17 +183,20 @@
 	return false
 }
 
-// judgeDrains finds attempts at a draining server by a process that had been told, and ran all the time.
+// judgeDrains finds attempts at a draining server by a process to which the drain was reported, and which ran
+// all the time.
 func (e *evidence) judgeDrains() (all []Violation) {
 	for id, attempts := range e.arrivals {
 		for _, a := range attempts {
 			for _, d := range e.drains {
 				late := a.at.Sub(d.from)
-				if a.server != d.server || late <= drainGrace+arrivalSlack || a.at.After(d.to) || e.interrupted(a.daemon, d.from, a.at) {
+				isLate := a.server == d.server && late > drainGrace+arrivalSlack && !a.at.After(d.to)
+				if !isLate || e.interrupted(a.daemon, d.from, a.at) {
 					continue
 				}
-				all = append(all, Violation{AfterDrain, fmt.Sprintf("request %s of d%d came to server %d %v after its drain was told",
-					id, a.daemon, a.server, late.Round(time.Millisecond))})
+				what := fmt.Sprintf("request %s of d%d came to server %d %v after its drain",
+					id, a.daemon, a.server, late.Round(time.Millisecond))
+				all = append(all, Violation{AfterDrain, what})
 			}
 		}
 	}
@@ -200,7 +204,7 @@
 	return all
 }
 
-// interrupted reports whether a daemon's process did not run, or was not told, for all of a time.
+// interrupted reports whether a daemon's process did not run, or got no reports, for a part of a time.
 func (e *evidence) interrupted(daemon int, from, to time.Time) bool {
 	d := &e.daemons[daemon]
 	for _, periods := range [][]period{d.killed, d.terminated, d.stopped, d.quiet} {
@@ -221,5 +225,6 @@
 	if len(e.restarts) < minRestarts || float64(late) <= maxLateRestarts*float64(len(e.restarts)) {
 		return Violation{}, false
 	}
-	return Violation{Readiness, fmt.Sprintf("%d of %d were not ready within %v", late, len(e.restarts), readyTimeout)}, true
+	what := fmt.Sprintf("%d of %d were not ready within %v", late, len(e.restarts), readyTimeout)
+	return Violation{Readiness, what}, true
 }
--- a/internal/lab/soak/judge_test.go
+++ b/internal/lab/soak/judge_test.go
@@ -42,27 +42,88 @@
 		busy     bool // the lab was late
 		want     map[Rule]int
 	}{
-		"answered":                     {request: ask(func(*request) {}), arrivals: arrivals(10_010)},
-		"bytes after the answer":       {request: ask(func(r *request) { r.surplus = 3 }), want: map[Rule]int{OneAnswer: 1}},
-		"unsafe, twice":                {request: ask(func(r *request) { r.unsafe = true }), arrivals: arrivals(10_010, 10_020), want: map[Rule]int{NoRepeat: 1}},
-		"safe, twice":                  {request: ask(func(*request) {}), arrivals: arrivals(10_010, 10_020)},
-		"read and closed":              {request: ask(isClosed), arrivals: arrivals(10_010), want: map[Rule]int{OneAnswer: 1}},
-		"read and closed, killed":      {request: ask(isClosed), arrivals: arrivals(10_010), daemon: daemonHistory{killed: between(10_050, 10_500)}},
-		"read and closed, terminated":  {request: ask(isClosed), arrivals: arrivals(10_010), daemon: daemonHistory{terminated: between(9_950, 10_500)}, want: map[Rule]int{OneAnswer: 1}},
-		"open at the kill, busy":       {request: ask(isClosed), arrivals: arrivals(10_010), daemon: daemonHistory{endedByKill: []time.Time{at(10_090)}}, busy: true},
-		"open at the kill":             {request: ask(isClosed), arrivals: arrivals(10_010), daemon: daemonHistory{endedByKill: []time.Time{at(10_090)}}, want: map[Rule]int{OneAnswer: 1}},
-		"closed as it came":            {request: ask(isClosed)},
-		"closed, new connection":       {request: ask(func(r *request) { isClosed(r); r.newConn = true }), want: map[Rule]int{OneAnswer: 1}},
-		"no answer":                    {request: ask(isLate), want: map[Rule]int{OneAnswer: 1}},
-		"no answer, busy":              {request: ask(isLate), busy: true},
-		"no answer, stopped":           {request: ask(isLate), daemon: daemonHistory{stopped: between(10_050, 11_000)}},
-		"begun for one who had gone":   {request: ask(hasLeft), arrivals: arrivals(10_400), want: map[Rule]int{ClientGone: 1}},
+		"answered": {request: ask(func(*request) {}), arrivals: arrivals(10_010)},
+		"bytes after the answer": {
+			request: ask(func(r *request) { r.surplus = 3 }),
+			want:    map[Rule]int{OneAnswer: 1},
+		},
+		"unsafe, twice": {
+			request:  ask(func(r *request) { r.unsafe = true }),
+			arrivals: arrivals(10_010, 10_020),
+			want:     map[Rule]int{NoRepeat: 1},
+		},
+		"safe, twice": {request: ask(func(*request) {}), arrivals: arrivals(10_010, 10_020)},
+		"read and closed": {
+			request:  ask(isClosed),
+			arrivals: arrivals(10_010),
+			want:     map[Rule]int{OneAnswer: 1},
+		},
+		"read and closed, killed": {
+			request:  ask(isClosed),
+			arrivals: arrivals(10_010),
+			daemon:   daemonHistory{killed: between(10_050, 10_500)},
+		},
+		"read and closed, terminated": {
+			request:  ask(isClosed),
+			arrivals: arrivals(10_010),
+			daemon:   daemonHistory{terminated: between(9_950, 10_500)},
+			want:     map[Rule]int{OneAnswer: 1},
+		},
+		"open at the kill, busy": {
+			request:  ask(isClosed),
+			arrivals: arrivals(10_010),
+			daemon:   daemonHistory{endedByKill: []time.Time{at(10_090)}},
+			busy:     true,
+		},
+		"open at the kill": {
+			request:  ask(isClosed),
+			arrivals: arrivals(10_010),
+			daemon:   daemonHistory{endedByKill: []time.Time{at(10_090)}},
+			want:     map[Rule]int{OneAnswer: 1},
+		},
+		"closed as it came": {request: ask(isClosed)},
+		"closed, new connection": {
+			request: ask(func(r *request) { isClosed(r); r.newConn = true }),
+			want:    map[Rule]int{OneAnswer: 1},
+		},
+		"no answer":       {request: ask(isLate), want: map[Rule]int{OneAnswer: 1}},
+		"no answer, busy": {request: ask(isLate), busy: true},
+		"no answer, stopped": {
+			request: ask(isLate),
+			daemon:  daemonHistory{stopped: between(10_050, 11_000)},
+		},
+		"begun for one who had gone": {
+			request:  ask(hasLeft),
+			arrivals: arrivals(10_400),
+			want:     map[Rule]int{ClientGone: 1},
+		},
 		"begun before the client left": {request: ask(hasLeft), arrivals: arrivals(10_050)},
-		"sent after a drain":           {request: ask(func(*request) {}), arrivals: arrivals(10_010), drains: drained, want: map[Rule]int{AfterDrain: 1}},
-		"sent within the grace":        {request: ask(func(*request) {}), arrivals: arrivals(9_400), drains: drained},
-		"sent after a drain, not told": {request: ask(func(*request) {}), arrivals: arrivals(10_010), drains: drained, daemon: daemonHistory{quiet: between(8_500, 11_000)}},
-		"two of ten late":              {request: ask(func(*request) {}), restarts: append(seconds(8, time.Second), seconds(2, 11*time.Second)...), want: map[Rule]int{Readiness: 1}},
-		"one of ten late":              {request: ask(func(*request) {}), restarts: append(seconds(9, time.Second), 11*time.Second)},
+		"sent after a drain": {
+			request:  ask(func(*request) {}),
+			arrivals: arrivals(10_010),
+			drains:   drained,
+			want:     map[Rule]int{AfterDrain: 1},
+		},
+		"sent within the grace": {
+			request:  ask(func(*request) {}),
+			arrivals: arrivals(9_400),
+			drains:   drained,
+		},
+		"sent after a drain, not told": {
+			request:  ask(func(*request) {}),
+			arrivals: arrivals(10_010),
+			drains:   drained,
+			daemon:   daemonHistory{quiet: between(8_500, 11_000)},
+		},
+		"two of ten late": {
+			request:  ask(func(*request) {}),
+			restarts: append(seconds(8, time.Second), seconds(2, 11*time.Second)...),
+			want:     map[Rule]int{Readiness: 1},
+		},
+		"one of ten late": {
+			request:  ask(func(*request) {}),
+			restarts: append(seconds(9, time.Second), 11*time.Second),
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := &evidence{
--- a/internal/lab/soak/schedule.go
+++ b/internal/lab/soak/schedule.go
@@ -29,8 +29,10 @@
 	ForMs  int64  `json:"for_ms,omitempty"` // see Action
 	Times  int    `json:"times,omitempty"`  // that the signal is sent, within seriesSpan; 0 is once
 
-	ReloadMeanwhile bool `json:"reload_meanwhile,omitempty"` // SIGHUP during a Terminate
-	DuringStart     bool `json:"during_start,omitempty"`     // a Terminate is followed by another one before the new process is ready
+	// ReloadMeanwhile has SIGHUP sent during a Terminate.
+	ReloadMeanwhile bool `json:"reload_meanwhile,omitempty"`
+	// DuringStart has a Terminate followed by another one before the new process is ready.
+	DuringStart bool `json:"during_start,omitempty"`
 }
 
 // Schedule is what is done in a run. It can be shortened by hand.
