Have a replica that starts alone go by the limits at the end of its log

What callers saw: after a replica is killed right after the first limits took effect, and starts without a quorum, it admits everything: the fault of restarted followers, found by looking for it elsewhere.

Cause: a commit index alone is not written; after a restart it is learned from the leader. A start has the entry and does not know that it was committed, and Manager.Admit admits all while there are no limits.

The new test has the start, the tail and what follows: without the mend requests are rejected by "", with it by the new limit. Among processes it did not show, since reports of demand follow at once.

Mend: Manager observes the end of the log, as drains do. Where no limits are known, those of the tail are in force until the copy has caught up; then what was committed decides.

--- a/internal/controlplane/quotasync/manager.go
+++ b/internal/controlplane/quotasync/manager.go
@@ -61,6 +61,8 @@
 	allocator        *quota.Allocator
 	config           *quota.Config
 	configFault      string // why the newest limits are not in force here, or ""
+	committed        []byte // the limits that the copy has; nil: none
+	fromLogTail      bool   // the limits in force may not be committed
 	process          quota.Process
 	reporting        map[string]bool   // demand keys of the copy
 	loggedRejections map[string]uint64 // by limit
@@ -131,8 +133,10 @@
 	defer m.mu.Unlock()
 	m.allocator.Event(m.now(), e)
 	switch {
+	case key == quota.ConfigKey && e.Deleted:
+		m.setCommitted(nil)
 	case key == quota.ConfigKey:
-		m.setConfig(e.Item.Value, !e.Deleted)
+		m.setCommitted(e.Item.Value)
 	case strings.HasPrefix(key, quota.DemandPrefix):
 		if e.Deleted {
 			delete(m.reporting, key)
@@ -151,8 +155,8 @@
 	defer m.mu.Unlock()
 	m.hasCopy = true
 	m.allocator.Reset(m.now(), s)
-	item, exists := s.Get(quota.ConfigKey)
-	m.setConfig(item.Value, exists)
+	item, _ := s.Get(quota.ConfigKey)
+	m.setCommitted(item.Value)
 	clear(m.reporting)
 	s.Range(quota.DemandPrefix, store.PrefixEnd(quota.DemandPrefix), func(item store.Item) bool {
 		m.reporting[item.Key] = true
@@ -195,11 +199,44 @@
 	}
 }
 
-// setConfig puts limits in force, or none if they do not exist. Limits that are invalid here, such as a newer
+// Uncommitted implements daemon.LogTailObserver. A replica that starts alone may not know that the last entries of its
+// log were committed, and so in force before it ended. Where it knows of no limits, those of the tail are in force until
+// it has caught up: without a session a strict limit admits nothing.
+func (m *Manager) Uncommitted(c *store.Command) {
+	if c.Txn == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, op := range c.Txn.Then {
+		if op.Key == quota.ConfigKey && !op.Delete && m.committed == nil {
+			m.fromLogTail = true
+			m.setConfig(op.Value)
+		}
+	}
+}
+
+// CaughtUp implements daemon.LogTailObserver: what the copy has decides.
+func (m *Manager) CaughtUp() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.fromLogTail {
+		m.setCommitted(m.committed)
+	}
+}
+
+// setCommitted puts the limits that the copy has in force; nil is for none. The lock is held.
+func (m *Manager) setCommitted(text []byte) {
+	m.committed = text
+	m.fromLogTail = false
+	m.setConfig(text)
+}
+
+// setConfig puts limits in force; nil is for none. Limits that are invalid here, such as a newer
 // version's, leave the previous ones in force. The lock is held.
-func (m *Manager) setConfig(text []byte, exists bool) {
+func (m *Manager) setConfig(text []byte) {
 	config := &quota.Config{}
-	if exists {
+	if text != nil {
 		if err := errors.Join(json.Unmarshal(text, config), config.Check()); err != nil {
 			m.configFault = err.Error()
 			m.cfg.Log.Error("limits are invalid here, the previous ones stay in force", "error", err)
--- a/internal/controlplane/quotasync/manager_test.go
+++ b/internal/controlplane/quotasync/manager_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"log/slog"
 	"strings"
@@ -12,6 +13,7 @@
 
 	"birchmoor/internal/controlplane/daemon"
 	"birchmoor/internal/controlplane/quota"
+	"birchmoor/internal/dataplane/core"
 	"birchmoor/internal/platform/bootclock"
 	"birchmoor/internal/store"
 )
@@ -76,6 +78,65 @@
 	}
 }
 
+var _ daemon.LogTailObserver = (*Manager)(nil)
+
+// Guards against a replica that admits everything when it is killed right after limits took effect and starts alone: it
+// does not know that the last entry of its log was committed.
+func TestLimitsOfLogTailAreInForceUntilCaughtUp(t *testing.T) {
+	limits := func(name string) []byte {
+		config := &quota.Config{Limits: []*quota.Limit{{
+			Name: name, Kind: quota.Rate, Unit: quota.Requests, Window: 1e9, Fallback: quota.Strict,
+			Nodes: []quota.Node{{Capacity: 10 * quota.AmountUnit, Weight: 1}},
+		}}}
+		config.AssignGenerations(&quota.Config{})
+		text, err := json.Marshal(config)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return text
+	}
+	command := func(text []byte) *store.Command {
+		return &store.Command{Txn: &store.Txn{Then: []store.Op{{Key: quota.ConfigKey, Value: text}}}}
+	}
+	with := func(commands ...*store.Command) *store.State {
+		state := store.New(1, store.DefaultLimits)
+		for i, c := range commands {
+			state.Apply(uint64(i+1), c)
+		}
+		return state
+	}
+	for name, x := range map[string]struct {
+		start, later           *store.State // later nil: the tail was discarded
+		want, wantOnceCaughtUp string
+	}{
+		"committed":            {with(), with(command(limits("new"))), "new", "new"},
+		"discarded":            {with(), nil, "new", ""},
+		"others are committed": {with(command(limits("old"))), nil, "old", "old"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := New(Config{Host: "h", TTL: time.Second, Log: slog.New(slog.DiscardHandler)}, nil)
+			rejectedBy := func() string {
+				if _, exceeded := m.Admit(&core.LimiterRequest{Class: "look", PriorityWeight: 1}); exceeded != nil {
+					return exceeded.Limit
+				}
+				return ""
+			}
+			m.Reset(x.start)
+			m.Uncommitted(command(limits("new")))
+			if got := rejectedBy(); got != x.want {
+				t.Errorf("after the start requests are rejected by %q, not by %q", got, x.want)
+			}
+			if x.later != nil {
+				m.Reset(x.later)
+			}
+			m.CaughtUp()
+			if got := rejectedBy(); got != x.wantOnceCaughtUp {
+				t.Errorf("once caught up requests are rejected by %q, not by %q", got, x.wantOnceCaughtUp)
+			}
+		})
+	}
+}
+
 // failingStore makes no change, and tells of each that it was asked for.
 type failingStore struct {
 	daemon.Store
