Judge arrivals with an assumed lateness again, beside whole windows

The check of before is back beside the new one in limit torture and its test: arrivals in 4 s, or in a window less 1 s, with requests up to a second late.

The new test has 301 requests sent 4 s before they arrive at once: not found without, found with it.

--- a/internal/lab/limitlab/judge.go
+++ b/internal/lab/limitlab/judge.go
@@ -39,6 +39,10 @@
 	matcher   *quota.Matcher
 	daemons   int
 
+	// maxLateness is the time from a request's admission to its arrival that is assumed; 0: none is. With it, requests
+	// that were sent before an interval count as well, such as those that a stopped sidecar admits when it continues.
+	maxLateness time.Duration
+
 	mu       sync.Mutex
 	tallies  map[string]*tally // by quota.Limit.Key
 	requests map[string]*request
@@ -78,6 +82,7 @@
 	limit  *quota.Limit
 	node   int
 	recent []*request        // sent within the length that is judged
+	late   []*request        // arrived within the length that is judged with an assumed lateness
 	open   map[*request]bool // of a concurrency limit
 	count  int
 	most   float64 // in the length that is judged
@@ -154,6 +159,9 @@
 				j.judgeConcurrency(t, now)
 			} else if isFirst {
 				j.judgeInterval(t, arrived, now)
+				if j.maxLateness > 0 {
+					j.judgeArrivals(t, arrived, now)
+				}
 			}
 			if node == 0 {
 				break
@@ -224,6 +232,23 @@
 	}
 }
 
+// judgeArrivals compares the requests that arrived within an interval with the bound of those that may have been
+// admitted up to maxLateness before it. The lock is held.
+func (j *Judge) judgeArrivals(t *tally, arrived *request, now time.Duration) {
+	length := rateJudgedFor
+	if t.limit.Kind == quota.Window {
+		length = max(time.Duration(t.limit.Window)-j.maxLateness, j.maxLateness)
+	}
+	bound, _ := t.limit.UpperBound(t.node, int64(length), int64(j.maxLateness), maxClockSkew, j.daemons)
+	t.late = slices.DeleteFunc(append(t.late, arrived), func(x *request) bool { return x.arrivedAt <= now-length })
+	n := float64(len(t.late))
+	if n > bound && t.broken == "" {
+		t.from, t.to = now-length, now
+		t.broken = fmt.Sprintf("%s, part %q: %.0f arrived in %v at %v, and the bound is %.1f; by daemon: %s",
+			t.limit.Name, t.limit.Nodes[t.node].Path, n, length, now.Round(time.Millisecond), bound, describe(t.late))
+	}
+}
+
 // describe says for each daemon how many of the requests were sent to it, from when to when they arrived, and the
 // longest that one took.
 func describe(requests []*request) string {
--- a/internal/lab/limitlab/judge_test.go
+++ b/internal/lab/limitlab/judge_test.go
@@ -111,3 +111,29 @@
 		})
 	}
 }
+
+// Guards against an excess of requests that were sent before the interval in which they arrive, as by a sidecar that was
+// stopped and continues.
+func TestArrivalsAreJudgedWithAssumedLateness(t *testing.T) {
+	config, err := quota.ParseFile("limits.toml", []byte(Limits))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, lateness := range []time.Duration{0, maxLateness} {
+		synctest.Test(t, func(t *testing.T) {
+			j := NewJudge(config, 8)
+			j.maxLateness = lateness
+			time.Sleep(10 * time.Second)
+			sentAt := j.Now() - 4*time.Second
+			for i := range 301 {
+				r := httptest.NewRequest("GET", "/look/quota", nil)
+				r.Header.Set("X-Trace-Id", fmt.Sprint(i))
+				r.Header.Set(SentHeader, fmt.Sprint(int64(sentAt)))
+				j.ServeHTTP(httptest.NewRecorder(), r)
+			}
+			if _, broken := j.Result(); len(broken) > 0 != (lateness > 0) {
+				t.Errorf("with an assumed lateness of %v: %q", lateness, broken)
+			}
+		})
+	}
+}
--- a/internal/lab/limitlab/limitlab.go
+++ b/internal/lab/limitlab/limitlab.go
@@ -59,6 +59,9 @@
 	Schedule []Blow         `json:"schedule"`
 }
 
+// maxLateness is more than a request's time, after which its sidecar sends it no more.
+const maxLateness = time.Second
+
 // TTL is that of sidecars' sessions here.
 const TTL = 1500 * time.Millisecond
 
@@ -181,6 +184,7 @@
 	}
 	conf.AssignGenerations(&quota.Config{})
 	x := &run{Torture: t, judge: NewJudge(conf, t.Replicas+t.Follow)}
+	x.judge.maxLateness = maxLateness
 	changes := &history{now: x.judge.Now}
 	x.fleet, err = fleetlab.Begin(ctx, fleetlab.Config{Program: t.Program, Args: []string{"run", "--config"}, Env: t.Env, Dir: dir, Replicas: t.Replicas,
 		Follow: t.Follow, Servers: 4, Seed: t.Seed, Handle: x.judge, More: fmt.Sprintf("[limits]\nlease = %q\ntell = \"50ms\"\neach = \"2ms\"\n", TTL)})
