Have each caller of StopAccepting wait until accepting has ended

Cause: the shutdown and the handover both stop accepting. StopAccepting took the listener under the mutex, so that the second caller returned at once while the first still accepted the listener's queue. If the second was the shutdown, it counted no open connection, Wait returned and the process ended.

Change: the listener and its end are one acceptor, whose stop runs once and returns to each caller when the last connection has been accepted. So Wait is never called before the last connection counts, and the WaitGroup is not increased while Wait may run at zero.

--- a/internal/dataplane/core/frontend.go
+++ b/internal/dataplane/core/frontend.go
@@ -9,12 +9,13 @@
 	"birchmoor/internal/platform/metrics"
 )
 
-// Frontend is the client side of a protocol. It is safe for concurrent use, except that only one goroutine at a time
-// may call Open and StopAccepting.
+// Frontend is the client side of a protocol. It is safe for concurrent use, except that Open must not be called
+// concurrently with itself, StopAccepting or Wait.
 type Frontend interface {
 	// Open starts accepting requests. onFailure is called once if accepting ends without StopAccepting.
 	Open(onFailure func(error)) error
-	// StopAccepting stops accepting requests. Further calls do nothing.
+	// StopAccepting stops accepting requests. It returns once no further request is accepted, also to a second caller
+	// while the first one's call is still in progress. Further calls do nothing.
 	StopAccepting()
 	// SetClosing sets whether each connection is closed after its next answer.
 	SetClosing(closing bool)
--- a/internal/dataplane/httpfront/server.go
+++ b/internal/dataplane/httpfront/server.go
@@ -6,7 +6,6 @@
 import (
 	"fmt"
 	"log/slog"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,9 +32,8 @@
 	allRejected rejectionEpisode
 	unwritten   *metrics.Counter // answers whose write to the client failed
 
-	mu          sync.Mutex
-	listener    net.Listener
-	acceptEnded chan struct{} // closed once accepting from listener has ended
+	mu       sync.Mutex
+	acceptor *acceptor // the latest one, which may have been stopped; nil before Open
 }
 
 // NewServer returns a server that submits its requests to l. It accepts no connection before Open.
@@ -60,38 +58,20 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ended := make(chan struct{})
-	s.listener = ln
-	s.acceptEnded = ended
-	go func() {
-		s.clients.accept(ln)
-		close(ended)
-	}()
+	s.acceptor = startAcceptor(ln, s.clients.accept)
 	return nil
 }
 
-// StopAccepting stops accepting, and has no effect if that was done before. Connections that the system has accepted
-// by then are still served, for which it waits up to finalAcceptTimeout: closing the listener at once would reset them,
-// and lose the requests on them.
+// StopAccepting stops accepting, and has no effect if that was done before. When it returns, all connections that were
+// accepted count as open, also if another goroutine has called it first. Connections that the system has accepted by
+// then are still served.
 func (s *Server) StopAccepting() {
 	s.mu.Lock()
-	ln, ended := s.listener, s.acceptEnded
-	s.listener = nil
+	current := s.acceptor
 	s.mu.Unlock()
-	if ln == nil {
-		return
+	if current != nil {
+		current.stop()
 	}
-	if acceptUntil(ln, time.Now().Add(finalAcceptTimeout)) {
-		<-ended
-	}
-	ln.Close()
-	<-ended
-}
-
-// acceptUntil sets the deadline of a listener's Accept, and reports whether that succeeded.
-func acceptUntil(ln net.Listener, at time.Time) bool {
-	timed, ok := ln.(interface{ SetDeadline(time.Time) error })
-	return ok && timed.SetDeadline(at) == nil
 }
 
 // SetClosing sets whether each answer closes its connection and readiness checks fail, as during a shutdown.
@@ -151,7 +131,6 @@
 	// RequestTimeout is the time for a request's head, from its first byte, or from the beginning of a new connection.
 	RequestTimeout = 2700 * time.Millisecond
 
-	budgetTimeout      = 2 * time.Second      // a request waits no longer than that for memory for its body
-	idleTimeout        = 15 * time.Second     // between two requests of a connection
-	finalAcceptTimeout = 5 * time.Millisecond // to accept the listener's queue of connections before it is closed
+	budgetTimeout = 2 * time.Second  // a request waits no longer than that for memory for its body
+	idleTimeout   = 15 * time.Second // between two requests of a connection
 )
