Serialize a sidecar's stop with its handover and the return from it

Found by reading beside the cut at a restart; nothing was reported. Possible for callers: connections that stay open after their answers until the kill, and connections that are accepted by a process which then ends.

Cause: ResumeAccepting read whether a stop had begun, released the lock, and then cleared "closing" and opened the listeners: a stop in between was undone. And awaitLastConnection ended the process if it had counted no connection just before ResumeAccepting accepted again.

Change: acceptMu serializes the beginning of the stop, the handover and the return; the end as handed over is decided under it, and is final.

--- a/internal/dataplane/sidecar/handover.go
+++ b/internal/dataplane/sidecar/handover.go
@@ -206,8 +206,8 @@
 // addToPeerCount adds count, which may be negative, to the number of other processes, and sets this process's share of
 // the limits accordingly.
 func (n *instance) addToPeerCount(count int) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
+	n.peerMu.Lock()
+	defer n.peerMu.Unlock()
 	n.peerCount += count
 	n.setCapacityShare(1 / float64(1+n.peerCount))
 }
@@ -256,17 +256,21 @@
 // StopAccepting leaves accepting to another process. Open requests are still answered, and so are further requests on
 // open connections. Each connection is closed after its next answer, or once it has been idle for idleGrace.
 func (n *instance) StopAccepting() {
+	n.acceptMu.Lock()
+	defer n.acceptMu.Unlock()
 	n.closeListeners()
 	n.replaced.Store(true)
 	n.setClosing(true)
+	if n.cancelHandoverWait != nil {
+		n.cancelHandoverWait()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	n.mu.Lock()
 	n.cancelHandoverWait = cancel
-	n.mu.Unlock()
 	go n.awaitLastConnection(ctx)
 }
 
-// awaitLastConnection sends on handedOver once all connections are closed, unless ctx ends before.
+// awaitLastConnection ends this process by a send on handedOver once all connections are closed, unless ctx ends before
+// because accepting has resumed.
 func (n *instance) awaitLastConnection(ctx context.Context) {
 	ticker := time.NewTicker(connectionCheckInterval)
 	defer ticker.Stop()
@@ -277,21 +281,29 @@
 			return
 		}
 	}
-	n.handedOver <- struct{}{}
+	n.acceptMu.Lock()
+	defer n.acceptMu.Unlock()
+	if ctx.Err() != nil || n.stopping {
+		return
+	}
+	n.stopping = true
+	n.handedOver <- struct{}{} // does not block: stopping allows one send only
 }
 
-// ResumeAccepting starts accepting again after the process that took over has ended.
+// ResumeAccepting starts accepting again after the process that took over has ended. It does nothing once this process
+// stops: the listening socket, which the platform holds, queues connections for the next process.
 func (n *instance) ResumeAccepting() {
-	n.mu.Lock()
-	n.cancelHandoverWait()
-	stopping := n.stopping
-	n.mu.Unlock()
-	if stopping {
-		return // the listening socket, which the platform holds, queues connections for the next process
+	n.acceptMu.Lock()
+	defer n.acceptMu.Unlock()
+	if n.cancelHandoverWait != nil {
+		n.cancelHandoverWait()
+	}
+	if n.stopping {
+		return
 	}
 	n.setClosing(false)
 	n.replaced.Store(false)
 	if err := n.open(); err != nil {
-		n.acceptErrors <- err
+		n.reportAcceptError(err)
 	}
 }
--- a/internal/dataplane/sidecar/sidecar.go
+++ b/internal/dataplane/sidecar/sidecar.go
@@ -51,9 +51,13 @@
 	acceptErrors chan error    // receives the error if accepting fails
 	handedOver   chan struct{} // receives once another process accepts and all connections here are closed
 
-	mu                 sync.Mutex
-	cancelHandoverWait context.CancelFunc // cancels awaitLastConnection
-	peerCount          int                // number of other processes of this sidecar
+	peerMu    sync.Mutex
+	peerCount int // number of other processes of this sidecar
+
+	// acceptMu serializes the stop, the handover to another process and the return from it, each of which changes
+	// several of the fields above and of the frontends.
+	acceptMu           sync.Mutex
+	cancelHandoverWait context.CancelFunc // cancels awaitLastConnection; nil before the first handover
 	stopping           bool               // the stop is final: accepting must not resume
 }
 
@@ -236,20 +240,22 @@
 
 // open starts accepting requests of all protocols.
 func (n *instance) open() error {
-	onFailure := func(err error) {
-		select {
-		case n.acceptErrors <- err:
-		default: // an earlier error ends Run already
-		}
-	}
 	for _, stack := range n.stacks {
-		if err := stack.frontend.Open(onFailure); err != nil {
+		if err := stack.frontend.Open(n.reportAcceptError); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// reportAcceptError ends Run with an error. It does nothing if an earlier error ends Run already.
+func (n *instance) reportAcceptError(err error) {
+	select {
+	case n.acceptErrors <- err:
+	default:
+	}
+}
+
 // closeListeners stops accepting requests. Further calls do nothing.
 func (n *instance) closeListeners() {
 	for _, stack := range n.stacks {
--- a/internal/dataplane/sidecar/stop.go
+++ b/internal/dataplane/sidecar/stop.go
@@ -45,10 +45,7 @@
 	for _, stack := range n.stacks {
 		stack.loop.CloseAfter(closeAfter)
 	}
-	n.mu.Lock()
-	n.stopping = true
-	n.mu.Unlock()
-	n.setClosing(true)
+	n.beginStop()
 	n.closeIdle()
 	start := time.Now()
 	time.Sleep(connectGrace)
@@ -69,6 +66,15 @@
 	}
 }
 
+// beginStop makes the stop final. Afterwards accepting does not resume, and each connection is closed after its next
+// answer.
+func (n *instance) beginStop() {
+	n.acceptMu.Lock()
+	defer n.acceptMu.Unlock()
+	n.stopping = true
+	n.setClosing(true)
+}
+
 func (n *instance) closeIdle() {
 	for _, stack := range n.stacks {
 		stack.frontend.CloseIdle()
