Have a new process wait for its turn at the old one, and look for it again

Callers get two processes of one sidecar that both serve for good, each with all of the limits, if a new process ends while it takes over and the next one starts right after it, or if a connection holds the handover's one place.

Cause: handover.Serve closed each connection that came while another one was open, also if that had ended and was still being cleaned up. The new process took the old one for hung, started without its state, and did not look again.

One that was turned away looks again once it is ready, under the lock, until the other has taken over or ended, at most 5 s.

--- a/internal/dataplane/handover/conversation.go
+++ b/internal/dataplane/handover/conversation.go
@@ -116,6 +116,8 @@
 		c.mu.Unlock()
 	}()
 	if err := c.write(m); err != nil {
+		_ = c.conn.Close() // a part of the message may have been sent
+		<-c.ended
 		return message{}, fmt.Errorf("handover: %s: %w", m.Op, err)
 	}
 	select {
--- a/internal/dataplane/handover/predecessor.go
+++ b/internal/dataplane/handover/predecessor.go
@@ -9,7 +9,7 @@
 // Predecessor is the connection from a new process to the old one that it replaces.
 type Predecessor struct {
 	conversation *conversation
-	hung         bool          // the old process did not reply to join
+	joined       bool          // the old process has replied to join
 	ended        chan struct{} // closed when the conversation has ended
 }
 
@@ -40,17 +40,31 @@
 	reply, err := predecessor.conversation.request(ctx, message{Op: opJoin})
 	if err != nil || reply.State == nil {
 		log.Error("the old process does not reply; starting without its state", "error", err)
-		predecessor.hung = true
 		return predecessor, State{}
 	}
+	predecessor.joined = true
 	log.Info("joined the old process", "overrides", len(reply.State.Overrides))
 	return predecessor, *reply.State
 }
 
+// HasEnded reports whether the conversation has ended: the old process has ended, or did not let this one join.
+func (o *Predecessor) HasEnded() bool {
+	select {
+	case <-o.conversation.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// WasRejected reports whether the old process ended the conversation before this one had joined, as it does while it
+// serves another new process.
+func (o *Predecessor) WasRejected() bool { return !o.joined && o.HasEnded() }
+
 // TakeOver tells the old process that this one accepts connections. It returns once the old process no longer accepts
 // any, or has not replied within takeOverTimeout.
 func (o *Predecessor) TakeOver(ctx context.Context, log *slog.Logger) {
-	if o.hung {
+	if !o.joined {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, takeOverTimeout)
--- a/internal/dataplane/handover/server.go
+++ b/internal/dataplane/handover/server.go
@@ -30,13 +30,27 @@
 	return ln, nil
 }
 
+const (
+	// maxConversations bounds the connections that are served at the same time. Only one of them has the turn.
+	maxConversations = 8
+	// turnTimeout is the time for which a new process waits for its turn. It leaves replyTimeout of the joinTimeout for
+	// which the new process waits for its reply.
+	turnTimeout = joinTimeout - replyTimeout
+)
+
 // Serve accepts connections of new processes until ctx ends or ln is closed, and returns once all conversations have
-// ended. It closes connections that are made while another one is open.
+// ended. One new process at a time can join and take over. Another one waits for its turn, since the first may just
+// have ended, and is disconnected after turnTimeout.
 func Serve(ctx context.Context, ln net.Listener, p Process, log *slog.Logger) {
+	serveWithTurnTimeout(ctx, ln, p, turnTimeout, log)
+}
+
+func serveWithTurnTimeout(ctx context.Context, ln net.Listener, p Process, timeout time.Duration, log *slog.Logger) {
 	var conversations sync.WaitGroup
 	defer conversations.Wait()
 	defer context.AfterFunc(ctx, func() { _ = ln.Close() })()
-	busy := make(chan struct{}, 1)
+	open := make(chan struct{}, maxConversations)
+	turn := newTurn(timeout)
 	for {
 		conn, err := ln.Accept()
 		if err != nil {
@@ -51,10 +65,10 @@
 			continue
 		}
 		select {
-		case busy <- struct{}{}:
+		case open <- struct{}{}:
 			conversations.Go(func() {
-				defer func() { <-busy }()
-				newServer(conn, p, log).serve(ctx)
+				defer func() { <-open }()
+				newServer(conn, p, turn, log).serve(ctx)
 			})
 		default:
 			_ = conn.Close()
@@ -66,15 +80,17 @@
 type server struct {
 	*conversation
 	process Process
+	turn    *turn
 	log     *slog.Logger
 
 	mu         sync.Mutex // held while a request is handled; guards the fields below
+	hasTurn    bool       // whether this conversation has the turn
 	removePeer func()     // ends the sharing of budgets with the new process
 	takenOver  bool       // whether the new process accepts connections
 }
 
-func newServer(conn net.Conn, p Process, log *slog.Logger) *server {
-	return &server{conversation: newConversation(conn), process: p, log: log, removePeer: func() {}}
+func newServer(conn net.Conn, p Process, t *turn, log *slog.Logger) *server {
+	return &server{conversation: newConversation(conn), process: p, turn: t, log: log, removePeer: func() {}}
 }
 
 // serve handles the requests of the new process until the connection or ctx ends. If the new process ends after it has
@@ -85,6 +101,10 @@
 	// which run fails as well.
 	_ = s.conn.SetReadDeadline(time.Now().Add(joinTimeout))
 	err := s.run(func(m message) message { return s.handle(ctx, m) })
+	if !s.hasTurn {
+		return
+	}
+	defer s.turn.release()
 	s.removePeer()
 	if ctx.Err() != nil {
 		return
@@ -99,20 +119,32 @@
 func (s *server) handle(ctx context.Context, m message) message {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch m.Op {
-	case opJoin:
+	if m.Op != opJoin && m.Op != opTake {
+		return handleNotification(s.process, m)
+	}
+	if !s.awaitTurn(ctx) {
+		_ = s.conn.Close() // the new process sees that this one has not let it join
+		return errorReply(errBusy)
+	}
+	if m.Op == opJoin {
 		return s.join(ctx)
-	case opTake:
-		s.process.StopAccepting()
-		s.takenOver = true
-		return message{}
 	}
-	return handleNotification(s.process, m)
+	s.process.StopAccepting()
+	s.takenOver = true
+	return message{}
+}
+
+// awaitTurn reports whether this conversation has the turn, for which it waits if another one has it.
+func (s *server) awaitTurn(ctx context.Context) bool {
+	_ = s.conn.SetReadDeadline(time.Time{}) // fails only on a closed connection, on which run fails as well
+	if !s.hasTurn {
+		s.hasTurn = s.turn.acquire(ctx, s.ended)
+	}
+	return s.hasTurn
 }
 
 // join starts to share budgets with the new process, and returns a reply with the state.
 func (s *server) join(ctx context.Context) message {
-	_ = s.conn.SetReadDeadline(time.Time{})
 	s.log.Info("a new process has joined")
 	s.removePeer()
 	s.removePeer = s.process.AddPeer(s.peer())
--- /dev/null
+++ b/internal/dataplane/handover/turn_test.go
@@ -0,0 +1,106 @@
+package handover
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const testTimeout = time.Minute // bounds the waits for expected events
+
+// slowToLeaveProcess is a process that takes until left is closed to notice that a new process has ended.
+type slowToLeaveProcess struct {
+	*fakeProcess
+	leaving chan struct{} // closed when the end of the first new process is being handled
+	left    chan struct{}
+	once    sync.Once
+}
+
+func (p *slowToLeaveProcess) AddPeer(other Peer) func() {
+	remove := p.fakeProcess.AddPeer(other)
+	return func() {
+		p.once.Do(func() { close(p.leaving) })
+		<-p.left
+		remove()
+	}
+}
+
+// serveAt serves an old process at a path until the test ends. A new process waits for its turn for as long as the test.
+func serveAt(t *testing.T, path string, p Process) {
+	t.Helper()
+	ln, err := Listen(path)
+	if err != nil {
+		t.Skip("the temporary directory's path is too long for a Unix socket:", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		serveWithTurnTimeout(ctx, ln, p, testTimeout, discardLog)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+}
+
+// dialAndSend connects to a path and sends one line.
+func dialAndSend(t *testing.T, path, line string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("unix", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	if err := conn.SetDeadline(time.Now().Add(testTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(conn, line); err != nil {
+		t.Errorf("sending %q: %v", line, err)
+	}
+	return conn
+}
+
+const joinLine = `{"op":"join","seq":1}` + "\n"
+
+// expectState fails the test unless the next line is a reply with a state.
+func expectState(t *testing.T, conn net.Conn) {
+	t.Helper()
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	if err != nil || !strings.Contains(line, `"state"`) {
+		t.Errorf("reply to join: %q, error %v, want the state", line, err)
+	}
+}
+
+// TestNewProcessWaitsUntilEarlierOneHasLeft guards against a new process that is disconnected, and starts without the
+// old one's state, because the one before it has just ended.
+func TestNewProcessWaitsUntilEarlierOneHasLeft(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s")
+	old := &slowToLeaveProcess{fakeProcess: newFakeProcess(), leaving: make(chan struct{}), left: make(chan struct{})}
+	serveAt(t, path, old)
+	first := dialAndSend(t, path, joinLine)
+	expectState(t, first)
+	_ = first.Close()
+	<-old.leaving
+	second := dialAndSend(t, path, joinLine)
+	const timeToBeDisconnected = 50 * time.Millisecond
+	time.AfterFunc(timeToBeDisconnected, func() { close(old.left) })
+	expectState(t, second)
+	_ = second.Close()
+	old.expectCalls(t, "joined", "left", "joined")
+}
+
+// TestSilentConnectionDoesNotPreventJoin guards against a connection that keeps new processes from joining without
+// sending anything.
+func TestSilentConnectionDoesNotPreventJoin(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s")
+	serveAt(t, path, newFakeProcess())
+	dialAndSend(t, path, "")
+	expectState(t, dialAndSend(t, path, joinLine))
+}
--- a/internal/dataplane/sidecar/handover.go
+++ b/internal/dataplane/sidecar/handover.go
@@ -19,6 +19,9 @@
 	idleGrace = 2 * time.Second
 	// readyInterval is the time between two checks of whether this process is ready.
 	readyInterval = 10 * time.Millisecond
+	// maxTurnWait is the time for which a process that is ready waits while the old one serves another new process.
+	maxTurnWait       = 5 * time.Second
+	turnRetryInterval = 50 * time.Millisecond
 )
 
 // oldProcessSource is the source of an old process's snapshot in log lines.
@@ -132,12 +135,31 @@
 }
 
 // becomeCurrent tells the old process to stop accepting, and listens for a successor. It does both before this process
-// reports that it serves, since an operator may then start the next process, which must find this one. foundLate is an
-// old process that was not found at the start because it started together with this one. ln is nil without handovers,
-// foundLate is nil if there is no such process.
+// reports that it serves, since an operator may then start the next process, which must find this one. While the old
+// process serves another new process, it waits until that one has taken over or ended, for at most maxTurnWait.
+// foundLate is an old process that was not found at the start, because it started together with this one, or that did
+// not let this one join then. ln is nil without handovers, foundLate is nil if there is no such process.
 func (n *instance) becomeCurrent(
 	ctx context.Context, old *handover.Predecessor,
 ) (ln net.Listener, foundLate *handover.Predecessor) {
+	for start := time.Now(); ; {
+		var rejected bool
+		ln, foundLate, rejected = n.tryBecomeCurrent(ctx, old, time.Since(start) > maxTurnWait)
+		if !rejected {
+			return ln, foundLate
+		}
+		select {
+		case <-time.After(turnRetryInterval):
+		case <-ctx.Done():
+			return nil, nil
+		}
+	}
+}
+
+// tryBecomeCurrent is one attempt of becomeCurrent. rejected reports that the old process serves another new process,
+// and that nothing was done; with force, this process listens for a successor nevertheless.
+func (n *instance) tryBecomeCurrent(ctx context.Context, old *handover.Predecessor, force bool) (
+	ln net.Listener, foundLate *handover.Predecessor, rejected bool) {
 	if n.host.HandoverPath != "" {
 		unlock, err := handover.Lock(ctx, n.host.HandoverPath)
 		if err != nil {
@@ -147,14 +169,17 @@
 			defer unlock()
 		}
 	}
-	if old == nil {
+	if old == nil || old.HasEnded() {
 		foundLate, _ = n.joinOldProcess(ctx)
 		old = foundLate
 	}
+	if old != nil && old.WasRejected() && !force {
+		return nil, nil, true
+	}
 	if old != nil {
 		old.TakeOver(ctx, n.log)
 	}
-	return n.listenForSuccessor(), foundLate
+	return n.listenForSuccessor(), foundLate, false
 }
 
 // awaitReady waits until an endpoint is ready. It returns false if ctx ends before.
--- a/internal/dataplane/sidecar/handover_test.go
+++ b/internal/dataplane/sidecar/handover_test.go
@@ -160,6 +160,44 @@
 	}
 }
 
+// TestProcessStartedDuringHandoverReplacesOldOne guards against two processes that both serve for good, because the old
+// one let another new process join first, which then ended.
+func TestProcessStartedDuringHandoverReplacesOldOne(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	dir, err := os.MkdirTemp("", "h") //nolint:usetesting // t.TempDir is too long for the path of a Unix socket
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer os.RemoveAll(dir)
+	addr := sidecartest.HTTPEndpoint(t, func(http.ResponseWriter, *http.Request) {})
+	cfg := configure(t, []string{addr})
+	socket := sharedSocket{ln.(*net.TCPListener)}
+	old := startProcess(t, cfg, socket, dir)
+	joined, err := net.Dial("unix", filepath.Join(dir, "sock"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer joined.Close()
+	if _, err := joined.Write([]byte(`{"op":"join","seq":1}` + "\n")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := joined.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+
+	next := launchSidecar(t, cfg, socket, ln.Addr().String(), dir)
+	time.Sleep(time.Second) // longer than a new process waits for its turn before it starts without the state
+	_ = joined.Close()
+	if err := sidecartest.Receive(t, old.ended, "end of the old process"); err != nil {
+		t.Error(err)
+	}
+	waitFor(t, "the new process serves", func() bool { return next.manage(t, "status") == "YES\n" })
+}
+
 // waitFor waits until condition returns true, and fails the test if that takes longer than sidecartest.WaitTimeout.
 func waitFor(t *testing.T, description string, condition func() bool) {
 	t.Helper()
