Tell an old process that hung during a handover to stop accepting

Two processes of one sidecar serve for good, each with half of the limits, if the old one is paused or slow for a second when the new one joins.

Cause: a new process without a reply to "join" never sent "take". The old one read "join" when it continued, and went on accepting.

Change: "take" is sent without waiting for its reply.

--- a/internal/dataplane/handover/predecessor.go
+++ b/internal/dataplane/handover/predecessor.go
@@ -62,9 +62,13 @@
 func (o *Predecessor) WasRejected() bool { return !o.joined && o.HasEnded() }
 
 // TakeOver tells the old process that this one accepts connections. It returns once the old process no longer accepts
-// any, or has not replied within takeOverTimeout.
+// any, or has not replied within takeOverTimeout. It does not wait for an old process that did not reply to join, which
+// reads the request if it ever continues, and then no longer accepts connections beside this process.
 func (o *Predecessor) TakeOver(ctx context.Context, log *slog.Logger) {
 	if !o.joined {
+		if err := o.conversation.write(message{Op: opTake}); err != nil {
+			log.Debug("the old process cannot be told of the handover", "error", err)
+		}
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, takeOverTimeout)
--- a/internal/dataplane/handover/turn_test.go
+++ b/internal/dataplane/handover/turn_test.go
@@ -104,3 +104,34 @@
 	dialAndSend(t, path, "")
 	expectState(t, dialAndSend(t, path, joinLine))
 }
+
+// TestHungProcessStopsAcceptingOnceItContinues guards against two processes that both accept connections for good,
+// because the old one hung when the new one joined.
+func TestHungProcessStopsAcceptingOnceItContinues(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s")
+	ln, err := Listen(path)
+	if err != nil {
+		t.Skip("the temporary directory's path is too long for a Unix socket:", err)
+	}
+	predecessor, state := Join(t.Context(), path, newFakeProcess(), discardLog)
+	if predecessor == nil || len(state.Overrides) > 0 || predecessor.HasEnded() {
+		t.Fatalf("joined %v with state %+v, want a process that does not reply", predecessor, state)
+	}
+	predecessor.TakeOver(t.Context(), discardLog)
+	old := newFakeProcess()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go Serve(ctx, ln, old, discardLog)
+	var calls []string
+	for range 2 { // in either order
+		select {
+		case call := <-old.calls:
+			calls = append(calls, call)
+		case <-time.After(testTimeout):
+			t.Fatalf("the old process continued with the calls %q, want joined and stop", calls)
+		}
+	}
+	if got := strings.Join(calls, ", "); got != "joined, stop" && got != "stop, joined" {
+		t.Errorf("the old process continued with the calls %q, want joined and stop", got)
+	}
+}
