Divide the slow-start floor by the sidecars that load reports show

Callers saw failed and slow requests at servers that had just started, which fell under the sum of all sidecars' work, in fleets whose settings name fewer sidecars than there are.

Cause: while requests are rejected, the slow-start budget has a floor, what an endpoint of this pace can do divided by the configured number of balancers. In a fleet told of one each takes all of it.

Change: the larger of the configured number and the number by load reports divides, the reports' requests in flight over this balancer's own.

Evidence: TestSlowStartBudgetCountsOthersByLoadReports fails without it. The module's other tests pass unchanged.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -70,6 +70,7 @@
 	lateReports   ewma    // share of load reports that are surely late
 	reportsLate   bool    // so many reports are late that the pool is not relied on
 	typicalLoad   ewma    // other balancers' requests at an endpoint, averaged over reports
+	ownLoad       ewma    // this balancer's requests at an endpoint, averaged over the same reports
 	serviceTime   ewma    // reported service time in microseconds, without queueing
 
 	classes      []classStats
--- a/balancer/range_test.go
+++ b/balancer/range_test.go
@@ -74,3 +74,27 @@
 			noneRejected, quarterRejected, oneOfEight)
 	}
 }
+
+// TestSlowStartBudgetCountsOthersByLoadReports guards against a fleet whose sidecars are each configured as the only
+// one: each of them took an endpoint's whole pace for itself while requests were rejected.
+func TestSlowStartBudgetCountsOthersByLoadReports(t *testing.T) {
+	rate := func(ownLoad, othersLoad float64) float64 {
+		s := testSettings()
+		s.Balancers = 1
+		b, _ := startBalancer(t, s, readyEndpoints(6))
+		list := readyEndpoints(6)
+		list[0].StartTime = second
+		b.UpdateEndpoints(2*second, ListFull, list)
+		b.fleetPace.add(1, 1)
+		b.rejectionRate.value = 1
+		b.ownLoad, b.typicalLoad = ewma{value: ownLoad, samples: 1}, ewma{value: othersLoad, samples: 1}
+		return b.slowStartRate(2*second, b.byID[1], 1000)
+	}
+	alone := rate(1, 0)
+	if got := rate(1, 9); math.Abs(got-alone/10) > 0.01*alone {
+		t.Errorf("budget of %v per second with a tenth of the load, want a tenth of %v", got, alone)
+	}
+	if got := rate(0, 2); got > alone/100 {
+		t.Errorf("budget of %v per second without load of its own, want almost none of %v", got, alone)
+	}
+}
--- a/balancer/reports.go
+++ b/balancer/reports.go
@@ -69,8 +69,9 @@
 		e.othersLoad = max(0, report.inflight-float64(e.inflight))
 		e.ownAtReport = e.inflight
 		// One overloaded endpoint, or one that was probed a moment ago, says little about the others.
-		b.typicalLoad.add(min(e.othersLoad, b.typicalLoad.value+maxTypicalLoadStep),
-			novelty/float64(min(maxPool, len(b.aperture(now)))))
+		weight := novelty / float64(min(maxPool, len(b.aperture(now))))
+		b.typicalLoad.add(min(e.othersLoad, b.typicalLoad.value+maxTypicalLoadStep), weight)
+		b.ownLoad.add(float64(e.inflight), weight)
 	}
 	if report.inflightReported {
 		b.checkReportLate(now, e, report.inflight)
--- a/balancer/restore.go
+++ b/balancer/restore.go
@@ -60,6 +60,7 @@
 	b.meanWork = old.meanWork
 	b.serviceTime = old.serviceTime
 	b.typicalLoad = old.typicalLoad
+	b.ownLoad = old.ownLoad
 	b.lateReports = old.lateReports
 	b.reportsLate = old.reportsLate
 	b.reportTime = old.reportTime
--- a/balancer/resume.go
+++ b/balancer/resume.go
@@ -72,6 +72,7 @@
 		rejectionRate:       s.RejectionRate.ewma(),
 		lateReports:         s.LateReports.ewma(),
 		typicalLoad:         s.TypicalLoad.ewma(),
+		ownLoad:             s.OwnLoad.ewma(),
 		serviceTime:         s.ServiceTime.ewma(),
 		demand:              s.Demand.meter(now),
 		sentWork:            s.SentWork.meter(now),
--- a/balancer/slowstart.go
+++ b/balancer/slowstart.go
@@ -9,6 +9,7 @@
 	slowStartWorkFactor = 1.15 // budget spent per unit of work: a request may cost a handshake as well
 	rejectionGain       = 2.0  // weight of the sustainable rate by pace, per unit of rejection rate
 	probeWorkShare      = 0.01 // budget spent by a probe, in mean works of the first class
+	minOwnLoad          = 1e-3 // requests of this balancer at an endpoint that its share is computed with
 )
 
 // startSlowStart makes an endpoint warm up, from startedAt or from now, whichever is earlier.
@@ -43,14 +44,22 @@
 	// While requests are rejected little is sent. A share of that would keep these endpoints idle and the rejections
 	// going on. The more is rejected, the more the rate follows what an endpoint of this pace can do, divided by the
 	// number of balancers that use it.
-	sharingBalancers := float64(b.settings.Balancers*len(b.aperture(now))) / float64(len(b.endpoints))
 	sustainable := assumedCores / (e.currentPace(now, b) * e.estimatedCapacity(now, b)) * float64(second) /
-		max(1, sharingBalancers)
+		b.sharingBalancers(now)
 	perEndpoint = max(perEndpoint, min(1, rejectionGain*b.rejectionRate.value)*sustainable)
 	return b.capacityShare * perEndpoint * min(maxSlowStartRate*e.estimatedCapacity(now, b),
 		slowStartShare*b.settings.Contract.OverloadMultiple*e.guaranteedCapacity(now, b))
 }
 
+// sharingBalancers returns the number of balancers that use an endpoint, at least 1: by the settings, or by the part of
+// the endpoints' load that this balancer causes, whichever is more. The settings may name fewer balancers than there
+// are, and then the sum of all shares would exceed one.
+func (b *Balancer) sharingBalancers(now Micros) float64 {
+	configured := float64(b.settings.Balancers*len(b.aperture(now))) / float64(len(b.endpoints))
+	byLoad := 1 + b.typicalLoad.value/max(minOwnLoad, b.ownLoad.value)
+	return max(1, configured, byLoad)
+}
+
 // SetCapacityShare sets the share, above 0 and at most 1, of the slow-start budgets that this process may use. During a
 // handover two processes of a sidecar divide the budgets, since for an endpoint they are one balancer. A smaller share
 // also reduces the budgets that are saved up; a larger one does not increase them.
--- a/balancer/snapshot.go
+++ b/balancer/snapshot.go
@@ -66,6 +66,7 @@
 		RejectionRate:       b.rejectionRate.state(),
 		LateReports:         b.lateReports.state(),
 		TypicalLoad:         b.typicalLoad.state(),
+		OwnLoad:             b.ownLoad.state(),
 		ServiceTime:         b.serviceTime.state(),
 		Demand:              b.demand.state(now, ""),
 		SentWork:            b.sentWork.state(now, ""),
--- a/balancer/snapshotcheck.go
+++ b/balancer/snapshotcheck.go
@@ -65,7 +65,8 @@
 		s.HintTrust, s.LatencyTrend), "Ours..Trend", "must all be finite and not negative")
 	c.must(s.LatencyTrend > 0, "Trend", "must be positive")
 	c.must(s.RepeatProbes >= 0 && s.PendingProbes >= 0, "Checks", "must not be negative")
-	means := []MeanState{s.FleetPace, s.MeanWork, s.RejectionRate, s.LateReports, s.TypicalLoad, s.ServiceTime}
+	means := []MeanState{s.FleetPace, s.MeanWork, s.RejectionRate, s.LateReports, s.TypicalLoad, s.ServiceTime,
+		s.OwnLoad}
 	rates := append([]RateState{s.Demand, s.SentWork}, s.Tenants...)
 	for _, class := range s.Classes {
 		valid := finiteNonNegative(class.PriorityWeight) && class.Records >= 0 && class.Work.Value > 0
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -62,6 +62,8 @@
 	SlowStartCorrection float64 `cbor:"42,keyasint,omitempty"` // absent in earlier versions, which stands for 1
 
 	LastPoll Micros `cbor:"43,keyasint,omitempty"`
+
+	OwnLoad MeanState `cbor:"44,keyasint,omitempty"` // absent in earlier versions
 }
 
 // RulesState is Rules as data. ClassSlots has the class slot of each class in Settings.
