Let no whole request be saved up by each of many sidecars for a cold server

Callers saw failed and slow requests at servers that had just started, in fleets with many sidecars for each server.

Cause: the bucket of the slow start holds a whole request at least, however small the rate. After a quiet time, or while all is rejected, the buckets of all sidecars are full, and a burst empties them together.

Change: where a budget gives less than one request in half of the window, and what the sharing sidecars could save exceeds the tolerated 2 roots of N plus 2, one request arrives at random at the budget's rate and lasts for half a window. The sum is then near the budget. Fleets that share less go by the bucket as before.

Evidence: TestSavedSlowStartBudgetsOfManyBalancersStaySmall: 300 of 300 may send at once before, 14 to 30 now, 25 expected.

--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -74,7 +74,7 @@
 		return false
 	}
 	if e.isWarmingUp(now, b) {
-		e.slowStartBudget -= r.work * slowStartWorkFactor
+		e.spendSlowStartBudget(r.work)
 	}
 	expectedLatency := b.predict(now, e, r.work)
 	r.attempts = append(r.attempts, attempt{
--- a/balancer/endpoint.go
+++ b/balancer/endpoint.go
@@ -11,6 +11,8 @@
 	slowStartBudget  float64 // work that may be sent to it while it warms up; may be negative
 	budgetRefilledAt Micros  // when slowStartBudget was last refilled
 
+	slowStartTokenUntil Micros // one request may be sent before that, where slowStartBudget cannot save up one
+
 	inflight    int    // this balancer's attempts without outcome
 	streaming   int    // those of them whose body or answer is being streamed
 	lastSendAt  Micros // latest attempt of this balancer
--- a/balancer/hold_test.go
+++ b/balancer/hold_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"math"
 	"testing"
 )
 
@@ -295,3 +296,41 @@
 		}
 	}
 }
+
+// TestSavedSlowStartBudgetsOfManyBalancersStaySmall guards against hundreds of balancers that each save up one request
+// while it is quiet, and send it to the same endpoint in the same moment.
+func TestSavedSlowStartBudgetsOfManyBalancersStaySmall(t *testing.T) {
+	const (
+		balancers      = 300
+		seeds          = 10
+		endpoints      = 41
+		work           = 40_000.0
+		requestsPerSec = 2.0
+	)
+	for seed := range uint64(seeds) {
+		s := testSettings()
+		s.Balancers = balancers
+		s.Contract.SlowStartDuration = 1000 * second
+		fitting, expected := 0, 0.0
+		for i := range uint64(balancers) {
+			b, _ := startBalancer(t, s, nil)
+			b.rng = randSource(seed*balancers + i)
+			b.UpdateEndpoints(0, ListFull, readyEndpoints(endpoints))
+			b.meanWork = ewma{value: work, samples: settledSamples}
+			const quietUntil = 200 * second
+			e := b.endpoints[0]
+			b.startSlowStart(0, e, 0)
+			for now := Micros(0); now <= quietUntil; now += second / 2 {
+				b.sentWork.add(now, work*requestsPerSec/2)
+			}
+			b.aperture(quietUntil) // as maySend does first
+			fitting += int(indicator(b.fitsSlowStartBudget(quietUntil, e, work)))
+			// Of half a window, which is the most that may be saved.
+			expected += b.slowStartRate(quietUntil, e, work) / 2 / (work * slowStartWorkFactor)
+		}
+		if most := expected + 3*math.Sqrt(expected) + 2; float64(fitting) > most {
+			t.Errorf("seed %d: %d of %d balancers may send at once after a quiet time, want at most %.0f", seed, fitting,
+				balancers, most)
+		}
+	}
+}
--- a/balancer/resume.go
+++ b/balancer/resume.go
@@ -224,6 +224,9 @@
 		partFailures:     partFailures,
 		breaker:          s.breaker(now),
 	}
+	if s.SlowStartToken > 0 {
+		e.slowStartTokenUntil = now + s.SlowStartToken
+	}
 	for _, runState := range s.FailureRuns {
 		run := failureRun{
 			streak:           runState.Streak,
--- a/balancer/slowstart.go
+++ b/balancer/slowstart.go
@@ -1,5 +1,7 @@
 package balancer
 
+import "math"
+
 // While an endpoint warms up, each balancer sends it at most its own mean work per warm endpoint, times a share of the
 // endpoint's guaranteed capacity. If all balancers do so, their sum stays below what overloads the endpoint, and no
 // balancer needs to know of the others.
@@ -10,26 +12,65 @@
 	rejectionGain       = 2.0  // weight of the sustainable rate by pace, per unit of rejection rate
 	probeWorkShare      = 0.01 // budget spent by a probe, in mean works of the first class
 	minOwnLoad          = 1e-3 // requests of this balancer at an endpoint that its share is computed with
+
+	// Of N requests that the contract allows an endpoint in the overload window, it tolerates N + 2√N + 2.
+	toleratedDeviations = 2.0
+	toleratedRequests   = 2.0
 )
 
 // startSlowStart makes an endpoint warm up, from startedAt or from now, whichever is earlier.
 func (b *Balancer) startSlowStart(now Micros, e *endpoint, startedAt Micros) {
 	e.warmingUp = true
 	e.slowStartAt = min(startedAt, now)
+	e.slowStartTokenUntil = 0
 	// Start with a random part of a request's work. From 0, none of many balancers with little traffic would save up
 	// enough for a request in time.
 	e.slowStartBudget = b.rng.float() * b.meanWork.value * slowStartWorkFactor
 	e.budgetRefilledAt = now
 }
 
-// fitsSlowStartBudget refills the token bucket of an endpoint that is warming up, and reports whether a request of this
-// work may be sent. It spends nothing: send does.
+// fitsSlowStartBudget refills the budget of an endpoint that is warming up, and reports whether a request of this work
+// may be sent. It spends nothing: spendSlowStartBudget does.
 func (b *Balancer) fitsSlowStartBudget(now Micros, e *endpoint, work float64) bool {
 	refillRate := b.slowStartRate(now, e, work)
-	limit := max(refillRate*float64(b.settings.Contract.OverloadWindow)/float64(second)/2, work*slowStartWorkFactor)
-	e.slowStartBudget = min(limit, e.slowStartBudget+refillRate*float64(now-e.budgetRefilledAt)/float64(second))
+	cost := work * slowStartWorkFactor
+	halfWindow := b.settings.Contract.OverloadWindow / 2
+	maxSaved := refillRate * float64(halfWindow) / float64(second)
+	elapsed := now - e.budgetRefilledAt
 	e.budgetRefilledAt = now
-	return e.slowStartBudget >= work*slowStartWorkFactor
+	e.slowStartBudget = min(max(maxSaved, cost), e.slowStartBudget+refillRate*float64(elapsed)/float64(second))
+	if b.maySaveRequest(now, maxSaved/cost) {
+		return e.slowStartBudget >= cost
+	}
+	e.drawSlowStartToken(now, min(elapsed, halfWindow), halfWindow, refillRate/cost, &b.rng)
+	return now < e.slowStartTokenUntil
+}
+
+// maySaveRequest reports whether a balancer may save up a whole request for an endpoint, given how many its budget
+// allows in half of the overload window. If it is less than one, the balancers that share the endpoint may all have
+// saved a request when a burst comes. Their sum must not exceed what the contract tolerates above the budget.
+func (b *Balancer) maySaveRequest(now Micros, requestsPerHalfWindow float64) bool {
+	if requestsPerHalfWindow >= 1 || b.settings.Contract.OverloadWindow == 0 {
+		return true
+	}
+	sharing := b.sharingBalancers(now)
+	return sharing <= toleratedDeviations*math.Sqrt(2*requestsPerHalfWindow*sharing)+toleratedRequests
+}
+
+// drawSlowStartToken decides whether a token for one request has arrived in the elapsed time, given the rate of tokens
+// per second. Tokens arrive at random and last for lifetime, so that the balancers that share the endpoint do not have
+// one at the same time.
+func (e *endpoint) drawSlowStartToken(now, elapsed, lifetime Micros, rate float64, rng *randSource) {
+	if elapsed <= 0 || now < e.slowStartTokenUntil || rng.float() >= rate*float64(elapsed)/float64(second) {
+		return
+	}
+	e.slowStartTokenUntil = now + lifetime - rng.below(elapsed)
+}
+
+// spendSlowStartBudget spends the budget for one request of this work.
+func (e *endpoint) spendSlowStartBudget(work float64) {
+	e.slowStartBudget -= work * slowStartWorkFactor
+	e.slowStartTokenUntil = 0
 }
 
 // slowStartRate returns the work per second that this balancer may send to an endpoint that is warming up.
@@ -66,6 +107,7 @@
 func (b *Balancer) SetCapacityShare(share float64) {
 	for _, e := range b.endpoints {
 		e.slowStartBudget *= min(1, share/b.capacityShare)
+		e.slowStartTokenUntil = 0
 	}
 	b.capacityShare = share
 }
--- a/balancer/snapshot.go
+++ b/balancer/snapshot.go
@@ -193,6 +193,7 @@
 		SlowStart:       now - e.slowStartAt,
 		SlowStartBudget: e.slowStartBudget,
 		BudgetRefilled:  now - e.budgetRefilledAt,
+		SlowStartToken:  max(0, e.slowStartTokenUntil-now),
 		Inflight:        e.inflight,
 		Streaming:       e.streaming,
 		LastSend:        now - e.lastSendAt,
--- a/balancer/snapshotcheck.go
+++ b/balancer/snapshotcheck.go
@@ -103,6 +103,7 @@
 	earliest := min(e.Head, e.SlowStart, e.BudgetRefilled, e.LastSend, e.SilentSince, e.LastProbe, e.LastReport,
 		e.PaceLearned, e.LastForced)
 	c.must(earliest >= 0, "Endpoints", "have an instant in the future")
+	c.must(e.SlowStartToken >= 0, "Endpoints.SlowStartToken", "must not be negative")
 	parts := len(c.s.Classes) + len(c.s.Tenants)
 	for _, run := range e.FailureRuns {
 		c.must(run.Part >= allTraffic && run.Part < parts && run.Streak >= 0, "Endpoints.Ills",
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -149,6 +149,8 @@
 	Base       float64       `cbor:"31,keyasint,omitempty"` // base latency
 	Current    float64       `cbor:"32,keyasint,omitempty"` // current latency
 	LastForced Micros        `cbor:"33,keyasint,omitempty"`
+
+	SlowStartToken Micros `cbor:"34,keyasint,omitempty"` // time until it expires; 0 without one
 }
 
 // FailureRunState is a run of consecutive failures. Part is -1 for all requests, a class slot for a class, or for a
