Count balancers by load reports only where they are far more than configured

Change: load reports count once they show more than twice the configured number of balancers, which unequal traffic does not explain.

--- a/balancer/slowstart.go
+++ b/balancer/slowstart.go
@@ -12,6 +12,7 @@
 	rejectionGain       = 2.0  // weight of the sustainable rate by pace, per unit of rejection rate
 	probeWorkShare      = 0.01 // budget spent by a probe, in mean works of the first class
 	minOwnLoad          = 1e-3 // requests of this balancer at an endpoint that its share is computed with
+	maxTrafficImbalance = 2.0  // ratio of the mean traffic of balancers to this one's that is no sign of wrong settings
 
 	// Of N requests that the contract allows an endpoint in the overload window, it tolerates N + 2√N + 2.
 	toleratedDeviations = 2.0
@@ -92,13 +93,17 @@
 		slowStartShare*b.settings.Contract.OverloadMultiple*e.guaranteedCapacity(now, b))
 }
 
-// sharingBalancers returns the number of balancers that use an endpoint, at least 1: by the settings, or by the part of
-// the endpoints' load that this balancer causes, whichever is more. The settings may name fewer balancers than there
-// are, and then the sum of all shares would exceed one.
+// sharingBalancers returns the number of balancers that use an endpoint, at least 1: by the settings, or, where it is
+// far more, by the part of the endpoints' load that this balancer causes. The settings may name fewer balancers than
+// there are, and then the sum of all shares would exceed one. A smaller difference is no sign of that, since balancers
+// have unequal traffic.
 func (b *Balancer) sharingBalancers(now Micros) float64 {
-	configured := float64(b.settings.Balancers*len(b.aperture(now))) / float64(len(b.endpoints))
+	configured := max(1, float64(b.settings.Balancers*len(b.aperture(now)))/float64(len(b.endpoints)))
 	byLoad := 1 + b.typicalLoad.value/max(minOwnLoad, b.ownLoad.value)
-	return max(1, configured, byLoad)
+	if byLoad > maxTrafficImbalance*configured {
+		return byLoad
+	}
+	return configured
 }
 
 // SetCapacityShare sets the share, above 0 and at most 1, of the slow-start budgets that this process may use. During a
