Call members settled only once a majority knows the last change of voters

Callers saw all writes wait and fail although two of three replicas lived: a member was added, the status said settled, and the first replica died.

Cause: the promotion was committed by the leader and one other replica, and known as committed by the leader alone. Without it the others held to the voters before the change and had no majority of those.

Change: once the leader has applied a configuration change it proposes an empty entry. The message that carries it has the commit index of the change, and both are written together. Members count as settled, and the next change is proposed, once that entry is applied.

--- a/internal/store/replica/apply.go
+++ b/internal/store/replica/apply.go
@@ -15,6 +15,7 @@
 	if entry.GetIndex() <= n.appliedIndex {
 		return nil
 	}
+	firstOfTerm := entry.GetTerm() != n.appliedTerm
 	n.appliedIndex, n.appliedTerm = entry.GetIndex(), entry.GetTerm()
 	n.output.AppliedEntries++
 	if n.cfg.OnEntry != nil {
@@ -27,7 +28,7 @@
 	case entry.GetType() == raftpb.EntryConfChangeV2:
 		err = errors.New("joint configuration changes are not supported by this build")
 	case len(entry.Data) == 0:
-		n.state.SkipIndex(n.appliedIndex)
+		n.applyEmptyEntry(firstOfTerm)
 	default:
 		err = n.applyCommand(entry.Data)
 	}
--- a/internal/store/replica/config.go
+++ b/internal/store/replica/config.go
@@ -49,7 +49,8 @@
 	IgnoreLevel                               // a command is proposed although a voter may not know its level
 	// a new leader assumes that leases were last renewed long before its term
 	ShortenInheritedLeases
-	LeadAfterFailure // a leader whose disk failed continues to send heartbeats
+	LeadAfterFailure  // a leader whose disk failed continues to send heartbeats
+	SettleUnconfirmed // a change of the members counts as finished before a majority knows that it is committed
 )
 
 // has reports whether a defect, or any of several, is injected.
--- a/internal/store/replica/membership.go
+++ b/internal/store/replica/membership.go
@@ -15,8 +15,8 @@
 const maxPromotionLag = 64
 
 // maintain proposes the commands that replicas issue themselves. Every replica proposes the registration of its start.
-// The leader also proposes to revoke expired leases, one configuration change at a time, and a higher level of
-// commands. Tick calls it. All but revocations are proposed at most once per minimum election timeout.
+// The leader also proposes to revoke expired leases, one configuration change at a time and its confirmation, and a
+// higher level of commands. Tick calls it. All but revocations are proposed at most once per minimum election timeout.
 func (n *Node) maintain() {
 	if n.failure != nil || n.leaderID == 0 {
 		return
@@ -36,6 +36,11 @@
 		return
 	}
 	n.lastMaintenanceTick = n.nowTick
+	if n.confirmation != confirmed {
+		n.confirmation = unconfirmed // an earlier confirmation may be lost
+		n.proposeConfirmation()
+		return
+	}
 	if change := n.nextConfChange(); change != nil {
 		n.runRaft(func() error { return n.raft.ProposeConfChange(change) })
 		return
@@ -117,13 +122,19 @@
 // applyConfChange applies a committed configuration change to raft and to the state.
 func (n *Node) applyConfChange(change *raftpb.ConfChange) {
 	n.confState, n.confChangeIndex = n.raft.ApplyConfChange(change), n.appliedIndex
+	n.confirmation = unconfirmed
 	if change.GetType() != raftpb.ConfChangeRemoveNode {
 		n.state.SetVoter(change.GetNodeId(), change.GetType() == raftpb.ConfChangeAddNode)
 	}
 }
 
-// membershipStable reports whether raft's configuration matches the members of the state, and all members are voters.
-func (n *Node) membershipStable() bool { return n.membershipStableExcept(0) }
+// membershipStable reports whether raft's configuration matches the members of the state, all members are voters, and a
+// majority of them knows that the last configuration change is committed, so that they elect a leader without this
+// replica.
+func (n *Node) membershipStable() bool {
+	known := n.confirmation == confirmed || n.cfg.Defects.has(SettleUnconfirmed)
+	return known && n.membershipStableExcept(0)
+}
 
 // membershipStableExcept is membershipStable, but ignores a member that is not a voter, such as one that was added and
 // never started.
--- a/internal/store/replica/process.go
+++ b/internal/store/replica/process.go
@@ -17,6 +17,7 @@
 	n.startReadRound()
 	for n.failure == nil && n.raft.HasReady() {
 		n.runRaft(n.processReady)
+		n.proposeConfirmation()
 	}
 	if n.failure != nil {
 		n.failPending()
--- a/internal/store/replica/replica.go
+++ b/internal/store/replica/replica.go
@@ -92,8 +92,9 @@
 
 	logBytes        int    // size of the log since the last snapshot
 	confChangeIndex uint64 // index of the last configuration change
-	snapshotWanted  bool   // raft needs a snapshot that is not older than confChangeIndex
-	snapshotRunning bool   // a SnapshotJob was handed out, and SnapshotDone has not been called for it
+	confirmation    confirmationState
+	snapshotWanted  bool // raft needs a snapshot that is not older than confChangeIndex
+	snapshotRunning bool // a SnapshotJob was handed out, and SnapshotDone has not been called for it
 }
 
 // pendingRequest is a request that was accepted: a proposal or, if the ID is zero, a read.
