Tolerate in small fleets what the contract does, and distrust load reports more

And a scratch count in rightly configured fleets of 5 to 30 has load reports show over twice the configured number in 17 to 35 in 100 looks.

--- a/balancer/slowstart.go
+++ b/balancer/slowstart.go
@@ -12,11 +12,8 @@
 	rejectionGain       = 2.0  // weight of the sustainable rate by pace, per unit of rejection rate
 	probeWorkShare      = 0.01 // budget spent by a probe, in mean works of the first class
 	minOwnLoad          = 1e-3 // requests of this balancer at an endpoint that its share is computed with
-	maxTrafficImbalance = 2.0  // ratio of the mean traffic of balancers to this one's that is no sign of wrong settings
-
-	// Of N requests that the contract allows an endpoint in the overload window, it tolerates N + 2√N + 2.
-	toleratedDeviations = 2.0
-	toleratedRequests   = 2.0
+	maxTrafficImbalance = 4.0  // ratio of the mean traffic to this balancer's that is no sign of wrong settings
+	fewAllowed          = 30.0 // requests in the overload window, below which the contract tolerates a larger excess
 )
 
 // startSlowStart makes an endpoint warm up, from startedAt or from now, whichever is earlier.
@@ -55,7 +52,15 @@
 		return true
 	}
 	sharing := b.sharingBalancers(now)
-	return sharing <= toleratedDeviations*math.Sqrt(2*requestsPerHalfWindow*sharing)+toleratedRequests
+	return sharing <= toleratedExcess(2*requestsPerHalfWindow*sharing)
+}
+
+// toleratedExcess returns how many requests above those that it allows the contract tolerates in the overload window.
+func toleratedExcess(allowed float64) float64 {
+	if allowed < fewAllowed {
+		return 3*math.Sqrt(allowed) + 3
+	}
+	return 2*math.Sqrt(allowed) + 2
 }
 
 // drawSlowStartToken decides whether a token for one request has arrived in the elapsed time, given the rate of tokens
