Have the rolling-kills test wait with pauses, on addresses of its own

A play failed by "address already in use" (1 of 168): the test let the system choose a port, and listened there again after a kill, when an outgoing connection may have it. It takes addresses from internal/lab/address now, as the lab does. Its wait for 20 more writes called the replica's loop without a pause, with a new context each turn that lived as long as the test, which took gigabytes when the wait did not end. It pauses for 1 ms and has one context, which bounds it to a minute, so that a hang fails. What is checked is the same.

--- a/internal/store/engine/engine_test.go
+++ b/internal/store/engine/engine_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"birchmoor/internal/lab/address"
 	"birchmoor/internal/lab/relay"
 	"birchmoor/internal/platform/keys"
 	"birchmoor/internal/store"
@@ -110,7 +111,7 @@
 	c.t.Helper()
 	listenAddress := c.addresses[name]
 	if listenAddress == "" {
-		listenAddress = "127.0.0.1:0"
+		listenAddress = address.Next() // stays free for this test while the replica is down
 	}
 	listener, err := net.Listen("tcp", listenAddress)
 	c.must(err)
@@ -227,8 +228,11 @@
 	for _, name := range names {
 		countBefore := countAcknowledged()
 		c.must(engineOf(name).Kill())
-		for countAcknowledged() < min(150, countBefore+20) { // the other replicas acknowledge writes
-			c.must(engineOf(names[(1+indexOf(names, name))%3]).runInLoop(c.ctx(), func() {}))
+		// The other replicas acknowledge writes.
+		next := engineOf(names[(1+indexOf(names, name))%3])
+		for ctx := c.ctx(); countAcknowledged() < min(150, countBefore+20); {
+			c.must(next.runInLoop(ctx, func() {}))
+			time.Sleep(time.Millisecond)
 		}
 		mu.Lock()
 		c.start(name, true)
