Let the test of two processes poll one that has ended

So the test was wrong, not the product.

Change: the poll takes a process that cannot be reached for one that does not serve. All that follows is as it was: one ends without an error, the other serves and answers.

--- a/internal/dataplane/sidecar/handover_test.go
+++ b/internal/dataplane/sidecar/handover_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -138,7 +139,10 @@
 	}
 	unlock()
 	waitFor(t, "one of the processes serves", func() bool {
-		return sidecars[0].manage(t, "status") == "YES\n" || sidecars[1].manage(t, "status") == "YES\n"
+		return slices.ContainsFunc(sidecars, func(sidecar *testSidecar) bool {
+			answer, err := sidecar.tryManage("status") // fails at the process that has ended, as one of them should
+			return err == nil && answer == "YES\n"
+		})
 	})
 	remaining := sidecars[1]
 	select {
--- a/internal/dataplane/sidecar/maintenance_test.go
+++ b/internal/dataplane/sidecar/maintenance_test.go
@@ -18,22 +18,28 @@
 // manage sends a line to the management service, and returns the complete answer.
 func (s *testSidecar) manage(t *testing.T, line string) string {
 	t.Helper()
-	conn, err := net.Dial("tcp", s.management.Addr().String())
+	answer, err := s.tryManage(line)
 	if err != nil {
 		t.Fatal(err)
 	}
+	return answer
+}
+
+// tryManage is manage, but returns an error if the sidecar cannot be reached, as after its end.
+func (s *testSidecar) tryManage(line string) (string, error) {
+	conn, err := net.Dial("tcp", s.management.Addr().String())
+	if err != nil {
+		return "", err
+	}
 	defer conn.Close()
 	if err := conn.SetDeadline(time.Now().Add(sidecartest.WaitTimeout)); err != nil {
-		t.Fatal(err)
+		return "", err
 	}
 	if _, err := io.WriteString(conn, line+"\n"); err != nil {
-		t.Fatal(err)
+		return "", err
 	}
 	answer, err := io.ReadAll(conn)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return string(answer)
+	return string(answer), err
 }
 
 // wantReply sends a line to the management service, which must answer with want.
