--- a/internal/dataplane/handover/handover_test.go
+++ b/internal/dataplane/handover/handover_test.go
@@ -76,12 +76,7 @@
 // startOldProcess serves an old process at a path of its own, until stop is called or the test ends.
 func startOldProcess(t *testing.T) (path string, p *fakeProcess, stop func()) {
 	t.Helper()
-	dir, err := os.MkdirTemp("", "h") //nolint:usetesting // t.TempDir is too long for the path of a Unix socket
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { os.RemoveAll(dir) })
-	path = filepath.Join(dir, "sock")
+	path = socketPath(t)
 	ln, err := Listen(path)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/dataplane/handover/turn_test.go
+++ b/internal/dataplane/handover/turn_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -31,12 +32,23 @@
 	}
 }
 
+// socketPath returns the path of a Unix socket in a directory of the test's own.
+func socketPath(t *testing.T) string {
+	t.Helper()
+	dir, err := os.MkdirTemp("", "h") //nolint:usetesting // t.TempDir is too long for the path of a Unix socket
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { os.RemoveAll(dir) })
+	return filepath.Join(dir, "sock")
+}
+
 // serveAt serves an old process at a path until the test ends. A new process waits for its turn for as long as the test.
 func serveAt(t *testing.T, path string, p Process) {
 	t.Helper()
 	ln, err := Listen(path)
 	if err != nil {
-		t.Skip("the temporary directory's path is too long for a Unix socket:", err)
+		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
@@ -81,7 +93,7 @@
 // TestNewProcessWaitsUntilEarlierOneHasLeft guards against a new process that is disconnected, and starts without the
 // old one's state, because the one before it has just ended.
 func TestNewProcessWaitsUntilEarlierOneHasLeft(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "s")
+	path := socketPath(t)
 	old := &slowToLeaveProcess{fakeProcess: newFakeProcess(), leaving: make(chan struct{}), left: make(chan struct{})}
 	serveAt(t, path, old)
 	first := dialAndSend(t, path, joinLine)
@@ -99,7 +111,7 @@
 // TestSilentConnectionDoesNotPreventJoin guards against a connection that keeps new processes from joining without
 // sending anything.
 func TestSilentConnectionDoesNotPreventJoin(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "s")
+	path := socketPath(t)
 	serveAt(t, path, newFakeProcess())
 	dialAndSend(t, path, "")
 	expectState(t, dialAndSend(t, path, joinLine))
@@ -108,10 +120,10 @@
 // TestHungProcessStopsAcceptingOnceItContinues guards against two processes that both accept connections for good,
 // because the old one hung when the new one joined.
 func TestHungProcessStopsAcceptingOnceItContinues(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "s")
+	path := socketPath(t)
 	ln, err := Listen(path)
 	if err != nil {
-		t.Skip("the temporary directory's path is too long for a Unix socket:", err)
+		t.Fatal(err)
 	}
 	predecessor, state := Join(t.Context(), path, newFakeProcess(), discardLog)
 	if predecessor == nil || len(state.Overrides) > 0 || predecessor.HasEnded() {
--- a/internal/dataplane/sidecar/handover_test.go
+++ b/internal/dataplane/sidecar/handover_test.go
@@ -29,6 +29,23 @@
 	return net.FileListener(f)
 }
 
+// newSharedSocket returns a listening socket, and a directory for the files of the processes that share it. Both exist
+// until the test ends.
+func newSharedSocket(t *testing.T) (socket sharedSocket, dir string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	dir, err = os.MkdirTemp("", "h") //nolint:usetesting // t.TempDir is too long for the path of a Unix socket
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { os.RemoveAll(dir) })
+	return sharedSocket{ln.(*net.TCPListener)}, dir
+}
+
 // startProcess starts a process of a sidecar that shares a socket and a directory with others, and waits until it
 // serves.
 func startProcess(t *testing.T, cfg *config.Config, socket sharedSocket, dir string) *testSidecar {
@@ -45,16 +62,7 @@
 // A new process takes over under load: it must have the old process's administrative drains, overrides must apply in
 // both processes, and the old process must answer its open requests and then end by itself. No client may be rejected.
 func TestHandoverUnderLoad(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	dir, err := os.MkdirTemp("", "h") //nolint:usetesting // t.TempDir is too long for the path of a Unix socket
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer os.RemoveAll(dir)
+	socket, dir := newSharedSocket(t)
 	received, release := make(chan struct{}, 1), make(chan struct{})
 	releaseOnce := sync.OnceFunc(func() { close(release) })
 	t.Cleanup(releaseOnce)
@@ -66,7 +74,6 @@
 	})
 	cfg := configure(t, []string{addr, addr, addr},
 		`"ramp-time":10000000`, `"ramp-time":1`, `"give-up":1000000`, `"give-up":5000000`)
-	socket := sharedSocket{ln.(*net.TCPListener)}
 	old := startProcess(t, cfg, socket, dir)
 	old.wantReply(t, "maint-on s-1", "YES")
 	keptConn, err := net.Dial("tcp", old.addr)
@@ -112,19 +119,9 @@
 // Two processes of a sidecar that start at the same time may both miss the other at the start. They must still find
 // each other, and only one may keep serving.
 func TestOneOfTwoProcessesStartedTogetherServes(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	dir, err := os.MkdirTemp("", "h") //nolint:usetesting // t.TempDir is too long for the path of a Unix socket
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer os.RemoveAll(dir)
+	socket, dir := newSharedSocket(t)
 	addr := sidecartest.HTTPEndpoint(t, func(http.ResponseWriter, *http.Request) {})
 	cfg := configure(t, []string{addr})
-	socket := sharedSocket{ln.(*net.TCPListener)}
 	// The lock stops both processes once they are ready, so that neither has found the other at the start.
 	unlock, err := handover.Lock(t.Context(), filepath.Join(dir, "sock"))
 	if err != nil {
@@ -132,7 +129,7 @@
 	}
 	var sidecars []*testSidecar
 	for range 2 {
-		sidecars = append(sidecars, launchSidecar(t, cfg, socket, ln.Addr().String(), dir))
+		sidecars = append(sidecars, launchSidecar(t, cfg, socket, socket.ln.Addr().String(), dir))
 	}
 	for _, sidecar := range sidecars {
 		waitFor(t, "a process has an endpoint", func() bool { return sidecar.metric(t, "cluster_size") > 0 })
@@ -167,19 +164,9 @@
 // TestProcessStartedDuringHandoverReplacesOldOne guards against two processes that both serve for good, because the old
 // one let another new process join first, which then ended.
 func TestProcessStartedDuringHandoverReplacesOldOne(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	dir, err := os.MkdirTemp("", "h") //nolint:usetesting // t.TempDir is too long for the path of a Unix socket
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer os.RemoveAll(dir)
+	socket, dir := newSharedSocket(t)
 	addr := sidecartest.HTTPEndpoint(t, func(http.ResponseWriter, *http.Request) {})
 	cfg := configure(t, []string{addr})
-	socket := sharedSocket{ln.(*net.TCPListener)}
 	old := startProcess(t, cfg, socket, dir)
 	joined, err := net.Dial("unix", filepath.Join(dir, "sock"))
 	if err != nil {
@@ -193,7 +180,7 @@
 		t.Fatal(err)
 	}
 
-	next := launchSidecar(t, cfg, socket, ln.Addr().String(), dir)
+	next := launchSidecar(t, cfg, socket, socket.ln.Addr().String(), dir)
 	time.Sleep(time.Second) // longer than a new process waits for its turn before it starts without the state
 	_ = joined.Close()
 	if err := sidecartest.Receive(t, old.ended, "end of the old process"); err != nil {
