--- a/balancer/range_test.go
+++ b/balancer/range_test.go
@@ -98,4 +98,10 @@
 	if got := rate(0, 2); got > alone/100 {
 		t.Errorf("budget of %v per second without load of its own, want almost none of %v", got, alone)
 	}
+	// A snapshot of an earlier version has the load of others alone.
+	b, _ := startBalancer(t, testSettings(), readyEndpoints(6))
+	b.typicalLoad = ewma{value: 9, samples: settledSamples}
+	if got := b.sharingBalancers(second); got != 2 {
+		t.Errorf("%v balancers share an endpoint before a report with own load, want the 2 of the settings", got)
+	}
 }
--- a/balancer/slowstart.go
+++ b/balancer/slowstart.go
@@ -105,7 +105,7 @@
 func (b *Balancer) sharingBalancers(now Micros) float64 {
 	configured := max(1, float64(b.settings.Balancers*len(b.aperture(now)))/float64(len(b.endpoints)))
 	byLoad := 1 + b.typicalLoad.value/max(minOwnLoad, b.ownLoad.value)
-	if byLoad > maxTrafficImbalance*configured {
+	if b.ownLoad.samples > 0 && byLoad > maxTrafficImbalance*configured {
 		return byLoad
 	}
 	return configured
