Call accept on an inherited socket only once a connection waits

Cause: the mode of a listening socket is common to all processes that hold it, and os/exec clears O_NONBLOCK when it passes the socket to the next process. An accept that the old process begins on an empty queue in that moment blocks in the system until a client connects; neither a deadline nor a close ends it.

Change: Inherited.Listen returns a listener that waits on a duplicate of the descriptor and calls accept only when poll reports a connection. Both new tests fail without it: "Accept is blocked until the next client connects", and a process that does not end after SIGTERM. The set-up of the older test of inherited sockets moved into a function that the new test shares; its checks are as they were.

--- a/internal/dataplane/handover/handover_test.go
+++ b/internal/dataplane/handover/handover_test.go
@@ -12,7 +12,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -258,24 +257,7 @@
 // Closing a listener on an inherited socket does not close the socket, so that it can be listened on again. A
 // descriptor number that is invalid or not open is an error.
 func TestInheritedSocketOutlivesItsCopies(t *testing.T) {
-	original, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer original.Close()
-	file, err := original.(*net.TCPListener).File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer file.Close()
-	fd, err := syscall.Dup(int(file.Fd())) // Inherit takes ownership of the descriptor
-	if err != nil {
-		t.Fatal(err)
-	}
-	s, err := Inherit(fmt.Sprint(fd))
-	if err != nil {
-		t.Fatal(err)
-	}
+	original, s := inheritSocket(t)
 	for range 2 {
 		ln, err := s.Listen()
 		if err != nil {
--- a/internal/dataplane/handover/socket.go
+++ b/internal/dataplane/handover/socket.go
@@ -82,7 +82,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("inherited descriptor: %w", err)
 	}
-	return ln, nil
+	tcp, ok := ln.(*net.TCPListener)
+	if !ok {
+		return ln, nil
+	}
+	inherited, err := newInheritedListener(tcp)
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("inherited descriptor: %w", err), ln.Close())
+	}
+	return inherited, nil
 }
 
 // ListenPacket returns a connection on a duplicate of the descriptor.
