Save operators' overrides beside the updates, so that no call waits for a slow disk

Cause: Registry.update held the turn of updates while it also saved with fsync, which has no deadline; the maint-off of a server waited for the turn behind the save of its maint-on until its own 0.9 s were over.

Change: a goroutine of the registry saves, and coalesces what changes meanwhile. A call returns once its override is saved, or without an error when its time is over, with a warning: the override is in effect, as where a save fails. Peers are notified before the wait, and wait half a second at most in Merge. Run waits for the last save, as it did for the calls.

The error of a failed save names no single override any more, since one save may hold several.

--- a/internal/dataplane/maintenance/registry.go
+++ b/internal/dataplane/maintenance/registry.go
@@ -45,15 +45,18 @@
 	RequestReturn(ctx context.Context, id string) (requested bool, err error)
 }
 
+// maxMergeSaveWait is less than the time that a peer waits for a reply.
+const maxMergeSaveWait = 500 * time.Millisecond
+
 // Registry holds the overrides of one process. It is safe for concurrent use.
 type Registry struct {
-	store     Store
+	saver     *saver
 	retention time.Duration // how long the override of an endpoint that is back in service is retained
 	log       *slog.Logger
 	apply     ApplyFunc
 	fleet     FleetOverrides // nil if this process has not joined a fleet
 
-	updating  chan struct{} // holds a token while one update is applied and stored
+	updating  chan struct{} // holds a token while one update is applied
 	mu        sync.Mutex    // guards the fields below
 	overrides map[string]Override
 	peers     map[int]NotifyFunc
@@ -64,7 +67,6 @@
 // starts without overrides, since a sidecar that serves without them is better than one that does not start.
 func NewRegistry(store Store, retention time.Duration, apply ApplyFunc, log *slog.Logger) *Registry {
 	r := &Registry{
-		store:     store,
 		retention: retention,
 		log:       log,
 		apply:     apply,
@@ -72,6 +74,7 @@
 		overrides: map[string]Override{},
 		peers:     map[int]NotifyFunc{},
 	}
+	r.saver = newSaver(store, r.Overrides, log)
 	overrides, err := store.Load()
 	if err != nil {
 		log.Error("cannot load the stored overrides; starting without them", "error", err)
@@ -115,8 +118,8 @@
 	return r.Merge(ctx, Override{ID: id, Drained: drained, UnixMicros: timestamp})
 }
 
-// Set drains an endpoint or returns it to service. It returns once the override is in effect in this process and the
-// peers were notified.
+// Set drains an endpoint or returns it to service. It returns once the override is in effect in this process, the peers
+// were notified, and the override is saved. It does not fail if saving fails or has not ended when ctx ends.
 func (r *Registry) Set(ctx context.Context, id string, drained bool) error {
 	if r.fleet != nil && !drained {
 		requested, err := r.fleet.RequestReturn(ctx, id)
@@ -125,16 +128,28 @@
 		}
 	}
 	o := Override{ID: id, Drained: drained, UnixMicros: time.Now().UnixMicro()}
-	if err := r.update(ctx, o, false); err != nil {
+	saved, err := r.update(ctx, o, false)
+	if err != nil {
 		return err
 	}
 	if r.fleet != nil && drained {
 		r.fleet.ReportDrain(id)
 	}
 	r.notifyPeers(ctx, o)
+	r.awaitSave(ctx, saved)
 	return nil
 }
 
+// awaitSave waits until an update is saved or ctx ends. In the latter case it only logs: the override is in effect, and
+// is saved once the disk responds.
+func (r *Registry) awaitSave(ctx context.Context, saved <-chan struct{}) {
+	select {
+	case <-saved:
+	case <-ctx.Done():
+		r.log.Warn("an override is in effect but is not saved yet")
+	}
+}
+
 // notifyPeers passes an override to all peers. It only logs errors, because a peer that hangs or has ended must not
 // make an operator's call fail.
 func (r *Registry) notifyPeers(ctx context.Context, o Override) {
@@ -152,17 +167,22 @@
 }
 
 // Merge applies the overrides of a peer, also for endpoints that this process does not know. If both processes have an
-// override for an endpoint, the later one prevails.
+// override for an endpoint, the later one prevails. Merge waits for maxMergeSaveWait at most until they are saved.
 func (r *Registry) Merge(ctx context.Context, overrides ...Override) error {
+	saved := r.saver.pending()
 	for _, o := range overrides {
 		known, ok := r.find(o.ID)
 		if ok && known.UnixMicros >= o.UnixMicros {
 			continue
 		}
-		if err := r.update(ctx, o, true); err != nil {
+		var err error
+		if saved, err = r.update(ctx, o, true); err != nil {
 			return err
 		}
 	}
+	ctx, cancel := context.WithTimeout(ctx, maxMergeSaveWait)
+	defer cancel()
+	r.awaitSave(ctx, saved)
 	return nil
 }
 
@@ -174,14 +194,14 @@
 	return o, ok
 }
 
-// update applies an override in this process and then saves it. A failed save is only logged: the override stays in
-// effect.
-func (r *Registry) update(ctx context.Context, o Override, force bool) error {
+// update applies an override in this process and requests that it is saved. saved is closed when the save has ended; a
+// failed save is only logged, since the override is in effect.
+func (r *Registry) update(ctx context.Context, o Override, force bool) (saved <-chan struct{}, err error) {
 	select {
 	case r.updating <- struct{}{}:
 		defer func() { <-r.updating }()
 	case <-ctx.Done():
-		return ctx.Err()
+		return nil, ctx.Err()
 	}
 	known, ok := r.find(o.ID)
 	// A repeated override changes nothing: a second return to service must not restart the endpoint's slow start. The
@@ -189,21 +209,21 @@
 	repeated := ok && known.Drained == o.Drained || !ok && !o.Drained && !force
 	if !repeated || !ok {
 		if err := r.apply(ctx, o, force); err != nil {
-			return fmt.Errorf("%s: %w", o.ID, err)
+			return nil, fmt.Errorf("%s: %w", o.ID, err)
 		}
 	}
 	if repeated {
-		return nil
+		return r.saver.pending(), nil
 	}
 	r.mu.Lock()
 	r.overrides[o.ID] = o
 	r.mu.Unlock()
-	if err := r.store.Save(r.Overrides()); err != nil {
-		r.log.Error("an override is in effect but cannot be saved", "id", o.ID, "drained", o.Drained, "error", err)
-	}
-	return nil
+	return r.saver.request(), nil
 }
 
+// Close returns once all changes are saved. No method may be called afterwards.
+func (r *Registry) Close() { <-r.saver.pending() }
+
 // AddPeer adds a peer process. It is notified of each override made by Set until remove is called.
 func (r *Registry) AddPeer(notify NotifyFunc) (remove func()) {
 	r.mu.Lock()
--- a/internal/dataplane/sidecar/sidecar.go
+++ b/internal/dataplane/sidecar/sidecar.go
@@ -69,6 +69,7 @@
 		return err
 	}
 	n.setCapacityShare(1)
+	defer n.overrides.Close()
 
 	// Background work ends last, since requests that were accepted need it until they are answered.
 	ctx, cancel := context.WithCancel(context.Background())
