--- a/internal/dataplane/handover/inheritedlistener_test.go
+++ b/internal/dataplane/handover/inheritedlistener_test.go
@@ -105,7 +105,7 @@
 			case <-time.After(10 * time.Second):
 				t.Error("Accept is blocked until the next client connects")
 				dialListener(t, original)
-				<-accepted
+				t.Log("after the next client has connected, it returned", <-accepted)
 			}
 			if err := <-ended; err != nil {
 				t.Error(err)
