--- /dev/null
+++ b/review/testdata/cases_test.go
@@ -0,0 +1,30 @@
+// Package testdata names the cases of an independent review as tests. Each is a script that starts sidecars and
+// stand-ins; it runs only on request, since it takes up to a minute and is expected to fail. The folder's name keeps the
+// package out of "./..." and so out of CI.
+package testdata
+
+import (
+	"os"
+	"os/exec"
+	"testing"
+)
+
+// runScript runs a script if REVIEW_CASES is set, after the build of deploy/balancer.toml and build.sh.
+func runScript(t *testing.T, path string) {
+	t.Helper()
+	if os.Getenv("REVIEW_CASES") == "" {
+		t.Skip("REVIEW_CASES is not set")
+	}
+	out, err := exec.CommandContext(t.Context(), path).CombinedOutput()
+	if err != nil {
+		t.Errorf("%s: %v\n%s", path, err, out)
+	}
+}
+
+func TestDrainToldAtEndOfWatch(t *testing.T) { runScript(t, "../1/run.sh") }
+
+func TestMemoryOfHeadsWithoutEnd(t *testing.T) { runScript(t, "../2/run.sh") }
+
+func TestAnswerDuringCrowdOfStalledBodies(t *testing.T) { runScript(t, "../3/run.sh") }
+
+func TestUploadToHungServer(t *testing.T) { runScript(t, "../upload.sh") }
