--- a/review/testdata/cases_test.go
+++ b/review/testdata/cases_test.go
@@ -28,3 +28,5 @@
 func TestAnswerDuringCrowdOfStalledBodies(t *testing.T) { runScript(t, "../3/run.sh") }
 
 func TestUploadToHungServer(t *testing.T) { runScript(t, "../upload.sh") }
+
+func TestHiddenRequest(t *testing.T) { runScript(t, "../hidden.sh") }
