--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,8 @@
 #!/bin/bash
-# Builds the stand-ins that the cases start, into review/bin. It needs the Go tool chain only: no network, no dependency.
+# Builds what the cases start besides the build of deploy/balancer.toml, into review/bin: the stand-ins, which need the Go
+# tool chain only, and the project's own daemon and operators' commands, whose packages go.mod declares.
 set -euo pipefail
-cd "$(dirname "$0")/standin"
-mkdir -p ../bin
-GOFLAGS=-mod=mod GOPROXY=off GOTOOLCHAIN=local CGO_ENABLED=0 go build -o ../bin/standin .
+cd "$(dirname "$0")"
+mkdir -p bin
+(cd standin && GOFLAGS=-mod=mod GOPROXY=off GOTOOLCHAIN=local CGO_ENABLED=0 go build -o ../bin/standin .)
+(cd .. && go build -o review/bin/birchmoor ./cmd/birchmoor)
--- a/review/standin/discovery.go
+++ b/review/standin/discovery.go
@@ -40,6 +40,7 @@
 	written  map[string]time.Time // when a drain was first written to a watch, by id
 	changed  chan struct{}        // closed at the next change
 	down     bool
+	delay    time.Duration // of the answer to each call; set before the first
 }
 
 func newDiscovery(rec *record, entries []instance) (*discovery, error) {
@@ -129,6 +130,7 @@
 }
 
 func (d *discovery) serve(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(d.delay)
 	if d.isDown() {
 		d.rec.add("discovery: 503 to %s", r.RemoteAddr)
 		http.Error(w, "down", http.StatusServiceUnavailable)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,10 +16,13 @@
 
 // world is one run of a case.
 type world struct {
-	root    string // of the repository
-	temp    string // folder of this run
-	rec     *record
-	trouble bool
+	root     string // of the repository
+	temp     string // folder of this run
+	rec      *record
+	trouble  bool
+	sidecars int   // in the fleet; 0 stands for one
+	push     bool  // lists are pushed
+	known    *list // the list that a starting sidecar has; nil: the current one
 
 	mu        sync.Mutex
 	processes []*exec.Cmd
@@ -59,6 +62,21 @@
 	os.Exit(play(os.Args[1], os.Args[2]))
 }
 
+// findRoot returns the root of the repository that a folder is in: the nearest one that has the deploy file.
+func findRoot(folder string) (string, error) {
+	root, err := filepath.Abs(folder)
+	for err == nil {
+		if _, err := os.Stat(filepath.Join(root, "deploy/balancer.toml")); err == nil {
+			return root, nil
+		}
+		if filepath.Dir(root) == root {
+			return "", fmt.Errorf("%s is not in the repository", folder)
+		}
+		root = filepath.Dir(root)
+	}
+	return "", err
+}
+
 // play runs a case and returns the exit code: 0 the rule held, 1 it was broken, 2 the case couldn't run.
 func play(name, folder string) int {
 	rec, err := newRecord(folder)
@@ -66,7 +84,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	root, err := filepath.Abs(filepath.Join(folder, "../.."))
+	root, err := findRoot(folder)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
--- a/review/standin/sidecar.go
+++ b/review/standin/sidecar.go
@@ -14,8 +14,8 @@
 )
 
 // settings are those of the small deployment bratislava-booking, in the form of WIRE, with the names of its classes. The
-// figures lie inside the ranges of the site file.
-func settings() map[string]any {
+// figures lie inside the ranges of the site file. sidecars is their number in the fleet.
+func settings(sidecars int) map[string]any {
 	class := func(name, repeat string, aim, giveUp int, worth float64) map[string]any {
 		return map[string]any{"name": name, "repeat": repeat, "group": "all", "window": 5000000, "target": aim,
 			"give-up": giveUp, "credit": worth, "late-value": 0.0, "stream": false}
@@ -40,7 +40,7 @@
 			"dial-timeout": 200000, "keepalive": 60000000, "max-retry-after": 750000, "may-tell": false,
 			"most-held": 30000, "most-tries": 4, "multiplex": 1, "probes": true, "retry-after": true,
 			"second-copies": true},
-		"over-share-worth": 0.1, "peers-total": 1, "position": 0,
+		"over-share-worth": 0.1, "peers-total": sidecars, "position": 0,
 		"prices": map[string]any{"connection": 0.04, "cross-zone": 0.03, "discovery": 0.0, "handshake": 0.04,
 			"late-fail": 0.025, "moves": 0.0, "origin": 0.0, "peer": 0.0, "probe": 0.0029, "waste": 0.047},
 		"reporting": map[string]any{"fields": []string{"busy_reqs", "cpu_share", "served_ps"}, "how": "probe"},
@@ -78,6 +78,11 @@
 
 // startNew starts a sidecar at free addresses, with a list as discovery has it now.
 func (w *world) startNew(d *discovery, limits map[string]any) (*sidecar, error) {
+	return w.startNamed("n0", d, limits)
+}
+
+// startNamed does the same for a sidecar with a name, in a folder of its own.
+func (w *world) startNamed(name string, d *discovery, limits map[string]any) (*sidecar, error) {
 	listen, err := freeAddress()
 	if err != nil {
 		return nil, err
@@ -86,11 +91,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return w.startSidecar(listen, mgmt, d, limits)
+	return w.startSidecar(name, listen, mgmt, d, limits)
 }
 
 // startSidecar starts a sidecar and waits until it is ready.
-func (w *world) startSidecar(listen, mgmt string, d *discovery, limits map[string]any) (*sidecar, error) {
+func (w *world) startSidecar(name, listen, mgmt string, d *discovery, limits map[string]any) (*sidecar, error) {
 	deploy, err := os.ReadFile(filepath.Join(w.root, "deploy/balancer.toml"))
 	if err != nil {
 		return nil, err
@@ -100,10 +105,17 @@
 		return nil, fmt.Errorf("deploy/balancer.toml has no line run")
 	}
 	s := &sidecar{listen: listen, ended: make(chan struct{})}
-	tmp, path := filepath.Join(w.temp, "tmpdir"), filepath.Join(w.temp, "config.json")
-	config := map[string]any{"name": "n0", "listen": listen, "mgmt": mgmt, "discovery": d.addr,
-		"seed": fmt.Sprintf("%016x", time.Now().UnixNano()), "limits": limits, "known": d.snapshot(),
-		"settings": settings()}
+	tmp, path := filepath.Join(w.temp, name, "tmpdir"), filepath.Join(w.temp, name, "config.json")
+	known, settings := d.snapshot(), settings(max(1, w.sidecars))
+	if w.known != nil {
+		known = *w.known
+	}
+	if w.push {
+		settings["discovery"] = "automatic"
+	}
+	config := map[string]any{"name": name, "listen": listen, "mgmt": mgmt, "discovery": d.addr,
+		"seed": fmt.Sprintf("%016x", time.Now().UnixNano()), "limits": limits, "known": known,
+		"settings": settings}
 	if err := os.MkdirAll(tmp, 0o700); err != nil {
 		return nil, err
 	}
@@ -113,10 +125,10 @@
 	s.process = exec.Command("/bin/sh", "-c", string(run[1]))
 	s.process.Dir = w.root
 	s.process.Env = []string{"PATH=" + os.Getenv("PATH"), "TMPDIR=" + tmp, "ROUTER_CONFIG=" + path,
-		"ROUTER_NAME=n0", "ROUTER_LISTEN=" + listen, "ROUTER_DISCOVERY=" + d.addr,
+		"ROUTER_NAME=" + name, "ROUTER_LISTEN=" + listen, "ROUTER_DISCOVERY=" + d.addr,
 		"ROUTER_MGMT=" + mgmt}
 	s.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	logFile, err := os.Create(filepath.Join(w.temp, "sidecar.log"))
+	logFile, err := os.Create(filepath.Join(w.temp, name, "sidecar.log"))
 	if err != nil {
 		return nil, err
 	}
@@ -126,7 +138,7 @@
 	}
 	_ = logFile.Close()
 	w.addProcess(s.process)
-	w.rec.add("sidecar started, pid %d", s.process.Process.Pid)
+	w.rec.add("sidecar %s started, pid %d", name, s.process.Process.Pid)
 	go func() {
 		err := s.process.Wait()
 		w.rec.add("sidecar pid %d ended: %v", s.process.Process.Pid, err)
--- a/review/testdata/cases_test.go
+++ b/review/testdata/cases_test.go
@@ -21,11 +21,11 @@
 	}
 }
 
-func TestDrainToldAtEndOfWatch(t *testing.T) { runScript(t, "../1/run.sh") }
+func TestDrainToldAtEndOfWatch(t *testing.T) { runScript(t, "../former/1/run.sh") }
 
-func TestMemoryOfHeadsWithoutEnd(t *testing.T) { runScript(t, "../2/run.sh") }
+func TestMemoryOfHeadsWithoutEnd(t *testing.T) { runScript(t, "../former/2/run.sh") }
 
-func TestAnswerDuringCrowdOfStalledBodies(t *testing.T) { runScript(t, "../3/run.sh") }
+func TestAnswerDuringCrowdOfStalledBodies(t *testing.T) { runScript(t, "../former/3/run.sh") }
 
 func TestUploadToHungServer(t *testing.T) { runScript(t, "../upload.sh") }
 
