--- a/review/standin/unchanged.go
+++ b/review/standin/unchanged.go
@@ -259,10 +259,18 @@
 				unknown++
 			case f.Outcome == "unchanged":
 				unchanged++
-				if i.Version > 0 {
-					made++
-					w.rec.say("%s: the operator was told that nothing was changed, but the key is now %v", f.key, i)
+				if i.Version == 0 {
+					continue
 				}
+				made++
+				w.rec.say("%s: the operator was told that nothing was changed, but the key is now %v", f.key, i)
+				if _, err := c.put(lead, f.key, "first"); err != nil {
+					return err
+				}
+				if i, err = c.get(lead, f.key); err != nil {
+					return err
+				}
+				w.rec.say("%s: the operator made the command again, and the key is now %v", f.key, i)
 			}
 		}
 	}
--- a/review/testdata/cases_test.go
+++ b/review/testdata/cases_test.go
@@ -21,6 +21,24 @@
 	}
 }
 
+// The cases of this review.
+
+func TestTrailerWithoutEnd(t *testing.T) { runScript(t, "../1/run.sh") }
+
+func TestLateSecondAnswer(t *testing.T) { runScript(t, "../2/run.sh") }
+
+func TestNothingWasChanged(t *testing.T) { runScript(t, "../3/run.sh") }
+
+// Lesser faults that it found.
+
+func TestChangeRepeatedLate(t *testing.T) { runScript(t, "../repeat.sh") }
+
+func TestDrainPushedToNewProcess(t *testing.T) { runScript(t, "../push.sh") }
+
+func TestSlowLongAnswer(t *testing.T) { runScript(t, "../slow.sh") }
+
+// The cases and lesser faults of the former review.
+
 func TestDrainToldAtEndOfWatch(t *testing.T) { runScript(t, "../former/1/run.sh") }
 
 func TestMemoryOfHeadsWithoutEnd(t *testing.T) { runScript(t, "../former/2/run.sh") }
