--- a/review/standin/hidden.go
+++ b/review/standin/hidden.go
@@ -77,7 +77,7 @@
 	if served+passedOn > 0 {
 		return errBroken
 	}
-	return nil
+	return totals.check()
 }
 
 // sendPieces sends two pieces: the first holds a readiness check and a request, the second is sent once both are answered.
--- a/review/standin/second.go
+++ b/review/standin/second.go
@@ -228,5 +228,5 @@
 	if n := wrong.count.Load(); n > 0 {
 		return fmt.Errorf("%w: %d requests were served with the answer to another request", errBroken, n)
 	}
-	return nil
+	return totals.check()
 }
--- a/review/standin/totals.go
+++ b/review/standin/totals.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -53,3 +54,13 @@
 	return fmt.Sprintf("%d sent, %d served, %d refused, %d failed, %d lost, the slowest answer after %.3f s",
 		t.sent, t.served, t.refused, t.other, t.lost, t.slowest.Seconds())
 }
+
+// check returns an error if no request was served: then the case couldn't run.
+func (t *totals) check() error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.served == 0 {
+		return errors.New("no request was served")
+	}
+	return nil
+}
--- a/review/standin/trailer.go
+++ b/review/standin/trailer.go
@@ -141,7 +141,7 @@
 	if killed {
 		return fmt.Errorf("%w: the sidecar went over its %d MB of memory and was killed", errBroken, memoryMB)
 	}
-	return nil
+	return totals.check()
 }
 
 // platform watches a sidecar's memory as the platform does until an instant: a sidecar over its limit is killed.
