Check the part of a request's head that arrived with the request before it

Whoever stands before the sidecar and goes by the length sees one request where two are run.

Cause: net/http drops a Content-Length where there are chunks, so that checkHead looks for it in a record of the bytes that were read from the connection for this head. Bytes that came in the same read as the request before lie in the buffer of client.reader and were not in the record: the head, or its first part, was not seen by the check. For the same reason they did not count towards MaxHeaderBytes.

Evidence: the new test (TestInvalidRequestBehindReadinessCheckIsRejected) sends each invalid request of TestInvalidRequestsGetClientErrors behind a readiness check, with all, three quarters or half of its head in the same write. Before: "length and chunks" got 200 from the endpoint with all and three quarters, and "endless head" no 431 in any of the three. With half of the head the row passed before as well: there the Content-Length comes with the second write and is in the record.

Change: the record begins with what the reader holds already, and so does the count towards MaxHeaderBytes. The table of invalid requests is shared by both tests and has one more row, "length and chunks" without surplus bytes; the row "hidden request" was refused for its surplus alone.

--- a/internal/dataplane/httpfront/exchange.go
+++ b/internal/dataplane/httpfront/exchange.go
@@ -51,10 +51,10 @@
 // readHead reads a request up to its body. head is the request's head as it was sent; it may contain bytes of the body
 // as well. If ok is false, the client has been answered where possible, and the connection is to be closed.
 func (s *Server) readHead(c *client, headDeadline time.Time) (r *http.Request, head []byte, ok bool) {
-	c.limit.N = MaxHeaderBytes
+	arrived, _ := c.reader.Peek(c.reader.Buffered()) // it came with the request before; reads from memory, cannot fail
+	c.limit.N = int64(MaxHeaderBytes - len(arrived))
 	c.paced.readTimeout = 0
-	c.paced.recording = true
-	c.paced.recorded = nil
+	c.paced.startRecording(arrived)
 	if headDeadline.IsZero() {
 		c.setReadDeadline(time.Now().Add(idleTimeout))
 		if _, err := c.reader.Peek(1); err != nil {
@@ -64,9 +64,7 @@
 	}
 	c.setReadDeadline(headDeadline)
 	r, err := http.ReadRequest(c.reader)
-	head = c.paced.recorded
-	c.paced.recording = false
-	c.paced.recorded = nil
+	head = c.paced.stopRecording()
 	if err != nil {
 		if code := s.errorCode(c, err); code != 0 {
 			c.reject(code, http.StatusText(code))
--- a/internal/dataplane/httpfront/stream.go
+++ b/internal/dataplane/httpfront/stream.go
@@ -1,6 +1,7 @@
 package httpfront
 
 import (
+	"bytes"
 	"net"
 	"time"
 )
@@ -20,7 +21,8 @@
 	maxBufferingTime      = 50 * time.Millisecond  // of a body of unknown length, before it is streamed
 )
 
-// pacedConn reads from a connection with a timeout for each read, and records what it reads while recording is set.
+// pacedConn reads from a connection with a timeout for each read, and records what it reads between startRecording and
+// stopRecording.
 type pacedConn struct {
 	net.Conn
 	readTimeout time.Duration // 0: the connection's deadline is left as it is
@@ -39,3 +41,17 @@
 	}
 	return n, err
 }
+
+// startRecording begins a record with bytes that were read from the connection before, but not used yet.
+func (p *pacedConn) startRecording(unused []byte) {
+	p.recording = true
+	p.recorded = bytes.Clone(unused)
+}
+
+// stopRecording returns the record and ends it.
+func (p *pacedConn) stopRecording() []byte {
+	recorded := p.recorded
+	p.recording = false
+	p.recorded = nil
+	return recorded
+}
--- a/internal/dataplane/sidecar/requests_test.go
+++ b/internal/dataplane/sidecar/requests_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -111,6 +112,24 @@
 			t.Errorf("request with %s: %s, want %d", tc.name, resp.Status, tc.want)
 		}
 	}
+	for _, tc := range invalidRawRequests() {
+		got, err := exchangeRaw(t, sidecar.addr, tc.text)
+		if err != nil || !strings.HasPrefix(got, "HTTP/1.1 "+tc.want+" ") || strings.Count(got, "HTTP/1.1") != 1 {
+			t.Errorf("request with %s: received %q, error %v, want one answer %s and the end", tc.name, got, err,
+				tc.want)
+		}
+	}
+	if n := sent.Load(); n != 0 {
+		t.Errorf("%d attempts were made for invalid requests, want none", n)
+	}
+}
+
+// rawRequest is what a client sends on a new connection, and the status that it must get.
+type rawRequest struct{ name, text, want string }
+
+// invalidRawRequests returns requests that the sidecar must reject. Their clients wait for an answer, or for the end of
+// the connection.
+func invalidRawRequests() []rawRequest {
 	head := func(lines ...string) string {
 		return "POST /pay HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: 1\r\nX-Qos: pay\r\n" +
 			strings.Join(append(lines, "\r\n"), "\r\n")
@@ -119,11 +138,12 @@
 	chunked := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(hidden), hidden)
 	oldHead := strings.Replace(head("Content-Length: 5", "Transfer-Encoding: chunked"), "1.1", "1.0", 1)
 	idempotentHead := "GET /look HTTP/1.1\r\nHost: a\r\nX-Trace-Id: 1\r\nX-Qos: look\r\n"
-	for _, tc := range []struct{ name, text, want string }{
+	return []rawRequest{
 		{"no HTTP", "LOOK\r\n\r\n", "400"},
 		{"old HTTP", "GET /look HTTP/1.0\r\nX-Trace-Id: 1\r\n\r\n", "505"},
 		{"endless head", "GET /look HTTP/1.1\r\nX: " + strings.Repeat("x", httpfront.MaxHeaderBytes), "431"},
 		{"hidden request", head("Content-Length: 5", "Transfer-Encoding: chunked") + "0\r\n\r\n" + hidden, "400"},
+		{"length and chunks", head("Content-Length: 5", "Transfer-Encoding: chunked") + "0\r\n\r\n", "400"},
 		{"cut chunks", head("Transfer-Encoding: chunked") + "zz\r\n", "400"},
 		{"more behind chunks", head("Transfer-Encoding: chunked") + "0\r\n\r\n" + hidden, "400"},
 		{"long body", head(fmt.Sprintf("Content-Length: %d", httpfront.MaxBodyBytes+1)), "413"},
@@ -149,21 +169,74 @@
 		{"id of two words", strings.Replace(hidden, "X-Trace-Id: 1", "X-Trace-Id: 1 2", 1), "400"},
 		{"host with a space", strings.Replace(hidden, "origin.svc", "origin svc", 1), "400"},
 		{"wrong expectation", head("Expect: wonders", "Content-Length: 0"), "417"},
-	} {
-		conn, err := net.Dial("tcp", sidecar.addr)
-		if err != nil {
-			t.Fatal(err)
-		}
-		_, _ = io.WriteString(conn, tc.text)
-		setReadDeadline(t, conn, httpfront.RequestTimeout/2)
-		if got, err := io.ReadAll(conn); err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 "+tc.want+" ") ||
-			strings.Count(string(got), "HTTP/1.1") != 1 {
-			t.Errorf("request with %s: received %q, error %v, want one answer %s and the end", tc.name, got, err,
-				tc.want)
+	}
+}
+
+// exchangeRaw sends text on a new connection, and returns what it receives until the sidecar ends the connection.
+func exchangeRaw(t *testing.T, addr, text string) (received string, err error) {
+	t.Helper()
+	return exchangeRawPieces(t, addr, text, "")
+}
+
+// exchangeRawPieces does as exchangeRaw, but sends the text in two pieces. The second one, unless it is empty, follows
+// once something was received.
+func exchangeRawPieces(t *testing.T, addr, first, second string) (received string, err error) {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, first)
+	setReadDeadline(t, conn, httpfront.RequestTimeout/2)
+	reader := bufio.NewReader(conn)
+	if second != "" {
+		if _, err := reader.Peek(1); err != nil {
+			return "", err
 		}
-		conn.Close()
+		_, _ = io.WriteString(conn, second)
 	}
-	if n := sent.Load(); n != 0 {
-		t.Errorf("%d attempts were made for invalid requests, want none", n)
+	got, err := io.ReadAll(reader)
+	return string(got), err
+}
+
+// TestInvalidRequestBehindReadinessCheckIsRejected guards against a request that is served although it is invalid, since
+// it arrived together with the readiness check before it: one with a Content-Length and chunks was served, and so was
+// the request hidden in its body.
+func TestInvalidRequestBehindReadinessCheckIsRejected(t *testing.T) {
+	const check = "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"
+	for name, how := range map[string]struct {
+		prefix string  // sent in one piece with the first part of the request
+		part   float64 // the part of the request's head that arrives with the prefix; the rest follows
+	}{
+		"whole":          {check, 1},
+		"half":           {check, 0.5},
+		"three quarters": {check, 0.75},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var sent atomic.Int32
+			addr := sidecartest.HTTPEndpoint(t, func(http.ResponseWriter, *http.Request) { sent.Add(1) })
+			sidecar := startWithEndpoints(t, []string{addr})
+			checks := strings.Count(how.prefix, check)
+			for _, tc := range invalidRawRequests() {
+				first, second := tc.text, ""
+				if how.part < 1 {
+					head, _, _ := strings.Cut(tc.text, "\r\n\r\n")
+					length := int(how.part * float64(len(head)))
+					first, second = tc.text[:length], tc.text[length:]
+				}
+				got, err := exchangeRawPieces(t, sidecar.addr, how.prefix+first, second)
+				answers := strings.Split(got, "HTTP/1.1 ")
+				if err != nil || len(answers) != checks+2 || !strings.HasPrefix(answers[1], "200 ") ||
+					!strings.HasPrefix(answers[checks+1], tc.want+" ") {
+					t.Errorf("request with %s: received %q, error %v, want answer 200 to each check, then %s and the end",
+						tc.name, got, err, tc.want)
+				}
+			}
+			if n := sent.Load(); n != 0 {
+				t.Errorf("%d attempts were made for invalid requests, want none", n)
+			}
+		})
 	}
 }
