Keep a connection as being read if a request came with the readiness check before it

Callers saw: a request written behind two readiness checks got no answer, the connection was closed instead. Behind one check it was served, but if the sidecar needed room for a connection meanwhile, it could close just this one.

After a readiness check the connection counted as one on which nothing has arrived (stateNew, stateIdle), although the reader held bytes of the next request. keepOpen of the second check then found no request being read and ended the connection; the eviction takes such connections first.

Change: keepOpen leaves the state as it is if the reader holds bytes.

--- a/internal/dataplane/httpfront/clients.go
+++ b/internal/dataplane/httpfront/clients.go
@@ -201,18 +201,20 @@
 }
 
 // keepOpen records that a readiness check was answered without being submitted, and reports whether the connection may
-// stay open.
+// stay open. If bytes of the next request arrived with the check, that request is being read. Only the owner calls it.
 func (k *clients) keepOpen(c *client) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if c.state == stateReading && !c.abortReading {
+	switch {
+	case c.state != stateReading || c.abortReading:
+		return false
+	case c.reader.Buffered() > 0:
+	case c.list == k.unused:
+		c.state = stateNew
+	default:
 		c.state = stateIdle
-		if c.list == k.unused {
-			c.state = stateNew
-		}
-		return true
 	}
-	return false
+	return true
 }
 
 // remove closes a connection: first its sending side, then, after reading what the client still sends for a while, all
--- a/internal/dataplane/httpfront/clients_test.go
+++ b/internal/dataplane/httpfront/clients_test.go
@@ -1,8 +1,10 @@
 package httpfront
 
 import (
+	"bufio"
 	"container/list"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -158,3 +160,33 @@
 	}
 	return n
 }
+
+// TestRequestBehindReadinessChecksIsBeingRead guards against a connection that is closed without an answer although a
+// request was read from it together with the readiness checks before it: it counted as one on which nothing has arrived.
+func TestRequestBehindReadinessChecksIsBeingRead(t *testing.T) {
+	const check = "GET /-/ready HTTP/1.1\r\nHost: origin.svc\r\n\r\n"
+	endpoint := newTestEndpoint(t)
+	f := startFront(t, readyInstances(endpoint.addr), longTimeouts...)
+	for checks := 1; checks <= 3; checks++ {
+		c := f.connect(t)
+		r := sidecartest.IdempotentRequest(900_000)
+		text := encode(t, r)
+		write(t, c, strings.Repeat(check, checks)+text[:len(text)/2])
+		answers := bufio.NewReader(c)
+		for range checks {
+			resp, err := http.ReadResponse(answers, nil)
+			if err != nil {
+				t.Fatalf("%d checks: reading an answer: %v", checks, err)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+		}
+		waitUntil(t, "half of the request is being read", func() bool { return countReading(f) == 1 })
+		write(t, c, text[len(text)/2:])
+		sidecartest.Receive(t, endpoint.received, "the request")
+		endpoint.mayAnswer <- struct{}{}
+		if resp, err := http.ReadResponse(answers, r); err != nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("%d checks: answer %v, error %v; want 200", checks, resp, err)
+		}
+		c.Close()
+	}
+}
--- a/internal/dataplane/sidecar/requests_test.go
+++ b/internal/dataplane/sidecar/requests_test.go
@@ -210,6 +210,7 @@
 		part   float64 // the part of the request's head that arrives with the prefix; the rest follows
 	}{
 		"whole":          {check, 1},
+		"two checks":     {check + check, 1},
 		"half":           {check, 0.5},
 		"three quarters": {check, 0.75},
 	} {
