Check the framing of readiness checks as well: chunks in HTTP/1.0 are rejected

Change: checkFraming, which checkHead calls after the version and answerReadiness before its answer. RFC 9112, 6.1 has a server treat such a message as one whose framing is faulty and close the connection.

Measured: TestReadinessCheckWithOldChunksIsRejected got 200 and then 400 before, and gets one 400 and the end now.

--- a/internal/dataplane/httpfront/exchange.go
+++ b/internal/dataplane/httpfront/exchange.go
@@ -19,7 +19,7 @@
 		return false
 	}
 	if r.URL.Path == readinessPath && r.ContentLength == 0 && len(r.TransferEncoding) == 0 {
-		return s.answerReadiness(c, r)
+		return s.answerReadiness(c, r, head)
 	}
 	req, err := s.parse(c, r, head)
 	if req != nil {
@@ -76,7 +76,11 @@
 
 // answerReadiness answers a readiness check with 200 or 503, and reports whether the connection may serve another
 // request.
-func (s *Server) answerReadiness(c *client, r *http.Request) bool {
+func (s *Server) answerReadiness(c *client, r *http.Request, head []byte) bool {
+	if err := checkFraming(r, head); err != nil {
+		c.reject(errorStatus(err), err.Error())
+		return false
+	}
 	resp := newResponse(http.StatusOK, "ready")
 	if s.closing.Load() || !s.loop.Ready() {
 		resp = newResponse(http.StatusServiceUnavailable, "not ready")
--- a/internal/dataplane/httpfront/parse.go
+++ b/internal/dataplane/httpfront/parse.go
@@ -96,15 +96,27 @@
 	return req, nil
 }
 
+// checkFraming rejects a request whose body has one length by one of its headers, and another one by another header or
+// to a server that does not know this header. Such a body may hide a request (request smuggling).
+func checkFraming(r *http.Request, head []byte) error {
+	switch {
+	case len(r.TransferEncoding) > 0 && hasField(head, "Content-Length"):
+		return newRequestError(http.StatusBadRequest, "a Content-Length or chunks, not both")
+	case !r.ProtoAtLeast(1, 1) && hasField(head, "Transfer-Encoding"):
+		return newRequestError(http.StatusBadRequest, "HTTP/1.0 has no chunks")
+	}
+	return nil
+}
+
 // checkHead checks what does not depend on the configuration: version, framing, target and the form of headers.
 func checkHead(r *http.Request, head []byte) error {
-	switch {
-	case !r.ProtoAtLeast(1, 1) || r.ProtoMajor != 1:
+	if !r.ProtoAtLeast(1, 1) || r.ProtoMajor != 1 {
 		return newRequestError(http.StatusHTTPVersionNotSupported, "this version of HTTP is not spoken here")
-	case len(r.TransferEncoding) > 0 && hasLength(head):
-		// Request smuggling: a server that goes by one of the two headers may read a request in what is a body by the
-		// other.
-		return newRequestError(http.StatusBadRequest, "a Content-Length or chunks, not both")
+	}
+	if err := checkFraming(r, head); err != nil {
+		return err
+	}
+	switch {
 	case r.ContentLength > MaxBodyBytes:
 		return newRequestError(http.StatusRequestEntityTooLarge, "the body is over %d bytes", MaxBodyBytes)
 	case !strings.HasPrefix(r.RequestURI, "/"):
@@ -172,11 +184,12 @@
 	return min(class.Timeout, int64(min(ms, math.MaxInt32))*1000), nil
 }
 
-// hasLength reports whether a request's head has a Content-Length, which http.ReadRequest drops if the body is chunked.
-func hasLength(head []byte) bool {
+// hasField reports whether a request's head has a field. http.ReadRequest drops a Content-Length if the body is chunked,
+// and a Transfer-Encoding in HTTP/1.0. name is in canonical form.
+func hasField(head []byte, name string) bool {
 	_, head, _ = bytes.Cut(head, []byte("\n"))
 	header, _ := textproto.NewReader(bufio.NewReader(bytes.NewReader(head))).ReadMIMEHeader()
-	return len(header["Content-Length"]) > 0
+	return len(header[name]) > 0
 }
 
 // body reads the body, or the beginning of a long one. Clients send one request at a time, so that bytes between a body
--- a/internal/dataplane/sidecar/requests_test.go
+++ b/internal/dataplane/sidecar/requests_test.go
@@ -241,3 +241,15 @@
 		})
 	}
 }
+
+// TestReadinessCheckWithOldChunksIsRejected guards against a readiness check whose body is taken for the next request:
+// chunks in HTTP/1.0, which net/http ignores.
+func TestReadinessCheckWithOldChunksIsRejected(t *testing.T) {
+	addr := sidecartest.HTTPEndpoint(t, func(http.ResponseWriter, *http.Request) {})
+	sidecar := startWithEndpoints(t, []string{addr})
+	got, err := exchangeRaw(t, sidecar.addr, "GET /-/ready HTTP/1.0\r\nConnection: keep-alive\r\n"+
+		"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+	if err != nil || !strings.HasPrefix(got, "HTTP/1.1 400 ") || strings.Count(got, "HTTP/1.1") != 1 {
+		t.Errorf("received %q, error %v, want one answer 400 and the end", got, err)
+	}
+}
