--- a/internal/dataplane/discovery/watch_test.go
+++ b/internal/dataplane/discovery/watch_test.go
@@ -180,3 +180,41 @@
 		})
 	}
 }
+
+// TestHeadWithoutEndIsAbandoned guards against a discovery that takes the sidecar over its memory limit by a response
+// whose head does not end: net/http reads 10 MiB of it by default, whatever the limit is.
+func TestHeadWithoutEndIsAbandoned(t *testing.T) {
+	const maxHeadBytes, transportBuffer = 16 << 10, 4 << 10
+	for name, generation := range map[string]int64{"list": discovery.NoGeneration, "watch": 7} {
+		t.Run(name, func(t *testing.T) {
+			w := discovery.NewWatcher("discovery:1", generation, 16, func(context.Context, discovery.List) {
+				t.Error("a list was received")
+			}, sidecartest.DiscardLog)
+			written := make(chan int, 1)
+			w.Dial = func(context.Context, string, string) (net.Conn, error) {
+				conn, server := net.Pipe()
+				go func() {
+					defer server.Close()
+					_, _ = sidecartest.ReadRequest(bufio.NewReader(server))
+					written <- writeUntilClosed(server, "HTTP/1.1 200 OK\r\n", "a: 1\r\n")
+				}()
+				return conn, nil
+			}
+			w.RunOnce(t.Context())
+			if n := sidecartest.Receive(t, written, "end of the head"); n > maxHeadBytes+transportBuffer {
+				t.Errorf("%d bytes of the head were read, want at most %d and a buffer", n, maxHeadBytes)
+			}
+		})
+	}
+}
+
+// writeUntilClosed writes a text and then repeats another one until the connection is closed. It returns the number of
+// bytes that were read from the connection's other end.
+func writeUntilClosed(conn net.Conn, first, repeated string) (written int) {
+	n, err := io.WriteString(conn, first)
+	for err == nil {
+		written += n
+		n, err = io.WriteString(conn, repeated)
+	}
+	return written + n
+}
--- a/internal/dataplane/discovery/watcher.go
+++ b/internal/dataplane/discovery/watcher.go
@@ -21,6 +21,9 @@
 // listMemoryDivisor divides the sidecar's memory limit to give the maximum size of a list.
 const listMemoryDivisor = 16
 
+// maxHeaderBytes bounds the head of a response of discovery.
+const maxHeaderBytes = 16 << 10
+
 var errIdle = errors.New("discovery sent no data within the timeout")
 
 // Watcher watches the endpoint list of one discovery. Its methods are not safe for concurrent use, and its exported
@@ -56,9 +59,10 @@
 	}
 	dial := func(ctx context.Context, network, addr string) (net.Conn, error) { return w.Dial(ctx, network, addr) }
 	w.client = &http.Client{Transport: &http.Transport{
-		DialContext:        dial,
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DialContext:            dial,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 	return w
 }
