Charge the memory of heads to a budget, of requests and of answers

The same holds for endpoints that stop within the head of an answer, by a test below.

Cause: a line of a few bytes becomes an entry of the parsed header, and one of the header that is forwarded; a head takes some twenty times its bytes and stays up to RequestTimeout. Connections times that is over the memory limit.

Change: headMeter estimates a head's memory as it arrives, by its bytes and lines. Up to 16 KiB of estimate (some 40 usual lines) a head is free; beyond it is charged to a budget, a twelfth of the memory limit each for requests and answers, until the request or the answer has ended. A request waits up to 250 ms for each read and is then answered 503; an answer does not wait, and its attempt ends as a spoilt one. New metric app_heads_rejected_total. Lists in header values are no longer split into slices.

TestEstimateOfHeadCoversItsMemory holds the estimate against what five forms of heads take.

--- a/internal/dataplane/bytebudget/budget.go
+++ b/internal/dataplane/bytebudget/budget.go
@@ -1,4 +1,4 @@
-// Package bytebudget bounds how many bytes of message bodies a process holds in memory at a time. It imports nothing of
+// Package bytebudget bounds how many bytes of messages a process holds in memory at a time. It imports nothing of
 // this module.
 package bytebudget
 
@@ -8,8 +8,8 @@
 	"sync"
 )
 
-// Budget bounds the bytes that are buffered at a time, of request bodies or of responses. A caller that needs more than
-// remains waits in a queue; as it reads nothing meanwhile, so does the peer that sends the bytes. It is safe for
+// Budget bounds the bytes that are buffered at a time, of bodies or heads of requests or of responses. A caller of Acquire
+// that needs more than remains waits in a queue; as it reads nothing meanwhile, so does the peer that sends the bytes. It is safe for
 // concurrent use.
 type Budget struct {
 	mu        sync.Mutex
@@ -30,8 +30,7 @@
 // whole budget is granted when no other bytes are held. Acquire returns ctx's error if ctx ends first.
 func (b *Budget) Acquire(ctx context.Context, bytes int) error {
 	b.mu.Lock()
-	if b.waiters.Len() == 0 && b.fitsLocked(bytes) {
-		b.usedBytes += bytes
+	if b.grantAtOnceLocked(bytes) {
 		b.mu.Unlock()
 		return nil
 	}
@@ -47,6 +46,24 @@
 	}
 }
 
+// TryAcquire reports whether the given number of bytes is granted at once; if so, the caller must release them. Bytes
+// are granted as by Acquire, and none while others wait.
+func (b *Budget) TryAcquire(bytes int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.grantAtOnceLocked(bytes)
+}
+
+// grantAtOnceLocked grants bytes unless others wait or they do not fit, and reports whether it did. The caller must hold
+// b.mu.
+func (b *Budget) grantAtOnceLocked(bytes int) bool {
+	if b.waiters.Len() > 0 || !b.fitsLocked(bytes) {
+		return false
+	}
+	b.usedBytes += bytes
+	return true
+}
+
 // cancelWait removes a waiter from the queue. If its bytes were granted in the meantime, it releases them.
 func (b *Budget) cancelWait(element *list.Element) {
 	b.mu.Lock()
--- a/internal/dataplane/bytebudget/budget_test.go
+++ b/internal/dataplane/bytebudget/budget_test.go
@@ -39,3 +39,23 @@
 		}
 	})
 }
+
+// TryAcquire grants bytes only if they fit at once and nobody waits for others.
+func TestTryAcquireNeitherWaitsNorOvertakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(10)
+		if !b.TryAcquire(6) || b.TryAcquire(5) || b.usedBytes != 6 {
+			t.Errorf("%d bytes used, want the first 6 of 6 and 5", b.usedBytes)
+		}
+		granted := make(chan error, 1)
+		go func() { granted <- b.Acquire(t.Context(), 8) }()
+		synctest.Wait()
+		if b.TryAcquire(1) {
+			t.Error("1 byte was granted while another caller waits")
+		}
+		b.Release(6)
+		if err := <-granted; err != nil || !b.TryAcquire(2) || b.TryAcquire(1) {
+			t.Errorf("after the release: error %v, %d bytes used, want all 10", err, b.usedBytes)
+		}
+	})
+}
--- a/internal/dataplane/config/config.go
+++ b/internal/dataplane/config/config.go
@@ -63,7 +63,7 @@
 const minClientConns = 8
 
 // bufferedMemoryDivisor divides the memory limit to give the maximum size of all buffered request bodies, and the same
-// for responses.
+// for the heads of requests, for the bodies of responses and for their heads.
 const bufferedMemoryDivisor = 12
 
 // MaxClientConns returns how many client connections may be open. As many connections to endpoints may be open, since
@@ -76,8 +76,9 @@
 // MaxUpstreamConns returns how many connections to endpoints may be open. share is as in MaxClientConns.
 func (c *Config) MaxUpstreamConns(share float64) int { return c.MaxClientConns(share) }
 
-// MaxBufferedBytes returns how many bytes of request bodies may be buffered at a time; the same number applies to
-// responses. share is as in MaxClientConns.
+// MaxBufferedBytes returns how many bytes of request bodies may be buffered at a time; the same number applies to the
+// memory of the heads of requests, to the bodies of responses and to the memory of their heads. share is as in
+// MaxClientConns.
 func (c *Config) MaxBufferedBytes(share float64) int {
 	return int(float64(c.MemoryMB<<20) * share / bufferedMemoryDivisor)
 }
--- a/internal/dataplane/httpfront/clients_test.go
+++ b/internal/dataplane/httpfront/clients_test.go
@@ -107,7 +107,7 @@
 			time.Sleep(stalledRequestTimeout + 10*time.Millisecond) // without a byte from the client
 			f.clients.evict()
 			f.bodies.Release(maxUnbudgetedBytes)
-			readAnswer(t, conn, r) // 503 after budgetTimeout on a machine that is too slow
+			readAnswer(t, conn, r) // 503 after bodyMemoryTimeout on a machine that is too slow
 		})
 	}
 }
--- a/internal/dataplane/httpfront/exchange.go
+++ b/internal/dataplane/httpfront/exchange.go
@@ -14,6 +14,7 @@
 // exchange reads one request and answers it. The request's head must be complete by headDeadline or, if that is zero,
 // within RequestTimeout of its first byte. It reports whether the connection may serve another request.
 func (s *Server) exchange(c *client, headDeadline time.Time) bool {
+	defer c.paced.head.release()
 	r, head, ok := s.readHead(c, headDeadline)
 	if !ok {
 		return false
@@ -54,24 +55,40 @@
 	arrived, _ := c.reader.Peek(c.reader.Buffered()) // it came with the request before; reads from memory, cannot fail
 	c.limit.N = int64(MaxHeaderBytes - len(arrived))
 	c.paced.readTimeout = 0
-	c.paced.startRecording(arrived)
+	err := c.paced.head.begin(arrived)
+	if err == nil {
+		c.paced.startRecording(arrived)
+		r, err = c.readRequest(headDeadline)
+		head = c.paced.stopRecording()
+	}
+	if err != nil {
+		s.rejectHead(c, err)
+		return nil, nil, false
+	}
+	return r, head, true
+}
+
+// readRequest waits for a request's first byte if headDeadline is zero, and reads the request up to its body.
+func (c *client) readRequest(headDeadline time.Time) (*http.Request, error) {
 	if headDeadline.IsZero() {
 		c.setReadDeadline(time.Now().Add(idleTimeout))
 		if _, err := c.reader.Peek(1); err != nil {
-			return nil, nil, false
+			return nil, err
 		}
 		headDeadline = time.Now().Add(RequestTimeout)
 	}
 	c.setReadDeadline(headDeadline)
-	r, err := http.ReadRequest(c.reader)
-	head = c.paced.stopRecording()
-	if err != nil {
-		if code := s.errorCode(c, err); code != 0 {
-			c.reject(code, http.StatusText(code))
-		}
-		return nil, nil, false
+	return http.ReadRequest(c.reader)
+}
+
+// rejectHead answers a request whose head could not be read, if a response is due.
+func (s *Server) rejectHead(c *client, err error) {
+	if errors.Is(err, errNoHeadMemory) {
+		s.headsRejected.Inc()
+	}
+	if code := s.errorCode(c, err); code != 0 {
+		c.reject(code, http.StatusText(code))
 	}
-	return r, head, true
 }
 
 // answerReadiness answers a readiness check with 200 or 503, and reports whether the connection may serve another
@@ -316,6 +333,8 @@
 func (s *Server) errorCode(c *client, err error) int {
 	var netErr net.Error
 	switch {
+	case errors.Is(err, errNoHeadMemory):
+		return http.StatusServiceUnavailable
 	case errors.As(err, &netErr) && netErr.Timeout():
 		if c.limit.N == MaxHeaderBytes {
 			return 0
--- a/internal/dataplane/httpfront/message.go
+++ b/internal/dataplane/httpfront/message.go
@@ -60,7 +60,7 @@
 		load[i] = float32(math.NaN())
 	}
 	found := false
-	for _, pair := range strings.Split(text, ",") {
+	for pair := range strings.SplitSeq(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
 		number, err := strconv.ParseFloat(strings.TrimSpace(value), 32)
 		if err != nil || !(number >= 0) || math.IsInf(number, 0) {
--- a/internal/dataplane/httpfront/parse.go
+++ b/internal/dataplane/httpfront/parse.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"birchmoor/balancer"
+	"birchmoor/internal/dataplane/bytebudget"
 	"birchmoor/internal/dataplane/config"
 	"birchmoor/internal/dataplane/core"
 )
@@ -202,7 +203,7 @@
 	length := r.ContentLength
 	want := int(min(uint64(length), MaxBufferedBodyBytes)) // an unknown length is -1, which yields the maximum
 	if want > maxUnbudgetedBytes {
-		if s.acquireBodyMemory(c, want) != nil {
+		if s.acquireMemory(c, s.bodies, want, bodyMemoryTimeout) != nil {
 			return newRequestError(http.StatusServiceUnavailable, "no room for the body")
 		}
 		req.BudgetBytes = want
@@ -237,14 +238,14 @@
 	return nil
 }
 
-// acquireBodyMemory charges the memory of a body to the budget, and waits for it for budgetTimeout at most. The
-// connection is not evicted as stalled meanwhile.
-func (s *Server) acquireBodyMemory(c *client, bytes int) error {
-	ctx, cancel := context.WithTimeout(context.Background(), budgetTimeout)
+// acquireMemory charges memory for a part of a request to a budget, and waits for it for timeout at most. The connection
+// is not evicted as stalled meanwhile.
+func (s *Server) acquireMemory(c *client, budget *bytebudget.Budget, bytes int, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	s.clients.setWaitingForMemory(c, true)
 	defer s.clients.setWaitingForMemory(c, false)
-	return s.bodies.Acquire(ctx, bytes)
+	return budget.Acquire(ctx, bytes)
 }
 
 // acceptExpect answers "Expect: 100-continue" before the body is read, and rejects any other expectation.
@@ -316,7 +317,7 @@
 		return true
 	}
 	for _, v := range header["Connection"] {
-		for _, named := range strings.Split(v, ",") {
+		for named := range strings.SplitSeq(v, ",") {
 			if strings.EqualFold(strings.TrimSpace(named), name) {
 				return true
 			}
--- a/internal/dataplane/httpfront/pool.go
+++ b/internal/dataplane/httpfront/pool.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"birchmoor/internal/dataplane/bytebudget"
 	"birchmoor/internal/dataplane/core"
 )
 
@@ -23,8 +24,9 @@
 	idleSince time.Time
 }
 
-func newConn(netConn net.Conn, dst *target) *conn {
-	c := &conn{Conn: netConn, target: dst, paced: pacedConn{Conn: netConn}}
+// newConn returns a connection whose answers' heads are charged to a budget.
+func newConn(netConn net.Conn, dst *target, heads *bytebudget.Budget) *conn {
+	c := &conn{Conn: netConn, target: dst, paced: pacedConn{Conn: netConn, head: headMeter{budget: heads, acquire: heads.TryAcquire}}}
 	c.limit.R = &c.paced
 	c.reader = bufio.NewReaderSize(&c.limit, endpointReadBuffer)
 	return c
@@ -52,7 +54,7 @@
 		u.conns--
 		return nil, err
 	}
-	c = newConn(netConn, dst)
+	c = newConn(netConn, dst, u.headBudget)
 	if dst.removed {
 		u.closeLocked(c) // another endpoint may listen at the address by now
 		return nil, core.ErrEndpointRemoved
--- a/internal/dataplane/httpfront/server.go
+++ b/internal/dataplane/httpfront/server.go
@@ -25,12 +25,15 @@
 	clients     *clients
 	figures     *metrics.Registry
 	bodies      *bytebudget.Budget // bytes of buffered bodies
+	heads       *bytebudget.Budget // memory of heads beyond maxUnbudgetedHead each
 	closing     atomic.Bool
 	socket      handover.Socket
 	limits      core.Limiter // quotas of the fleet; nil for none
 	log         *slog.Logger
 	allRejected rejectionEpisode
 	unwritten   *metrics.Counter // answers whose write to the client failed
+	// headsRejected counts requests that were rejected since heads took all of their memory.
+	headsRejected *metrics.Counter
 
 	mu       sync.Mutex
 	acceptor *acceptor // the latest one, which may have been stopped; nil before Open
@@ -39,10 +42,13 @@
 // NewServer returns a server that submits its requests to l. It accepts no connection before Open.
 func NewServer(c *config.Config, l *core.EventLoop, socket handover.Socket, figures *metrics.Registry,
 	log *slog.Logger) *Server {
-	s := &Server{loop: l, socket: socket, figures: figures, bodies: bytebudget.New(c.MaxBufferedBytes(1)), log: log}
+	s := &Server{loop: l, socket: socket, figures: figures, log: log}
+	s.bodies = bytebudget.New(c.MaxBufferedBytes(1))
+	s.heads = bytebudget.New(c.MaxBufferedBytes(1))
 	s.clients = newClients(c.MaxClientConns(1), s.serve, &figures.Unanswered, log)
 	s.clients.closedWhenFull = figures.NewCounter("full_total")
 	s.unwritten = figures.NewCounter("unwritten_total")
+	s.headsRejected = figures.NewCounter("heads_rejected_total")
 	return s
 }
 
@@ -77,11 +83,12 @@
 // SetClosing sets whether each answer closes its connection and readiness checks fail, as during a shutdown.
 func (s *Server) SetClosing(closing bool) { s.closing.Store(closing) }
 
-// SetCapacityShare sets this process's share of the limits on connections and buffered bodies, from 0 to 1. During an
-// upgrade, two processes share them.
+// SetCapacityShare sets this process's share of the limits on connections, buffered bodies and heads, from 0 to 1.
+// During an upgrade, two processes share them.
 func (s *Server) SetCapacityShare(c *config.Config, share float64) {
 	s.clients.resize(c.MaxClientConns(share))
 	s.bodies.Resize(c.MaxBufferedBytes(share))
+	s.heads.Resize(c.MaxBufferedBytes(share))
 }
 
 // CloseIdleFor closes connections that have had a request and have been idle for longer than age. It returns how many
@@ -101,6 +108,9 @@
 
 // serve serves a connection, one request at a time. A new connection has RequestTimeout for its first request.
 func (s *Server) serve(c *client) {
+	c.paced.head = headMeter{budget: s.heads, acquire: func(bytes int) bool {
+		return s.acquireMemory(c, s.heads, bytes, headMemoryTimeout) == nil
+	}}
 	headDeadline := time.Now().Add(RequestTimeout)
 	for s.exchange(c, headDeadline) {
 		headDeadline = time.Time{}
@@ -131,6 +141,7 @@
 	// RequestTimeout is the time for a request's head, from its first byte, or from the beginning of a new connection.
 	RequestTimeout = 2700 * time.Millisecond
 
-	budgetTimeout = 2 * time.Second  // a request waits no longer than that for memory for its body
-	idleTimeout   = 15 * time.Second // between two requests of a connection
+	bodyMemoryTimeout = 2 * time.Second        // a request waits no longer than that for memory for its body
+	headMemoryTimeout = 250 * time.Millisecond // a request waits no longer than that for memory for a part of its head
+	idleTimeout       = 15 * time.Second       // between two requests of a connection
 )
--- a/internal/dataplane/httpfront/stream.go
+++ b/internal/dataplane/httpfront/stream.go
@@ -22,9 +22,10 @@
 )
 
 // pacedConn reads from a connection with a timeout for each read, and records what it reads between startRecording and
-// stopRecording.
+// stopRecording. It counts what it reads of a head.
 type pacedConn struct {
 	net.Conn
+	head        headMeter
 	readTimeout time.Duration // 0: the connection's deadline is left as it is
 	recording   bool
 	recorded    []byte
@@ -39,6 +40,9 @@
 	if p.recording {
 		p.recorded = append(p.recorded, b[:n]...)
 	}
+	if headErr := p.head.count(b[:n]); headErr != nil {
+		return 0, headErr
+	}
 	return n, err
 }
 
--- a/internal/dataplane/httpfront/testfront_test.go
+++ b/internal/dataplane/httpfront/testfront_test.go
@@ -206,11 +206,14 @@
 }
 
 // countReading returns the number of new connections on which a request has been read in part.
-func countReading(f *testFront) (n int) {
+func countReading(f *testFront) int { return countInState(f, stateReading) }
+
+// countInState returns the number of connections without a request so far that are in a state.
+func countInState(f *testFront, state connState) (n int) {
 	f.clients.mu.Lock()
 	defer f.clients.mu.Unlock()
 	for elem := f.clients.unused.Front(); elem != nil; elem = elem.Next() {
-		if elem.Value.(*client).state == stateReading {
+		if elem.Value.(*client).state == state {
 			n++
 		}
 	}
--- a/internal/dataplane/httpfront/upstream.go
+++ b/internal/dataplane/httpfront/upstream.go
@@ -29,7 +29,8 @@
 	pause         func(ctx context.Context, d time.Duration) // sleeps for d or until ctx ends
 	sends         *metrics.Counter                           // counts attempts that were written completely
 	reports       atomic.Pointer[loadReportConfig]
-	answerBudget  *bytebudget.Budget // bounds the bytes of buffered answers
+	bodyBudget    *bytebudget.Budget // bounds the bytes of buffered answers' bodies
+	headBudget    *bytebudget.Budget // bounds the memory of answers' heads beyond maxUnbudgetedHead each
 	connectErrors core.ConnectErrors
 
 	mu            sync.Mutex
@@ -40,7 +41,8 @@
 
 // NewUpstream returns an Upstream without connections. It counts the attempts that were written completely in sends.
 func NewUpstream(c *config.Config, clk core.Clock, sends *metrics.Counter, log *slog.Logger) *Upstream {
-	u := &Upstream{clock: clk, log: log, sends: sends, answerBudget: bytebudget.New(c.MaxBufferedBytes(1)),
+	u := &Upstream{clock: clk, log: log, sends: sends,
+		bodyBudget: bytebudget.New(c.MaxBufferedBytes(1)), headBudget: bytebudget.New(c.MaxBufferedBytes(1)),
 		// Idle connections expire well before the endpoint closes them: a request that is written at that moment is
 		// lost.
 		maxIdle: c.KeepAliveTimeout * 2 / 3, maxConns: c.MaxUpstreamConns(1), idle: map[*target]struct{}{}}
@@ -102,7 +104,8 @@
 // upgrade, two processes share them.
 func (u *Upstream) SetCapacityShare(c *config.Config, share float64) {
 	u.resize(c.MaxUpstreamConns(share))
-	u.answerBudget.Resize(c.MaxBufferedBytes(share))
+	u.bodyBudget.Resize(c.MaxBufferedBytes(share))
+	u.headBudget.Resize(c.MaxBufferedBytes(share))
 }
 
 // Maintain closes unusable idle connections at intervals until ctx ends, and then all idle ones.
@@ -196,11 +199,11 @@
 		bodySent(u.clock.Now())
 	}
 	sends.Inc()
-	answer, err := c.read(ctx, u.answerBudget)
+	answer, err := c.read(ctx, u.bodyBudget)
 	reply := u.reply(balancer.Reset)
 	reply.RequestConsumed = rest != nil
 	if err == nil && answer.stream != nil && answer.code != http.StatusOK {
-		answer.releaseBudget() // the body of an error response is not needed
+		answer.bodyCharge.release() // the body of an error response is not needed
 		answer.stream = nil
 		answer.closesConnection = true
 	}
@@ -213,7 +216,7 @@
 	}
 	if !stop() || err != nil || answer.stream != nil || answer.closesConnection || c.reader.Buffered() > 0 {
 		if err == nil && answer.stream != nil {
-			answer.releaseBudget()
+			answer.releaseCharges()
 			err = context.Canceled
 		}
 		u.discard(c)
@@ -251,7 +254,7 @@
 // or discards the connection.
 func (u *Upstream) afterStream(c *conn, answer *upstreamAnswer) func(core.StreamEnd) {
 	return func(end core.StreamEnd) {
-		answer.releaseBudget()
+		answer.releaseCharges()
 		c.paced.readTimeout = 0
 		c.clearReadDeadline()
 		if end != core.StreamComplete || answer.closesConnection || c.reader.Buffered() > 0 {
--- a/internal/dataplane/httpfront/upstreamanswer.go
+++ b/internal/dataplane/httpfront/upstreamanswer.go
@@ -33,33 +33,34 @@
 	header           http.Header
 	body             []byte
 	stream           *download // a streamed body; nil if body is complete
-	budget           *bytebudget.Budget
-	budgetBytes      int  // bytes charged to budget
+	bodyCharge       charge
+	headCharge       charge
 	closesConnection bool // the connection cannot be reused after the answer
 }
 
 // Streams reports whether the answer's body is streamed.
 func (a *upstreamAnswer) Streams() bool { return a.stream != nil }
 
-// Release releases the answer's memory budget. It abandons a streamed answer, and so releases its connection.
+// Release releases the answer's charges. It abandons a streamed answer, and so releases its connection.
 func (a *upstreamAnswer) Release() {
 	if stream := a.stream; stream != nil {
 		a.stream = nil
 		stream.done(core.StreamAbandoned)
 	}
-	a.releaseBudget()
+	a.releaseCharges()
 }
 
-// releaseBudget releases what the answer is charged for. Further calls have no effect.
-func (a *upstreamAnswer) releaseBudget() {
-	a.budget.Release(a.budgetBytes)
-	a.budgetBytes = 0
+// releaseCharges releases the memory that the answer is charged for. Further calls have no effect.
+func (a *upstreamAnswer) releaseCharges() {
+	a.bodyCharge.release()
+	a.headCharge.release()
 }
 
 // read reads a complete answer, or the beginning of a streamed one, and skips interim responses. An answer that ends
 // early or whose length is ambiguous is an error, so that no other bytes are taken for a part of it. http.ReadResponse
-// is not used, since it hides that an answer has both a length and chunks.
-func (c *conn) read(ctx context.Context, budget *bytebudget.Budget) (*upstreamAnswer, error) {
+// is not used, since it hides that an answer has both a length and chunks. The body is charged to bodies.
+func (c *conn) read(ctx context.Context, bodies *bytebudget.Budget) (*upstreamAnswer, error) {
+	defer c.paced.head.release()
 	for range maxInterimAnswers {
 		c.paced.readTimeout = 0
 		c.clearReadDeadline()
@@ -74,9 +75,9 @@
 		if answer.code < 200 {
 			continue
 		}
-		answer.budget = budget
-		if err = c.body(ctx, answer); err != nil {
-			answer.releaseBudget()
+		answer.headCharge = c.paced.head.end()
+		if err = c.body(ctx, answer, bodies); err != nil {
+			answer.releaseCharges()
 		}
 		if answer.stream == nil {
 			c.paced.readTimeout = 0
@@ -89,6 +90,10 @@
 
 // head reads the status line and the headers of an answer.
 func (c *conn) head() (*upstreamAnswer, error) {
+	arrived, _ := c.reader.Peek(c.reader.Buffered()) // reads from memory, so it cannot fail
+	if err := c.paced.head.begin(arrived); err != nil {
+		return nil, err
+	}
 	text := textproto.NewReader(c.reader)
 	line, err := text.ReadLine()
 	if err != nil {
@@ -115,7 +120,7 @@
 
 // body reads the body of an answer, up to MaxBufferedBodyBytes bytes. Of a longer body, and of one of unknown length
 // that does not end within maxBufferingTime, it reads the beginning and sets the answer's stream.
-func (c *conn) body(ctx context.Context, answer *upstreamAnswer) error {
+func (c *conn) body(ctx context.Context, answer *upstreamAnswer, budget *bytebudget.Budget) error {
 	if answer.code == http.StatusNoContent || answer.code == http.StatusNotModified {
 		return nil
 	}
@@ -123,7 +128,7 @@
 	if err != nil {
 		return err
 	}
-	if err := answer.chargeBudget(ctx, length); err != nil {
+	if answer.bodyCharge, err = chargeBody(ctx, budget, length); err != nil {
 		return err
 	}
 	c.limit.N = 2*MaxBodyBytes + maxBufferedAnswerBytes // twice MaxBodyBytes leaves space for the framing of chunks
@@ -178,18 +183,17 @@
 	}
 }
 
-// chargeBudget charges the budget for the bytes of a body that are buffered: MaxBufferedBodyBytes if its length is
-// unknown, which is a negative length.
-func (a *upstreamAnswer) chargeBudget(ctx context.Context, length int64) error {
-	charge := int(min(uint64(length), MaxBufferedBodyBytes))
-	if charge <= maxUnbudgetedBytes {
-		return nil
+// chargeBody charges the budget for the bytes of a body that are buffered: MaxBufferedBodyBytes if its length is
+// unknown, which is a negative length. It waits for them until ctx ends.
+func chargeBody(ctx context.Context, budget *bytebudget.Budget, length int64) (charge, error) {
+	buffered := int(min(uint64(length), MaxBufferedBodyBytes))
+	if buffered <= maxUnbudgetedBytes {
+		return charge{}, nil
 	}
-	if err := a.budget.Acquire(ctx, charge); err != nil {
-		return err
+	if err := budget.Acquire(ctx, buffered); err != nil {
+		return charge{}, err
 	}
-	a.budgetBytes = charge
-	return nil
+	return charge{budget, buffered}, nil
 }
 
 // chunkedReader reads a chunked body and, after its last chunk, the trailer.
