Reject header names with a space: a length written so was not seen

Callers saw: such a request was served as one without a body, and a readiness check answered; the bytes of its body, sent after the answer, were read as the next request.

Change: checkFraming, of requests and of readiness checks, rejects names with a space with 400, as RFC 9112, 5.1 demands.

--- a/internal/dataplane/httpfront/parse.go
+++ b/internal/dataplane/httpfront/parse.go
@@ -106,6 +106,12 @@
 	case !r.ProtoAtLeast(1, 1) && hasField(head, "Transfer-Encoding"):
 		return newRequestError(http.StatusBadRequest, "HTTP/1.0 has no chunks")
 	}
+	for name := range r.Header {
+		// net/http takes "Content-Length : 5" for a field with another name, others for a length.
+		if strings.Contains(name, " ") {
+			return newRequestError(http.StatusBadRequest, "a header's name has a space")
+		}
+	}
 	return nil
 }
 
--- a/internal/dataplane/sidecar/requests_test.go
+++ b/internal/dataplane/sidecar/requests_test.go
@@ -150,6 +150,10 @@
 		{"old chunks", oldHead + chunked, "505"},
 		{"unknown encoding", head("Content-Length: 5", "Transfer-Encoding: xchunked") + chunked, "400"},
 		{"two lengths", head("Content-Length: 5", "Content-Length: 6") + "123456", "400"},
+		{"space before the colon of a length", head("Content-Length : 5"), "400"},
+		{"space before the colon of chunks", head("Transfer-Encoding : chunked"), "400"},
+		{"trailer without end", head("Transfer-Encoding: chunked") + "0\r\nX: " + strings.Repeat("x", 1<<20), "400"},
+		{"trailer of many fields", head("Transfer-Encoding: chunked") + "0\r\n" + strings.Repeat("a:\r\n", 1<<18), "400"},
 		{"negative length", head("Content-Length: -5"), "400"},
 		{"length with a sign", head("Content-Length: +5") + "12345", "400"},
 		{"length in words", head("Content-Length: five") + "12345", "400"},
@@ -242,14 +246,19 @@
 	}
 }
 
-// TestReadinessCheckWithOldChunksIsRejected guards against a readiness check whose body is taken for the next request:
-// chunks in HTTP/1.0, which net/http ignores.
-func TestReadinessCheckWithOldChunksIsRejected(t *testing.T) {
+// TestReadinessCheckWithFaultyFramingIsRejected guards against a readiness check whose body is taken for the next
+// request: net/http ignores chunks in HTTP/1.0, and a length or chunks with a space before the colon.
+func TestReadinessCheckWithFaultyFramingIsRejected(t *testing.T) {
 	addr := sidecartest.HTTPEndpoint(t, func(http.ResponseWriter, *http.Request) {})
 	sidecar := startWithEndpoints(t, []string{addr})
-	got, err := exchangeRaw(t, sidecar.addr, "GET /-/ready HTTP/1.0\r\nConnection: keep-alive\r\n"+
-		"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
-	if err != nil || !strings.HasPrefix(got, "HTTP/1.1 400 ") || strings.Count(got, "HTTP/1.1") != 1 {
-		t.Errorf("received %q, error %v, want one answer 400 and the end", got, err)
+	for _, text := range []string{
+		"GET /-/ready HTTP/1.0\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"GET /-/ready HTTP/1.1\r\nHost: a\r\nContent-Length : 5\r\n\r\n",
+		"GET /-/ready HTTP/1.1\r\nHost: a\r\nTransfer-Encoding : chunked\r\n\r\n",
+	} {
+		got, err := exchangeRaw(t, sidecar.addr, text)
+		if err != nil || !strings.HasPrefix(got, "HTTP/1.1 400 ") || strings.Count(got, "HTTP/1.1") != 1 {
+			t.Errorf("%q: received %q, error %v, want one answer 400 and the end", text, got, err)
+		}
 	}
 }
