--- a/internal/dataplane/bytebudget/budget.go
+++ b/internal/dataplane/bytebudget/budget.go
@@ -8,9 +8,9 @@
 	"sync"
 )
 
-// Budget bounds the bytes that are buffered at a time, of bodies or heads of requests or of responses. A caller of Acquire
-// that needs more than remains waits in a queue; as it reads nothing meanwhile, so does the peer that sends the bytes. It is safe for
-// concurrent use.
+// Budget bounds the bytes that are buffered at a time, of bodies or heads of requests or of responses. A caller of
+// Acquire that needs more than remains waits in a queue; as it reads nothing meanwhile, so does the peer that sends the
+// bytes. It is safe for concurrent use.
 type Budget struct {
 	mu        sync.Mutex
 	maxBytes  int
--- a/internal/dataplane/httpfront/exchange.go
+++ b/internal/dataplane/httpfront/exchange.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"syscall"
 	"time"
 
 	"birchmoor/internal/dataplane/core"
@@ -49,48 +48,6 @@
 // readinessPath is the path of a readiness check of the sidecar itself; it is not forwarded.
 const readinessPath = "/-/ready"
 
-// readHead reads a request up to its body. head is the request's head as it was sent; it may contain bytes of the body
-// as well. If ok is false, the client has been answered where possible, and the connection is to be closed.
-func (s *Server) readHead(c *client, headDeadline time.Time) (r *http.Request, head []byte, ok bool) {
-	arrived, _ := c.reader.Peek(c.reader.Buffered()) // it came with the request before; reads from memory, cannot fail
-	c.limit.N = int64(MaxHeaderBytes - len(arrived))
-	c.paced.readTimeout = 0
-	err := c.paced.head.begin(arrived)
-	if err == nil {
-		c.paced.startRecording(arrived)
-		r, err = c.readRequest(headDeadline)
-		head = c.paced.stopRecording()
-	}
-	if err != nil {
-		s.rejectHead(c, err)
-		return nil, nil, false
-	}
-	return r, head, true
-}
-
-// readRequest waits for a request's first byte if headDeadline is zero, and reads the request up to its body.
-func (c *client) readRequest(headDeadline time.Time) (*http.Request, error) {
-	if headDeadline.IsZero() {
-		c.setReadDeadline(time.Now().Add(idleTimeout))
-		if _, err := c.reader.Peek(1); err != nil {
-			return nil, err
-		}
-		headDeadline = time.Now().Add(RequestTimeout)
-	}
-	c.setReadDeadline(headDeadline)
-	return http.ReadRequest(c.reader)
-}
-
-// rejectHead answers a request whose head could not be read, if a response is due.
-func (s *Server) rejectHead(c *client, err error) {
-	if errors.Is(err, errNoHeadMemory) {
-		s.headsRejected.Inc()
-	}
-	if code := s.errorCode(c, err); code != 0 {
-		c.reject(code, http.StatusText(code))
-	}
-}
-
 // answerReadiness answers a readiness check with 200 or 503, and reports whether the connection may serve another
 // request.
 func (s *Server) answerReadiness(c *client, r *http.Request, head []byte) bool {
@@ -327,23 +284,3 @@
 // surplusReason is sent to a client that sends more bytes before it has its answer: the length of its body was wrong,
 // or it pipelines requests, which is not supported.
 const surplusReason = "more was sent than the request's length tells"
-
-// errorCode returns the HTTP status for an error of reading a request's head, or 0 if no response is due because the
-// client has sent nothing or has left.
-func (s *Server) errorCode(c *client, err error) int {
-	var netErr net.Error
-	switch {
-	case errors.Is(err, errNoHeadMemory):
-		return http.StatusServiceUnavailable
-	case errors.As(err, &netErr) && netErr.Timeout():
-		if c.limit.N == MaxHeaderBytes {
-			return 0
-		}
-		return http.StatusRequestTimeout
-	case c.limit.N <= 0:
-		return http.StatusRequestHeaderFieldsTooLarge
-	case errors.Is(err, io.EOF), errors.Is(err, net.ErrClosed), errors.Is(err, syscall.ECONNRESET):
-		return 0
-	}
-	return http.StatusBadRequest
-}
--- a/internal/dataplane/httpfront/headmeter_test.go
+++ b/internal/dataplane/httpfront/headmeter_test.go
@@ -187,8 +187,8 @@
 	})
 }
 
-// TestHeadWithoutMemoryIsAnswered guards against a request whose connection is closed without an answer since there is no
-// memory for its head, wherever on its connection the request stands.
+// TestHeadWithoutMemoryIsAnswered guards against a request whose connection is closed without an answer since there is
+// no memory for its head, wherever on its connection the request stands.
 func TestHeadWithoutMemoryIsAnswered(t *testing.T) {
 	endpoint := sidecartest.HTTPEndpoint(t, func(http.ResponseWriter, *http.Request) {})
 	long := sidecartest.IdempotentRequest(900_000)
--- a/internal/dataplane/httpfront/parse.go
+++ b/internal/dataplane/httpfront/parse.go
@@ -1,8 +1,6 @@
 package httpfront
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -10,7 +8,6 @@
 	"io"
 	"math"
 	"net/http"
-	"net/textproto"
 	"slices"
 	"strconv"
 	"strings"
@@ -97,49 +94,6 @@
 	return req, nil
 }
 
-// checkFraming rejects a request whose body has one length by one of its headers, and another one by another header or
-// to a server that does not know this header. Such a body may hide a request (request smuggling).
-func checkFraming(r *http.Request, head []byte) error {
-	switch {
-	case len(r.TransferEncoding) > 0 && hasField(head, "Content-Length"):
-		return newRequestError(http.StatusBadRequest, "a Content-Length or chunks, not both")
-	case !r.ProtoAtLeast(1, 1) && hasField(head, "Transfer-Encoding"):
-		return newRequestError(http.StatusBadRequest, "HTTP/1.0 has no chunks")
-	}
-	for name := range r.Header {
-		// net/http takes "Content-Length : 5" for a field with another name, others for a length.
-		if strings.Contains(name, " ") {
-			return newRequestError(http.StatusBadRequest, "a header's name has a space")
-		}
-	}
-	return nil
-}
-
-// checkHead checks what does not depend on the configuration: version, framing, target and the form of headers.
-func checkHead(r *http.Request, head []byte) error {
-	if !r.ProtoAtLeast(1, 1) || r.ProtoMajor != 1 {
-		return newRequestError(http.StatusHTTPVersionNotSupported, "this version of HTTP is not spoken here")
-	}
-	if err := checkFraming(r, head); err != nil {
-		return err
-	}
-	switch {
-	case r.ContentLength > MaxBodyBytes:
-		return newRequestError(http.StatusRequestEntityTooLarge, "the body is over %d bytes", MaxBodyBytes)
-	case !strings.HasPrefix(r.RequestURI, "/"):
-		return newRequestError(http.StatusBadRequest, "the target must be a path")
-	case !isVisibleASCII(r.Host):
-		return newRequestError(http.StatusBadRequest, "Host makes no sense")
-	}
-	for _, name := range []string{"X-Trace-Id", "X-Qos", "X-Expires-In-Ms", "Idempotency-Key"} {
-		values := r.Header[name]
-		if len(values) > 1 || len(values) == 1 && !isVisibleASCII(values[0]) {
-			return newRequestError(http.StatusBadRequest, "%s makes no sense", name)
-		}
-	}
-	return nil
-}
-
 // classOf returns the index of a request's class. The first part of the path names it; if header X-Qos is set as well,
 // both must agree.
 func classOf(config *config.Config, r *http.Request) (int, error) {
@@ -191,14 +145,6 @@
 	return min(class.Timeout, int64(min(ms, math.MaxInt32))*1000), nil
 }
 
-// hasField reports whether a request's head has a field. http.ReadRequest drops a Content-Length if the body is chunked,
-// and a Transfer-Encoding in HTTP/1.0. name is in canonical form.
-func hasField(head []byte, name string) bool {
-	_, head, _ = bytes.Cut(head, []byte("\n"))
-	header, _ := textproto.NewReader(bufio.NewReader(bytes.NewReader(head))).ReadMIMEHeader()
-	return len(header[name]) > 0
-}
-
 // body reads the body, or the beginning of a long one. Clients send one request at a time, so that bytes between a body
 // and the answer mean that the announced length is wrong: such a request is rejected, since the endpoint would answer a
 // part of the body.
--- a/internal/dataplane/httpfront/pool.go
+++ b/internal/dataplane/httpfront/pool.go
@@ -26,7 +26,8 @@
 
 // newConn returns a connection whose answers' heads are charged to a budget.
 func newConn(netConn net.Conn, dst *target, heads *bytebudget.Budget) *conn {
-	c := &conn{Conn: netConn, target: dst, paced: pacedConn{Conn: netConn, head: headMeter{budget: heads, acquire: heads.TryAcquire}}}
+	c := &conn{Conn: netConn, target: dst}
+	c.paced = pacedConn{Conn: netConn, head: headMeter{budget: heads, acquire: heads.TryAcquire}}
 	c.limit.R = &c.paced
 	c.reader = bufio.NewReaderSize(&c.limit, endpointReadBuffer)
 	return c
