End the wait for a head's memory at the head's deadline

Callers could see: a client with a head without end answered up to 2.95 s after it connected, where 3 s are owed and a sidecar may be held up for 0.15 s. Found by reading; it needs the budget of heads to be full.

Cause: a wait for memory that began just before the head's deadline, 2.7 s, lasted its whole 250 ms.

Change: the wait ends with the deadline, which the connection keeps while it reads a head.

Measured: TestWaitForHeadMemoryEndsWithHeadDeadline, on a controlled clock, waited 250 ms without the bound where 50 ms or nothing was left, and passes with it; so do the package's tests with the race detector.

--- a/internal/dataplane/httpfront/clients.go
+++ b/internal/dataplane/httpfront/clients.go
@@ -40,8 +40,9 @@
 	reader  *bufio.Reader
 
 	// Used by the owner only.
-	hasRequest bool // a request is open or the connection is ending, so that reads need not hold clients.mu
-	lingered   bool // what the client sent after the last request has been discarded
+	headDeadline time.Time // by which the head being read must be complete; zero before its first byte
+	hasRequest   bool      // a request is open or the connection is ending, so that reads need not hold clients.mu
+	lingered     bool      // what the client sent after the last request has been discarded
 
 	// Guarded by clients.mu.
 	state            connState
--- a/internal/dataplane/httpfront/headmeter_test.go
+++ b/internal/dataplane/httpfront/headmeter_test.go
@@ -12,6 +12,8 @@
 	"runtime"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"birchmoor/balancer"
 	"birchmoor/internal/dataplane/bytebudget"
@@ -241,6 +243,40 @@
 	}
 }
 
+// TestWaitForHeadMemoryEndsWithHeadDeadline guards against a client that gets the answer to a head without end late,
+// because the head begins to wait for memory just before its deadline.
+func TestWaitForHeadMemoryEndsWithHeadDeadline(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		hasLeft bool
+		left    time.Duration // until the head's deadline; used if hasLeft is set
+		want    time.Duration
+	}{
+		{"no byte before", false, 0, headMemoryTimeout},
+		{"long before the deadline", true, RequestTimeout, headMemoryTimeout},
+		{"just before the deadline", true, headMemoryTimeout / 5, headMemoryTimeout / 5},
+		{"after the deadline", true, -time.Second, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &Server{heads: bytebudget.New(1), clients: newClients(1, nil, nil, sidecartest.DiscardLog)}
+				s.heads.TryAcquire(1)
+				c := &client{}
+				if tc.hasLeft {
+					c.headDeadline = time.Now().Add(tc.left)
+				}
+				startedAt := time.Now()
+				if s.acquireHeadMemory(c, 1) {
+					t.Error("memory was granted beyond the budget")
+				}
+				if waited := time.Since(startedAt); waited != tc.want {
+					t.Errorf("waited %v, want %v", waited, tc.want)
+				}
+			})
+		})
+	}
+}
+
 // TestHeadsOfAnswersAreCharged guards against endpoints that take the sidecar over its memory limit by heads of answers
 // that have many lines: each was read up to 128 KiB, and no budget counted them.
 func TestHeadsOfAnswersAreCharged(t *testing.T) {
--- a/internal/dataplane/httpfront/requesthead.go
+++ b/internal/dataplane/httpfront/requesthead.go
@@ -19,10 +19,11 @@
 	arrived, _ := c.reader.Peek(c.reader.Buffered()) // it came with the request before; reads from memory, cannot fail
 	c.limit.N = int64(MaxHeaderBytes - len(arrived))
 	c.paced.readTimeout = 0
+	c.headDeadline = headDeadline
 	err := c.paced.head.begin(arrived)
 	if err == nil {
 		c.paced.startRecording(arrived)
-		r, err = c.readRequest(headDeadline)
+		r, err = c.readRequest()
 		head = c.paced.stopRecording()
 	}
 	if err != nil {
@@ -32,19 +33,29 @@
 	return r, head, true
 }
 
-// readRequest waits for a request's first byte if headDeadline is zero, and reads the request up to its body.
-func (c *client) readRequest(headDeadline time.Time) (*http.Request, error) {
-	if headDeadline.IsZero() {
+// readRequest waits for a request's first byte if c.headDeadline is zero, and reads the request up to its body.
+func (c *client) readRequest() (*http.Request, error) {
+	if c.headDeadline.IsZero() {
 		c.setReadDeadline(time.Now().Add(idleTimeout))
 		if _, err := c.reader.Peek(1); err != nil {
 			return nil, err
 		}
-		headDeadline = time.Now().Add(RequestTimeout)
+		c.headDeadline = time.Now().Add(RequestTimeout)
 	}
-	c.setReadDeadline(headDeadline)
+	c.setReadDeadline(c.headDeadline)
 	return http.ReadRequest(c.reader)
 }
 
+// acquireHeadMemory charges memory for a part of a head, and reports whether it was granted. It waits for
+// headMemoryTimeout at most, and not past the head's deadline, by which the client is to have its answer.
+func (s *Server) acquireHeadMemory(c *client, bytes int) bool {
+	timeout := headMemoryTimeout
+	if !c.headDeadline.IsZero() {
+		timeout = min(timeout, time.Until(c.headDeadline))
+	}
+	return s.acquireMemory(c, s.heads, bytes, timeout) == nil
+}
+
 // rejectHead answers a request whose head could not be read, if a response is due.
 func (s *Server) rejectHead(c *client, err error) {
 	if errors.Is(err, errNoHeadMemory) {
--- a/internal/dataplane/httpfront/server.go
+++ b/internal/dataplane/httpfront/server.go
@@ -108,9 +108,7 @@
 
 // serve serves a connection, one request at a time. A new connection has RequestTimeout for its first request.
 func (s *Server) serve(c *client) {
-	c.paced.head = headMeter{budget: s.heads, acquire: func(bytes int) bool {
-		return s.acquireMemory(c, s.heads, bytes, headMemoryTimeout) == nil
-	}}
+	c.paced.head = headMeter{budget: s.heads, acquire: func(bytes int) bool { return s.acquireHeadMemory(c, bytes) }}
 	headDeadline := time.Now().Add(RequestTimeout)
 	for s.exchange(c, headDeadline) {
 		headDeadline = time.Time{}
