Test that an answer's trailer which reaches the answer's bound fails the answer

The check in chunkedReader had no test that fails without it. With the check taken out the new test gets no error: the bound was taken for the end of the connection. With it, it passes.

--- a/internal/dataplane/httpfront/trailer_test.go
+++ b/internal/dataplane/httpfront/trailer_test.go
@@ -3,15 +3,18 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"net/http/httputil"
 	"runtime"
 	"strings"
 	"testing"
 	"time"
 
 	"birchmoor/balancer"
+	"birchmoor/internal/dataplane/bytebudget"
 	"birchmoor/internal/dataplane/core"
 	"birchmoor/internal/testutil/sidecartest"
 )
@@ -170,3 +173,15 @@
 		})
 	}
 }
+
+// TestTrailerAtBoundOfAnswerFails guards against the bound of an answer that is taken for the end of its connection, and
+// so for the end of its trailer.
+func TestTrailerAtBoundOfAnswerFails(t *testing.T) {
+	const answer = "2\r\nok\r\n0\r\n"
+	c := newConn(&endlessConn{prefix: answer, repeated: "a: 1\r\n"}, newTarget("endpoint"), bytebudget.New(1))
+	c.limit.N = int64(len(answer))
+	body := &chunkedReader{chunks: httputil.NewChunkedReader(c.reader), conn: c}
+	if _, err := io.ReadAll(body); !errors.Is(err, errAnswerTooLarge) {
+		t.Errorf("error %v, want %v", err, errAnswerTooLarge)
+	}
+}
