Log why an attempt or a request ended, with ids, and count what ended half way

Three log lines say it now, ten of each a second at most and with a count of those left out: attempts that end without an answer (id, endpoint, phase, cause, bytes), requests that end without being served, and requests that are not accepted. Four counters beside them: answers ended while they arrived, streamed answers that broke off or were not taken, and long bodies that were not forwarded. The line about overdue requests names some of them.

--- a/internal/dataplane/core/actions.go
+++ b/internal/dataplane/core/actions.go
@@ -54,7 +54,7 @@
 	if attempt.gate.close() {
 		status = balancer.NotSent
 	}
-	attempt.cancel()
+	attempt.cancel(ErrAttemptCancelled)
 	now := l.clock.Now()
 	l.setTimer(now, func(now balancer.Micros) { l.attemptEnded(now, attempt, Reply{Status: status, At: now}) })
 }
--- a/internal/dataplane/core/attempts.go
+++ b/internal/dataplane/core/attempts.go
@@ -11,7 +11,7 @@
 // from the list in the meantime: the attempt then ends as NotSent. A timeout of 0 leaves only the client's deadline.
 func (l *EventLoop) startAttempt(request *Request, endpoint *endpointState, number uint32, timeout balancer.Micros) {
 	now := l.clock.Now()
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
 	attempt := &attemptState{
 		request:     request,
 		number:      len(request.attempts),
@@ -142,7 +142,7 @@
 		attempt.phase = attemptLateReply
 	} else {
 		attempt.phase = attemptDone
-		attempt.cancel()
+		attempt.cancel(cancelCause(reply.Status))
 	}
 	l.stopTimer(attempt.timeout)
 	request.openAttempts--
@@ -165,6 +165,15 @@
 	})
 }
 
+// cancelCause returns the cause that ends the context of an attempt with the given outcome. It has an effect only if
+// Target.Send has not returned: the attempt was cancelled or timed out.
+func cancelCause(outcome balancer.Status) error {
+	if outcome == balancer.Cancelled {
+		return ErrAttemptCancelled
+	}
+	return ErrAttemptTimedOut
+}
+
 // replyAfterOutcome handles the result of an attempt whose outcome the module already has. A complete reply after the
 // attempt's timeout still answers a request that has no answer yet, if the transport accepts late replies.
 func (l *EventLoop) replyAfterOutcome(now balancer.Micros, attempt *attemptState, reply Reply) {
--- a/internal/dataplane/core/request.go
+++ b/internal/dataplane/core/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"slices"
 	"sync/atomic"
@@ -82,6 +83,12 @@
 	attemptLateReply                     // the module has a timeout as its outcome, but a late reply is still accepted
 )
 
+// Causes that end an attempt's context before Target.Send has returned.
+var (
+	ErrAttemptTimedOut  = errors.New("the attempt timed out")
+	ErrAttemptCancelled = errors.New("the attempt was cancelled")
+)
+
 // attemptState is an attempt in the loop: one call of Target.Send on a goroutine of its own, which posts one result to
 // the loop. The loop passes one outcome on to the module.
 type attemptState struct {
@@ -93,7 +100,7 @@
 	deadline    balancer.Micros
 	timeout     *timer // fires at deadline; nil if the attempt is never sent
 	gate        gate
-	cancel      context.CancelFunc
+	cancel      context.CancelCauseFunc
 	sendDone    chan struct{} // closed once Target.Send has returned
 
 	phase     attemptPhase
--- a/internal/dataplane/core/requests.go
+++ b/internal/dataplane/core/requests.go
@@ -97,7 +97,7 @@
 		case attemptOpen:
 			attempt.gate.close()
 		case attemptLateReply:
-			attempt.cancel()
+			attempt.cancel(ErrAttemptCancelled)
 		case attemptDone:
 		}
 	}
--- a/internal/dataplane/httpfront/answer.go
+++ b/internal/dataplane/httpfront/answer.go
@@ -43,6 +43,9 @@
 	r := responseTo(answer)
 	if answer.StreamEnded == nil {
 		s.countEnd(req, answer.Disposition)
+		if answer.Disposition != core.Served {
+			s.logRequestEnd(c, req, endOf(answer.Disposition), 0)
+		}
 		written := s.write(c, r, last)
 		answer.Discard()
 		s.clients.endRequest(c)
@@ -50,17 +53,19 @@
 	}
 	s.clients.answerStarted(c)
 	stream := answer.Reply.Content.(*upstreamAnswer).stream
-	end := core.StreamAbandoned
+	end, sent := core.StreamAbandoned, int64(0)
 	c.setWriteDeadline(time.Now().Add(maxStreamStall))
 	if _, err := c.Write(r.head(stream.length, last)); err != nil {
 		s.unwritten.Inc()
 	} else {
-		end = stream.copyTo(c, func() { c.setWriteDeadline(time.Now().Add(maxStreamStall)) })
+		end, sent = stream.copyTo(c, func() { c.setWriteDeadline(time.Now().Add(maxStreamStall)) })
 	}
 	stream.done(end)
 	answer.StreamEnded(end)
 	if end != core.StreamComplete {
 		s.countEnd(req, core.Failed)
+		s.countStreamEnd(end)
+		s.logRequestEnd(c, req, endOfStream(end), sent)
 		return false // the client sees from the missing end of the body that the request failed
 	}
 	s.countEnd(req, core.Served)
@@ -68,6 +73,15 @@
 	return !last
 }
 
+// countStreamEnd counts a streamed answer that did not reach its client completely.
+func (s *Server) countStreamEnd(end core.StreamEnd) {
+	if end == core.StreamCut {
+		s.answersCut.Inc()
+		return
+	}
+	s.answersUnread.Inc()
+}
+
 // write writes a complete final answer and reports whether that succeeded. A failure is counted in unwritten.
 func (s *Server) write(c *client, r *response, last bool) bool {
 	written := c.write(r, last)
--- a/internal/dataplane/httpfront/clients.go
+++ b/internal/dataplane/httpfront/clients.go
@@ -40,9 +40,10 @@
 	reader  *bufio.Reader
 
 	// Used by the owner only.
-	headDeadline time.Time // by which the head being read must be complete; zero before its first byte
-	hasRequest   bool      // a request is open or the connection is ending, so that reads need not hold clients.mu
-	lingered     bool      // what the client sent after the last request has been discarded
+	headDeadline  time.Time // by which the head being read must be complete; zero before its first byte
+	requestReadAt time.Time // when the head of the current request had been read
+	hasRequest    bool      // a request is open or the connection is ending, so that reads need not hold clients.mu
+	lingered      bool      // what the client sent after the last request has been discarded
 
 	// Guarded by clients.mu.
 	state            connState
@@ -52,6 +53,7 @@
 	element          *list.Element // the connection's element in list
 	list             *list.List    // the list of clients that holds the connection
 	listedSince      time.Time     // when the connection was added to list
+	requestID        string        // of the open request, once it is complete
 	dueAt            time.Time     // when the open request counts as unanswered; zero while it cannot
 
 	lastReadAt atomic.Int64 // Unix microseconds; 0: never
@@ -75,6 +77,7 @@
 	closedWhenFull  *metrics.Counter // new connections closed at once, since all others have open requests
 	unanswered      *metrics.Counter // requests that were not answered in time; see unansweredGrace
 	unloggedOverdue int              // requests counted in unanswered but not logged yet
+	overdueIDs      []string         // of some of them
 	overdueTimer    *time.Timer      // calls reportOverdue
 	timerRunning    bool             // overdueTimer is armed
 }
--- a/internal/dataplane/httpfront/download.go
+++ b/internal/dataplane/httpfront/download.go
@@ -18,48 +18,51 @@
 	done      func(end core.StreamEnd)
 }
 
-// copyTo copies the body to the client, as chunks if its length is unknown, and returns how that ended. It calls
-// progress before each write.
-func (d *download) copyTo(w io.Writer, progress func()) core.StreamEnd {
+// copyTo copies the body to the client, as chunks if its length is unknown. It returns how that ended, and how many
+// bytes of the body were written. It calls progress before each write.
+func (d *download) copyTo(w io.Writer, progress func()) (end core.StreamEnd, sent int64) {
 	bodyWriter := w
 	var chunks io.WriteCloser
 	if d.length < 0 {
 		chunks = httputil.NewChunkedWriter(w)
 		bodyWriter = chunks
 	}
+	write := func(piece []byte) error {
+		if len(piece) == 0 {
+			return nil
+		}
+		progress()
+		n, err := bodyWriter.Write(piece)
+		sent += int64(n)
+		return err
+	}
 	piece := d.beginning
 	var total int64
 	for {
-		if len(piece) > 0 {
-			progress()
-			if _, err := bodyWriter.Write(piece); err != nil {
-				return core.StreamAbandoned
-			}
+		if err := write(piece); err != nil {
+			return core.StreamAbandoned, sent
 		}
 		n, err := d.rest.Read(d.buf)
 		piece = d.buf[:n]
 		total += int64(n)
 		if total > MaxBodyBytes {
-			return core.StreamCut
+			return core.StreamCut, sent
 		}
 		if errors.Is(err, io.EOF) {
-			if n > 0 {
-				progress()
-				if _, err := bodyWriter.Write(piece); err != nil {
-					return core.StreamAbandoned
-				}
+			if err := write(piece); err != nil {
+				return core.StreamAbandoned, sent
 			}
 			break
 		}
 		if err != nil {
-			return core.StreamCut
+			return core.StreamCut, sent
 		}
 	}
 	if chunks != nil {
 		progress()
 		if _, err := io.WriteString(w, "0\r\n\r\n"); err != nil {
-			return core.StreamAbandoned
+			return core.StreamAbandoned, sent
 		}
 	}
-	return core.StreamComplete
+	return core.StreamComplete, sent
 }
--- a/internal/dataplane/httpfront/exchange.go
+++ b/internal/dataplane/httpfront/exchange.go
@@ -26,6 +26,7 @@
 		defer func() { s.bodies.Release(req.BudgetBytes) }()
 	}
 	if err != nil {
+		s.logRejected(c, errorStatus(err), err.Error())
 		c.reject(errorStatus(err), err.Error())
 		return false
 	}
@@ -52,6 +53,7 @@
 // request.
 func (s *Server) answerReadiness(c *client, r *http.Request, head []byte) bool {
 	if err := checkFraming(r, head); err != nil {
+		s.logRejected(c, errorStatus(err), err.Error())
 		c.reject(errorStatus(err), err.Error())
 		return false
 	}
@@ -134,6 +136,8 @@
 		s.loop.ClientDisconnected(req)
 		answer := <-req.Answer
 		answer.Discard()
+		s.bodiesFailed.Inc()
+		s.logRequestEnd(x.client, req, requestEnd(bodyErr.Error()), 0)
 		s.rejectBody(x.client, bodyErr)
 		return false
 	}
@@ -161,6 +165,7 @@
 	if err := <-x.clientWatch; err == nil {
 		answer.Discard()
 		s.countEnd(req, core.Failed)
+		s.logRequestEnd(c, req, endSurplusBytes, 0)
 		c.reject(http.StatusBadRequest, surplusReason)
 		return false
 	}
@@ -180,7 +185,10 @@
 	}
 	answer.Discard()
 	s.countEnd(req, core.Failed)
-	if err == nil {
+	if err != nil {
+		s.logRequestEnd(c, req, endClientLeft, 0)
+	} else {
+		s.logRequestEnd(c, req, endSurplusBytes, 0)
 		c.reject(http.StatusBadRequest, surplusReason)
 	}
 	return false
@@ -225,7 +233,7 @@
 // requestComplete records that the last byte of a request has arrived: the request is in flight from now on, and its
 // deadline is known. It returns the watch for its client.
 func (s *Server) requestComplete(c *client, req *core.Request) <-chan error {
-	s.clients.expect(c, time.Duration(req.TimeAfterBody)*time.Microsecond+maxAnswerMargin)
+	s.clients.expect(c, req.ID, time.Duration(req.TimeAfterBody)*time.Microsecond+maxAnswerMargin)
 	c.paced.readTimeout = 0
 	s.figures.InFlight.Add(1)
 	return c.watch()
@@ -240,6 +248,8 @@
 	}
 	s.figures.InFlight.Add(1)
 	s.countEnd(req, answer.Disposition)
+	s.bodiesFailed.Inc()
+	s.logRequestEnd(c, req, endOf(answer.Disposition), 0)
 	s.write(c, responseTo(answer), true)
 	bodyUpload := req.Payload.(*message).upload
 	bodyUpload.endWatch()
--- a/internal/dataplane/httpfront/overdue.go
+++ b/internal/dataplane/httpfront/overdue.go
@@ -5,6 +5,7 @@
 const (
 	unansweredGrace = 500 * time.Millisecond // from a request's deadline until it counts as unanswered
 	overdueInterval = time.Second            // between two scans for such requests
+	maxOverdueIDs   = 5                      // of requests that a log line names
 )
 
 // overdueLocked counts the open request of a connection, once, if it has no answer unansweredGrace after its deadline.
@@ -13,6 +14,9 @@
 		return
 	}
 	k.unloggedOverdue++
+	if len(k.overdueIDs) < maxOverdueIDs {
+		k.overdueIDs = append(k.overdueIDs, c.requestID)
+	}
 	c.dueAt = time.Time{}
 	k.unanswered.Inc()
 }
@@ -24,15 +28,16 @@
 	for elem := k.active.Front(); elem != nil; elem = elem.Next() {
 		k.overdueLocked(elem.Value.(*client), now)
 	}
-	overdue, open := k.unloggedOverdue, k.active.Len()
+	overdue, ids, open := k.unloggedOverdue, k.overdueIDs, k.active.Len()
 	k.unloggedOverdue = 0
+	k.overdueIDs = nil
 	k.timerRunning = open > 0
 	if k.timerRunning {
 		k.overdueTimer.Reset(overdueInterval)
 	}
 	k.mu.Unlock()
 	if overdue > 0 {
-		k.log.Warn("requests had no answer half a second after their deadlines", "requests", overdue, "open", open)
+		k.log.Warn("requests had no answer half a second after their deadlines", "requests", overdue, "open", open, "ids", ids)
 	}
 }
 
@@ -48,10 +53,12 @@
 	k.timerRunning = true
 }
 
-// expect records that the client of a complete request waits for its answer for left from now on.
-func (k *clients) expect(c *client, left time.Duration) {
+// expect records that the client of a complete request, which has the given ID, waits for its answer for left from now
+// on.
+func (k *clients) expect(c *client, id string, left time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	c.requestID = id
 	c.dueAt = time.Now().Add(left + unansweredGrace)
 }
 
--- a/internal/dataplane/httpfront/overdue_test.go
+++ b/internal/dataplane/httpfront/overdue_test.go
@@ -42,7 +42,7 @@
 				var countedWhileOpen atomic.Uint64
 				k.serve = func(c *client) {
 					k.beginRequest(c)
-					k.expect(c, timeLeft)
+					k.expect(c, "1", timeLeft)
 					time.Sleep(tc.ends)
 					countedWhileOpen.Store(unanswered.Value())
 					tc.how(k, c)
--- a/internal/dataplane/httpfront/requesthead.go
+++ b/internal/dataplane/httpfront/requesthead.go
@@ -19,6 +19,7 @@
 	arrived, _ := c.reader.Peek(c.reader.Buffered()) // it came with the request before; reads from memory, cannot fail
 	c.limit.N = int64(MaxHeaderBytes - len(arrived))
 	c.paced.readTimeout = 0
+	c.paced.received = len(arrived)
 	c.headDeadline = headDeadline
 	err := c.paced.head.begin(arrived)
 	if err == nil {
@@ -30,6 +31,7 @@
 		s.rejectHead(c, err)
 		return nil, nil, false
 	}
+	c.requestReadAt = time.Now()
 	return r, head, true
 }
 
@@ -62,6 +64,7 @@
 		s.headsRejected.Inc()
 	}
 	if code := s.errorCode(c, err); code != 0 {
+		s.logRejected(c, code, err.Error())
 		c.reject(code, http.StatusText(code))
 	}
 }
--- a/internal/dataplane/httpfront/server.go
+++ b/internal/dataplane/httpfront/server.go
@@ -34,6 +34,11 @@
 	unwritten   *metrics.Counter // answers whose write to the client failed
 	// headsRejected counts requests that were rejected since heads took all of their memory.
 	headsRejected *metrics.Counter
+	requestEvents *eventLog        // requests that ended without being served
+	rejectEvents  *eventLog        // requests that were not accepted
+	answersCut    *metrics.Counter // streamed answers that the endpoint broke off
+	answersUnread *metrics.Counter // streamed answers that the client did not take to the end
+	bodiesFailed  *metrics.Counter // streamed bodies that were not forwarded to their end
 
 	mu       sync.Mutex
 	acceptor *acceptor // the latest one, which may have been stopped; nil before Open
@@ -49,6 +54,11 @@
 	s.clients.closedWhenFull = figures.NewCounter("full_total")
 	s.unwritten = figures.NewCounter("unwritten_total")
 	s.headsRejected = figures.NewCounter("heads_rejected_total")
+	s.answersCut = figures.NewCounter("answers_cut_total")
+	s.answersUnread = figures.NewCounter("answers_unread_total")
+	s.bodiesFailed = figures.NewCounter("bodies_failed_total")
+	s.requestEvents = newEventLog(log, "request ended without being served")
+	s.rejectEvents = newEventLog(log, "request not accepted")
 	return s
 }
 
--- a/internal/dataplane/httpfront/stream.go
+++ b/internal/dataplane/httpfront/stream.go
@@ -29,6 +29,7 @@
 	readTimeout time.Duration // 0: the connection's deadline is left as it is
 	recording   bool
 	recorded    []byte
+	received    int // bytes read since the owner last set it to 0
 }
 
 // Read implements io.Reader.
@@ -37,6 +38,7 @@
 		_ = p.SetReadDeadline(time.Now().Add(p.readTimeout)) // fails on a closed connection, as the read does
 	}
 	n, err := p.Conn.Read(b)
+	p.received += n
 	if p.recording {
 		p.recorded = append(p.recorded, b[:n]...)
 	}
--- a/internal/dataplane/httpfront/testfront_test.go
+++ b/internal/dataplane/httpfront/testfront_test.go
@@ -71,7 +71,7 @@
 	figures := metrics.New(c.Classes...)
 	f := &testFront{dials: make(chan string, 64)}
 	clk := core.NewClock()
-	f.upstream = NewUpstream(c, clk, &figures.AttemptsSent, sidecartest.DiscardLog)
+	f.upstream = NewUpstream(c, clk, figures, sidecartest.DiscardLog)
 	f.upstream.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		f.mu.Lock()
 		released := f.dialsReleased
--- a/internal/dataplane/httpfront/upload.go
+++ b/internal/dataplane/httpfront/upload.go
@@ -36,6 +36,8 @@
 	errSlowBody = errors.New("the body comes too slowly")
 	errLongBody = errors.New("the body is too long")
 	errHalted   = errors.New("the body is not wanted any more")
+
+	errBodyConsumed = errors.New("another attempt has read the body")
 )
 
 // bodyError is a client's body that did not arrive as announced. No endpoint is the cause.
@@ -48,9 +50,9 @@
 func (e *bodyError) Unwrap() error { return e.err }
 
 // copyTo copies the rest of the body to an endpoint through buf, and reports its result. sentBytes is the number of
-// bytes of the body that were sent before. A *bodyError means that the client is the cause; any other error, the
+// bytes of the body that were sent before; total, with those that were copied. A *bodyError means that the client is the cause; any other error, the
 // endpoint.
-func (u *upload) copyTo(c net.Conn, sentBytes int, buf []byte) (err error) {
+func (u *upload) copyTo(c net.Conn, sentBytes int, buf []byte) (total int, err error) {
 	defer close(u.readEnded)
 	defer func() { u.reportEnd(err) }()
 	var w io.Writer = c
@@ -60,10 +62,10 @@
 		w = chunks
 	}
 	startedAt := time.Now()
-	total := sentBytes
+	total = sentBytes
 	for {
 		if u.halted.Load() {
-			return &bodyError{errHalted}
+			return total, &bodyError{errHalted}
 		}
 		n, err := u.body.Read(buf)
 		total += n
@@ -74,12 +76,12 @@
 			err = errSlowBody
 		}
 		if err != nil && !errors.Is(err, io.EOF) {
-			return &bodyError{err}
+			return total, &bodyError{err}
 		}
 		if n > 0 {
 			setWriteDeadline(c, maxStreamStall)
 			if _, err := w.Write(buf[:n]); err != nil {
-				return fmt.Errorf("write body: %w", err)
+				return total, fmt.Errorf("write body: %w", err)
 			}
 		}
 		if errors.Is(err, io.EOF) {
@@ -87,16 +89,16 @@
 		}
 	}
 	if u.length >= 0 && int64(total) != u.length {
-		return &bodyError{io.ErrUnexpectedEOF}
+		return total, &bodyError{io.ErrUnexpectedEOF}
 	}
 	if chunks != nil {
 		setWriteDeadline(c, maxStreamStall)
 		if _, err := io.WriteString(c, "0\r\n\r\n"); err != nil {
-			return fmt.Errorf("write body: %w", err)
+			return total, fmt.Errorf("write body: %w", err)
 		}
 	}
 	setWriteDeadline(c, 0)
-	return nil
+	return total, nil
 }
 
 // setWriteDeadline sets the deadline of writes to timeout from now; 0 removes it. Its error is ignored: it fails only
--- a/internal/dataplane/httpfront/upstream.go
+++ b/internal/dataplane/httpfront/upstream.go
@@ -32,6 +32,8 @@
 	bodyBudget    *bytebudget.Budget // bounds the bytes of buffered answers' bodies
 	headBudget    *bytebudget.Budget // bounds the memory of answers' heads beyond maxUnbudgetedHead each
 	connectErrors core.ConnectErrors
+	attemptEvents *eventLog        // attempts that ended without an answer
+	answersEnded  *metrics.Counter // counts answers that had begun to arrive when the sidecar ended their attempts
 
 	mu            sync.Mutex
 	unsolicitedAt time.Time            // when an endpoint last sent unsolicited bytes; zero: never
@@ -39,10 +41,12 @@
 	idle          map[*target]struct{} // targets with idle connections
 }
 
-// NewUpstream returns an Upstream without connections. It counts the attempts that were written completely in sends.
-func NewUpstream(c *config.Config, clk core.Clock, sends *metrics.Counter, log *slog.Logger) *Upstream {
-	u := &Upstream{clock: clk, log: log, sends: sends,
-		bodyBudget: bytebudget.New(c.MaxBufferedBytes(1)), headBudget: bytebudget.New(c.MaxBufferedBytes(1)),
+// NewUpstream returns an Upstream without connections, which counts in figures.
+func NewUpstream(c *config.Config, clk core.Clock, figures *metrics.Registry, log *slog.Logger) *Upstream {
+	u := &Upstream{clock: clk, log: log, sends: &figures.AttemptsSent,
+		attemptEvents: newEventLog(log, "attempt ended without an answer"),
+		answersEnded:  figures.NewCounter("answers_ended_total"),
+		bodyBudget:    bytebudget.New(c.MaxBufferedBytes(1)), headBudget: bytebudget.New(c.MaxBufferedBytes(1)),
 		// Idle connections expire well before the endpoint closes them: a request that is written at that moment is
 		// lost.
 		maxIdle: c.KeepAliveTimeout * 2 / 3, maxConns: c.MaxUpstreamConns(1), idle: map[*target]struct{}{}}
@@ -144,7 +148,7 @@
 		u.put(c)
 		return u.reply(balancer.NotSent)
 	}
-	return u.exchange(ctx, c, msg.bytes(leftMs), msg.upload, u.sends, bodySent)
+	return u.exchange(ctx, c, msg, msg.bytes(leftMs), u.sends, bodySent)
 }
 
 // probe requests the load of an endpoint, or its health if no load reports are configured.
@@ -160,7 +164,7 @@
 	if len(fields) > 0 {
 		msg.uri = "/-/load"
 	}
-	reply := u.exchange(ctx, c, msg.bytes(0), nil, new(metrics.Counter), nil)
+	reply := u.exchange(ctx, c, &msg, msg.bytes(0), new(metrics.Counter), nil)
 	reply.Release()
 	if reply.Status == balancer.OK && len(fields) > 0 {
 		reply.Load = parseLoad(fields, string(reply.Content.(*upstreamAnswer).body))
@@ -175,33 +179,28 @@
 
 // exchange writes a request, counts it in sends once it is written completely, and reads its answer. It returns the
 // connection to the pool if both are complete, and discards it otherwise.
-func (u *Upstream) exchange(ctx context.Context, c *conn, encoded []byte, rest *upload, sends *metrics.Counter,
+func (u *Upstream) exchange(ctx context.Context, c *conn, msg *message, encoded []byte, sends *metrics.Counter,
 	bodySent func(balancer.Micros)) core.Reply {
+	progress := newAttemptProgress(msg, c.target.addr)
+	c.paced.received = 0
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	c.limit.N = maxBufferedAnswerBytes
-	n, err := c.Write(encoded)
-	if err != nil {
+	if status, err := u.writeRequest(c, msg, encoded, progress); err != nil {
 		stop()
 		u.discard(c)
-		if n < len(encoded) {
-			return u.reply(balancer.ConnectFailed) // the request's last byte was not written, so it never ran
-		}
-		return u.reply(balancer.Reset)
+		u.logEnd(ctx, progress, c.paced.received, err)
+		reply := u.reply(status)
+		reply.RequestConsumed = progress.phase == phaseSendingBody
+		return reply
 	}
-	if rest != nil {
-		if status := u.sendRest(c, rest); status != balancer.OK {
-			stop()
-			u.discard(c)
-			reply := u.reply(status)
-			reply.RequestConsumed = true
-			return reply
-		}
+	if msg.upload != nil {
 		bodySent(u.clock.Now())
 	}
 	sends.Inc()
+	progress.phase = phaseWaiting
 	answer, err := c.read(ctx, u.bodyBudget)
 	reply := u.reply(balancer.Reset)
-	reply.RequestConsumed = rest != nil
+	reply.RequestConsumed = msg.upload != nil
 	if err == nil && answer.stream != nil && answer.code != http.StatusOK {
 		answer.bodyCharge.release() // the body of an error response is not needed
 		answer.stream = nil
@@ -224,6 +223,7 @@
 		u.put(c)
 	}
 	if err != nil {
+		u.logEnd(ctx, progress, c.paced.received, err)
 		return reply
 	}
 	reply.Content = answer
@@ -232,22 +232,37 @@
 	return reply
 }
 
-// sendRest sends the rest of a streamed body. It returns balancer.OK, or the status of the failed attempt.
-func (u *Upstream) sendRest(c *conn, rest *upload) balancer.Status {
+// writeRequest writes a request with its streamed body, if it has one. With an error, it returns the attempt's status.
+func (u *Upstream) writeRequest(c *conn, msg *message, encoded []byte, progress *attemptProgress) (balancer.Status, error) {
+	n, err := c.Write(encoded)
+	switch {
+	case err != nil && n < len(encoded):
+		return balancer.ConnectFailed, err // the request's last byte was not written, so it never ran
+	case err != nil:
+		return balancer.Reset, err
+	}
+	progress.bodySent = len(msg.body)
+	if msg.upload == nil {
+		return balancer.OK, nil
+	}
+	progress.phase = phaseSendingBody
+	return sendRest(c, msg.upload, progress)
+}
+
+// sendRest sends the rest of a streamed body. With an error, it returns the attempt's status.
+func sendRest(c *conn, rest *upload, progress *attemptProgress) (balancer.Status, error) {
 	if rest.readStarted.Swap(true) {
-		return balancer.ConnectFailed // another attempt has read the body
+		return balancer.ConnectFailed, errBodyConsumed
 	}
 	rest.endWatch()
 	// The beginning of the body was copied into the encoded request, so that its buffer is free for the rest.
-	err := rest.copyTo(c, rest.beginningBytes, rest.buf)
-	if err == nil {
-		return balancer.OK
-	}
+	sent, err := rest.copyTo(c, rest.beginningBytes, rest.buf)
+	progress.bodySent = sent
 	var bodyErr *bodyError
 	if errors.As(err, &bodyErr) {
-		return balancer.NotSent // the client is the cause, not the endpoint
+		return balancer.NotSent, err // the client is the cause, not the endpoint
 	}
-	return balancer.ConnectFailed
+	return balancer.ConnectFailed, err
 }
 
 // afterStream returns the function that is called once an answer has been streamed. It releases the budget, and pools
--- a/internal/dataplane/httpfront/upstream_test.go
+++ b/internal/dataplane/httpfront/upstream_test.go
@@ -42,7 +42,7 @@
 func newTestUpstream(t *testing.T, edits ...string) *Upstream {
 	t.Helper()
 	c := sidecartest.Configure(t, "127.0.0.1:1", nil, edits...)
-	return NewUpstream(c, core.NewClock(), new(metrics.Counter), sidecartest.DiscardLog)
+	return NewUpstream(c, core.NewClock(), metrics.New(), sidecartest.DiscardLog)
 }
 
 // sendAttempt makes one attempt that has a second.
--- a/internal/dataplane/sidecar/protocolstack.go
+++ b/internal/dataplane/sidecar/protocolstack.go
@@ -57,7 +57,7 @@
 		return nil, err
 	}
 	registry := metrics.New(cfg.Classes...)
-	upstream := httpfront.NewUpstream(httpConfig, clock, &registry.AttemptsSent, host.Log)
+	upstream := httpfront.NewUpstream(httpConfig, clock, registry, host.Log)
 	loop, err := core.New(httpConfig, clock, upstream, setWatch, registry, host.Tap, host.Log)
 	if err != nil {
 		return nil, err
--- a/internal/dataplane/sidecar/snapshotfile_test.go
+++ b/internal/dataplane/sidecar/snapshotfile_test.go
@@ -68,7 +68,7 @@
 func TestStartRestoresSnapshotFile(t *testing.T) {
 	cfg := configure(t, []string{"127.0.0.1:1", "127.0.0.1:2"})
 	clock, registry := core.NewClock(), metrics.New()
-	upstream := httpfront.NewUpstream(cfg, clock, &registry.AttemptsSent, sidecartest.DiscardLog)
+	upstream := httpfront.NewUpstream(cfg, clock, registry, sidecartest.DiscardLog)
 	old, err := core.New(cfg, clock, upstream, func(bool) {}, registry, nil, sidecartest.DiscardLog)
 	if err != nil {
 		t.Fatal(err)
