--- a/internal/testutil/sidecartest/sidecartest.go
+++ b/internal/testutil/sidecartest/sidecartest.go
@@ -67,6 +67,15 @@
 	return discovery.Instance{ID: id, Addr: addr, Zone: "a", Kind: "m1", Cell: 1, Lifecycle: "up", Weight: 1}
 }
 
+// Instances returns an endpoint list of ready endpoints s-1, s-2 and so on at the addresses.
+func Instances(addrs ...string) []discovery.Instance {
+	var instances []discovery.Instance
+	for i, addr := range addrs {
+		instances = append(instances, ReadyInstance(fmt.Sprintf("s-%d", i+1), addr))
+	}
+	return instances
+}
+
 // DiscardLog is a logger that discards all lines.
 var DiscardLog = slog.New(slog.DiscardHandler)
 
