Give the parts of an answer no timeout of their own, and pass a late body's head on

The time after which an answer of unknown length is streamed was looked at between two reads only, so that a pause ended the answer before it could be streamed.

The deadline of the attempt is now the only one for an answer's head and for a body of at most 64 KiB. A longer body, or one of unknown length, is streamed 50 ms after its head at the latest, or 10 ms before its attempt would time out, whether or not its body has begun: its first bytes are in time and what the server still gives is passed on. It is read on a goroutine of its own, since a reader of chunks loses its place if a read is interrupted. Writes of answers to clients fail after a time in which nothing was accepted, no longer after a time for each piece of 64 KiB: the same mistake the other way.

--- a/internal/dataplane/httpfront/answer.go
+++ b/internal/dataplane/httpfront/answer.go
@@ -54,13 +54,13 @@
 	s.clients.answerStarted(c)
 	stream := answer.Reply.Content.(*upstreamAnswer).stream
 	end, sent := core.StreamAbandoned, int64(0)
-	c.setWriteDeadline(time.Now().Add(maxStreamStall))
-	if _, err := c.Write(r.head(stream.length, last)); err != nil {
+	out := stallWriter{c, maxStreamStall}
+	if _, err := out.Write(r.head(stream.length, last)); err != nil {
 		s.unwritten.Inc()
 	} else {
-		end, sent = stream.copyTo(c, func() { c.setWriteDeadline(time.Now().Add(maxStreamStall)) })
+		end, sent = stream.copyTo(out)
 	}
-	stream.done(end)
+	stream.finish(end)
 	answer.StreamEnded(end)
 	if end != core.StreamComplete {
 		s.countEnd(req, core.Failed)
@@ -115,8 +115,7 @@
 // write writes a complete response in one piece, and reports whether that succeeded.
 func (c *client) write(r *response, last bool) bool {
 	text := append(r.head(int64(len(r.body)), last), r.body...)
-	c.setWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := c.Write(text)
+	_, err := writeWithin(c, text, writeTimeout)
 	return err == nil
 }
 
--- a/internal/dataplane/httpfront/download.go
+++ b/internal/dataplane/httpfront/download.go
@@ -4,65 +4,159 @@
 	"errors"
 	"io"
 	"net/http/httputil"
+	"time"
 
 	"birchmoor/internal/dataplane/core"
 )
 
 // download is the body of an endpoint's answer that is streamed to the client. One goroutine owns it at a time; the
-// last owner calls done.
+// last owner calls finish.
 type download struct {
-	beginning []byte    // the part of the body that was read before the stream began
-	rest      io.Reader // the body after beginning
-	length    int64     // bytes of the complete body; -1 if unknown
-	buf       []byte    // buffer for copying; beginning is a part of it
+	length    int64 // bytes of the complete body; -1 if unknown
+	beginning []byte
+	next      *piece // the piece after beginning, if it was read already
+	source    *bodySource
 	done      func(end core.StreamEnd)
 }
 
+// pieceBytes is the size of the pieces in which a streamed answer is read and written.
+const pieceBytes = 16 << 10
+
+// piece is a part of a body. Its data is valid until the next piece is received.
+type piece struct {
+	data []byte
+	err  error // io.EOF after the last byte of the body
+}
+
+// bodySource reads a body piece by piece on a goroutine of its own. So its owner can wait for a piece with a timeout: a
+// read itself must not be interrupted, since a reader of chunks would lose its place.
+type bodySource struct {
+	pieces   chan piece
+	received chan struct{} // the data of the latest piece is not needed any more
+	stopped  chan struct{}
+	holds    bool // the owner has the data of the latest piece; used by the owner only
+}
+
+func newBodySource(body io.Reader) *bodySource {
+	s := &bodySource{pieces: make(chan piece), received: make(chan struct{}), stopped: make(chan struct{})}
+	go s.run(body)
+	return s
+}
+
+func (s *bodySource) run(body io.Reader) {
+	buf := make([]byte, pieceBytes)
+	for {
+		n, err := body.Read(buf)
+		select {
+		case s.pieces <- piece{buf[:n], err}:
+		case <-s.stopped:
+			return
+		}
+		if err != nil {
+			return
+		}
+		select {
+		case <-s.received:
+		case <-s.stopped:
+			return
+		}
+	}
+}
+
+// receive returns the next piece. It returns nil if timeout fires first; a nil timeout never does.
+func (s *bodySource) receive(timeout <-chan time.Time) *piece {
+	if s.holds {
+		s.received <- struct{}{}
+		s.holds = false
+	}
+	select {
+	case p := <-s.pieces:
+		s.holds = p.err == nil
+		return &p
+	case <-timeout:
+		return nil
+	}
+}
+
+// stop lets the goroutine end once its read has returned. It must be called once, unless the body has ended.
+func (s *bodySource) stop() { close(s.stopped) }
+
+// newDownload starts to read a body of the given length, or -1 if that is unknown.
+func newDownload(body io.Reader, length int64) *download {
+	return &download{length: length, source: newBodySource(body)}
+}
+
+// fill reads the beginning of the body until holdUntil: of a body of known length its first piece, of another one up to
+// MaxBufferedBodyBytes bytes. It reports whether that is all of the body.
+func (d *download) fill(holdUntil time.Time) (complete bool, err error) {
+	timer := time.NewTimer(time.Until(holdUntil))
+	defer timer.Stop()
+	for {
+		p := d.source.receive(timer.C)
+		switch {
+		case p == nil:
+			return false, nil
+		case p.err != nil && !errors.Is(p.err, io.EOF):
+			return false, p.err
+		case len(d.beginning)+len(p.data) > MaxBufferedBodyBytes:
+			d.next = p
+			return false, nil
+		}
+		d.beginning = append(d.beginning, p.data...)
+		if p.err != nil {
+			return true, nil
+		}
+		if d.length >= 0 {
+			return false, nil
+		}
+	}
+}
+
 // copyTo copies the body to the client, as chunks if its length is unknown. It returns how that ended, and how many
-// bytes of the body were written. It calls progress before each write.
-func (d *download) copyTo(w io.Writer, progress func()) (end core.StreamEnd, sent int64) {
+// bytes of the body were written.
+func (d *download) copyTo(w io.Writer) (end core.StreamEnd, sent int64) {
 	bodyWriter := w
 	var chunks io.WriteCloser
 	if d.length < 0 {
 		chunks = httputil.NewChunkedWriter(w)
 		bodyWriter = chunks
 	}
-	write := func(piece []byte) error {
-		if len(piece) == 0 {
+	write := func(data []byte) error {
+		if len(data) == 0 {
 			return nil
 		}
-		progress()
-		n, err := bodyWriter.Write(piece)
+		n, err := bodyWriter.Write(data)
 		sent += int64(n)
 		return err
 	}
-	piece := d.beginning
-	var total int64
-	for {
-		if err := write(piece); err != nil {
-			return core.StreamAbandoned, sent
+	if err := write(d.beginning); err != nil {
+		return core.StreamAbandoned, sent
+	}
+	d.beginning = nil
+	for ended := false; !ended; {
+		p := d.next
+		d.next = nil
+		if p == nil {
+			p = d.source.receive(nil)
 		}
-		n, err := d.rest.Read(d.buf)
-		piece = d.buf[:n]
-		total += int64(n)
-		if total > MaxBodyBytes {
+		ended = errors.Is(p.err, io.EOF)
+		if p.err != nil && !ended || sent+int64(len(p.data)) > MaxBodyBytes {
 			return core.StreamCut, sent
 		}
-		if errors.Is(err, io.EOF) {
-			if err := write(piece); err != nil {
-				return core.StreamAbandoned, sent
-			}
-			break
-		}
-		if err != nil {
-			return core.StreamCut, sent
+		if err := write(p.data); err != nil {
+			return core.StreamAbandoned, sent
 		}
 	}
 	if chunks != nil {
-		progress()
 		if _, err := io.WriteString(w, "0\r\n\r\n"); err != nil {
 			return core.StreamAbandoned, sent
 		}
 	}
 	return core.StreamComplete, sent
 }
+
+// finish ends the use of the body, and reports how its stream ended.
+func (d *download) finish(end core.StreamEnd) {
+	d.source.stop()
+	d.done(end)
+}
--- a/internal/dataplane/httpfront/stream.go
+++ b/internal/dataplane/httpfront/stream.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"net"
+	"os"
 	"time"
 )
 
@@ -12,13 +14,13 @@
 	// MaxBodyBytes bounds a body, in bytes. A longer request body is rejected, a longer answer is cut.
 	MaxBodyBytes = 64 << 20
 
-	maxBodyStall          = 2 * time.Second        // timeout of each read of a client's body
-	bodyGrace             = 5 * time.Second        // time for a client's body on top of its bytes at the minimum rate
-	minBodyBytesPerSecond = 16 << 10               // a client's body that arrives more slowly is rejected
-	maxUploadTime         = 30 * time.Minute       // deadline of a request while its body is streamed
-	maxAnswerStall        = 250 * time.Millisecond // timeout of each read of a buffered answer
-	maxStreamStall        = 10 * time.Second       // timeout of each read and write of a streamed body or answer
-	maxBufferingTime      = 50 * time.Millisecond  // of a body of unknown length, before it is streamed
+	maxBodyStall          = 2 * time.Second       // timeout of each read of a client's body
+	bodyGrace             = 5 * time.Second       // time for a client's body on top of its bytes at the minimum rate
+	minBodyBytesPerSecond = 16 << 10              // a client's body that arrives more slowly is rejected
+	maxUploadTime         = 30 * time.Minute      // deadline of a request while its body is streamed
+	maxStreamStall        = 10 * time.Second      // for the next byte of a streamed body or answer, each way
+	maxBufferingTime      = 50 * time.Millisecond // from the head of an answer that may be long, until it is streamed
+	streamMargin          = 10 * time.Millisecond // an answer is streamed so long before its attempt would time out
 )
 
 // pacedConn reads from a connection with a timeout for each read, and records what it reads between startRecording and
@@ -48,6 +50,27 @@
 	return n, err
 }
 
+// writeWithin writes p to a connection, which may take any time as long as a part of it is accepted within stall.
+func writeWithin(c net.Conn, p []byte, stall time.Duration) (written int, err error) {
+	for {
+		_ = c.SetWriteDeadline(time.Now().Add(stall)) // fails on a closed connection, as the write does
+		n, err := c.Write(p[written:])
+		written += n
+		if written == len(p) || n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
+		}
+	}
+}
+
+// stallWriter writes to a connection by writeWithin. It implements io.Writer.
+type stallWriter struct {
+	conn  net.Conn
+	stall time.Duration
+}
+
+// Write implements io.Writer.
+func (w stallWriter) Write(p []byte) (int, error) { return writeWithin(w.conn, p, w.stall) }
+
 // startRecording begins a record with bytes that were read from the connection before, but not used yet.
 func (p *pacedConn) startRecording(unused []byte) {
 	p.recording = true
--- a/internal/dataplane/httpfront/upstream.go
+++ b/internal/dataplane/httpfront/upstream.go
@@ -148,7 +148,8 @@
 		u.put(c)
 		return u.reply(balancer.NotSent)
 	}
-	return u.exchange(ctx, c, msg, msg.bytes(leftMs), u.sends, bodySent)
+	return u.exchange(ctx, c, msg, msg.bytes(leftMs), time.Now().Add(time.Duration(deadline-now)*time.Microsecond), u.sends,
+		bodySent)
 }
 
 // probe requests the load of an endpoint, or its health if no load reports are configured.
@@ -164,7 +165,7 @@
 	if len(fields) > 0 {
 		msg.uri = "/-/load"
 	}
-	reply := u.exchange(ctx, c, &msg, msg.bytes(0), new(metrics.Counter), nil)
+	reply := u.exchange(ctx, c, &msg, msg.bytes(0), time.Now().Add(probeTimeout), new(metrics.Counter), nil)
 	reply.Release()
 	if reply.Status == balancer.OK && len(fields) > 0 {
 		reply.Load = parseLoad(fields, string(reply.Content.(*upstreamAnswer).body))
@@ -179,8 +180,8 @@
 
 // exchange writes a request, counts it in sends once it is written completely, and reads its answer. It returns the
 // connection to the pool if both are complete, and discards it otherwise.
-func (u *Upstream) exchange(ctx context.Context, c *conn, msg *message, encoded []byte, sends *metrics.Counter,
-	bodySent func(balancer.Micros)) core.Reply {
+func (u *Upstream) exchange(ctx context.Context, c *conn, msg *message, encoded []byte, deadline time.Time,
+	sends *metrics.Counter, bodySent func(balancer.Micros)) core.Reply {
 	progress := newAttemptProgress(msg, c.target.addr)
 	c.paced.received = 0
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
@@ -198,12 +199,16 @@
 	}
 	sends.Inc()
 	progress.phase = phaseWaiting
-	answer, err := c.read(ctx, u.bodyBudget)
+	if msg.upload != nil {
+		deadline = time.Now().Add(time.Duration(msg.upload.answerTime) * time.Microsecond)
+	}
+	answer, err := c.read(ctx, deadline, u.bodyBudget)
 	reply := u.reply(balancer.Reset)
 	reply.RequestConsumed = msg.upload != nil
 	if err == nil && answer.stream != nil && answer.code != http.StatusOK {
-		answer.bodyCharge.release() // the body of an error response is not needed
+		answer.stream.source.stop() // the body of an error response is not needed
 		answer.stream = nil
+		answer.bodyCharge.release()
 		answer.closesConnection = true
 	}
 	if err == nil && answer.stream != nil && stop() {
@@ -215,6 +220,7 @@
 	}
 	if !stop() || err != nil || answer.stream != nil || answer.closesConnection || c.reader.Buffered() > 0 {
 		if err == nil && answer.stream != nil {
+			answer.stream.source.stop()
 			answer.releaseCharges()
 			err = context.Canceled
 		}
--- a/internal/dataplane/httpfront/upstreamanswer.go
+++ b/internal/dataplane/httpfront/upstreamanswer.go
@@ -45,7 +45,7 @@
 func (a *upstreamAnswer) Release() {
 	if stream := a.stream; stream != nil {
 		a.stream = nil
-		stream.done(core.StreamAbandoned)
+		stream.finish(core.StreamAbandoned)
 	}
 	a.releaseCharges()
 }
@@ -59,15 +59,15 @@
 // read reads a complete answer, or the beginning of a streamed one, and skips interim responses. An answer that ends
 // early or whose length is ambiguous is an error, so that no other bytes are taken for a part of it. http.ReadResponse
 // is not used, since it hides that an answer has both a length and chunks. The body is charged to bodies.
-func (c *conn) read(ctx context.Context, bodies *bytebudget.Budget) (*upstreamAnswer, error) {
+//
+// No part of an answer has a timeout of its own: the attempt's deadline, at which ctx ends, is that of all of it. An
+// answer that may be long is streamed before that deadline, whether or not its body has begun.
+func (c *conn) read(ctx context.Context, deadline time.Time, bodies *bytebudget.Budget) (*upstreamAnswer, error) {
 	defer c.paced.head.release()
 	for range maxInterimAnswers {
-		c.paced.readTimeout = 0
-		c.clearReadDeadline()
 		if _, err := c.reader.Peek(1); err != nil {
 			return nil, err
 		}
-		c.paced.readTimeout = maxAnswerStall
 		answer, err := c.head()
 		if err != nil {
 			return nil, err
@@ -76,7 +76,8 @@
 			continue
 		}
 		answer.headCharge = c.paced.head.end()
-		if err = c.body(ctx, answer, bodies); err != nil {
+		holdUntil := time.Now().Add(min(maxBufferingTime, time.Until(deadline)-streamMargin))
+		if err = c.body(ctx, answer, holdUntil, bodies); err != nil {
 			answer.releaseCharges()
 		}
 		if answer.stream == nil {
@@ -118,9 +119,9 @@
 	return answer, nil
 }
 
-// body reads the body of an answer, up to MaxBufferedBodyBytes bytes. Of a longer body, and of one of unknown length
-// that does not end within maxBufferingTime, it reads the beginning and sets the answer's stream.
-func (c *conn) body(ctx context.Context, answer *upstreamAnswer, budget *bytebudget.Budget) error {
+// body reads the body of an answer. If the body is longer than MaxBufferedBodyBytes, or of unknown length and does not
+// end before holdUntil, body sets the answer's stream.
+func (c *conn) body(ctx context.Context, answer *upstreamAnswer, holdUntil time.Time, budget *bytebudget.Budget) error {
 	if answer.code == http.StatusNoContent || answer.code == http.StatusNotModified {
 		return nil
 	}
@@ -137,25 +138,20 @@
 		_, err := io.ReadFull(body, answer.body)
 		return err
 	}
-	buf := make([]byte, MaxBufferedBodyBytes)
-	n := 0
-	startedAt := time.Now()
-	for n < len(buf) && (n == 0 || length < 0 && time.Since(startedAt) < maxBufferingTime) {
-		read, err := body.Read(buf[n:])
-		n += read
-		if errors.Is(err, io.EOF) && length < 0 {
-			answer.body = buf[:n]
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
 	if length >= 0 {
-		body = &exactReader{body, length - int64(n)}
+		body = &exactReader{body, length}
 	}
 	c.paced.readTimeout = maxStreamStall
-	answer.stream = &download{beginning: buf[:n], rest: body, length: length, buf: buf}
+	stream := newDownload(body, length)
+	complete, err := stream.fill(holdUntil)
+	switch {
+	case err != nil:
+		return err
+	case complete:
+		answer.body = stream.beginning
+	default:
+		answer.stream = stream
+	}
 	return nil
 }
 
@@ -183,10 +179,13 @@
 	}
 }
 
-// chargeBody charges the budget for the bytes of a body that are buffered: MaxBufferedBodyBytes if its length is
-// unknown, which is a negative length. It waits for them until ctx ends.
+// chargeBody charges the budget for the bytes of a body that are buffered. A negative length is an unknown one. It waits
+// for them until ctx ends.
 func chargeBody(ctx context.Context, budget *bytebudget.Budget, length int64) (charge, error) {
-	buffered := int(min(uint64(length), MaxBufferedBodyBytes))
+	buffered := int(length)
+	if length < 0 || length > MaxBufferedBodyBytes {
+		buffered = MaxBufferedBodyBytes + pieceBytes
+	}
 	if buffered <= maxUnbudgetedBytes {
 		return charge{}, nil
 	}
