--- a/internal/dataplane/httpfront/clientconn.go
+++ b/internal/dataplane/httpfront/clientconn.go
@@ -172,7 +172,3 @@
 // setReadDeadline sets the deadline of reads. Its error is ignored: it fails only on a closed connection, where reads
 // fail as well.
 func (c *client) setReadDeadline(at time.Time) { _ = c.SetReadDeadline(at) }
-
-// setWriteDeadline sets the deadline of writes. Its error is ignored: it fails only on a closed connection, where
-// writes fail as well.
-func (c *client) setWriteDeadline(at time.Time) { _ = c.SetWriteDeadline(at) }
