Return from a handover's Serve only once its socket refuses connections

Traced by reading: the listener is closed on a goroutine of context.AfterFunc, and Accept fails as soon as that has begun; the descriptor is closed only when both have let go of it, so that a connection was still accepted, and never read. Serve now waits for the close.

--- a/internal/dataplane/handover/server.go
+++ b/internal/dataplane/handover/server.go
@@ -48,7 +48,16 @@
 func serveWithTurnTimeout(ctx context.Context, ln net.Listener, p Process, timeout time.Duration, log *slog.Logger) {
 	var conversations sync.WaitGroup
 	defer conversations.Wait()
-	defer context.AfterFunc(ctx, func() { _ = ln.Close() })()
+	closed := make(chan struct{})
+	stopClosing := context.AfterFunc(ctx, func() {
+		_ = ln.Close()
+		close(closed)
+	})
+	defer func() {
+		if !stopClosing() {
+			<-closed // Accept fails a moment before the socket refuses connections
+		}
+	}()
 	open := make(chan struct{}, maxConversations)
 	turn := newTurn(timeout)
 	for {
