Count the time of a long request from its client's last byte, read ahead of the server

The client was read only as fast as the server took the body, and its time began when the last byte had been written to the server: N s late for a server that takes N s. While the server did not read at all, only the write's own timeout of 10 s ended the attempt.

Where there is no memory to read on, the time counts from the last moment at which the client cannot have written that byte (bodyClock: its socket was empty, or more was to come than sockets hold). An attempt passes a gate before it writes the last byte, so that one that ends at the deadline before that provably never ran. The time told to the server is what is left once the body is complete. A request that is answered before its body has arrived counts as lingering from its answer on, and can be closed to make room.

--- a/internal/dataplane/core/attempts.go
+++ b/internal/dataplane/core/attempts.go
@@ -39,13 +39,13 @@
 		return
 	}
 	attempt.timeout = l.setTimer(attempt.deadline, func(now balancer.Micros) { l.attemptTimedOut(now, attempt) })
-	attempt.uploading = request.StreamsBody && request.Input.BodyStreaming
+	attempt.uploading = request.StreamsBody
 	mayContinue := l.attemptCondition(attempt, retryDeadline)
-	target := endpoint.target
+	target, deadline := endpoint.target, attempt.deadline // bodyReceived may change the attempt's
 	go func() {
 		defer close(attempt.sendDone)
 		waitForEarlierAttempts()
-		l.send(ctx, attempt, target, mayContinue)
+		l.send(ctx, attempt, target, deadline, mayContinue)
 	}()
 }
 
@@ -63,13 +63,14 @@
 }
 
 // send makes an attempt and posts its result to the loop. It runs on the attempt's goroutine.
-func (l *EventLoop) send(ctx context.Context, attempt *attemptState, target Target,
+func (l *EventLoop) send(ctx context.Context, attempt *attemptState, target Target, deadline balancer.Micros,
 	mayContinue func(balancer.Micros) bool) {
 	reply := target.Send(ctx, Attempt{
 		Request:     attempt.request.Payload,
-		Deadline:    attempt.deadline,
+		Deadline:    deadline,
 		MayContinue: mayContinue,
 		Begin:       func(now balancer.Micros) bool { return mayContinue(now) && attempt.gate.pass() },
+		BodyEnding:  attempt.bodyGate.pass,
 		BodySent: func(balancer.Micros) {
 			l.post(func(now balancer.Micros) { l.bodySent(now, attempt) })
 		},
@@ -83,20 +84,31 @@
 	})
 }
 
-// bodySent restarts the deadline of an attempt and its request when their streamed body has been sent completely: the
-// client's timeout counts from the last byte of the body.
+// bodySent records that an attempt has sent its streamed body: its latency counts from now.
 func (l *EventLoop) bodySent(now balancer.Micros, attempt *attemptState) {
 	if attempt.phase != attemptOpen {
 		return
 	}
-	request := attempt.request
 	attempt.uploading = false
 	attempt.startedAt, attempt.startedTime = now, time.Now()
-	request.Input.Deadline = now + request.TimeAfterBody
-	attempt.deadline = request.Input.Deadline
-	l.stopTimer(attempt.timeout)
-	attempt.timeout = l.setTimer(attempt.deadline, func(now balancer.Micros) { l.attemptTimedOut(now, attempt) })
-	l.balancer.UploadComplete(now, request.Input.ID, request.Input.Deadline)
+}
+
+// bodyReceived sets the deadline of a request and its open attempts when the client has written its streamed body.
+func (l *EventLoop) bodyReceived(now balancer.Micros, request *Request, deadline balancer.Micros) {
+	if request.ended || !request.Input.BodyStreaming {
+		return
+	}
+	request.Input.BodyStreaming = false
+	request.Input.Deadline = deadline
+	for _, attempt := range request.attempts {
+		if attempt.phase != attemptOpen || attempt.timeout == nil {
+			continue
+		}
+		attempt.deadline = deadline
+		l.stopTimer(attempt.timeout)
+		attempt.timeout = l.setTimer(deadline, func(now balancer.Micros) { l.attemptTimedOut(now, attempt) })
+	}
+	l.balancer.UploadComplete(now, request.Input.ID, deadline)
 }
 
 // streamStarted gives the client a streamed answer, which is final. The attempt ends when the stream does.
@@ -213,9 +225,9 @@
 		if now-attempt.startedAt >= l.config.Settings.Limits.DialTimeout {
 			status = balancer.ConnectFailed
 		}
-	case attempt.uploading:
+	case attempt.uploading && attempt.bodyGate.close():
 		attempt.endpoint.target.CloseUnusedSince(attempt.startedTime)
-		status = balancer.ConnectFailed // the last byte of the body was not sent
+		status = balancer.ConnectFailed // the last byte of the body is not sent any more
 	default:
 		attempt.endpoint.target.CloseUnusedSince(attempt.startedTime)
 	}
--- a/internal/dataplane/core/request.go
+++ b/internal/dataplane/core/request.go
@@ -99,7 +99,8 @@
 	startedTime time.Time       // the same time as startedAt
 	deadline    balancer.Micros
 	timeout     *timer // fires at deadline; nil if the attempt is never sent
-	gate        gate
+	gate        gate   // of the first byte
+	bodyGate    gate   // of the last byte of a streamed body
 	cancel      context.CancelCauseFunc
 	sendDone    chan struct{} // closed once Target.Send has returned
 
@@ -108,7 +109,7 @@
 	uploading bool // the streamed body has not been sent completely
 }
 
-// gate decides once whether the first byte of an attempt is sent: by pass on the attempt's goroutine or by close on the
+// gate decides once whether a byte of an attempt is sent: by pass on the attempt's goroutine or by close on the
 // loop's, whichever comes first.
 type gate struct{ state atomic.Int32 }
 
@@ -118,7 +119,7 @@
 	gateClosed
 )
 
-// pass reports whether the first byte may be sent.
+// pass reports whether the byte may be sent.
 func (g *gate) pass() bool { return g.state.CompareAndSwap(gateOpen, gatePassed) }
 
 func (g *gate) hasPassed() bool { return g.state.Load() == gatePassed }
--- a/internal/dataplane/core/requests.go
+++ b/internal/dataplane/core/requests.go
@@ -28,6 +28,12 @@
 	})
 }
 
+// BodyReceived reports that a streamed body has arrived, or that its client may have waited for its answer for as long as
+// it does. The request must be answered by deadline.
+func (l *EventLoop) BodyReceived(request *Request, deadline balancer.Micros) {
+	l.post(func(now balancer.Micros) { l.bodyReceived(now, request, deadline) })
+}
+
 // ClientDisconnected reports that the client of a request has disconnected. The loop still sends the one answer on
 // request.Answer: an answer from before it handled the report, or Rejected or Failed for the abandoned request.
 func (l *EventLoop) ClientDisconnected(request *Request) {
--- a/internal/dataplane/httpfront/attemptlog.go
+++ b/internal/dataplane/httpfront/attemptlog.go
@@ -23,7 +23,7 @@
 	endpoint  string // its address
 	startedAt time.Time
 	phase     attemptPhase
-	bodySent  int // bytes of the request's body
+	bodySent  int64 // bytes of the request's body
 }
 
 func newAttemptProgress(msg *message, endpoint string) *attemptProgress {
@@ -38,7 +38,7 @@
 
 // logEnd logs that an attempt ended without an answer. err is the error of its last step. If the sidecar ended the
 // attempt, the cause of ctx is logged in its place, and answersEnded counts an answer that had begun to arrive.
-func (u *Upstream) logEnd(ctx context.Context, progress *attemptProgress, received int, err error) {
+func (u *Upstream) logEnd(ctx context.Context, progress *attemptProgress, received int64, err error) {
 	if progress.phase == phaseWaiting && received > 0 {
 		progress.phase = phaseReadingAnswer
 	}
@@ -58,7 +58,7 @@
 		slog.String("phase", string(progress.phase)),
 		slog.Any("reason", err),
 		slog.Duration("after", time.Since(progress.startedAt).Round(time.Millisecond)),
-		slog.Int("bodySent", progress.bodySent),
-		slog.Int("received", received),
+		slog.Int64("bodySent", progress.bodySent),
+		slog.Int64("received", received),
 	)
 }
--- a/internal/dataplane/httpfront/clientconn.go
+++ b/internal/dataplane/httpfront/clientconn.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"os"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -98,29 +97,6 @@
 	return result
 }
 
-// watchDuringUpload detects that a client disconnects while its body is still arriving and must not be read yet. A read
-// would see the disconnect only after the unread bytes, so the watch checks the socket's TCP state instead. left is
-// closed when the client has disconnected; it is nil where the connection gives no access to its socket. stop ends the
-// watch, and must be called before anything is read.
-func (c *client) watchDuringUpload() (left <-chan struct{}, stop func()) {
-	if c.raw == nil {
-		return nil, func() {}
-	}
-	clientLeft, watchEnded := make(chan struct{}), make(chan struct{})
-	c.setReadDeadline(time.Time{})
-	go func() {
-		defer close(watchEnded)
-		// The function is called each time the socket becomes readable, which includes each change of its state.
-		if err := c.raw.Read(func(fd uintptr) bool { return !isEstablished(fd) }); err == nil {
-			close(clientLeft)
-		}
-	}()
-	return clientLeft, sync.OnceFunc(func() {
-		c.setReadDeadline(pastDeadline)
-		<-watchEnded
-	})
-}
-
 // hasLeft reports whether the client has closed its connection or its sending side, even if unread bytes precede that,
 // or the connection was closed on this side. Any goroutine may call it, also during a read.
 func (c *client) hasLeft() bool {
@@ -161,12 +137,15 @@
 // the caller closes it.
 func (c *client) reject(code int, reason string) { c.write(newResponse(code, reason), true) }
 
-// linger reads and discards what the client still sends, up to limit bytes and for span at most.
-func (c *client) linger(r io.Reader, limit int64, span time.Duration) {
-	c.lingered = true
-	c.paced.readTimeout = 0
+// linger reads and discards what the client still sends for a while, for longer if the body of an answered request is
+// still arriving.
+func (c *client) linger() {
+	limit, span := int64(maxLingerBytes), lingerTimeout
+	if c.bodyArrives {
+		limit, span = 2*MaxBodyBytes, bodyGrace
+	}
 	c.setReadDeadline(time.Now().Add(span))
-	_, _ = io.CopyN(io.Discard, r, limit) // neither the bytes nor an error matter any more
+	_, _ = io.CopyN(io.Discard, c.Conn, limit) // neither the bytes nor an error matter any more
 }
 
 // setReadDeadline sets the deadline of reads. Its error is ignored: it fails only on a closed connection, where reads
--- a/internal/dataplane/httpfront/clients.go
+++ b/internal/dataplane/httpfront/clients.go
@@ -43,7 +43,7 @@
 	headDeadline  time.Time // by which the head being read must be complete; zero before its first byte
 	requestReadAt time.Time // when the head of the current request had been read
 	hasRequest    bool      // a request is open or the connection is ending, so that reads need not hold clients.mu
-	lingered      bool      // what the client sent after the last request has been discarded
+	bodyArrives   bool      // a request was answered before its body had arrived
 
 	// Guarded by clients.mu.
 	state            connState
@@ -233,11 +233,11 @@
 		c.hasRequest = true
 		k.moveLocked(c, k.lingering)
 	}
-	lingers := c.state == stateLingering && !c.lingered
+	lingers := c.state == stateLingering
 	k.mu.Unlock()
 	if lingers {
 		if tcp, ok := c.Conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
-			c.linger(c.Conn, maxLingerBytes, lingerTimeout)
+			c.linger()
 		}
 	}
 	c.Close()
--- a/internal/dataplane/httpfront/exchange.go
+++ b/internal/dataplane/httpfront/exchange.go
@@ -83,9 +83,9 @@
 	clientCloses bool // the client asked to close the connection after the answer
 	mayHaveRun   bool // an endpoint may have run the request; passed to the limiter at the end
 
-	uploadResult     <-chan error    // how the upload of a streamed body ended; nil if there is none, or it has ended
-	clientWatch      <-chan error    // the channel of client.watch; nil before the request is complete
-	leftDuringUpload <-chan struct{} // closed if the client disconnects while its body is still arriving
+	uploadResult  <-chan error    // how the reading of a streamed body ended; nil if there is none, or it has ended
+	uploadOverdue <-chan struct{} // closed when the client's time may be over while its body is still arriving
+	clientWatch   <-chan error    // the channel of client.watch; nil before the request is complete
 }
 
 // run submits the request, and returns once its answer has been written or the client has left. It reports whether the
@@ -94,7 +94,9 @@
 	s, req := x.server, x.request
 	if bodyUpload := req.Payload.(*message).upload; bodyUpload != nil {
 		x.uploadResult = bodyUpload.result
-		x.leftDuringUpload, bodyUpload.endWatch = x.client.watchDuringUpload()
+		x.uploadOverdue = bodyUpload.overdue
+		defer bodyUpload.queue.close()
+		go bodyUpload.receive()
 	} else {
 		x.clientWatch = s.requestComplete(x.client, req)
 	}
@@ -106,20 +108,26 @@
 			if err != nil {
 				return x.uploadFailed(err)
 			}
-			x.clientWatch = s.requestComplete(x.client, req)
+			x.bodyComplete()
+		case <-x.uploadOverdue:
+			x.uploadOverdue = nil
+			s.loop.BodyReceived(req, s.loop.Now())
 		case answer := <-req.Answer:
 			return x.answered(answer)
-		case <-x.leftDuringUpload:
-			// The client left before the end of its body. It is treated as if it had left after that, and the body is
-			// not read any more.
-			s.loop.ClientDisconnected(req)
-			return s.answerEarly(x.client, req, x.awaitAnswer())
 		case err := <-x.clientWatch:
 			return x.clientLeft(err)
 		}
 	}
 }
 
+// bodyComplete records that a streamed body has arrived completely.
+func (x *exchange) bodyComplete() {
+	bodyUpload := x.request.Payload.(*message).upload
+	x.uploadOverdue = nil
+	x.server.loop.BodyReceived(x.request, bodyUpload.deadline.Load())
+	x.clientWatch = x.server.requestComplete(x.client, x.request)
+}
+
 // awaitAnswer waits for the final answer, and sets mayHaveRun from it.
 func (x *exchange) awaitAnswer() core.Answer {
 	answer := <-x.request.Answer
@@ -127,8 +135,8 @@
 	return answer
 }
 
-// uploadFailed ends an exchange whose body could not be forwarded. A *bodyError means that the client is the cause, and
-// it gets a 4xx response; otherwise the endpoint is, and the client gets the final answer.
+// uploadFailed ends an exchange whose body did not arrive. After a *bodyError, the client gets a 4xx response; if it has
+// left, the final answer.
 func (x *exchange) uploadFailed(err error) bool {
 	s, req := x.server, x.request
 	var bodyErr *bodyError
@@ -141,6 +149,7 @@
 		s.rejectBody(x.client, bodyErr)
 		return false
 	}
+	s.loop.ClientDisconnected(req)
 	return s.answerEarly(x.client, req, x.awaitAnswer())
 }
 
@@ -153,7 +162,7 @@
 		select {
 		case err := <-x.uploadResult:
 			if err == nil {
-				x.clientWatch = s.requestComplete(c, req)
+				x.bodyComplete()
 			}
 		default:
 		}
@@ -220,9 +229,9 @@
 	resp := newResponse(http.StatusTooManyRequests, "limited: "+exceeded.Limit)
 	resp.setRetryAfter(exceeded.RetryAfter)
 	last := r.Close || s.closing.Load()
-	if bodyUpload := req.Payload.(*message).upload; bodyUpload != nil { // the request's body is still arriving
+	if req.Payload.(*message).upload != nil { // the request's body is still arriving
 		c.write(resp, true)
-		c.linger(bodyUpload.body, MaxBodyBytes, bodyGrace)
+		c.bodyArrives = true
 		return false
 	}
 	written := s.write(c, resp, last)
@@ -239,8 +248,8 @@
 	return c.watch()
 }
 
-// answerEarly writes the answer while the client's body is still arriving, and then discards the rest of the body for a
-// while: closing the connection with unread bytes would reset it, and the client could lose the answer.
+// answerEarly writes the answer while the client's body is still arriving. The rest of the body is discarded for a while
+// before the connection closes: closing it with unread bytes would reset it, and the client could lose the answer.
 func (s *Server) answerEarly(c *client, req *core.Request, answer core.Answer) bool {
 	answer.Discard()
 	if answer.Disposition == core.Served {
@@ -252,13 +261,10 @@
 	s.logRequestEnd(c, req, endOf(answer.Disposition), 0)
 	s.write(c, responseTo(answer), true)
 	bodyUpload := req.Payload.(*message).upload
-	bodyUpload.endWatch()
-	bodyUpload.halted.Store(true)
-	if bodyUpload.readStarted.Load() {
-		c.setReadDeadline(pastDeadline)
-		<-bodyUpload.readEnded
-	}
-	c.linger(bodyUpload.body, MaxBodyBytes, bodyGrace)
+	bodyUpload.stopReading()
+	c.paced.interrupt()
+	<-bodyUpload.readEnded
+	c.bodyArrives = true
 	return false
 }
 
--- a/internal/dataplane/httpfront/message.go
+++ b/internal/dataplane/httpfront/message.go
@@ -19,6 +19,15 @@
 	upload            *upload     // the rest of a streamed body; nil if body is complete
 }
 
+// timeLeft returns the client's time for its answer. For a streamed body it counts from the body's last byte. deadline is
+// that of the attempt, for a body that is complete.
+func (m *message) timeLeft(now, deadline balancer.Micros) balancer.Micros {
+	if m.upload != nil {
+		return m.upload.timeLeft(now)
+	}
+	return deadline - now
+}
+
 // millisLeft converts the remaining time to milliseconds as they are sent to an endpoint, rounded up: it returns 0 only
 // if no time is left.
 func millisLeft(left balancer.Micros) balancer.Micros { return (max(0, left) + 999) / 1000 }
--- a/internal/dataplane/httpfront/parse.go
+++ b/internal/dataplane/httpfront/parse.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -172,15 +173,7 @@
 	msg := req.Payload.(*message)
 	msg.body = buf[:n]
 	if int64(n) != length {
-		msg.upload = &upload{
-			body:           r.Body,
-			length:         length,
-			answerTime:     req.TimeAfterBody,
-			beginningBytes: n,
-			buf:            buf,
-			result:         make(chan error, 1),
-			readEnded:      make(chan struct{}),
-		}
+		msg.upload = s.newUpload(c, r, length, req.TimeAfterBody, buf[:n])
 		return nil
 	}
 	c.paced.readTimeout = 0
@@ -190,6 +183,30 @@
 	return nil
 }
 
+// newUpload returns the rest of a body whose beginning was read. length is that of the complete body, or -1.
+func (s *Server) newUpload(c *client, r *http.Request, length int64, answerTime balancer.Micros, beginning []byte) *upload {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(uploadSocketBytes) // fails on a closed connection, as reads do
+	}
+	u := &upload{
+		body:           r.Body,
+		length:         length,
+		answerTime:     answerTime,
+		beginningBytes: len(beginning),
+		buf:            beginning[:cap(beginning)],
+		queue:          newReadAhead(s.bodies),
+		clock:          newBodyClock(s.loop.Now(), length),
+		now:            s.loop.Now,
+		clientLeft:     c.hasLeft,
+		result:         make(chan error, 1),
+		overdue:        make(chan struct{}),
+		readEnded:      make(chan struct{}),
+		halt:           make(chan struct{}),
+	}
+	u.clock.read = int64(len(beginning))
+	return u
+}
+
 // acquireMemory charges memory for a part of a request to a budget, and waits for it for timeout at most. The connection
 // is not evicted as stalled meanwhile.
 func (s *Server) acquireMemory(c *client, budget *bytebudget.Budget, bytes int, timeout time.Duration) error {
--- a/internal/dataplane/httpfront/pool_test.go
+++ b/internal/dataplane/httpfront/pool_test.go
@@ -317,7 +317,7 @@
 		cancel()
 		return nil, ctx.Err()
 	}
-	r := u.send(ctx, dst, plainGet(), u.clock.Now()+1_000_000, func(balancer.Micros) bool { return true }, nil)
+	r := u.send(ctx, dst, plainGet(), u.attemptWithin(time.Second))
 	if r.Status != balancer.NotSent {
 		t.Errorf("dial cancelled by the sidecar: status %v, want NotSent", r.Status)
 	}
--- a/internal/dataplane/httpfront/requesthead.go
+++ b/internal/dataplane/httpfront/requesthead.go
@@ -19,7 +19,7 @@
 	arrived, _ := c.reader.Peek(c.reader.Buffered()) // it came with the request before; reads from memory, cannot fail
 	c.limit.N = int64(MaxHeaderBytes - len(arrived))
 	c.paced.readTimeout = 0
-	c.paced.received = len(arrived)
+	c.paced.received.Store(int64(len(arrived)))
 	c.headDeadline = headDeadline
 	err := c.paced.head.begin(arrived)
 	if err == nil {
--- a/internal/dataplane/httpfront/requestlog.go
+++ b/internal/dataplane/httpfront/requestlog.go
@@ -51,7 +51,7 @@
 		slog.String("class", req.Class),
 		slog.String("reason", string(end)),
 		slog.Duration("after", time.Since(c.requestReadAt).Round(time.Millisecond)),
-		slog.Int("read", c.paced.received),
+		slog.Int64("read", c.paced.received.Load()),
 		slog.Int64("sent", sent),
 	)
 }
@@ -62,6 +62,6 @@
 		slog.String("client", c.RemoteAddr().String()),
 		slog.Int("status", code),
 		slog.String("reason", reason),
-		slog.Int("read", c.paced.received),
+		slog.Int64("read", c.paced.received.Load()),
 	)
 }
--- a/internal/dataplane/httpfront/stream.go
+++ b/internal/dataplane/httpfront/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 )
 
@@ -14,6 +15,7 @@
 	// MaxBodyBytes bounds a body, in bytes. A longer request body is rejected, a longer answer is cut.
 	MaxBodyBytes = 64 << 20
 
+	uploadSocketBytes     = 256 << 10             // receive buffer of a client with a streamed body
 	maxBodyStall          = 2 * time.Second       // timeout of each read of a client's body
 	bodyGrace             = 5 * time.Second       // time for a client's body on top of its bytes at the minimum rate
 	minBodyBytesPerSecond = 16 << 10              // a client's body that arrives more slowly is rejected
@@ -31,7 +33,8 @@
 	readTimeout time.Duration // 0: the connection's deadline is left as it is
 	recording   bool
 	recorded    []byte
-	received    int // bytes read since the owner last set it to 0
+	received    atomic.Int64 // bytes read since the owner last set it to 0
+	interrupted atomic.Bool  // reads fail until the owner resets it
 }
 
 // Read implements io.Reader.
@@ -39,8 +42,11 @@
 	if p.readTimeout > 0 {
 		_ = p.SetReadDeadline(time.Now().Add(p.readTimeout)) // fails on a closed connection, as the read does
 	}
+	if p.interrupted.Load() {
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err := p.Conn.Read(b)
-	p.received += n
+	p.received.Add(int64(n))
 	if p.recording {
 		p.recorded = append(p.recorded, b[:n]...)
 	}
@@ -50,6 +56,12 @@
 	return n, err
 }
 
+// interrupt makes a read in progress on another goroutine fail, and those that follow.
+func (p *pacedConn) interrupt() {
+	p.interrupted.Store(true)
+	_ = p.SetReadDeadline(pastDeadline) // fails on a closed connection, as the read does
+}
+
 // writeWithin writes p to a connection, which may take any time as long as a part of it is accepted within stall.
 func writeWithin(c net.Conn, p []byte, stall time.Duration) (written int, err error) {
 	for {
--- a/internal/dataplane/httpfront/upload.go
+++ b/internal/dataplane/httpfront/upload.go
@@ -1,6 +1,7 @@
 package httpfront
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -13,31 +14,37 @@
 	"birchmoor/balancer"
 )
 
-// upload is the rest of a streamed request body, whose beginning was buffered.
+// upload is the rest of a streamed request body, whose beginning was buffered. One goroutine reads it from the client,
+// ahead of the endpoint, so that the client's last byte is seen when it comes. The goroutine of an attempt sends it.
 type upload struct {
 	body           io.Reader       // the body after its beginning
 	length         int64           // bytes of the complete body; -1 if it is chunked
-	answerTime     balancer.Micros // time for the answer, from the last byte of the body on
-	beginningBytes int             // bytes of the beginning, which were sent with the request's head
-	buf            []byte          // buffer for copying the rest
-	result         chan error      // gets how the upload ended, once
-	readEnded      chan struct{}   // closed once no goroutine reads body any more
-	once           sync.Once       // guards result
-	endWatch       func()          // ends the watch for the client's disconnect; called before body is read
-	readStarted    atomic.Bool     // an attempt has begun to read body, so that no other attempt can send it
-	halted         atomic.Bool     // the request was answered early, and body is not to be read any more
-}
+	answerTime     balancer.Micros // the client's time for the answer, from its last byte on
+	beginningBytes int             // bytes of the beginning, which are sent with the request's head
+	buf            []byte          // holds the beginning until an attempt has sent it
+	queue          *readAhead
+	clock          bodyClock // used by the reading goroutine only
+	now            func() balancer.Micros
+	clientLeft     func() bool // reports whether the client has closed its connection
+
+	result    chan error    // gets how the reading ended, once: nil if the body is complete
+	overdue   chan struct{} // closed when the client's time may be over although its last byte was not read
+	readEnded chan struct{} // closed once no goroutine reads body any more
+	halt      chan struct{} // closed to end the reading
+	haltOnce  sync.Once
 
-// reportEnd sends how the upload ended to the client's exchange: nil if the body is complete. Only the first call has
-// an effect.
-func (u *upload) reportEnd(err error) { u.once.Do(func() { u.result <- err }) }
+	deadline atomic.Int64 // of the request, in balancer.Micros; 0 until the body is complete
+	claimed  atomic.Bool  // an attempt sends the rest, so that no other attempt can
+}
 
 var (
 	errSlowBody = errors.New("the body comes too slowly")
 	errLongBody = errors.New("the body is too long")
 	errHalted   = errors.New("the body is not wanted any more")
 
-	errBodyConsumed = errors.New("another attempt has read the body")
+	errClientLeft   = errors.New("the client left before the end of the body")
+	errBodyConsumed = errors.New("another attempt has sent the body")
+	errTimeIsUp     = errors.New("the request has ended before its last byte was sent")
 )
 
 // bodyError is a client's body that did not arrive as announced. No endpoint is the cause.
@@ -49,64 +56,141 @@
 // Unwrap returns the cause.
 func (e *bodyError) Unwrap() error { return e.err }
 
-// copyTo copies the rest of the body to an endpoint through buf, and reports its result. sentBytes is the number of
-// bytes of the body that were sent before; total, with those that were copied. A *bodyError means that the client is the cause; any other error, the
-// endpoint.
-func (u *upload) copyTo(c net.Conn, sentBytes int, buf []byte) (total int, err error) {
+const (
+	minReadWait        = time.Millisecond      // a read of a client that takes so long has waited for the client
+	spaceCheckInterval = 20 * time.Millisecond // between two checks for space while there is none
+)
+
+// receive reads the body until it ends, fails or is halted, and reports that in result.
+func (u *upload) receive() {
 	defer close(u.readEnded)
-	defer func() { u.reportEnd(err) }()
-	var w io.Writer = c
-	var chunks io.WriteCloser
-	if u.length < 0 {
-		chunks = httputil.NewChunkedWriter(c)
-		w = chunks
-	}
 	startedAt := time.Now()
-	total = sentBytes
+	total := int64(u.beginningBytes)
 	for {
-		if u.halted.Load() {
-			return total, &bodyError{errHalted}
+		space, err := u.awaitSpace()
+		if err != nil {
+			u.end(err)
+			return
 		}
-		n, err := u.body.Read(buf)
-		total += n
+		readAt := time.Now()
+		n, err := u.body.Read(space)
+		u.clock.add(u.now(), n, time.Since(readAt) >= minReadWait)
+		total += int64(n)
 		switch {
 		case total > MaxBodyBytes:
 			err = errLongBody
 		case time.Since(startedAt) > bodyGrace+time.Duration(total)*time.Second/minBodyBytesPerSecond:
 			err = errSlowBody
+		case errors.Is(err, io.EOF) && u.length >= 0 && total != u.length:
+			err = io.ErrUnexpectedEOF
 		}
-		if err != nil && !errors.Is(err, io.EOF) {
-			return total, &bodyError{err}
+		switch {
+		case errors.Is(err, io.EOF):
+			u.queue.add(n)
+			u.deadline.Store(u.clock.unfinishedAt + u.answerTime)
+			u.end(nil)
+			return
+		case errors.Is(err, io.ErrUnexpectedEOF) && !u.claimed.Load():
+			u.end(errClientLeft) // as if it had left after its body, since no endpoint has been sent any of that
+			return
+		case err != nil:
+			u.end(&bodyError{err})
+			return
 		}
-		if n > 0 {
-			setWriteDeadline(c, maxStreamStall)
-			if _, err := w.Write(buf[:n]); err != nil {
-				return total, fmt.Errorf("write body: %w", err)
-			}
+		u.queue.add(n)
+	}
+}
+
+// end reports how the reading ended. The owner of the client's connection learns it before the endpoint can answer.
+func (u *upload) end(err error) {
+	u.result <- err
+	if err == nil {
+		err = io.EOF
+	}
+	u.queue.finish(err)
+}
+
+// awaitSpace waits for space to read the body into. While there is none, it closes overdue once the client may have
+// waited for its answer for as long as it does.
+func (u *upload) awaitSpace() ([]byte, error) {
+	for {
+		if space := u.queue.space(); space != nil {
+			return space, nil
 		}
-		if errors.Is(err, io.EOF) {
-			break
+		select {
+		case <-u.halt:
+			return nil, errHalted
+		case <-u.queue.freed:
+		case <-time.After(spaceCheckInterval):
+			if u.clientLeft() {
+				return nil, errClientLeft
+			}
+			if u.now() >= u.clock.unfinishedAt+u.answerTime {
+				u.reportOverdue()
+			}
 		}
 	}
-	if u.length >= 0 && int64(total) != u.length {
-		return total, &bodyError{io.ErrUnexpectedEOF}
+}
+
+func (u *upload) reportOverdue() {
+	select {
+	case <-u.overdue:
+	default:
+		close(u.overdue)
 	}
-	if chunks != nil {
-		setWriteDeadline(c, maxStreamStall)
-		if _, err := io.WriteString(c, "0\r\n\r\n"); err != nil {
-			return total, fmt.Errorf("write body: %w", err)
-		}
+}
+
+// stopReading ends the reading goroutine, once its read of the client has returned.
+func (u *upload) stopReading() { u.haltOnce.Do(func() { close(u.halt) }) }
+
+// timeLeft returns the client's time for its answer, from its last byte on: what is left of it if that byte has come.
+func (u *upload) timeLeft(now balancer.Micros) balancer.Micros {
+	if deadline := u.deadline.Load(); deadline != 0 {
+		return min(u.answerTime, deadline-now)
 	}
-	setWriteDeadline(c, 0)
-	return total, nil
+	return u.answerTime
 }
 
-// setWriteDeadline sets the deadline of writes to timeout from now; 0 removes it. Its error is ignored: it fails only
-// on a closed connection, where writes fail as well.
-func setWriteDeadline(c net.Conn, timeout time.Duration) {
-	var deadline time.Time
-	if timeout > 0 {
-		deadline = time.Now().Add(timeout)
+// sendTo sends the rest of the body to an endpoint as it arrives, until ctx ends. It calls mayEnd right before it writes
+// the last byte, and writes nothing more if that returns false. sent is the number of bytes of the body that were sent,
+// with its beginning. A *bodyError means that the client is the cause; any other error, the endpoint or ctx.
+func (u *upload) sendTo(ctx context.Context, c net.Conn, mayEnd func() bool) (sent int64, err error) {
+	out := stallWriter{c, maxStreamStall}
+	var body io.Writer = out
+	if u.length < 0 {
+		body = httputil.NewChunkedWriter(out)
+	}
+	sent = int64(u.beginningBytes)
+	for {
+		data, end := u.queue.take()
+		switch {
+		case errors.Is(end, io.EOF) && u.length < 0:
+			if !mayEnd() {
+				return sent, errTimeIsUp
+			}
+			_, err := io.WriteString(out, "0\r\n\r\n")
+			return sent, err
+		case errors.Is(end, io.EOF):
+			return sent, nil
+		case end != nil:
+			return sent, end
+		case len(data) == 0:
+			select {
+			case <-u.queue.filled:
+			case <-ctx.Done():
+				return sent, context.Cause(ctx)
+			}
+			continue
+		}
+		if sent+int64(len(data)) == u.length && !mayEnd() {
+			u.queue.remove(0)
+			return sent, errTimeIsUp
+		}
+		n, err := body.Write(data)
+		u.queue.remove(n)
+		sent += int64(n)
+		if err != nil {
+			return sent, fmt.Errorf("write body: %w", err)
+		}
 	}
-	_ = c.SetWriteDeadline(deadline)
 }
--- a/internal/dataplane/httpfront/upstream.go
+++ b/internal/dataplane/httpfront/upstream.go
@@ -77,7 +77,7 @@
 
 // Send implements core.Target.
 func (t *target) Send(ctx context.Context, attempt core.Attempt) core.Reply {
-	return t.upstream.send(ctx, t, attempt.Request.(*message), attempt.Deadline, attempt.Begin, attempt.BodySent)
+	return t.upstream.send(ctx, t, attempt.Request.(*message), attempt)
 }
 
 // Probe implements core.Target. It requests the endpoint's load, or its health if no load reports are configured.
@@ -130,26 +130,19 @@
 	}
 }
 
-// send makes one attempt. It calls mayBegin right before it writes the first byte; if that returns false, nothing is
-// sent. It calls bodySent once a streamed body has been written. When ctx ends the connection is closed, unless the
-// answer is being streamed by then.
-func (u *Upstream) send(ctx context.Context, dst *target, msg *message, deadline balancer.Micros,
-	mayBegin func(now balancer.Micros) bool, bodySent func(now balancer.Micros)) core.Reply {
+// send makes one attempt. When ctx ends the connection is closed, unless the answer is being streamed by then.
+func (u *Upstream) send(ctx context.Context, dst *target, msg *message, attempt core.Attempt) core.Reply {
 	c, err := u.get(ctx, dst)
 	if err != nil {
 		return u.reply(u.connectErrors.Status(ctx, err, u.log))
 	}
 	now := u.clock.Now()
-	leftMs := millisLeft(deadline - now)
-	if msg.upload != nil {
-		leftMs = millisLeft(msg.upload.answerTime) // the endpoint counts it from the last byte of the body
-	}
-	if leftMs < 1 || !mayBegin(now) {
+	leftMs := millisLeft(msg.timeLeft(now, attempt.Deadline))
+	if leftMs < 1 || !attempt.Begin(now) {
 		u.put(c)
 		return u.reply(balancer.NotSent)
 	}
-	return u.exchange(ctx, c, msg, msg.bytes(leftMs), time.Now().Add(time.Duration(deadline-now)*time.Microsecond), u.sends,
-		bodySent)
+	return u.exchange(ctx, c, msg, msg.bytes(leftMs), attempt, u.sends)
 }
 
 // probe requests the load of an endpoint, or its health if no load reports are configured.
@@ -165,7 +158,8 @@
 	if len(fields) > 0 {
 		msg.uri = "/-/load"
 	}
-	reply := u.exchange(ctx, c, &msg, msg.bytes(0), time.Now().Add(probeTimeout), new(metrics.Counter), nil)
+	reply := u.exchange(ctx, c, &msg, msg.bytes(0), core.Attempt{Deadline: u.clock.Now() + probeTimeout.Microseconds()},
+		new(metrics.Counter))
 	reply.Release()
 	if reply.Status == balancer.OK && len(fields) > 0 {
 		reply.Load = parseLoad(fields, string(reply.Content.(*upstreamAnswer).body))
@@ -180,29 +174,27 @@
 
 // exchange writes a request, counts it in sends once it is written completely, and reads its answer. It returns the
 // connection to the pool if both are complete, and discards it otherwise.
-func (u *Upstream) exchange(ctx context.Context, c *conn, msg *message, encoded []byte, deadline time.Time,
-	sends *metrics.Counter, bodySent func(balancer.Micros)) core.Reply {
+func (u *Upstream) exchange(ctx context.Context, c *conn, msg *message, encoded []byte, attempt core.Attempt,
+	sends *metrics.Counter) core.Reply {
 	progress := newAttemptProgress(msg, c.target.addr)
-	c.paced.received = 0
+	c.paced.received.Store(0)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	c.limit.N = maxBufferedAnswerBytes
-	if status, err := u.writeRequest(c, msg, encoded, progress); err != nil {
+	if status, err := u.writeRequest(ctx, c, msg, encoded, attempt, progress); err != nil {
 		stop()
 		u.discard(c)
-		u.logEnd(ctx, progress, c.paced.received, err)
+		u.logEnd(ctx, progress, c.paced.received.Load(), err)
 		reply := u.reply(status)
 		reply.RequestConsumed = progress.phase == phaseSendingBody
 		return reply
 	}
 	if msg.upload != nil {
-		bodySent(u.clock.Now())
+		attempt.BodySent(u.clock.Now())
 	}
 	sends.Inc()
 	progress.phase = phaseWaiting
-	if msg.upload != nil {
-		deadline = time.Now().Add(time.Duration(msg.upload.answerTime) * time.Microsecond)
-	}
-	answer, err := c.read(ctx, deadline, u.bodyBudget)
+	left := msg.timeLeft(u.clock.Now(), attempt.Deadline)
+	answer, err := c.read(ctx, time.Now().Add(time.Duration(left)*time.Microsecond), u.bodyBudget)
 	reply := u.reply(balancer.Reset)
 	reply.RequestConsumed = msg.upload != nil
 	if err == nil && answer.stream != nil && answer.code != http.StatusOK {
@@ -229,7 +221,7 @@
 		u.put(c)
 	}
 	if err != nil {
-		u.logEnd(ctx, progress, c.paced.received, err)
+		u.logEnd(ctx, progress, c.paced.received.Load(), err)
 		return reply
 	}
 	reply.Content = answer
@@ -239,7 +231,8 @@
 }
 
 // writeRequest writes a request with its streamed body, if it has one. With an error, it returns the attempt's status.
-func (u *Upstream) writeRequest(c *conn, msg *message, encoded []byte, progress *attemptProgress) (balancer.Status, error) {
+func (u *Upstream) writeRequest(ctx context.Context, c *conn, msg *message, encoded []byte, attempt core.Attempt,
+	progress *attemptProgress) (balancer.Status, error) {
 	n, err := c.Write(encoded)
 	switch {
 	case err != nil && n < len(encoded):
@@ -247,22 +240,23 @@
 	case err != nil:
 		return balancer.Reset, err
 	}
-	progress.bodySent = len(msg.body)
+	progress.bodySent = int64(len(msg.body))
 	if msg.upload == nil {
 		return balancer.OK, nil
 	}
 	progress.phase = phaseSendingBody
-	return sendRest(c, msg.upload, progress)
+	return sendRest(ctx, c, msg.upload, attempt, progress)
 }
 
 // sendRest sends the rest of a streamed body. With an error, it returns the attempt's status.
-func sendRest(c *conn, rest *upload, progress *attemptProgress) (balancer.Status, error) {
-	if rest.readStarted.Swap(true) {
+func sendRest(ctx context.Context, c *conn, rest *upload, attempt core.Attempt,
+	progress *attemptProgress) (balancer.Status, error) {
+	if rest.claimed.Swap(true) {
 		return balancer.ConnectFailed, errBodyConsumed
 	}
-	rest.endWatch()
 	// The beginning of the body was copied into the encoded request, so that its buffer is free for the rest.
-	sent, err := rest.copyTo(c, rest.beginningBytes, rest.buf)
+	rest.queue.addSpare(rest.buf)
+	sent, err := rest.sendTo(ctx, c, attempt.BodyEnding)
 	progress.bodySent = sent
 	var bodyErr *bodyError
 	if errors.As(err, &bodyErr) {
--- a/internal/dataplane/httpfront/upstream_test.go
+++ b/internal/dataplane/httpfront/upstream_test.go
@@ -53,7 +53,15 @@
 func (u *Upstream) sendAttemptWithin(d time.Duration, msg *message, dst *target) core.Reply {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*sidecartest.WaitTimeout)
 	defer cancel()
-	return u.send(ctx, dst, msg, u.clock.Now()+d.Microseconds(), func(balancer.Micros) bool { return true }, nil)
+	return u.send(ctx, dst, msg, u.attemptWithin(d))
+}
+
+// attemptWithin returns an attempt that may begin at any time, and that has d.
+func (u *Upstream) attemptWithin(d time.Duration) core.Attempt {
+	return core.Attempt{
+		Deadline: u.clock.Now() + d.Microseconds(),
+		Begin:    func(balancer.Micros) bool { return true },
+	}
 }
 
 func keyedPost(body string) *message {
@@ -226,8 +234,7 @@
 		replies := make(chan core.Reply, 1)
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() {
-			replies <- u.send(ctx, newTarget(addr), keyedPost("x"), u.clock.Now()+time.Minute.Microseconds(),
-				func(balancer.Micros) bool { return true }, nil)
+			replies <- u.send(ctx, newTarget(addr), keyedPost("x"), u.attemptWithin(time.Minute))
 		}()
 		select {
 		case r := <-replies:
