Charge bodies as they arrive, and wait for memory no longer than the client waits

A body was charged as announced before a byte of it had come, so that 85 clients that stop take all memory of a small sidecar.

The buffer of a body grows with its bytes: 4 KiB free, 16 KiB from a budget of their own, the rest from the budget of long bodies, so that stalled long bodies keep no usual request waiting. A request waits for memory until its client's time is up at most, which counts from its last byte (bodyClock). Meanwhile connections that stalled within a request for half a second are closed, one in 0.1 s.

--- a/internal/dataplane/core/request.go
+++ b/internal/dataplane/core/request.go
@@ -20,7 +20,6 @@
 	Payload       any              // the request as the protocol's targets expect it
 	StreamsBody   bool             // the body is streamed, and cannot be sent again once sending has begun
 	Answer        chan Answer      // receives the one final answer; must have a buffer of one
-	BudgetBytes   int              // bytes of the frontend's budget that the body occupies
 	TimeAfterBody balancer.Micros  // for a streamed body: the client's timeout from the last byte of the body
 	MaxAttempts   int              // limit of the protocol, if lower than that of the settings; 0 for none
 	// ClientDisconnected reports whether the client has closed its connection. It may be called from any goroutine; nil
--- a/internal/dataplane/httpfront/eviction.go
+++ b/internal/dataplane/httpfront/eviction.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"context"
 	"time"
 )
 
@@ -23,6 +24,48 @@
 	}
 }
 
+// evictStalled closes connections that have stalled within a request and hold memory for it, one at each interval, until
+// ctx ends.
+func (k *clients) evictStalled(ctx context.Context) {
+	ticker := time.NewTicker(evictionInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		k.mu.Lock()
+		c := k.longestStalledLocked(time.Now())
+		if c != nil {
+			k.moveLocked(c, nil)
+			c.state = stateClosed
+		}
+		k.mu.Unlock()
+		if c != nil {
+			c.Close()
+		}
+	}
+}
+
+// longestStalledLocked returns the connection that has been stalled within a request for longest; nil if there is none.
+func (k *clients) longestStalledLocked(now time.Time) (longest *client) {
+	for _, conns := range []*list.List{k.unused, k.idle} {
+		for elem := conns.Front(); elem != nil; elem = elem.Next() {
+			c := elem.Value.(*client)
+			lastRead := c.lastReadAt.Load()
+			stalled := now.Sub(time.UnixMicro(lastRead)) > stalledRequestTimeout
+			if c.state != stateReading || c.waitingForMemory || !stalled {
+				continue
+			}
+			if longest == nil || lastRead < longest.lastReadAt.Load() {
+				longest = c
+			}
+		}
+	}
+	return longest
+}
+
 // evictLocked gives up the connection without an open request that is least likely to be needed, and returns it, or
 // nil if there is none. The caller closes it at once, but after releasing the mutex: closing waits for a read in
 // progress, and a read waits for the mutex.
--- a/internal/dataplane/httpfront/exchange.go
+++ b/internal/dataplane/httpfront/exchange.go
@@ -23,11 +23,12 @@
 	}
 	req, err := s.parse(c, r, head)
 	if req != nil {
-		defer func() { s.bodies.Release(req.BudgetBytes) }()
+		defer req.Payload.(*message).releaseBody()
 	}
 	if err != nil {
 		s.logRejected(c, errorStatus(err), err.Error())
 		c.reject(errorStatus(err), err.Error())
+		c.bodyArrives = r.ContentLength != 0
 		return false
 	}
 	if !s.clients.beginRequest(c) {
--- a/internal/dataplane/httpfront/message.go
+++ b/internal/dataplane/httpfront/message.go
@@ -17,6 +17,14 @@
 	header            http.Header // end-to-end headers
 	body              []byte      // the complete body, or the beginning of upload
 	upload            *upload     // the rest of a streamed body; nil if body is complete
+	bodyCharges       []charge    // for the memory of body
+}
+
+// releaseBody releases the charges for the memory of the body. Further calls have no effect.
+func (m *message) releaseBody() {
+	for i := range m.bodyCharges {
+		m.bodyCharges[i].release()
+	}
 }
 
 // timeLeft returns the client's time for its answer. For a streamed body it counts from the body's last byte. deadline is
--- a/internal/dataplane/httpfront/parse.go
+++ b/internal/dataplane/httpfront/parse.go
@@ -1,21 +1,16 @@
 package httpfront
 
 import (
-	"context"
-	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
 	"math"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
-	"time"
 
 	"birchmoor/balancer"
-	"birchmoor/internal/dataplane/bytebudget"
 	"birchmoor/internal/dataplane/config"
 	"birchmoor/internal/dataplane/core"
 )
@@ -34,7 +29,7 @@
 }
 
 // parse checks a request and reads its body, or the beginning of a long one. head is the request's head as it was sent.
-// A request that is returned together with an error is not to be submitted, but its BudgetBytes are to be released.
+// A request that is returned together with an error is not to be submitted, but its body's charges are to be released.
 func (s *Server) parse(conn *client, r *http.Request, head []byte) (*core.Request, error) {
 	config := s.loop.ConfigSnapshot()
 	if err := checkHead(r, head); err != nil {
@@ -80,13 +75,6 @@
 	if err := s.body(conn, r, req); err != nil {
 		return req, err
 	}
-	// The client's timeout counts from the last byte of its request. For a streamed body that byte is still to come.
-	req.Input.Deadline = s.loop.Now() + req.TimeAfterBody
-	if msg.upload != nil {
-		req.StreamsBody = true
-		req.Input.BodyStreaming = true
-		req.Input.Deadline = s.loop.Now() + maxUploadTime.Microseconds()
-	}
 	for name, values := range r.Header {
 		if !isHopByHop(name, r.Header) && name != "X-Expires-In-Ms" {
 			msg.header[name] = values
@@ -146,109 +134,6 @@
 	return min(class.Timeout, int64(min(ms, math.MaxInt32))*1000), nil
 }
 
-// body reads the body, or the beginning of a long one. Clients send one request at a time, so that bytes between a body
-// and the answer mean that the announced length is wrong: such a request is rejected, since the endpoint would answer a
-// part of the body.
-func (s *Server) body(c *client, r *http.Request, req *core.Request) error {
-	if err := acceptExpect(c, r); err != nil {
-		return err
-	}
-	length := r.ContentLength
-	want := int(min(uint64(length), MaxBufferedBodyBytes)) // an unknown length is -1, which yields the maximum
-	if want > maxUnbudgetedBytes {
-		if s.acquireMemory(c, s.bodies, want, bodyMemoryTimeout) != nil {
-			return newRequestError(http.StatusServiceUnavailable, "no room for the body")
-		}
-		req.BudgetBytes = want
-	}
-	c.limit.N = 2 * MaxBodyBytes
-	if length >= 0 {
-		c.limit.N = max(0, length-int64(c.reader.Buffered())) + 1
-	}
-	c.paced.readTimeout = maxBodyStall
-	buf, n, length, err := readBeginning(r.Body, want, length)
-	if err != nil {
-		return err
-	}
-	msg := req.Payload.(*message)
-	msg.body = buf[:n]
-	if int64(n) != length {
-		msg.upload = s.newUpload(c, r, length, req.TimeAfterBody, buf[:n])
-		return nil
-	}
-	c.paced.readTimeout = 0
-	if c.reader.Buffered() > 0 {
-		return newRequestError(http.StatusBadRequest, surplusReason)
-	}
-	return nil
-}
-
-// newUpload returns the rest of a body whose beginning was read. length is that of the complete body, or -1.
-func (s *Server) newUpload(c *client, r *http.Request, length int64, answerTime balancer.Micros, beginning []byte) *upload {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetReadBuffer(uploadSocketBytes) // fails on a closed connection, as reads do
-	}
-	u := &upload{
-		body:           r.Body,
-		length:         length,
-		answerTime:     answerTime,
-		beginningBytes: len(beginning),
-		buf:            beginning[:cap(beginning)],
-		queue:          newReadAhead(s.bodies),
-		clock:          newBodyClock(s.loop.Now(), length),
-		now:            s.loop.Now,
-		clientLeft:     c.hasLeft,
-		result:         make(chan error, 1),
-		overdue:        make(chan struct{}),
-		readEnded:      make(chan struct{}),
-		halt:           make(chan struct{}),
-	}
-	u.clock.read = int64(len(beginning))
-	return u
-}
-
-// acquireMemory charges memory for a part of a request to a budget, and waits for it for timeout at most. The connection
-// is not evicted as stalled meanwhile.
-func (s *Server) acquireMemory(c *client, budget *bytebudget.Budget, bytes int, timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	s.clients.setWaitingForMemory(c, true)
-	defer s.clients.setWaitingForMemory(c, false)
-	return budget.Acquire(ctx, bytes)
-}
-
-// acceptExpect answers "Expect: 100-continue" before the body is read, and rejects any other expectation.
-func acceptExpect(c *client, r *http.Request) error {
-	expect := r.Header.Get("Expect")
-	if strings.EqualFold(expect, "100-continue") && r.ContentLength != 0 {
-		_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // if this fails, so does reading the body
-		return nil
-	}
-	if expect != "" {
-		return newRequestError(http.StatusExpectationFailed, "Expect makes no sense")
-	}
-	return nil
-}
-
-// readBeginning reads up to want bytes of a body into a new buffer. n is the number of bytes read. knownLength is the
-// body's length: the given one or, if that is unknown (-1) and the body ended, n. A body that ends early or arrives too
-// slowly is an error.
-func readBeginning(body io.Reader, want int, length int64) (buf []byte, n int, knownLength int64, err error) {
-	buf = make([]byte, want)
-	startedAt := time.Now()
-	for n < want {
-		read, err := body.Read(buf[n:])
-		n += read
-		if errors.Is(err, io.EOF) && (length < 0 || int64(n) == length) {
-			return buf, n, int64(n), nil
-		}
-		if err != nil || time.Since(startedAt) > bodyGrace+time.Duration(n)*time.Second/minBodyBytesPerSecond {
-			return nil, n, length, newRequestError(http.StatusBadRequest, "the body is not whole")
-		}
-	}
-	return buf, n, length, nil
-}
-
 // isVisibleASCII reports whether a header's value is not empty and consists of visible ASCII characters.
 func isVisibleASCII(value string) bool {
 	return value != "" && !strings.ContainsFunc(value, func(c rune) bool { return c <= ' ' || c > '~' })
--- a/internal/dataplane/httpfront/server.go
+++ b/internal/dataplane/httpfront/server.go
@@ -24,7 +24,8 @@
 	loop        *core.EventLoop
 	clients     *clients
 	figures     *metrics.Registry
-	bodies      *bytebudget.Budget // bytes of buffered bodies
+	bodies      *bytebudget.Budget // bytes of bodies that are buffered, up to shortBodyBytes each
+	longBodies  *bytebudget.Budget // bytes of bodies beyond that, and of those read ahead
 	heads       *bytebudget.Budget // memory of heads beyond maxUnbudgetedHead each
 	closing     atomic.Bool
 	socket      handover.Socket
@@ -48,7 +49,9 @@
 func NewServer(c *config.Config, l *core.EventLoop, socket handover.Socket, figures *metrics.Registry,
 	log *slog.Logger) *Server {
 	s := &Server{loop: l, socket: socket, figures: figures, log: log}
-	s.bodies = bytebudget.New(c.MaxBufferedBytes(1))
+	s.bodies = bytebudget.New(0)
+	s.longBodies = bytebudget.New(0)
+	s.resizeBodies(c.MaxBufferedBytes(1))
 	s.heads = bytebudget.New(c.MaxBufferedBytes(1))
 	s.clients = newClients(c.MaxClientConns(1), s.serve, &figures.Unanswered, log)
 	s.clients.closedWhenFull = figures.NewCounter("full_total")
@@ -97,7 +100,7 @@
 // During an upgrade, two processes share them.
 func (s *Server) SetCapacityShare(c *config.Config, share float64) {
 	s.clients.resize(c.MaxClientConns(share))
-	s.bodies.Resize(c.MaxBufferedBytes(share))
+	s.resizeBodies(c.MaxBufferedBytes(share))
 	s.heads.Resize(c.MaxBufferedBytes(share))
 }
 
