--- a/internal/dataplane/httpfront/clientconn.go
+++ b/internal/dataplane/httpfront/clientconn.go
@@ -19,7 +19,9 @@
 func (c *client) Read(b []byte) (n int, err error) {
 	if c.hasRequest || c.raw == nil {
 		n, err = c.Conn.Read(b)
-		c.noteRead(n)
+		if n > 0 {
+			c.noteRead()
+		}
 		return n, err
 	}
 	n, err = c.readOwned(b)
@@ -50,9 +52,9 @@
 			n, err = syscall.Read(int(fd), b)
 		}
 		n = max(n, 0)
-		c.noteRead(n)
 		switch {
 		case n > 0:
+			c.noteRead()
 			if c.closeRequested {
 				// The read was woken to close the connection, but a request has begun.
 				c.setReadDeadline(time.Now().Add(RequestTimeout))
@@ -77,13 +79,6 @@
 	return n, err
 }
 
-// noteRead records the time of a read that returned n bytes; no time for n = 0.
-func (c *client) noteRead(n int) {
-	if n > 0 {
-		c.lastReadAt.Store(time.Now().UnixMicro())
-	}
-}
-
 // watch returns a channel that gets one error: why reading from the client ended, or nil if the client sent something
 // before its answer. To end the watch, set pastDeadline.
 func (c *client) watch() <-chan error {
--- a/internal/dataplane/httpfront/clients.go
+++ b/internal/dataplane/httpfront/clients.go
@@ -56,7 +56,16 @@
 	requestID        string        // of the open request, once it is complete
 	dueAt            time.Time     // when the open request counts as unanswered; zero while it cannot
 
-	lastReadAt atomic.Int64 // Unix microseconds; 0: never
+	openedAt      time.Time
+	lastReadAfter atomic.Int64 // nanoseconds from openedAt to the last read, which no step of the wall clock changes; 0: never
+}
+
+// noteRead records that something was read from the connection just now.
+func (c *client) noteRead() { c.lastReadAfter.Store(int64(max(1, time.Since(c.openedAt)))) }
+
+// silence returns for how long nothing has been read from a connection that was read from before.
+func (c *client) silence() time.Duration {
+	return time.Since(c.openedAt) - time.Duration(c.lastReadAfter.Load())
 }
 
 // clients accepts connections and bounds their number. http.Server is not used, since it hides whether more bytes
@@ -118,7 +127,7 @@
 // add serves a new connection in a goroutine of its own. At maxConns it first evicts another connection, or closes the
 // new one if all others have open requests.
 func (k *clients) add(netConn net.Conn) {
-	c := &client{Conn: netConn, clients: k, listedSince: time.Now()}
+	c := &client{Conn: netConn, clients: k, listedSince: time.Now(), openedAt: time.Now()}
 	if sc, ok := netConn.(syscall.Conn); ok {
 		c.raw, _ = sc.SyscallConn()
 	}
@@ -186,7 +195,7 @@
 	defer k.mu.Unlock()
 	c.waitingForMemory = waiting
 	if !waiting {
-		c.lastReadAt.Store(time.Now().UnixMicro()) // the time of the wait does not count as a stall of the client
+		c.noteRead() // the time of the wait does not count as a stall of the client
 	}
 }
 
--- a/internal/dataplane/httpfront/clients_test.go
+++ b/internal/dataplane/httpfront/clients_test.go
@@ -47,7 +47,7 @@
 						k.beginRequest(c)
 						k.endRequest(c)
 					case "half", "writes":
-						c.lastReadAt.Store(time.Now().UnixMicro())
+						c.noteRead()
 					}
 					if i < len(tc.conns)-1 || kind != "now" && kind != "kept now" {
 						time.Sleep(1200 * time.Millisecond)
@@ -55,7 +55,7 @@
 				}
 				for i, c := range added {
 					if tc.conns[i] == "writes" {
-						c.lastReadAt.Store(time.Now().UnixMicro())
+						c.noteRead()
 					}
 				}
 				time.Sleep(time.Millisecond)
--- a/internal/dataplane/httpfront/eviction.go
+++ b/internal/dataplane/httpfront/eviction.go
@@ -36,7 +36,7 @@
 			return
 		}
 		k.mu.Lock()
-		c := k.longestStalledLocked(time.Now())
+		c := k.longestStalledLocked()
 		if c != nil {
 			k.moveLocked(c, nil)
 			c.state = stateClosed
@@ -49,16 +49,14 @@
 }
 
 // longestStalledLocked returns the connection that has been stalled within a request for longest; nil if there is none.
-func (k *clients) longestStalledLocked(now time.Time) (longest *client) {
+func (k *clients) longestStalledLocked() (longest *client) {
 	for _, conns := range []*list.List{k.unused, k.idle} {
 		for elem := conns.Front(); elem != nil; elem = elem.Next() {
 			c := elem.Value.(*client)
-			lastRead := c.lastReadAt.Load()
-			stalled := now.Sub(time.UnixMicro(lastRead)) > stalledRequestTimeout
-			if c.state != stateReading || c.waitingForMemory || !stalled {
+			if c.state != stateReading || c.waitingForMemory || c.silence() <= stalledRequestTimeout {
 				continue
 			}
-			if longest == nil || lastRead < longest.lastReadAt.Load() {
+			if longest == nil || c.silence() > longest.silence() {
 				longest = c
 			}
 		}
@@ -86,7 +84,7 @@
 func (k *clients) leastNeededLocked() *client {
 	now := time.Now()
 	silent, stalled, oldest := k.unusedCandidatesLocked(now)
-	idle := k.idleCandidateLocked(now)
+	idle := k.idleCandidateLocked()
 	switch {
 	case k.lingering.Len() > 0:
 		return k.lingering.Front().Value.(*client)
@@ -106,15 +104,14 @@
 func (k *clients) unusedCandidatesLocked(now time.Time) (silent, stalled, oldest *client) {
 	for elem := k.unused.Front(); elem != nil && silent == nil; elem = elem.Next() {
 		c := elem.Value.(*client)
-		lastRead := c.lastReadAt.Load()
 		switch {
 		case c.waitingForMemory:
-		case lastRead == 0:
+		case c.lastReadAfter.Load() == 0:
 			if now.Sub(c.listedSince) > firstRequestTimeout {
 				silent = c
 			}
-		case now.Sub(time.UnixMicro(lastRead)) > stalledRequestTimeout:
-			if stalled == nil || lastRead < stalled.lastReadAt.Load() {
+		case c.silence() > stalledRequestTimeout:
+			if stalled == nil || c.silence() > stalled.silence() {
 				stalled = c
 			}
 		}
@@ -127,10 +124,10 @@
 
 // idleCandidateLocked returns the connection that has been in idle for longest and either waits for its next request or
 // stalled in it; nil if there is none.
-func (k *clients) idleCandidateLocked(now time.Time) *client {
+func (k *clients) idleCandidateLocked() *client {
 	for elem := k.idle.Front(); elem != nil; elem = elem.Next() {
 		c := elem.Value.(*client)
-		stalled := now.Sub(time.UnixMicro(c.lastReadAt.Load())) > stalledRequestTimeout
+		stalled := c.silence() > stalledRequestTimeout
 		if c.state == stateIdle || stalled && !c.waitingForMemory {
 			return c
 		}
