Pass an answer on without memory that clients hold which read slowly

An answer that the budget does not cover is now streamed in pieces of 4 KiB, which are not charged and as many as there are connections. A streamed answer holds one piece of 16 KiB once its beginning has been written.

--- a/internal/dataplane/httpfront/download.go
+++ b/internal/dataplane/httpfront/download.go
@@ -16,10 +16,12 @@
 	beginning []byte
 	next      *piece // the piece after beginning, if it was read already
 	source    *bodySource
+	charge    charge // for the memory of beginning
 	done      func(end core.StreamEnd)
 }
 
-// pieceBytes is the size of the pieces in which a streamed answer is read and written.
+// pieceBytes is the size of the pieces in which a streamed answer is read and written. If there is no memory, it is
+// maxUnbudgetedBytes.
 const pieceBytes = 16 << 10
 
 // piece is a part of a body. Its data is valid until the next piece is received.
@@ -37,14 +39,14 @@
 	holds    bool // the owner has the data of the latest piece; used by the owner only
 }
 
-func newBodySource(body io.Reader) *bodySource {
+func newBodySource(body io.Reader, pieceSize int) *bodySource {
 	s := &bodySource{pieces: make(chan piece), received: make(chan struct{}), stopped: make(chan struct{})}
-	go s.run(body)
+	go s.run(body, pieceSize)
 	return s
 }
 
-func (s *bodySource) run(body io.Reader) {
-	buf := make([]byte, pieceBytes)
+func (s *bodySource) run(body io.Reader, pieceSize int) {
+	buf := make([]byte, pieceSize)
 	for {
 		n, err := body.Read(buf)
 		select {
@@ -82,8 +84,8 @@
 func (s *bodySource) stop() { close(s.stopped) }
 
 // newDownload starts to read a body of the given length, or -1 if that is unknown.
-func newDownload(body io.Reader, length int64) *download {
-	return &download{length: length, source: newBodySource(body)}
+func newDownload(body io.Reader, length int64, pieceSize int) *download {
+	return &download{length: length, source: newBodySource(body, pieceSize)}
 }
 
 // fill reads the beginning of the body until holdUntil: of a body of known length its first piece, of another one up to
@@ -133,6 +135,7 @@
 		return core.StreamAbandoned, sent
 	}
 	d.beginning = nil
+	d.charge.release()
 	for ended := false; !ended; {
 		p := d.next
 		d.next = nil
@@ -155,8 +158,14 @@
 	return core.StreamComplete, sent
 }
 
+// drop ends the reading of the body, which is not needed any more.
+func (d *download) drop() {
+	d.source.stop()
+	d.charge.release()
+}
+
 // finish ends the use of the body, and reports how its stream ended.
 func (d *download) finish(end core.StreamEnd) {
-	d.source.stop()
+	d.drop()
 	d.done(end)
 }
--- a/internal/dataplane/httpfront/headmeter.go
+++ b/internal/dataplane/httpfront/headmeter.go
@@ -84,6 +84,18 @@
 	bytes  int
 }
 
+// tryAcquire charges bytes to a budget, and reports whether they were granted. A few bytes are not charged.
+func (c *charge) tryAcquire(budget *bytebudget.Budget, bytes int) bool {
+	if bytes <= maxUnbudgetedBytes {
+		return true
+	}
+	if !budget.TryAcquire(bytes) {
+		return false
+	}
+	*c = charge{budget, bytes}
+	return true
+}
+
 // release releases the memory. Further calls have no effect.
 func (c *charge) release() {
 	if c.bytes > 0 {
--- a/internal/dataplane/httpfront/upstream.go
+++ b/internal/dataplane/httpfront/upstream.go
@@ -194,11 +194,11 @@
 	sends.Inc()
 	progress.phase = phaseWaiting
 	left := msg.timeLeft(u.clock.Now(), attempt.Deadline)
-	answer, err := c.read(ctx, time.Now().Add(time.Duration(left)*time.Microsecond), u.bodyBudget)
+	answer, err := c.read(time.Now().Add(time.Duration(left)*time.Microsecond), u.bodyBudget)
 	reply := u.reply(balancer.Reset)
 	reply.RequestConsumed = msg.upload != nil
 	if err == nil && answer.stream != nil && answer.code != http.StatusOK {
-		answer.stream.source.stop() // the body of an error response is not needed
+		answer.stream.drop() // the body of an error response is not needed
 		answer.stream = nil
 		answer.bodyCharge.release()
 		answer.closesConnection = true
@@ -212,7 +212,7 @@
 	}
 	if !stop() || err != nil || answer.stream != nil || answer.closesConnection || c.reader.Buffered() > 0 {
 		if err == nil && answer.stream != nil {
-			answer.stream.source.stop()
+			answer.stream.drop()
 			answer.releaseCharges()
 			err = context.Canceled
 		}
--- a/internal/dataplane/httpfront/upstreamanswer.go
+++ b/internal/dataplane/httpfront/upstreamanswer.go
@@ -1,7 +1,6 @@
 package httpfront
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -34,6 +33,7 @@
 	body             []byte
 	stream           *download // a streamed body; nil if body is complete
 	bodyCharge       charge
+	beginningCharge  charge // for a body of unknown length that was read completely
 	headCharge       charge
 	closesConnection bool // the connection cannot be reused after the answer
 }
@@ -53,6 +53,7 @@
 // releaseCharges releases the memory that the answer is charged for. Further calls have no effect.
 func (a *upstreamAnswer) releaseCharges() {
 	a.bodyCharge.release()
+	a.beginningCharge.release()
 	a.headCharge.release()
 }
 
@@ -60,9 +61,26 @@
 // early or whose length is ambiguous is an error, so that no other bytes are taken for a part of it. http.ReadResponse
 // is not used, since it hides that an answer has both a length and chunks. The body is charged to bodies.
 //
-// No part of an answer has a timeout of its own: the attempt's deadline, at which ctx ends, is that of all of it. An
-// answer that may be long is streamed before that deadline, whether or not its body has begun.
-func (c *conn) read(ctx context.Context, deadline time.Time, bodies *bytebudget.Budget) (*upstreamAnswer, error) {
+// No part of an answer has a timeout of its own: the connection is closed at the attempt's deadline. An answer that may be
+// long is streamed before that deadline, whether or not its body has begun.
+func (c *conn) read(deadline time.Time, bodies *bytebudget.Budget) (*upstreamAnswer, error) {
+	answer, err := c.finalHead()
+	if err != nil {
+		return nil, err
+	}
+	holdUntil := time.Now().Add(min(maxBufferingTime, time.Until(deadline)-streamMargin))
+	if err = c.body(answer, holdUntil, bodies); err != nil {
+		answer.releaseCharges()
+	}
+	if answer.stream == nil {
+		c.paced.readTimeout = 0
+		c.clearReadDeadline()
+	}
+	return answer, err
+}
+
+// finalHead reads the head of an answer, and skips interim responses before it.
+func (c *conn) finalHead() (*upstreamAnswer, error) {
 	defer c.paced.head.release()
 	for range maxInterimAnswers {
 		if _, err := c.reader.Peek(1); err != nil {
@@ -72,19 +90,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if answer.code < 200 {
-			continue
-		}
-		answer.headCharge = c.paced.head.end()
-		holdUntil := time.Now().Add(min(maxBufferingTime, time.Until(deadline)-streamMargin))
-		if err = c.body(ctx, answer, holdUntil, bodies); err != nil {
-			answer.releaseCharges()
-		}
-		if answer.stream == nil {
-			c.paced.readTimeout = 0
-			c.clearReadDeadline()
+		if answer.code >= http.StatusOK {
+			answer.headCharge = c.paced.head.end()
+			return answer, nil
 		}
-		return answer, err
 	}
 	return nil, errAnswerTooLarge
 }
@@ -120,8 +129,9 @@
 }
 
 // body reads the body of an answer. If the body is longer than MaxBufferedBodyBytes, or of unknown length and does not
-// end before holdUntil, body sets the answer's stream.
-func (c *conn) body(ctx context.Context, answer *upstreamAnswer, holdUntil time.Time, budget *bytebudget.Budget) error {
+// end before holdUntil, body sets the answer's stream. So it does if there is no memory in the budget: an answer does not
+// wait for memory that clients hold which read slowly.
+func (c *conn) body(answer *upstreamAnswer, holdUntil time.Time, budget *bytebudget.Budget) error {
 	if answer.code == http.StatusNoContent || answer.code == http.StatusNotModified {
 		return nil
 	}
@@ -129,11 +139,9 @@
 	if err != nil {
 		return err
 	}
-	if answer.bodyCharge, err = chargeBody(ctx, budget, length); err != nil {
-		return err
-	}
 	c.limit.N = 2*MaxBodyBytes + maxBufferedAnswerBytes // twice MaxBodyBytes leaves space for the framing of chunks
-	if length >= 0 && length <= MaxBufferedBodyBytes {
+	isShort := length >= 0 && length <= MaxBufferedBodyBytes
+	if isShort && answer.bodyCharge.tryAcquire(budget, int(length)) {
 		answer.body = make([]byte, length)
 		_, err := io.ReadFull(body, answer.body)
 		return err
@@ -142,13 +150,22 @@
 		body = &exactReader{body, length}
 	}
 	c.paced.readTimeout = maxStreamStall
-	stream := newDownload(body, length)
+	var beginning charge
+	if isShort || !beginning.tryAcquire(budget, MaxBufferedBodyBytes) || !answer.bodyCharge.tryAcquire(budget, pieceBytes) {
+		beginning.release()
+		answer.stream = newDownload(body, length, maxUnbudgetedBytes) // slow readers hold the memory
+		return nil
+	}
+	stream := newDownload(body, length, pieceBytes)
+	stream.charge = beginning
 	complete, err := stream.fill(holdUntil)
 	switch {
 	case err != nil:
+		stream.charge.release()
 		return err
 	case complete:
 		answer.body = stream.beginning
+		answer.beginningCharge = stream.charge
 	default:
 		answer.stream = stream
 	}
@@ -179,22 +196,6 @@
 	}
 }
 
-// chargeBody charges the budget for the bytes of a body that are buffered. A negative length is an unknown one. It waits
-// for them until ctx ends.
-func chargeBody(ctx context.Context, budget *bytebudget.Budget, length int64) (charge, error) {
-	buffered := int(length)
-	if length < 0 || length > MaxBufferedBodyBytes {
-		buffered = MaxBufferedBodyBytes + pieceBytes
-	}
-	if buffered <= maxUnbudgetedBytes {
-		return charge{}, nil
-	}
-	if err := budget.Acquire(ctx, buffered); err != nil {
-		return charge{}, err
-	}
-	return charge{budget, buffered}, nil
-}
-
 // chunkedReader reads a chunked body and, after its last chunk, the trailer.
 type chunkedReader struct {
 	chunks io.Reader
