Evict a connection on which an answered request's body arrives last

Closed with unread bytes it is reset, and its client may lose the answer. Such a connection comes last now.

--- a/internal/dataplane/httpfront/clients.go
+++ b/internal/dataplane/httpfront/clients.go
@@ -43,7 +43,7 @@
 	headDeadline  time.Time // by which the head being read must be complete; zero before its first byte
 	requestReadAt time.Time // when the head of the current request had been read
 	hasRequest    bool      // a request is open or the connection is ending, so that reads need not hold clients.mu
-	bodyArrives   bool      // a request was answered before its body had arrived
+	bodyArrives   bool      // a request was answered before its body had arrived; not changed while lingering
 
 	// Guarded by clients.mu.
 	state            connState
--- a/internal/dataplane/httpfront/clients_test.go
+++ b/internal/dataplane/httpfront/clients_test.go
@@ -81,6 +81,21 @@
 	}
 }
 
+// TestLingeringConnectionWithBodyIsEvictedLast guards against a client that loses its early answer, since its connection
+// is closed to make room while its body still arrives.
+func TestLingeringConnectionWithBodyIsEvictedLast(t *testing.T) {
+	k := newClients(100, nil, new(metrics.Counter), sidecartest.DiscardLog)
+	withBody, idle, plain := &client{bodyArrives: true}, &client{state: stateIdle}, &client{}
+	k.moveLocked(withBody, k.lingering)
+	k.moveLocked(idle, k.idle)
+	k.moveLocked(plain, k.lingering)
+	for i, want := range []*client{plain, idle, withBody, nil} {
+		if got := k.evictLocked(); got != want {
+			t.Errorf("eviction %d: %+v, want %+v", i, got, want)
+		}
+	}
+}
+
 // TestRequestThatWaitsForMemoryIsNotEvicted guards against a request without an answer: a connection counted as
 // stalled, and was evicted, while its request waited for memory for its body.
 func TestRequestThatWaitsForMemoryIsNotEvicted(t *testing.T) {
--- a/internal/dataplane/httpfront/eviction.go
+++ b/internal/dataplane/httpfront/eviction.go
@@ -79,24 +79,39 @@
 
 // leastNeededLocked returns a lingering connection, else one that never sent anything, else one that stalled in its
 // first request, else one that has been idle for reuseTimeout. If all seem in use, it returns the oldest of which
-// nothing was read or, if there is none, the one that has been idle for longest. A connection whose request waits for
+// nothing was read or, if there is none, the one that has been idle for longest, and at last one that lingers while a
+// body arrives. A connection whose request waits for
 // memory on this side has not stalled: its request is served.
 func (k *clients) leastNeededLocked() *client {
 	now := time.Now()
 	silent, stalled, oldest := k.unusedCandidatesLocked(now)
 	idle := k.idleCandidateLocked()
+	lingering := k.lingeringCandidateLocked()
 	switch {
-	case k.lingering.Len() > 0:
-		return k.lingering.Front().Value.(*client)
+	case lingering != nil:
+		return lingering
 	case silent != nil:
 		return silent
 	case stalled != nil:
 		return stalled
 	case idle != nil && (oldest == nil || now.Sub(idle.listedSince) > reuseTimeout):
 		return idle
-	default:
+	case oldest != nil || k.lingering.Len() == 0:
 		return oldest
+	default:
+		return k.lingering.Front().Value.(*client)
+	}
+}
+
+// lingeringCandidateLocked returns the connection that has lingered for longest, but for those on which a body arrives:
+// if such a connection is closed with unread bytes, its client may lose the answer. It returns nil if there is none.
+func (k *clients) lingeringCandidateLocked() *client {
+	for elem := k.lingering.Front(); elem != nil; elem = elem.Next() {
+		if c := elem.Value.(*client); !c.bodyArrives {
+			return c
+		}
 	}
+	return nil
 }
 
 // unusedCandidatesLocked returns, among the connections without a request so far, the oldest that is silent, the one
