--- a/cmd/birchmoor/lab.go
+++ b/cmd/birchmoor/lab.go
@@ -14,5 +14,6 @@
 	Scale     scaleCommand     `cmd:"" help:"Measure what each role costs in a fleet larger than one machine can run: real daemons next to hollow ones."`
 	Hollow    hollowCommand    `cmd:"" hidden:""`
 	Soak      soakCommand      `cmd:"" help:"Run a small fleet of processes under schedules of faults generated from seeds, and check what clients saw."`
+	Messages  messagesCommand  `cmd:"" help:"Run sidecar processes with long and slow messages from seeds under signals, and check what clients saw."`
 	Chain     chainCommand     `cmd:"" help:"Run a chain of sidecars: the latency that it adds, the deadlines that it passes on, and the attempts at a failing leaf."`
 }
--- a/internal/dataplane/httpfront/clients_test.go
+++ b/internal/dataplane/httpfront/clients_test.go
@@ -91,7 +91,7 @@
 	k.moveLocked(plain, k.lingering)
 	for i, want := range []*client{plain, idle, withBody, nil} {
 		if got := k.evictLocked(); got != want {
-			t.Errorf("eviction %d: %+v, want %+v", i, got, want)
+			t.Errorf("eviction %d is not the one expected", i)
 		}
 	}
 }
--- /dev/null
+++ b/internal/lab/messagelab/judge.go
@@ -0,0 +1,176 @@
+package messagelab
+
+import (
+	"fmt"
+	"time"
+)
+
+// Rule is a guarantee to callers, or a limit of the platform.
+type Rule string
+
+// Rules that a run is checked against.
+const (
+	Answered Rule = "every request that was read has an answer"
+	Late     Rule = "no answer comes half a second late"
+	Cut      Rule = "no answer that a server still writes is cut off"
+	HeldBack Rule = "the rest of an answer is not held back for 2 s"
+	Foreign  Rule = "the answer is the one made for the request"
+	NoRepeat Rule = "no repeat of an unsafe request"
+	Gone     Rule = "no attempt for a client that has gone"
+	Told     Rule = "the time told to a server is what the client has left"
+	Memory   Rule = "memory stays within its limit"
+	Crash    Rule = "no process ends by itself"
+)
+
+const (
+	lateAfter     = 500 * time.Millisecond
+	heldBackAfter = 2 * time.Second
+	goneAfter     = 100 * time.Millisecond
+	toldSlack     = 150 * time.Millisecond
+	labSlack      = 100 * time.Millisecond // between an event and its record in the lab
+	maxLateness   = 50 * time.Millisecond  // of the lab; beyond it, rules with a bound in real time are not judged
+	maxExamples   = 5                      // violations of a rule that a result lists
+)
+
+// Violation is one violation of a rule.
+type Violation struct {
+	Rule   Rule   `json:"rule"`
+	Detail string `json:"detail"`
+}
+
+// dueAt returns when a request's answer is due; zero if the client did not write its last byte.
+func (r *record) dueAt() time.Time {
+	if r.writtenAt.IsZero() {
+		return time.Time{}
+	}
+	return r.writtenAt.Add(r.plan.wait)
+}
+
+// judge checks a request against all rules. realTime tells that rules with a bound in real time are checked.
+func (r *run) judge(rec *record, realTime bool) {
+	attempts := r.servers.attempts[rec.plan.id]
+	report := func(rule Rule, format string, args ...any) {
+		p := rec.plan
+		r.violateLocked(rule, fmt.Sprintf("%s n%d %s, %d bytes %s, server reads %d then %d/s, wait %v: answer %s %s %d bytes: %s"+
+			" (%s, status %d, %d bytes, written after %v, first byte %v, end %v, %d attempts, new connection %v)",
+			p.id, rec.sidecar, p.class.name, p.requestBytes, p.requestFraming, p.serverReads, p.serverReadRate, p.wait,
+			p.form, p.answerFraming, p.answerBytes, fmt.Sprintf(format, args...), rec.outcome, rec.status, rec.received,
+			since(rec.startedAt, rec.writtenAt), since(rec.startedAt, rec.firstAt), since(rec.startedAt, rec.endedAt),
+			len(attempts), rec.newConn))
+	}
+	if rec.status == 200 && rec.outcome == answered && (!rec.intact || rec.received != rec.plan.answerBytes) || !rec.intact && rec.status == 200 {
+		report(Foreign, "its content is not the request's")
+	}
+	r.judgeAttempts(rec, attempts, realTime, report)
+	if r.excused(rec) {
+		return
+	}
+	switch rec.outcome {
+	case closed:
+		isNewAndUnread := rec.newConn && (len(attempts) == 0 || rec.again)
+		if !isNewAndUnread && len(attempts) > 0 || isNewAndUnread && !rec.writtenAt.IsZero() && !r.hasCrowd() {
+			report(Answered, "it was sent, and its connection ended")
+		}
+	case timedOut:
+		report(Answered, "it had no answer %v after its last byte", patience)
+	case broken:
+		report(Cut, "its answer broke off")
+	case answered, abandoned:
+	}
+	if due := rec.dueAt(); realTime && !due.IsZero() && rec.outcome == answered {
+		at := rec.endedAt
+		if rec.status != 200 || rec.plan.answerIsLong() || rec.plan.readRate > 0 {
+			at = rec.firstAt
+		}
+		if late := at.Sub(due); late > lateAfter+labSlack {
+			report(Late, "%v after its time", late.Round(time.Millisecond))
+		}
+	}
+}
+
+type reporter func(rule Rule, format string, args ...any)
+
+func (r *run) judgeAttempts(rec *record, attempts []*attempt, realTime bool, report reporter) {
+	ran := 0
+	for _, a := range attempts {
+		if !a.complete.IsZero() {
+			ran++
+			if !a.intact {
+				report(Foreign, "the request's body was changed on the way")
+			}
+		}
+	}
+	if rec.plan.class.notIdempotent && ran > 1 {
+		report(NoRepeat, "it ran %d times", ran)
+	}
+	if r.excused(rec) {
+		return
+	}
+	for _, a := range attempts {
+		r.judgeAttempt(rec, a, realTime, report)
+	}
+}
+
+func (r *run) judgeAttempt(rec *record, a *attempt, realTime bool, report reporter) {
+	due := rec.dueAt()
+	if rec.plan.comesAgain {
+		return // its attempts are those of two requests
+	}
+	if rec.outcome == abandoned {
+		if late := a.began.Sub(rec.endedAt); realTime && late > goneAfter+labSlack {
+			report(Gone, "an attempt began %v after its client had left", late.Round(time.Millisecond))
+		}
+		return
+	}
+	if realTime && !due.IsZero() && rec.plan.requestBytes < longMessageBytes {
+		told := time.Duration(a.toldMillis) * time.Millisecond
+		if left := due.Sub(a.began); told > left+toldSlack+labSlack {
+			report(Told, "a server was told %v when %v was left", told, left.Round(time.Millisecond))
+		}
+	}
+	isServed := rec.outcome == answered && rec.status == 200
+	if a.cutAt.IsZero() || isServed || due.IsZero() {
+		return
+	}
+	before := due.Sub(a.cutAt)
+	isHeadInTime := !a.headAt.IsZero() && a.headAt.Before(due.Add(-labSlack))
+	if rec.plan.answerIsLong() && isHeadInTime && (realTime || before > labSlack) {
+		report(Cut, "closed %v before its time, %v after the head, %d bytes were given",
+			before.Round(time.Millisecond), since(a.headAt, a.cutAt), a.given)
+		return
+	}
+	if rec.plan.class.notIdempotent && before > labSlack {
+		report(Cut, "closed %v before its time", before.Round(time.Millisecond))
+	}
+}
+
+// excused reports whether a fault explains what happened to a request.
+func (r *run) excused(rec *record) bool {
+	for _, p := range r.excuses {
+		overlaps := p.sidecar == rec.sidecar && p.from.Before(rec.endedAt.Add(labSlack)) && rec.startedAt.Before(p.to)
+		switch {
+		case !overlaps:
+		case p.unaccepted:
+			if rec.newConn && rec.startedAt.After(p.from.Add(-labSlack)) {
+				return true
+			}
+		case p.cutsOpen:
+			isOpen := rec.startedAt.Before(p.to) && rec.endedAt.After(p.to.Add(-labSlack))
+			isIncomplete := rec.writtenAt.IsZero() || rec.writtenAt.After(p.to.Add(-labSlack)) || !rec.firstAt.IsZero()
+			if isOpen && isIncomplete {
+				return true
+			}
+		default:
+			return true
+		}
+	}
+	return false
+}
+
+// since returns the time between two events, or -1 if the later one did not happen.
+func since(from, to time.Time) time.Duration {
+	if to.IsZero() {
+		return -1
+	}
+	return to.Sub(from).Round(time.Millisecond)
+}
