Reject an id that was used by a request which may have run, also at the other process

An id was known only while its request was open. Left by its client, a request ends at once, although its server may run it; and two processes of an upgrade knew nothing of each other's requests.

The ids of requests that may have run and must not run twice are remembered for a minute, 32,768 at most, as digests of a fixed size. During an upgrade both processes report theirs as they come, and a new process gets those of the old one at its start (message ids of the handover; an older process answers it with an error, which is ignored). A repeat gets 409, as that of an open id does. A restart that is no upgrade knows nothing of earlier ids, as the folder is empty then; the lab excuses that.

--- a/internal/dataplane/core/eventloop.go
+++ b/internal/dataplane/core/eventloop.go
@@ -54,6 +54,7 @@
 	currentConfig    atomic.Pointer[ConfigSnapshot] // applies to new requests
 	capacityShare    atomic.Pointer[float64]        // share of the limits not yet passed to the module; nil for none
 	ejectionReporter atomic.Pointer[ejectionReporter]
+	requestReporter  atomic.Pointer[requestReporter]
 	ready            atomic.Bool // whether an endpoint has been listed as ready
 
 	// Only the loop's goroutine accesses the following fields.
@@ -68,6 +69,7 @@
 	lastRequestID      uint64
 	requests           map[uint64]*Request // by Input.ID: open requests, and ended ones until all outcomes are known
 	requestsByClientID map[string]*Request // the same requests by the ID that the client chose
+	recentRequests     recentRequests
 
 	endpointsByName    map[string]*endpointState
 	endpointsByNumber  map[uint32]*endpointState
@@ -107,6 +109,7 @@
 		drainedNumbers:     map[string]uint32{},
 		requests:           map[uint64]*Request{},
 		requestsByClientID: map[string]*Request{},
+		recentRequests:     newRecentRequests(),
 		endpointsByName:    map[string]*endpointState{},
 		endpointsByNumber:  map[uint32]*endpointState{},
 		recentNames:        newRecentSet(),
--- a/internal/dataplane/core/requests.go
+++ b/internal/dataplane/core/requests.go
@@ -16,7 +16,7 @@
 			request.Answer <- Answer{Disposition: Rejected}
 			return
 		}
-		if l.requestsByClientID[request.ID] != nil {
+		if l.isDuplicate(now, request) {
 			request.ended = true
 			request.Answer <- Answer{Disposition: DuplicateID}
 			return
@@ -24,6 +24,9 @@
 		l.lastRequestID++
 		request.Input.ID = l.lastRequestID
 		l.requests[request.Input.ID], l.requestsByClientID[request.ID] = request, request
+		if reporter := l.requestReporter.Load(); reporter != nil && !request.isRepeatable() {
+			reporter.report(keyOf(request.ID))
+		}
 		l.balancer.Request(now, request.Input)
 	})
 }
@@ -110,10 +113,15 @@
 	l.removeIfDone(request)
 }
 
-// removeIfDone removes a request that has ended and whose attempts all have outcomes.
+// removeIfDone removes a request that has ended and whose attempts all have outcomes. If it may have run and must not run
+// twice, its ID is remembered: a client that left, or lost its answer, may send it again.
 func (l *EventLoop) removeIfDone(request *Request) {
-	if request.ended && request.openAttempts == 0 {
-		delete(l.requests, request.Input.ID)
-		delete(l.requestsByClientID, request.ID)
+	if !request.ended || request.openAttempts > 0 || l.requests[request.Input.ID] != request {
+		return
+	}
+	delete(l.requests, request.Input.ID)
+	delete(l.requestsByClientID, request.ID)
+	if !request.isRepeatable() && request.mayHaveRun() {
+		l.recentRequests.add(l.clock.Now(), keyOf(request.ID))
 	}
 }
--- a/internal/dataplane/handover/conversation.go
+++ b/internal/dataplane/handover/conversation.go
@@ -25,6 +25,7 @@
 	Override  *maintenance.Override `json:"mark,omitempty"`
 	State     *State                `json:"state,omitempty"`
 	Ejections []Ejection            `json:"out,omitempty"`
+	Requests  []string              `json:"ids,omitempty"`
 	Error     string                `json:"error,omitempty"`
 }
 
@@ -33,6 +34,7 @@
 	opJoin  = "join"
 	opMark  = "mark"
 	opEject = "eject"
+	opIDs   = "ids"
 	opTake  = "take"
 	opReply = "reply"
 )
@@ -135,7 +137,7 @@
 
 // peer returns the calls to the process on the other side.
 func (c *conversation) peer() Peer {
-	return Peer{ApplyOverride: c.applyOverride, ReportEjections: c.reportEjections}
+	return Peer{ApplyOverride: c.applyOverride, ReportEjections: c.reportEjections, ReportRequests: c.reportRequests}
 }
 
 func (c *conversation) applyOverride(ctx context.Context, o maintenance.Override) error {
@@ -150,6 +152,11 @@
 	return err
 }
 
+func (c *conversation) reportRequests(ctx context.Context, keys []string) error {
+	_, err := c.request(ctx, message{Op: opIDs, Requests: keys})
+	return err
+}
+
 // handleNotification handles the requests that either process may send, and returns the reply.
 func handleNotification(p Process, m message) message {
 	switch m.Op {
@@ -158,6 +165,9 @@
 	case opEject:
 		p.ApplyEjections(m.Ejections)
 		return message{}
+	case opIDs:
+		p.ApplyRequests(m.Requests)
+		return message{}
 	}
 	return message{Error: "unknown request " + m.Op}
 }
--- a/internal/dataplane/handover/handover_test.go
+++ b/internal/dataplane/handover/handover_test.go
@@ -54,6 +54,8 @@
 	p.calls <- fmt.Sprint("eject ", list[0].ID, " ", list[0].RemainingMicros)
 }
 
+func (p *fakeProcess) ApplyRequests(keys []string) { p.calls <- fmt.Sprint("ids ", keys) }
+
 func (p *fakeProcess) StopAccepting()   { p.calls <- "stop" }
 func (p *fakeProcess) ResumeAccepting() { p.calls <- "resume" }
 
@@ -126,6 +128,10 @@
 			t.Error(err)
 		}
 		to.expectCalls(t, "eject s-4 900")
+		if err := from.peer.ReportRequests(t.Context(), []string{"0a"}); err != nil {
+			t.Error(err)
+		}
+		to.expectCalls(t, "ids [0a]")
 	}
 	predecessor.TakeOver(t.Context(), discardLog)
 	old.expectCalls(t, "stop")
--- a/internal/dataplane/handover/stored_test.go
+++ b/internal/dataplane/handover/stored_test.go
@@ -11,7 +11,7 @@
 )
 
 // The form of messages must not change, because the two processes may be of different versions.
-// testdata/messages.jsonl has the messages of a conversation as version 7105f7a sends them.
+// testdata/messages.jsonl has the messages of a conversation as version 7105f7a sends them, and the later message ids.
 func TestMessagesKeepTheirForm(t *testing.T) {
 	text, err := os.ReadFile("testdata/messages.jsonl")
 	if err != nil {
@@ -31,6 +31,7 @@
 		{Op: "eject", Seq: 4, Ejections: []Ejection{{ID: "s-3", RemainingMicros: 900}}},
 		{Op: "reply", Seq: 5, Error: "unknown id"},
 		{Op: "take", Seq: 6},
+		{Op: "ids", Seq: 7, Requests: []string{"0a", "0b"}},
 	}
 	if len(lines) != len(want) {
 		t.Fatalf("testdata/messages.jsonl has %d lines, want %d", len(lines), len(want))
--- a/internal/dataplane/sidecar/handover.go
+++ b/internal/dataplane/sidecar/handover.go
@@ -51,6 +51,7 @@
 	if len(state.List) > 0 {
 		n.applyOldProcessList(ctx, state.List)
 	}
+	n.ApplyRequests(state.Requests)
 	if err := n.overrides.Merge(ctx, state.Overrides...); err != nil {
 		n.log.Error("cannot apply the overrides of the old process", "error", err)
 	}
@@ -219,6 +220,7 @@
 	for _, stack := range n.stacks {
 		stops = append(stops, stack.loop.ReportEjectionsTo(other.ReportEjections))
 	}
+	stops = append(stops, n.stacks.http().loop.ReportRequestsTo(other.ReportRequests))
 	n.addToPeerCount(1)
 	return func() {
 		for _, stop := range stops {
@@ -252,6 +254,9 @@
 		List:           encoded,
 		OtherProtocols: map[string][]byte{},
 	}
+	if state.Requests, err = n.stacks.http().loop.RecentRequests(ctx); err != nil {
+		return handover.State{}, err
+	}
 	for _, stack := range n.stacks {
 		data, err := stack.loop.Snapshot(ctx)
 		switch {
@@ -278,6 +283,9 @@
 	}
 }
 
+// ApplyRequests applies the requests of the other process.
+func (n *instance) ApplyRequests(keys []string) { n.stacks.http().loop.ApplyRequests(keys) }
+
 // StopAccepting leaves accepting to another process. Open requests are still answered, and so are further requests on
 // open connections. Each connection is closed after its next answer, or once it has been idle for idleGrace.
 func (n *instance) StopAccepting() {
--- a/internal/lab/messagelab/faults.go
+++ b/internal/lab/messagelab/faults.go
@@ -32,6 +32,8 @@
 	from, to time.Time
 	// unaccepted excuses only requests on connections that were opened in the period: no process accepts them.
 	unaccepted bool
+	// restart tells that the process at the end of the period knows nothing of the one at its beginning.
+	restart bool
 	// cutsOpen excuses only what was not complete by the end of the period: SIGKILL came then.
 	cutsOpen bool
 }
@@ -55,12 +57,12 @@
 		byKill := s.current.terminate(ctx, times)
 		s.excuseEnd(startedAt, byKill)
 		err := s.restart(ctx)
-		s.run.excuse(period{sidecar: s.number, from: startedAt.Add(acceptedFor), to: time.Now(), unaccepted: true})
+		s.run.excuse(period{sidecar: s.number, from: startedAt.Add(acceptedFor), to: time.Now(), unaccepted: true, restart: true})
 		return err
 	case killed:
 		s.current.kill()
 		err := s.restart(ctx)
-		s.run.excuse(period{sidecar: s.number, from: startedAt, to: time.Now()})
+		s.run.excuse(period{sidecar: s.number, from: startedAt, to: time.Now(), restart: true})
 		return err
 	case reloads:
 		s.current.series(ctx, syscall.SIGHUP, times)
