Give tests a closed address that no other process listens on

TestLongBodiesAndAnswersAreForwardedUnchanged failed once in 180 plays, six processes at once with -race: its endpoint had got a request without a body that the test had not sent, so that all later ones waited for the test and timed out. Explained by reading, not shown again in 1,080 plays: the closed address of another process's test, at which its sidecar calls discovery by GET, was a port that had been free and was now the endpoint's. It is an address of the test's own process now, which nothing listens on.

--- a/internal/testutil/sidecartest/sidecartest.go
+++ b/internal/testutil/sidecartest/sidecartest.go
@@ -18,6 +18,7 @@
 
 	"birchmoor/internal/dataplane/config"
 	"birchmoor/internal/dataplane/discovery"
+	"birchmoor/internal/lab/address"
 )
 
 // WaitTimeout is the timeout of every wait for an expected event. It is long because a process may not run for seconds
@@ -79,15 +80,11 @@
 // DiscardLog is a logger that discards all lines.
 var DiscardLog = slog.New(slog.DiscardHandler)
 
-// ClosedAddress returns an address at which connections are refused.
+// ClosedAddress returns an address at which connections are refused. No other process listens there in the meantime, as
+// it might at a port that was free.
 func ClosedAddress(tb testing.TB) string {
 	tb.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		tb.Fatal(err)
-	}
-	ln.Close()
-	return ln.Addr().String()
+	return address.Next()
 }
 
 // HTTPEndpoint starts an HTTP endpoint, which is closed when the test ends, and returns its address.
