--- a/internal/dataplane/core/endpoints.go
+++ b/internal/dataplane/core/endpoints.go
@@ -95,16 +95,6 @@
 			faults = append(faults, fmt.Sprintf("%q: listed twice, the later entry applies", instance.ID))
 		}
 		listed[instance.ID] = true
-		if state != balancer.Removed && instance.Addr != "" {
-			gone, replaced := l.claimAddress(instance)
-			if replaced {
-				state = balancer.Removed
-			}
-			if gone != nil {
-				entry, _ := l.applyEntry(now, *gone, balancer.Removed) // it is listed
-				entries = append(entries, entry)
-			}
-		}
 		if entry, ok := l.applyEntry(now, instance, state); ok {
 			entries = append(entries, entry)
 		}
@@ -123,27 +113,6 @@
 	l.updateReady()
 }
 
-// claimAddress records that the process of an entry has an address. If the process of another listed endpoint has started
-// later there, the entry's process has gone, and replaced is true. If the other one has started earlier, it has gone, and
-// claimAddress returns its entry, to be removed. Endpoints without a start time may share an address.
-func (l *EventLoop) claimAddress(instance discovery.Instance) (gone *discovery.Instance, replaced bool) {
-	owner := l.endpointsByName[l.addressOwners[instance.Addr]]
-	if owner == nil || owner.entry.ID == instance.ID || owner.addr != instance.Addr {
-		l.addressOwners[instance.Addr] = instance.ID
-		return nil, false
-	}
-	switch {
-	case owner.entry.StartedMs > instance.StartedMs:
-		return nil, true
-	case owner.entry.StartedMs < instance.StartedMs:
-		l.addressOwners[instance.Addr] = instance.ID
-		l.log.Info("a later process has the address of a server",
-			"server", owner.entry.ID, "later", instance.ID, "address", instance.Addr)
-		return &owner.entry, false
-	}
-	return nil, false
-}
-
 // checkEntry returns the state that an entry describes and the faults of the entry. If ok is false the entry must be
 // ignored. A drain or a removal applies even without a valid address.
 func checkEntry(instance discovery.Instance) (state balancer.State, faults []string, ok bool) {
@@ -264,9 +233,6 @@
 	endpoint.target.Close()
 	delete(l.endpointsByName, name)
 	delete(l.endpointsByNumber, endpoint.number)
-	if l.addressOwners[endpoint.addr] == name {
-		delete(l.addressOwners, endpoint.addr)
-	}
 }
 
 // settingsIndex returns the index of a name in a list of the settings, or math.MaxUint8 if the list lacks it.
--- a/internal/dataplane/core/eventloop.go
+++ b/internal/dataplane/core/eventloop.go
@@ -73,7 +73,6 @@
 
 	endpointsByName    map[string]*endpointState
 	endpointsByNumber  map[uint32]*endpointState
-	addressOwners      map[string]string // name of the endpoint whose process started last at an address
 	lastEndpointNumber uint32
 	recentNames        recentSet // names of recently listed endpoints
 	drains             drainExchange
@@ -113,7 +112,6 @@
 		recentRequests:     newRecentRequests(),
 		endpointsByName:    map[string]*endpointState{},
 		endpointsByNumber:  map[uint32]*endpointState{},
-		addressOwners:      map[string]string{},
 		recentNames:        newRecentSet(),
 	}
 	module, err := l.newModule(tap)
