Wait for the notice of a store command that is being printed when the command ends

Traced: the notice after a second is printed on a timer's goroutine, and stopping the timer does not wait for one that has begun, so that a command which ended just then went on printing beside it. The command waits for it now.

--- a/cmd/birchmoor/storeclient.go
+++ b/cmd/birchmoor/storeclient.go
@@ -38,10 +38,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.Timeout+timeoutSlack)
 	defer cancel()
+	noticed := make(chan struct{})
 	notice := time.AfterFunc(waitNoticeDelay, func() {
+		defer close(noticed)
 		fmt.Fprintf(c.errOut, "birchmoor: no reply yet; waiting up to %v in total\n", s.Timeout)
 	})
-	defer notice.Stop()
+	defer func() {
+		if !notice.Stop() {
+			<-noticed // the notice is being printed
+		}
+	}()
 	client := adminapi.Dial(s.Socket)
 	client.Timeout = s.Timeout
 	return f(ctx, client)
