--- a/internal/lab/messagelab/judge.go
+++ b/internal/lab/messagelab/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -46,6 +47,9 @@
 	return r.writtenAt.Add(r.plan.wait)
 }
 
+// isServed reports whether the client got all of a server's answer.
+func (r *record) isServed() bool { return r.outcome == answered && r.status == http.StatusOK }
+
 // judge checks a request against all rules. realTime tells that rules with a bound in real time are checked.
 func (r *run) judge(rec *record, realTime bool) {
 	attempts := r.servers.attempts[rec.plan.id]
@@ -58,7 +62,8 @@
 			since(rec.startedAt, rec.writtenAt), since(rec.startedAt, rec.firstAt), since(rec.startedAt, rec.endedAt),
 			len(attempts), rec.newConn))
 	}
-	if rec.status == 200 && rec.outcome == answered && (!rec.intact || rec.received != rec.plan.answerBytes) || !rec.intact && rec.status == 200 {
+	isIncomplete := rec.outcome == answered && rec.received != rec.plan.answerBytes
+	if rec.status == http.StatusOK && (!rec.intact || isIncomplete) {
 		report(Foreign, "its content is not the request's")
 	}
 	r.judgeAttempts(rec, attempts, realTime, report)
@@ -75,17 +80,35 @@
 		report(Answered, "it had no answer %v after its last byte", patience)
 	case broken:
 		report(Cut, "its answer broke off")
-	case answered, abandoned:
-	}
-	if due := rec.dueAt(); realTime && !due.IsZero() && rec.outcome == answered {
-		at := rec.endedAt
-		if rec.status != 200 || rec.plan.answerIsLong() || rec.plan.readRate > 0 {
-			at = rec.firstAt
+	case answered:
+		if realTime {
+			judgeTimes(rec, attempts, report)
 		}
-		if late := at.Sub(due); late > lateAfter+labSlack {
-			report(Late, "%v after its time", late.Round(time.Millisecond))
+	case abandoned:
+	}
+}
+
+// judgeTimes checks when an answer began and ended.
+func judgeTimes(rec *record, attempts []*attempt, report reporter) {
+	at := rec.endedAt
+	if !rec.isServed() || rec.plan.answerIsLong() || rec.plan.readRate > 0 {
+		at = rec.firstAt
+	}
+	if due := rec.dueAt(); !due.IsZero() && at.Sub(due) > lateAfter+labSlack {
+		report(Late, "%v after its time", at.Sub(due).Round(time.Millisecond))
+	}
+	if !rec.isServed() || rec.plan.readRate > 0 {
+		return
+	}
+	var wholeAt time.Time // when the last attempt had given all of its answer: it is not known which one was passed on
+	for _, a := range attempts {
+		if a.wholeAt.After(wholeAt) {
+			wholeAt = a.wholeAt
 		}
 	}
+	if held := rec.endedAt.Sub(wholeAt); !wholeAt.IsZero() && held > heldBackAfter+labSlack {
+		report(HeldBack, "its end came %v after the server had written it", held.Round(time.Millisecond))
+	}
 }
 
 type reporter func(rule Rule, format string, args ...any)
@@ -129,8 +152,7 @@
 			report(Told, "a server was told %v when %v was left", told, left.Round(time.Millisecond))
 		}
 	}
-	isServed := rec.outcome == answered && rec.status == 200
-	if a.cutAt.IsZero() || isServed || due.IsZero() {
+	if a.cutAt.IsZero() || rec.isServed() || due.IsZero() {
 		return
 	}
 	before := due.Sub(a.cutAt)
--- a/internal/lab/messagelab/messagelab.go
+++ b/internal/lab/messagelab/messagelab.go
@@ -10,6 +10,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -216,19 +217,18 @@
 // count adds a request to the figures of the result.
 func (r *run) count(rec *record) {
 	r.result.Requests++
-	isServed := rec.outcome == answered && rec.status == 200
 	if rec.plan.usual() {
 		r.result.Usual++
-		if isServed {
+		if rec.isServed() {
 			r.result.UsualServe++
 		}
 	}
 	switch {
 	case rec.outcome == abandoned:
 		r.result.Left++
-	case isServed:
+	case rec.isServed():
 		r.result.Served++
-	case rec.outcome == answered && (rec.status == 503 || rec.status == 429):
+	case rec.outcome == answered && (rec.status == http.StatusServiceUnavailable || rec.status == http.StatusTooManyRequests):
 		r.result.Rejected++
 	default:
 		r.result.Failed++
