--- a/internal/dataplane/core/recentrequests.go
+++ b/internal/dataplane/core/recentrequests.go
@@ -29,8 +29,13 @@
 
 // recentRequests remembers requests that must not run again, each for recentRequestMicros.
 type recentRequests struct {
-	expiry map[requestKey]balancer.Micros
-	order  []requestKey // in the order of their expiry; a key may occur more than once
+	expiry map[requestKey]balancer.Micros // of the latest entry of each key
+	order  []recentRequest                // in the order of their expiry; a key may have several entries
+}
+
+type recentRequest struct {
+	key    requestKey
+	expiry balancer.Micros
 }
 
 func newRecentRequests() recentRequests {
@@ -39,17 +44,15 @@
 
 // add remembers a request from now on, and forgets those whose time is over or that are too many.
 func (r *recentRequests) add(now balancer.Micros, key requestKey) {
-	r.expiry[key] = now + recentRequestMicros
-	r.order = append(r.order, key)
-	for len(r.order) > 0 {
+	latest := recentRequest{key, now + recentRequestMicros}
+	r.expiry[key] = latest.expiry
+	r.order = append(r.order, latest)
+	for r.order[0].expiry <= now || len(r.order) > maxRecentRequests {
 		oldest := r.order[0]
-		if expiry := r.expiry[oldest]; expiry > now && len(r.order) <= maxRecentRequests {
-			return
-		}
-		if expiry := r.expiry[oldest]; expiry <= now || len(r.order) > maxRecentRequests {
-			delete(r.expiry, oldest)
-		}
 		r.order = r.order[1:]
+		if r.expiry[oldest.key] == oldest.expiry {
+			delete(r.expiry, oldest.key)
+		}
 	}
 }
 
@@ -83,7 +86,7 @@
 }
 
 // requestReporter sends the keys of new requests to the other process of this sidecar during a handover. It does not
-// block, and drops none.
+// block, and drops only what the other process does not reply to.
 type requestReporter struct {
 	send func(context.Context, []string) error
 
--- a/internal/dataplane/core/recentrequests_test.go
+++ b/internal/dataplane/core/recentrequests_test.go
@@ -95,6 +95,14 @@
 	if last := 3*maxRecentRequests - 1; !recent.contains(now, key(last)) || recent.contains(now, key(0)) {
 		t.Error("the latest request is forgotten, or the first one is not")
 	}
+	again := newRecentRequests()
+	for i := range maxRecentRequests {
+		again.add(0, key(i))
+	}
+	again.add(1, key(0)) // its first use is the oldest entry
+	if !again.contains(1, key(0)) {
+		t.Error("a request is forgotten with its first use, although it was used again")
+	}
 	recent.add(now+time.Minute.Microseconds(), key(-1))
 	if len(recent.expiry) != 1 {
 		t.Errorf("%d requests are remembered after a minute, want 1", len(recent.expiry))
--- a/internal/dataplane/httpfront/eviction.go
+++ b/internal/dataplane/httpfront/eviction.go
@@ -80,8 +80,7 @@
 // leastNeededLocked returns a lingering connection, else one that never sent anything, else one that stalled in its
 // first request, else one that has been idle for reuseTimeout. If all seem in use, it returns the oldest of which
 // nothing was read or, if there is none, the one that has been idle for longest, and at last one that lingers while a
-// body arrives. A connection whose request waits for
-// memory on this side has not stalled: its request is served.
+// body arrives. A connection whose request waits for memory on this side has not stalled: its request is served.
 func (k *clients) leastNeededLocked() *client {
 	now := time.Now()
 	silent, stalled, oldest := k.unusedCandidatesLocked(now)
