--- a/cmd/sidecar/replacedserver_test.go
+++ b/cmd/sidecar/replacedserver_test.go
@@ -5,8 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -35,7 +33,7 @@
 	toOldProcess atomic.Int32 // requests on connections to the first process
 	discovery    *sidecartest.Discovery
 	management   string
-	log          *processtest.Log
+	process      *processtest.Process
 	sidecarAddr  string
 }
 
@@ -43,8 +41,7 @@
 // it reads and never answers.
 func startBesideReplacedServer(t *testing.T) *replacedServer {
 	t.Helper()
-	s := &replacedServer{discovery: sidecartest.NewDiscovery(t), management: processtest.Address(t),
-		log: &processtest.Log{}, sidecarAddr: processtest.Address(t)}
+	s := &replacedServer{discovery: sidecartest.NewDiscovery(t), management: processtest.Address(t)}
 	var conns atomic.Int32
 	s.addr = sidecartest.RawEndpoint(t, func(conn *net.TCPConn, r *bufio.Reader) {
 		isOld := conns.Add(1) == 1
@@ -63,17 +60,12 @@
 		for range s.discovery.Watches { // a watch without a line is opened anew every few seconds
 		}
 	}()
-	file := filepath.Join(t.TempDir(), "config.json")
-	text := sidecartest.ConfigText(t, s.discovery.Addr, sidecartest.Instances(s.addr))
-	if err := os.WriteFile(file, text, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	processtest.Start(t, processtest.Self(t, []string{"ROUTER_CONFIG=" + file, "ROUTER_LISTEN=" + s.sidecarAddr,
-		"ROUTER_MGMT=" + s.management, "TMPDIR="}), s.log)
+	s.sidecarAddr, s.process = startReady(t,
+		sidecartest.ConfigText(t, s.discovery.Addr, sidecartest.Instances(s.addr)), "ROUTER_MGMT="+s.management)
 	processtest.Until(t, "an answer of the old process", func() bool {
 		answer, err := s.pay()
 		return err == nil && answer.status == http.StatusOK
-	}, s.log.String)
+	}, s.process.Log)
 	return s
 }
 
@@ -92,7 +84,7 @@
 	processtest.Until(t, "the list", func() bool {
 		stats = operatorStats(s.management)
 		return strings.Contains(stats, "app_cluster_size ") && !strings.Contains(stats, "app_cluster_size 1\n")
-	}, s.log.String)
+	}, s.process.Log)
 	return stats
 }
 
@@ -105,7 +97,7 @@
 	processtest.Until(t, "an answer of the new process", func() bool {
 		answer, err := s.pay()
 		return err == nil && answer.status == http.StatusOK || s.toOldProcess.Load() > 0
-	}, s.log.String)
+	}, s.process.Log)
 	if n := s.toOldProcess.Load(); n != 0 {
 		t.Errorf("%d requests were sent on the connection to the old process", n)
 	}
--- a/cmd/sidecar/slowmessages_test.go
+++ b/cmd/sidecar/slowmessages_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"birchmoor/internal/platform/tcpstate"
 	"birchmoor/internal/testutil/processtest"
 	"birchmoor/internal/testutil/sidecartest"
 )
@@ -29,14 +30,19 @@
 
 // startSidecarWith starts the program with the settings of sidecartest, changed by edits, and waits until it is ready.
 func startSidecarWith(t *testing.T, endpoint string, edits ...string) (addr string, p *processtest.Process) {
+	t.Helper()
+	return startReady(t, sidecartest.ConfigText(t, "127.0.0.1:1", sidecartest.Instances(endpoint), edits...))
+}
+
+// startReady starts the program with a configuration, and waits until it is ready. env is added to its environment.
+func startReady(t *testing.T, configuration []byte, env ...string) (addr string, p *processtest.Process) {
 	t.Helper()
 	file, addr, log := filepath.Join(t.TempDir(), "config.json"), processtest.Address(t), &processtest.Log{}
-	text := sidecartest.ConfigText(t, "127.0.0.1:1", sidecartest.Instances(endpoint), edits...)
-	if err := os.WriteFile(file, text, 0o600); err != nil {
+	if err := os.WriteFile(file, configuration, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p = processtest.Start(t,
-		processtest.Self(t, []string{"ROUTER_CONFIG=" + file, "ROUTER_LISTEN=" + addr, "TMPDIR="}), log)
+	env = append(env, "ROUTER_CONFIG="+file, "ROUTER_LISTEN="+addr, "TMPDIR=")
+	p = processtest.Start(t, processtest.Self(t, env), log)
 	processtest.Until(t, "readiness", func() bool {
 		resp, err := http.Get("http://" + addr + "/-/ready")
 		if err == nil {
@@ -216,7 +222,7 @@
 	for {
 		time.Sleep(interval)
 		if bytesPerSecond == 0 {
-			if connectionIsClosed(conn) {
+			if tcpstate.IsClosedByPeer(conn) {
 				return
 			}
 			continue
@@ -227,21 +233,6 @@
 	}
 }
 
-// connectionIsClosed reports whether the peer has closed a connection, without reading from it.
-func connectionIsClosed(conn *net.TCPConn) bool {
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return true
-	}
-	closed := true
-	_ = raw.Control(func(fd uintptr) {
-		info, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO)
-		const established = 1 // the first byte of struct tcp_info is the state
-		closed = err != nil || info&0xff != established
-	})
-	return closed
-}
-
 const endOfLongBody = "<end of the body>"
 
 // A request whose endpoint reads it slowly, or stops reading it, must have its final answer once its client's time is
--- a/internal/dataplane/httpfront/clientconn.go
+++ b/internal/dataplane/httpfront/clientconn.go
@@ -1,13 +1,14 @@
 package httpfront
 
 import (
-	"encoding/binary"
 	"errors"
 	"io"
 	"net"
 	"os"
 	"syscall"
 	"time"
+
+	"birchmoor/internal/platform/tcpstate"
 )
 
 // pastDeadline is a read deadline that wakes a blocked read at once.
@@ -111,17 +112,13 @@
 	return left
 }
 
-// isEstablished reports whether a socket is in TCP state ESTABLISHED: neither side has ended its sending, even if bytes
-// are unread. It returns true if the system does not report the state.
+// isEstablished reports whether neither side of a connection has ended its sending, even if bytes are unread. It returns
+// true if the system does not report the state.
 func isEstablished(fd uintptr) bool {
-	info, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO)
-	var state [4]byte // the first bytes of struct tcp_info; byte 0 is the TCP state
-	binary.NativeEndian.PutUint32(state[:], uint32(info))
-	return err != nil || state[0] == tcpEstablished
+	established, err := tcpstate.IsEstablished(fd)
+	return err != nil || established
 }
 
-const tcpEstablished = 1 // TCP_ESTABLISHED in Linux
-
 const (
 	writeTimeout   = time.Second
 	lingerTimeout  = 200 * time.Millisecond
--- a/internal/lab/messagelab/server.go
+++ b/internal/lab/messagelab/server.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"birchmoor/internal/platform/tcpstate"
 )
 
 const (
@@ -144,7 +146,7 @@
 	for s.ctx.Err() == nil {
 		s.pause(readInterval)
 		if p.serverReadRate == 0 {
-			if isClosedByPeer(conn) {
+			if tcpstate.IsClosedByPeer(conn) {
 				return nil, errPeerClosed
 			}
 			continue
@@ -213,7 +215,7 @@
 // write writes a part of an answer. If the sidecar has closed the connection, it records that and fails.
 func (s *servers) write(conn *net.TCPConn, a *attempt, text string) error {
 	err := errPeerClosed
-	if !isClosedByPeer(conn) {
+	if !tcpstate.IsClosedByPeer(conn) {
 		_, err = io.WriteString(conn, text)
 	}
 	if err != nil && s.ctx.Err() == nil {
@@ -221,18 +223,3 @@
 	}
 	return err
 }
-
-// isClosedByPeer reports whether the other side has closed a connection, without reading from it.
-func isClosedByPeer(conn *net.TCPConn) bool {
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return true
-	}
-	closed := true
-	_ = raw.Control(func(fd uintptr) { // fails on a connection that is closed on this side
-		info, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO)
-		const established = 1 // TCP_ESTABLISHED, in the first byte of struct tcp_info
-		closed = err != nil || info&0xff != established
-	})
-	return closed
-}
