--- a/cmd/birchmoor/labmessages.go
+++ b/cmd/birchmoor/labmessages.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"os"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"birchmoor/internal/lab/messagelab"
@@ -34,17 +31,14 @@
 }
 
 func (k *messagesCommand) Run(ctx context.Context, c *console) error {
-	first, last, ok := strings.Cut(k.Seeds, "-")
-	from, errFrom := strconv.ParseUint(first, 10, 64)
-	to, errTo := strconv.ParseUint(last, 10, 64)
-	if !ok || errFrom != nil || errTo != nil || from > to || to == 1<<64-1 {
-		return fmt.Errorf("--seeds %q is not a range such as 1-50", k.Seeds)
+	from, to, err := parseSeedRange(k.Seeds)
+	if err != nil {
+		return err
 	}
 	if k.Duration < time.Second {
 		return fmt.Errorf("--for %v: the minimum is 1s", k.Duration)
 	}
 	if k.Bin == "" {
-		var err error
 		if k.Bin, err = rig.Program(); err != nil {
 			return err
 		}
@@ -84,15 +78,5 @@
 	if k.JSON == "" {
 		return nil
 	}
-	line, err := json.Marshal(r)
-	if err != nil {
-		return err
-	}
-	file, err := os.OpenFile(k.JSON, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if err != nil {
-		return err
-	}
-	defer file.Close()
-	_, err = file.Write(append(line, '\n'))
-	return err
+	return appendJSONLine(k.JSON, r)
 }
--- a/cmd/birchmoor/labresult.go
+++ b/cmd/birchmoor/labresult.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -100,3 +102,17 @@
 	}
 	fmt.Fprintln(w)
 }
+
+// appendJSONLine appends a value to a file as a line of JSON.
+func appendJSONLine(path string, value any) error {
+	line, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	_, err = file.Write(append(line, '\n'))
+	return errors.Join(err, file.Close())
+}
--- a/cmd/birchmoor/labsoak.go
+++ b/cmd/birchmoor/labsoak.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"os"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"birchmoor/internal/lab/soak"
@@ -85,11 +82,9 @@
 		s := &soak.Schedule{}
 		return []*soak.Schedule{s}, readJSON(k.Schedule, s)
 	}
-	first, last, ok := strings.Cut(k.Seeds, "-")
-	from, errFrom := strconv.ParseUint(first, 10, 64)
-	to, errTo := strconv.ParseUint(last, 10, 64)
-	if !ok || errFrom != nil || errTo != nil || from > to {
-		return nil, fmt.Errorf("--seeds %q is not a range such as 1-50", k.Seeds)
+	from, to, err := parseSeedRange(k.Seeds)
+	if err != nil {
+		return nil, err
 	}
 	if k.Beside < 1 || k.Duration < time.Second {
 		return nil, fmt.Errorf("--beside %d and --for %v: the minimum is 1 and 1s", k.Beside, k.Duration)
@@ -123,17 +118,7 @@
 	if k.JSON == "" {
 		return nil
 	}
-	line, err := json.Marshal(result)
-	if err != nil {
-		return err
-	}
-	file, err := os.OpenFile(k.JSON, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if err != nil {
-		return err
-	}
-	defer file.Close()
-	_, err = file.Write(append(line, '\n'))
-	return err
+	return appendJSONLine(k.JSON, result)
 }
 
 // runSoak runs schedules, up to parallel of them at once, and calls onResult with each result, one at a time. After an
--- a/cmd/birchmoor/seeds.go
+++ b/cmd/birchmoor/seeds.go
@@ -4,7 +4,10 @@
 	"context"
 	"fmt"
 	"iter"
+	"math"
 	"runtime"
+	"strconv"
+	"strings"
 	"sync"
 )
 
@@ -16,6 +19,18 @@
 	return nil
 }
 
+// parseSeedRange parses a range of seeds such as 1-50.
+func parseSeedRange(text string) (from, to uint64, err error) {
+	first, last, ok := strings.Cut(text, "-")
+	from, errFrom := strconv.ParseUint(first, 10, 64)
+	to, errTo := strconv.ParseUint(last, 10, 64)
+	// The loop over a range that ends with the largest number would not end.
+	if !ok || errFrom != nil || errTo != nil || from > to || to == math.MaxUint64 {
+		return 0, 0, fmt.Errorf("--seeds %q is not a range such as 1-50", text)
+	}
+	return from, to, nil
+}
+
 // seedResults runs seeds concurrently, as many at once as there are CPUs, and yields their results in the order of the
 // seeds. It stops early when ctx is done. In any case it returns only after the runs that it has started have ended.
 func seedResults[R any](ctx context.Context, first uint64, seeds int, run func(seed uint64) R) iter.Seq[R] {
