Count a long request as its server's load only once its body is complete

The module counted their attempts as work at the servers, which begin a request once its last byte has come.

endpoint.uploading counts attempts whose body still arrives; load, the load of others and that of an earlier process go by the rest. It is derived when a state is resumed, and stored nowhere. Attempts whose answer is being streamed count as before: a first draft left them out too, which is wrong where a class streams while it works.

--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -93,6 +93,9 @@
 	}
 	r.attempts[len(r.attempts)-1].setStreaming(now, r.BodyStreaming)
 	e.inflight++
+	if r.BodyStreaming {
+		e.uploading++
+	}
 	e.lastSendAt = now
 	b.undrained = slices.DeleteFunc(b.undrained, func(u undrainedEndpoint) bool { return u.id == e.ID })
 	b.startTrials(now, r, e)
@@ -158,6 +161,7 @@
 	for i := range r.attempts {
 		if a := &r.attempts[i]; a.pending {
 			a.setStreaming(now, false)
+			a.endpoint.uploading--
 		}
 	}
 	if !r.ended {
@@ -181,6 +185,9 @@
 	a.setStreaming(now, false)
 	r.pending--
 	a.endpoint.inflight--
+	if r.BodyStreaming {
+		a.endpoint.uploading--
+	}
 	a.endpoint.silentSince = now
 	a.mayHaveRun = outcome.Status != Rejected && outcome.Status != ConnectFailed && outcome.Status != NotSent
 	b.sentWork.add(now, r.work*indicator(a.mayHaveRun))
--- a/balancer/endpoint.go
+++ b/balancer/endpoint.go
@@ -15,6 +15,7 @@
 
 	inflight    int    // this balancer's attempts without outcome
 	streaming   int    // those of them whose body or answer is being streamed
+	uploading   int    // those of them whose body is still arriving
 	lastSendAt  Micros // latest attempt of this balancer
 	silentSince Micros // latest sign of activity, while it has attempts in flight
 
@@ -25,7 +26,7 @@
 	lastReportAt Micros  // when its latest report with a load came
 	reportSum    float32 // weighted sum of the figures of its latest report, to detect a change
 	othersLoad   float64 // other balancers' requests there, by that report
-	ownAtReport  int     // this balancer's requests in flight when that report came
+	ownAtReport  int     // begun() when that report came
 	rtt          ewma    // round-trip time of probes, in microseconds
 
 	pace          ewma   // time per unit of work without contention, scaled to a fully warm endpoint
@@ -37,6 +38,10 @@
 	breaker      breaker
 }
 
+// begun returns the number of this balancer's attempts that the endpoint may have begun: it does so once the last byte
+// of a request has come.
+func (e *endpoint) begun() int { return e.inflight - e.uploading }
+
 // newPartFailures returns empty failure runs for all classes and tenants.
 func (b *Balancer) newPartFailures() []failureRun {
 	return make([]failureRun, len(b.classes)+len(b.tenantDemand))
@@ -49,6 +54,7 @@
 		Endpoint:     e.Endpoint,
 		inflight:     e.inflight,
 		streaming:    e.streaming,
+		uploading:    e.uploading,
 		probing:      e.probing,
 		probeRound:   e.probeRound,
 		lastProbeAt:  e.lastProbeAt,
--- a/balancer/latency.go
+++ b/balancer/latency.go
@@ -25,10 +25,10 @@
 func (b *Balancer) load(now Micros, e *endpoint) float64 {
 	typical := b.typicalLoad.value * e.estimatedCapacity(now, b)
 	if b.reportsLate || !e.hasLoad {
-		return typical + float64(e.inflight)
+		return typical + float64(e.begun())
 	}
-	herd := min(maxHerdFactor, float64(b.settings.Balancers-1)/2) * float64(max(0, e.inflight-e.ownAtReport))
-	return typical + (e.othersLoad-typical)*b.reportRelevance(now, e) + float64(e.inflight) + herd
+	herd := min(maxHerdFactor, float64(b.settings.Balancers-1)/2) * float64(max(0, e.begun()-e.ownAtReport))
+	return typical + (e.othersLoad-typical)*b.reportRelevance(now, e) + float64(e.begun()) + herd
 }
 
 // coreShare returns the share of a request's latency without queueing in which it occupies a core, 1 if endpoints do
--- a/balancer/maintenance_test.go
+++ b/balancer/maintenance_test.go
@@ -164,9 +164,50 @@
 			predicted, out.failed, out.rejected)
 	}
 	b.Outcome(9*second, Outcome{ID: 1, Endpoint: 1, Status: OK, Latency: 500_000, Answered: true})
-	if e.streaming != 0 || e.inflight != 0 || len(b.requests) != 0 {
-		t.Errorf("after the outcome: %d streaming, %d in flight, %d records, want none",
-			e.streaming, e.inflight, len(b.requests))
+	if e.streaming != 0 || e.uploading != 0 || e.inflight != 0 || len(b.requests) != 0 {
+		t.Errorf("after the outcome: %d streaming, %d uploading, %d in flight, %d records, want none",
+			e.streaming, e.uploading, e.inflight, len(b.requests))
+	}
+}
+
+// An endpoint begins a request once its last byte has come. Bodies that still arrive must not let other requests be
+// rejected, whether or not reports of load come, and must count again once they are complete.
+func TestArrivingBodyIsNoLoad(t *testing.T) {
+	const uploads = 40
+	for _, reports := range []bool{false, true} {
+		b, out := startBalancer(t, testSettings(), readyEndpoints(1))
+		e := b.byID[1]
+		idle := b.predict(0, e, 1)
+		for id := range uint64(uploads) {
+			r := testRequest(id+1, 4, 0)
+			r.BodyStreaming, r.Deadline = true, 60*second
+			b.Request(0, r)
+		}
+		if len(out.sends) != uploads {
+			t.Fatalf("%d requests were sent, want %d", len(out.sends), uploads)
+		}
+		if reports {
+			b.probe(1000, e)
+			b.ProbeCompleted(2000, 1, OK, 1000, []float32{0})
+		}
+		if predicted := b.predict(3000, e, 1) - e.rtt.valueOr(0); predicted > idle {
+			t.Errorf("reports %v: latency %v µs predicted beside %d arriving bodies, want %v as without",
+				reports, predicted, uploads, idle)
+		}
+		resumed, err := Resume(b.Snapshot(3000, true), &recorder{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := resumed.byID[1].begun(); got != 0 {
+			t.Errorf("reports %v: %d requests begun after a restore of the whole state, want none", reports, got)
+		}
+		for id := range uint64(uploads) {
+			b.UploadComplete(4000, id+1, second)
+		}
+		if predicted := b.predict(5000, e, 1); predicted < uploads/4*idle {
+			t.Errorf("reports %v: latency %v µs predicted beside %d complete requests, want many times %v",
+				reports, predicted, uploads, idle)
+		}
 	}
 }
 
--- a/balancer/reports.go
+++ b/balancer/reports.go
@@ -66,12 +66,12 @@
 		e.hasLoad = true
 		e.lastReportAt = now
 		b.addToPool(e)
-		e.othersLoad = max(0, report.inflight-float64(e.inflight))
-		e.ownAtReport = e.inflight
+		e.othersLoad = max(0, report.inflight-float64(e.begun()))
+		e.ownAtReport = e.begun()
 		// One overloaded endpoint, or one that was probed a moment ago, says little about the others.
 		weight := novelty / float64(min(maxPool, len(b.aperture(now))))
 		b.typicalLoad.add(min(e.othersLoad, b.typicalLoad.value+maxTypicalLoadStep), weight)
-		b.ownLoad.add(float64(e.inflight), weight)
+		b.ownLoad.add(float64(e.begun()), weight)
 	}
 	if report.inflightReported {
 		b.checkReportLate(now, e, report.inflight)
--- a/balancer/restore.go
+++ b/balancer/restore.go
@@ -118,7 +118,7 @@
 		e.reportSum = old.reportSum
 		e.lastReportAt = old.lastReportAt
 		// Requests of the earlier process may still be there. For this process they are other balancers' load.
-		e.othersLoad = old.othersLoad + float64(old.inflight)
+		e.othersLoad = old.othersLoad + float64(old.begun())
 		b.pool = append(b.pool, e)
 	}
 }
--- a/balancer/resume.go
+++ b/balancer/resume.go
@@ -172,6 +172,9 @@
 		})
 		if a.Pending {
 			r.pending++
+			if r.BodyStreaming {
+				target.uploading++
+			}
 		}
 	}
 	b.requests[r.ID] = r
