--- a/cmd/sidecar/replacedserver_test.go
+++ b/cmd/sidecar/replacedserver_test.go
@@ -14,7 +14,7 @@
 	"birchmoor/internal/testutil/sidecartest"
 )
 
-// operatorStats returns the figures that a process tells operators, or "" if it does not answer.
+// operatorStats returns the figures that a process reports to operators, or "" if it does not answer.
 func operatorStats(management string) string {
 	conn, err := net.Dial("tcp", management)
 	if err != nil {
@@ -27,7 +27,7 @@
 	return string(text)
 }
 
-// replacedServer is a server of which a sidecar process knows a first process, which has gone without a word.
+// replacedServer is a server of which a sidecar process knows a first process, which has vanished silently.
 type replacedServer struct {
 	addr         string
 	toOldProcess atomic.Int32 // requests on connections to the first process
@@ -73,11 +73,12 @@
 	return exchange(s.sidecarAddr, sidecartest.Request(http.MethodPost, "/pay/1", "pay", 900, "x"))
 }
 
-// tellNewProcess has discovery tell that a process with an ID has started at the address, and waits until the list is in
-// effect, which shows by a further server. It returns the operators' figures.
-func (s *replacedServer) tellNewProcess(t *testing.T, id string) (stats string) {
+// reportNewProcess has discovery report that a process with an ID has started at the address, and waits until the list
+// is in effect, which shows by a further server. It returns the operators' figures.
+func (s *replacedServer) reportNewProcess(t *testing.T, id string) (stats string) {
 	t.Helper()
-	replaced, other := sidecartest.ReadyInstance(id, s.addr), sidecartest.ReadyInstance("s-2", sidecartest.ClosedAddress(t))
+	replaced := sidecartest.ReadyInstance(id, s.addr)
+	other := sidecartest.ReadyInstance("s-2", sidecartest.ClosedAddress(t))
 	replaced.StartedMs = time.Now().UnixMilli()
 	other.Lifecycle = "draining"
 	s.discovery.Lines <- sidecartest.ListLine(8, false, replaced, other)
@@ -88,11 +89,11 @@
 	return stats
 }
 
-// A new process of a server at the same address must get no request on a connection to the old one, which has gone
-// without a word.
+// A new process of a server at the same address must get no request on a connection to the old one, which has
+// vanished silently.
 func TestNewProcessAtSameAddressIsNotTakenForOldOne(t *testing.T) {
 	s := startBesideReplacedServer(t)
-	s.tellNewProcess(t, "s-1")
+	s.reportNewProcess(t, "s-1")
 	// While the new process warms up, requests may be rejected.
 	processtest.Until(t, "an answer of the new process", func() bool {
 		answer, err := s.pay()
@@ -106,7 +107,7 @@
 // An address that a later process has taken must not be used for the earlier one, which discovery still lists.
 func TestAddressOfLaterProcessIsNotUsedForEarlierOne(t *testing.T) {
 	s := startBesideReplacedServer(t)
-	if stats := s.tellNewProcess(t, "s-9"); !strings.Contains(stats, "app_cluster_size 2\n") {
+	if stats := s.reportNewProcess(t, "s-9"); !strings.Contains(stats, "app_cluster_size 2\n") {
 		t.Errorf("the servers in use are not the new process and s-2 alone:\n%s", stats)
 	}
 }
--- a/cmd/sidecar/slowmessages_test.go
+++ b/cmd/sidecar/slowmessages_test.go
@@ -174,7 +174,8 @@
 	return answer, err
 }
 
-// slowEndpoint starts an endpoint with small buffers and segments, as on an Ethernet, that reads requests by readSlowly, and returns its address.
+// slowEndpoint starts an endpoint with small buffers and segments, as on an Ethernet, that reads requests by
+// readSlowly, and returns its address.
 func slowEndpoint(t *testing.T, first, bytesPerSecond int) string {
 	t.Helper()
 	const receiveBuffer, segmentBytes = 4 << 10, 1448
--- a/internal/dataplane/bytebudget/budget.go
+++ b/internal/dataplane/bytebudget/budget.go
@@ -54,16 +54,16 @@
 	return b.grantAtOnceLocked(bytes)
 }
 
-// TryAcquireSpare is TryAcquire, but leaves half of the budget to others: it grants bytes only while at most half of the
-// budget is held.
+// TryAcquireSpare is TryAcquire, but leaves half of the budget to others: it grants bytes only while at most half of
+// the budget is held.
 func (b *Budget) TryAcquireSpare(bytes int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.usedBytes+bytes <= b.maxBytes/2 && b.grantAtOnceLocked(bytes)
 }
 
-// grantAtOnceLocked grants bytes unless others wait or they do not fit, and reports whether it did. The caller must hold
-// b.mu.
+// grantAtOnceLocked grants bytes unless others wait or they do not fit, and reports whether it did. The caller must
+// hold b.mu.
 func (b *Budget) grantAtOnceLocked(bytes int) bool {
 	if b.waiters.Len() > 0 || !b.fitsLocked(bytes) {
 		return false
--- a/internal/dataplane/core/recentrequests.go
+++ b/internal/dataplane/core/recentrequests.go
@@ -25,6 +25,7 @@
 	return requestKey(sum[:len(requestKey{})])
 }
 
+// String returns the key in hexadecimal, as processes exchange it.
 func (k requestKey) String() string { return hex.EncodeToString(k[:]) }
 
 // recentRequests remembers requests that must not run again, each for recentRequestMicros.
@@ -76,8 +77,8 @@
 	return false
 }
 
-// isDuplicate reports whether a request has the ID of an open one or, if it must not run twice, of one that may have run
-// lately, in this process or in the other process of the sidecar.
+// isDuplicate reports whether a request has the ID of an open one or, if it must not run twice, of one that may have
+// run lately, in this process or in the other process of the sidecar.
 func (l *EventLoop) isDuplicate(now balancer.Micros, request *Request) bool {
 	if l.requestsByClientID[request.ID] != nil {
 		return true
--- a/internal/dataplane/core/requests.go
+++ b/internal/dataplane/core/requests.go
@@ -31,8 +31,8 @@
 	})
 }
 
-// BodyReceived reports that a streamed body has arrived, or that its client may have waited for its answer for as long as
-// it does. The request must be answered by deadline.
+// BodyReceived reports that a streamed body has arrived, or that its client may have waited for its answer for as long
+// as it does. The request must be answered by deadline.
 func (l *EventLoop) BodyReceived(request *Request, deadline balancer.Micros) {
 	l.post(func(now balancer.Micros) { l.bodyReceived(now, request, deadline) })
 }
@@ -113,8 +113,8 @@
 	l.removeIfDone(request)
 }
 
-// removeIfDone removes a request that has ended and whose attempts all have outcomes. If it may have run and must not run
-// twice, its ID is remembered: a client that left, or lost its answer, may send it again.
+// removeIfDone removes a request that has ended and whose attempts all have outcomes. If it may have run and must not
+// run twice, its ID is remembered: a client that left, or lost its answer, may send it again.
 func (l *EventLoop) removeIfDone(request *Request) {
 	if !request.ended || request.openAttempts > 0 || l.requests[request.Input.ID] != request {
 		return
--- a/internal/dataplane/core/transport.go
+++ b/internal/dataplane/core/transport.go
@@ -43,8 +43,8 @@
 	// MayContinue must be called before each further step of the attempt, such as sending it on another connection,
 	// which is not taken if it returns false: the endpoint may have begun to drain in the meantime.
 	MayContinue func(now balancer.Micros) bool
-	// BodyEnding must be called right before the last byte of a streamed body is sent. If it returns false, nothing more
-	// may be sent: the attempt has ended, and counts as one that never ran.
+	// BodyEnding must be called right before the last byte of a streamed body is sent. If it returns false, nothing
+	// more may be sent: the attempt has ended, and counts as one that never ran.
 	BodyEnding func() bool
 	// BodySent must be called when a streamed body has been sent completely.
 	BodySent func(now balancer.Micros)
--- a/internal/dataplane/handover/handover.go
+++ b/internal/dataplane/handover/handover.go
@@ -59,7 +59,8 @@
 	Merge(ctx context.Context, overrides ...maintenance.Override) error
 	// ApplyEjections ejects in this process the endpoints that the other one has ejected.
 	ApplyEjections(list []Ejection)
-	// ApplyRequests rejects requests in this process that the other one has, or had lately. They are named by their keys.
+	// ApplyRequests rejects requests in this process that the other one has, or had lately. They are named by their
+	// keys.
 	ApplyRequests(keys []string)
 	// StopAccepting stops accepting connections, because the other process accepts them from now on.
 	StopAccepting()
--- a/internal/dataplane/httpfront/bodyclock.go
+++ b/internal/dataplane/httpfront/bodyclock.go
@@ -8,9 +8,9 @@
 	markBytes      = 1 << 20 // between two marks of a bodyClock
 )
 
-// bodyClock tells when a client may have written the last byte of a body, from which its time for the answer counts.
-// While an endpoint takes the body more slowly than the client writes it, the rest lies in the sockets' buffers, and
-// that byte is seen long after it was written.
+// bodyClock estimates when a client may have written the last byte of a body, from which its time for the answer
+// counts. While an endpoint takes the body more slowly than the client writes it, the rest lies in the sockets'
+// buffers, and that byte is seen long after it was written.
 type bodyClock struct {
 	length       int64           // of the body; -1 if unknown
 	read         int64           // bytes read so far
@@ -28,7 +28,7 @@
 	return bodyClock{length: length, unfinishedAt: now, marks: []bodyMark{{at: now}}}
 }
 
-// add records that n bytes were read by now. waited tells that the read found nothing at first: the client had not
+// add records that n bytes were read by now. waited reports whether the read found nothing at first: the client had not
 // written these bytes shortly before.
 func (b *bodyClock) add(now balancer.Micros, n int, waited bool) {
 	b.read += int64(n)
--- a/internal/dataplane/httpfront/clientconn.go
+++ b/internal/dataplane/httpfront/clientconn.go
@@ -112,8 +112,8 @@
 	return left
 }
 
-// isEstablished reports whether neither side of a connection has ended its sending, even if bytes are unread. It returns
-// true if the system does not report the state.
+// isEstablished reports whether neither side of a connection has ended its sending, even if bytes are unread. It
+// returns true if the system does not report the state.
 func isEstablished(fd uintptr) bool {
 	established, err := tcpstate.IsEstablished(fd)
 	return err != nil || established
--- a/internal/dataplane/httpfront/clients.go
+++ b/internal/dataplane/httpfront/clients.go
@@ -56,8 +56,10 @@
 	requestID        string        // of the open request, once it is complete
 	dueAt            time.Time     // when the open request counts as unanswered; zero while it cannot
 
-	openedAt      time.Time
-	lastReadAfter atomic.Int64 // nanoseconds from openedAt to the last read, which no step of the wall clock changes; 0: never
+	openedAt time.Time
+	// lastReadAfter is the time from openedAt to the last read in nanoseconds, or 0 if there was none. No step of the
+	// wall clock changes it.
+	lastReadAfter atomic.Int64
 }
 
 // noteRead records that something was read from the connection just now.
--- a/internal/dataplane/httpfront/clients_test.go
+++ b/internal/dataplane/httpfront/clients_test.go
@@ -81,8 +81,8 @@
 	}
 }
 
-// TestLingeringConnectionWithBodyIsEvictedLast guards against a client that loses its early answer, since its connection
-// is closed to make room while its body still arrives.
+// TestLingeringConnectionWithBodyIsEvictedLast guards against a client that loses its early answer, since its
+// connection is closed to make room while its body still arrives.
 func TestLingeringConnectionWithBodyIsEvictedLast(t *testing.T) {
 	k := newClients(100, nil, new(metrics.Counter), sidecartest.DiscardLog)
 	withBody, idle, plain := &client{bodyArrives: true}, &client{state: stateIdle}, &client{}
@@ -177,7 +177,8 @@
 }
 
 // TestRequestBehindReadinessChecksIsBeingRead guards against a connection that is closed without an answer although a
-// request was read from it together with the readiness checks before it: it counted as one on which nothing has arrived.
+// request was read from it together with the readiness checks before it: it counted as one on which nothing has
+// arrived.
 func TestRequestBehindReadinessChecksIsBeingRead(t *testing.T) {
 	const check = "GET /-/ready HTTP/1.1\r\nHost: origin.svc\r\n\r\n"
 	endpoint := newTestEndpoint(t)
--- a/internal/dataplane/httpfront/eviction.go
+++ b/internal/dataplane/httpfront/eviction.go
@@ -24,8 +24,8 @@
 	}
 }
 
-// evictStalled closes connections that have stalled within a request and hold memory for it, one at each interval, until
-// ctx ends.
+// evictStalled closes connections that have stalled within a request and hold memory for it, one at each interval,
+// until ctx ends.
 func (k *clients) evictStalled(ctx context.Context) {
 	ticker := time.NewTicker(evictionInterval)
 	defer ticker.Stop()
--- a/internal/dataplane/httpfront/exchange.go
+++ b/internal/dataplane/httpfront/exchange.go
@@ -250,8 +250,9 @@
 	return c.watch()
 }
 
-// answerEarly writes the answer while the client's body is still arriving. The rest of the body is discarded for a while
-// before the connection closes: closing it with unread bytes would reset it, and the client could lose the answer.
+// answerEarly writes the answer while the client's body is still arriving. The rest of the body is discarded for a
+// while before the connection closes: closing it with unread bytes would reset it, and the client could lose the
+// answer.
 func (s *Server) answerEarly(c *client, req *core.Request, answer core.Answer) bool {
 	answer.Discard()
 	if answer.Disposition == core.Served {
--- a/internal/dataplane/httpfront/headmeter.go
+++ b/internal/dataplane/httpfront/headmeter.go
@@ -20,8 +20,8 @@
 // headMeter estimates how much memory a head takes while it arrives, and charges a budget for it.
 type headMeter struct {
 	budget *bytebudget.Budget
-	// acquire acquires bytes from the budget and reports whether they were granted. It may wait for them, but for a short
-	// time only: heads that are charged in part could wait for each other.
+	// acquire acquires bytes from the budget and reports whether they were granted. It may wait for them, but for a
+	// short time only: heads that are charged in part could wait for each other.
 	acquire func(bytes int) bool
 
 	counting  bool // the head has begun and has not ended
--- a/internal/dataplane/httpfront/headmeter_test.go
+++ b/internal/dataplane/httpfront/headmeter_test.go
@@ -149,8 +149,9 @@
 	}
 }
 
-// TestStalledHeadsOfRequestsStayWithinMemory guards against clients that take the sidecar over its memory limit by heads
-// that do not end: hundreds of connections held heads that took twenty times their bytes, and no budget counted them.
+// TestStalledHeadsOfRequestsStayWithinMemory guards against clients that take the sidecar over its memory limit by
+// heads that do not end: hundreds of connections held heads that took twenty times their bytes, and no budget counted
+// them.
 func TestStalledHeadsOfRequestsStayWithinMemory(t *testing.T) {
 	const crowd = 200
 	endpoint := sidecartest.HTTPEndpoint(t, func(http.ResponseWriter, *http.Request) {})
--- a/internal/dataplane/httpfront/message.go
+++ b/internal/dataplane/httpfront/message.go
@@ -27,8 +27,8 @@
 	}
 }
 
-// timeLeft returns the client's time for its answer. For a streamed body it counts from the body's last byte. deadline is
-// that of the attempt, for a body that is complete.
+// timeLeft returns the client's time for its answer. For a streamed body it counts from the body's last byte. deadline
+// is that of the attempt, for a body that is complete.
 func (m *message) timeLeft(now, deadline balancer.Micros) balancer.Micros {
 	if m.upload != nil {
 		return m.upload.timeLeft(now)
--- a/internal/dataplane/httpfront/overdue.go
+++ b/internal/dataplane/httpfront/overdue.go
@@ -37,7 +37,8 @@
 	}
 	k.mu.Unlock()
 	if overdue > 0 {
-		k.log.Warn("requests had no answer half a second after their deadlines", "requests", overdue, "open", open, "ids", ids)
+		k.log.Warn("requests had no answer half a second after their deadlines",
+			"requests", overdue, "open", open, "ids", ids)
 	}
 }
 
--- a/internal/dataplane/httpfront/readahead.go
+++ b/internal/dataplane/httpfront/readahead.go
@@ -140,8 +140,8 @@
 	q.spare = first
 }
 
-// close ends the use of the queue, and releases its memory but for a block that is being sent. Nothing may be filled any
-// more.
+// close ends the use of the queue, and releases its memory but for a block that is being sent. Nothing may be filled
+// any more.
 func (q *readAhead) close() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/dataplane/httpfront/requestbody.go
+++ b/internal/dataplane/httpfront/requestbody.go
@@ -147,8 +147,8 @@
 	}
 }
 
-// acquireMemory charges memory for a part of a request to a budget, and waits for it for timeout at most. The connection
-// is not evicted as stalled meanwhile, but others are that stalled within a request, and so hold memory.
+// acquireMemory charges memory for a part of a request to a budget, and waits for it for timeout at most. The
+// connection is not evicted as stalled meanwhile, but others are that stalled within a request, and so hold memory.
 func (s *Server) acquireMemory(c *client, budget *bytebudget.Budget, bytes int, timeout time.Duration) error {
 	if budget.TryAcquire(bytes) {
 		return nil
--- a/internal/dataplane/httpfront/requesthead.go
+++ b/internal/dataplane/httpfront/requesthead.go
@@ -132,8 +132,8 @@
 	return nil
 }
 
-// hasField reports whether a request's head has a field. http.ReadRequest drops a Content-Length if the body is chunked,
-// and a Transfer-Encoding in HTTP/1.0. name is in canonical form.
+// hasField reports whether a request's head has a field. http.ReadRequest drops a Content-Length if the body is
+// chunked, and a Transfer-Encoding in HTTP/1.0. name is in canonical form.
 func hasField(head []byte, name string) bool {
 	_, head, _ = bytes.Cut(head, []byte("\n"))
 	header, _ := textproto.NewReader(bufio.NewReader(bytes.NewReader(head))).ReadMIMEHeader()
--- a/internal/dataplane/httpfront/trailer_test.go
+++ b/internal/dataplane/httpfront/trailer_test.go
@@ -174,8 +174,8 @@
 	}
 }
 
-// TestTrailerAtBoundOfAnswerFails guards against the bound of an answer that is taken for the end of its connection, and
-// so for the end of its trailer.
+// TestTrailerAtBoundOfAnswerFails guards against the bound of an answer that is taken for the end of its connection,
+// and so for the end of its trailer.
 func TestTrailerAtBoundOfAnswerFails(t *testing.T) {
 	const answer = "2\r\nok\r\n0\r\n"
 	c := newConn(&endlessConn{prefix: answer, repeated: "a: 1\r\n"}, newTarget("endpoint"), bytebudget.New(1))
--- a/internal/dataplane/httpfront/upload.go
+++ b/internal/dataplane/httpfront/upload.go
@@ -148,9 +148,9 @@
 	return u.answerTime
 }
 
-// sendTo sends the rest of the body to an endpoint as it arrives, until ctx ends. It calls mayEnd right before it writes
-// the last byte, and writes nothing more if that returns false. sent is the number of bytes of the body that were sent,
-// with its beginning. A *bodyError means that the client is the cause; any other error, the endpoint or ctx.
+// sendTo sends the rest of the body to an endpoint as it arrives, until ctx ends. It calls mayEnd right before it
+// writes the last byte, and writes nothing more if that returns false. sent is the number of bytes of the body that
+// were sent, with its beginning. A *bodyError means that the client is the cause; any other error, the endpoint or ctx.
 func (u *upload) sendTo(ctx context.Context, c net.Conn, mayEnd func() bool) (sent int64, err error) {
 	out := stallWriter{c, maxStreamStall}
 	var body io.Writer = out
--- a/internal/dataplane/httpfront/upload_test.go
+++ b/internal/dataplane/httpfront/upload_test.go
@@ -11,8 +11,8 @@
 	"birchmoor/internal/dataplane/bytebudget"
 )
 
-// While a client is slower than its reader, or more bytes follow than the sockets hold, it has not written its last byte.
-// Otherwise it may have done so at any time since.
+// While a client is slower than its reader, or more bytes follow than the sockets hold, it has not written its last
+// byte. Otherwise it may have done so at any time since.
 func TestBodyClockBoundsTimeOfLastByte(t *testing.T) {
 	type read struct {
 		at     balancer.Micros
--- a/internal/dataplane/httpfront/upstream_test.go
+++ b/internal/dataplane/httpfront/upstream_test.go
@@ -215,8 +215,8 @@
 	}
 }
 
-// TestIncompleteAnswerIsAbandonedWithItsAttempt expects an attempt whose answer stalls to be in flight until its context
-// ends, and then to end with Reset and to close its connection.
+// TestIncompleteAnswerIsAbandonedWithItsAttempt expects an attempt whose answer stalls to be in flight until its
+// context ends, and then to end with Reset and to close its connection.
 func TestIncompleteAnswerIsAbandonedWithItsAttempt(t *testing.T) {
 	for _, answer := range []string{
 		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
--- a/internal/dataplane/httpfront/upstreamanswer.go
+++ b/internal/dataplane/httpfront/upstreamanswer.go
@@ -61,8 +61,8 @@
 // early or whose length is ambiguous is an error, so that no other bytes are taken for a part of it. http.ReadResponse
 // is not used, since it hides that an answer has both a length and chunks. The body is charged to bodies.
 //
-// No part of an answer has a timeout of its own: the connection is closed at the attempt's deadline. An answer that may be
-// long is streamed before that deadline, whether or not its body has begun.
+// No part of an answer has a timeout of its own: the connection is closed at the attempt's deadline. An answer that may
+// be long is streamed before that deadline, whether or not its body has begun.
 func (c *conn) read(deadline time.Time, bodies *bytebudget.Budget) (*upstreamAnswer, error) {
 	answer, err := c.finalHead()
 	if err != nil {
@@ -129,8 +129,8 @@
 }
 
 // body reads the body of an answer. If the body is longer than MaxBufferedBodyBytes, or of unknown length and does not
-// end before holdUntil, body sets the answer's stream. So it does if there is no memory in the budget: an answer does not
-// wait for memory that clients hold which read slowly.
+// end before holdUntil, body sets the answer's stream. So it does if there is no memory in the budget: an answer does
+// not wait for memory that clients hold which read slowly.
 func (c *conn) body(answer *upstreamAnswer, holdUntil time.Time, budget *bytebudget.Budget) error {
 	if answer.code == http.StatusNoContent || answer.code == http.StatusNotModified {
 		return nil
@@ -151,7 +151,9 @@
 	}
 	c.paced.readTimeout = maxStreamStall
 	var beginning charge
-	if isShort || !beginning.tryAcquire(budget, MaxBufferedBodyBytes) || !answer.bodyCharge.tryAcquire(budget, pieceBytes) {
+	hasMemory := !isShort && beginning.tryAcquire(budget, MaxBufferedBodyBytes) &&
+		answer.bodyCharge.tryAcquire(budget, pieceBytes)
+	if !hasMemory {
 		beginning.release()
 		answer.stream = newDownload(body, length, maxUnbudgetedBytes) // slow readers hold the memory
 		return nil
--- a/internal/lab/messagelab/client.go
+++ b/internal/lab/messagelab/client.go
@@ -60,7 +60,7 @@
 	total   int
 	conn    net.Conn
 	reader  *bufio.Reader
-	used    bool // a request was sent on conn
+	used    bool // conn has carried a request
 }
 
 // loop sends requests until ctx ends.
@@ -165,8 +165,8 @@
 			length = "Transfer-Encoding: chunked\r\n"
 		}
 	}
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\nX-Expires-In-Ms: %d\r\n%s\r\n",
-		method, p.target(), p.id, p.class.name, p.wait.Milliseconds(), length)
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\n"+
+		"X-Expires-In-Ms: %d\r\n%s\r\n", method, p.target(), p.id, p.class.name, p.wait.Milliseconds(), length)
 	var text strings.Builder
 	text.WriteString(head)
 	if p.requestFraming == byChunks {
--- a/internal/lab/messagelab/crowd.go
+++ b/internal/lab/messagelab/crowd.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// Clients that misbehave. Nothing is asked of their own requests; those of others are judged as ever.
+// Clients that misbehave. Their own requests are not judged; those of others are.
 
 const (
 	crowdOfEachKind = 40
@@ -42,14 +42,22 @@
 		return "GET /search/" + id + " HTTP/1.1\r\nHost: a\r\n" + fields.String()
 	}, false},
 	{"reads a long answer slowly", func(id string) string {
-		p := plan{id: id, class: classes[0], serverReads: -1, form: steady, answerFraming: byLength, answerBytes: 3_000_000}
-		return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\n\r\n", p.target(), id, p.class.name)
+		p := crowdPlan(id)
+		p.class, p.answerBytes = classes[0], 3_000_000
+		return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\n\r\n",
+			p.target(), id, p.class.name)
 	}, false},
 }
 
+// crowdPlan returns the plan of a request that its server answers at once.
+func crowdPlan(id string) plan {
+	return plan{id: id, class: classes[1], serverReads: -1, form: steady, answerFraming: byLength, answerBytes: 10}
+}
+
 func postHead(id string, length int) string {
-	return fmt.Sprintf("POST /confirm/%s?reads=-1&rate=0&work=1ms&form=steady&framing=length&bytes=10&pause=0s HTTP/1.1\r\n"+
-		"Host: a\r\nX-Trace-Id: %s\r\nX-Qos: confirm\r\nContent-Length: %d\r\n\r\n", id, id, length)
+	p := crowdPlan(id)
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\nContent-Length: %d\r\n\r\n",
+		p.target(), id, p.class.name, length)
 }
 
 // crowd runs clients of all kinds at a sidecar until ctx ends.
--- a/internal/lab/messagelab/faults.go
+++ b/internal/lab/messagelab/faults.go
@@ -57,7 +57,8 @@
 		byKill := s.current.terminate(ctx, times)
 		s.excuseEnd(startedAt, byKill)
 		err := s.restart(ctx)
-		s.run.excuse(period{sidecar: s.number, from: startedAt.Add(acceptedFor), to: time.Now(), unaccepted: true, restart: true})
+		s.run.excuse(period{sidecar: s.number, from: startedAt.Add(acceptedFor), to: time.Now(),
+			unaccepted: true, restart: true})
 		return err
 	case killed:
 		s.current.kill()
--- a/internal/lab/messagelab/judge.go
+++ b/internal/lab/messagelab/judge.go
@@ -11,23 +11,23 @@
 
 // Rules that a run is checked against.
 const (
-	Answered Rule = "every request that was read has an answer"
-	Late     Rule = "no answer comes half a second late"
-	Cut      Rule = "no answer that a server still writes is cut off"
-	HeldBack Rule = "the rest of an answer is not held back for 2 s"
-	Foreign  Rule = "the answer is the one made for the request"
-	NoRepeat Rule = "no repeat of an unsafe request"
-	Gone     Rule = "no attempt for a client that has gone"
-	Told     Rule = "the time told to a server is what the client has left"
-	Memory   Rule = "memory stays within its limit"
-	Crash    Rule = "no process ends by itself"
+	Answered       Rule = "every request that was read has an answer"
+	Late           Rule = "no answer comes half a second late"
+	Cut            Rule = "no answer that a server still writes is cut off"
+	Delayed        Rule = "the rest of an answer is not delayed by 2 s"
+	Foreign        Rule = "the answer is the one made for the request"
+	NoRepeat       Rule = "no repeat of an unsafe request"
+	Gone           Rule = "no attempt for a client that has gone"
+	PassedDeadline Rule = "the deadline passed on is what the client has left"
+	Memory         Rule = "memory stays within its limit"
+	Crash          Rule = "no process ends by itself"
 )
 
 const (
 	lateAfter     = 500 * time.Millisecond
-	heldBackAfter = 2 * time.Second
+	delayedAfter  = 2 * time.Second
 	goneAfter     = 100 * time.Millisecond
-	toldSlack     = 150 * time.Millisecond
+	deadlineSlack = 150 * time.Millisecond
 	labSlack      = 100 * time.Millisecond // between an event and its record in the lab
 	maxLateness   = 50 * time.Millisecond  // of the lab; beyond it, rules with a bound in real time are not judged
 	maxExamples   = 5                      // violations of a rule that a result lists
@@ -50,13 +50,14 @@
 // isServed reports whether the client got all of a server's answer.
 func (r *record) isServed() bool { return r.outcome == answered && r.status == http.StatusOK }
 
-// judge checks a request against all rules. realTime tells that rules with a bound in real time are checked.
+// judge checks a request against all rules. realTime reports whether rules with a bound in real time are checked.
 func (r *run) judge(rec *record, realTime bool) {
 	attempts := r.servers.attempts[rec.plan.id]
 	report := func(rule Rule, format string, args ...any) {
 		p := rec.plan
-		r.violateLocked(rule, fmt.Sprintf("%s n%d %s, %d bytes %s, server reads %d then %d/s, wait %v: answer %s %s %d bytes: %s"+
-			" (%s, status %d, %d bytes, written after %v, first byte %v, end %v, %d attempts, new connection %v)",
+		r.violateLocked(rule, fmt.Sprintf("%s n%d %s, %d bytes %s, server reads %d then %d/s, wait %v: "+
+			"answer %s %s %d bytes: %s (%s, status %d, %d bytes, written after %v, first byte %v, end %v, %d attempts, "+
+			"new connection %v)",
 			p.id, rec.sidecar, p.class.name, p.requestBytes, p.requestFraming, p.serverReads, p.serverReadRate, p.wait,
 			p.form, p.answerFraming, p.answerBytes, fmt.Sprintf(format, args...), rec.outcome, rec.status, rec.received,
 			since(rec.startedAt, rec.writtenAt), since(rec.startedAt, rec.firstAt), since(rec.startedAt, rec.endedAt),
@@ -100,14 +101,14 @@
 	if !rec.isServed() || rec.plan.readRate > 0 {
 		return
 	}
-	var wholeAt time.Time // when the last attempt had given all of its answer: it is not known which one was passed on
+	var answeredAt time.Time // when the last attempt's answer was complete: it is not known which one was passed on
 	for _, a := range attempts {
-		if a.wholeAt.After(wholeAt) {
-			wholeAt = a.wholeAt
+		if a.answeredAt.After(answeredAt) {
+			answeredAt = a.answeredAt
 		}
 	}
-	if held := rec.endedAt.Sub(wholeAt); !wholeAt.IsZero() && held > heldBackAfter+labSlack {
-		report(HeldBack, "its end came %v after the server had written it", held.Round(time.Millisecond))
+	if held := rec.endedAt.Sub(answeredAt); !answeredAt.IsZero() && held > delayedAfter+labSlack {
+		report(Delayed, "its end came %v after the server had written it", held.Round(time.Millisecond))
 	}
 }
 
@@ -147,9 +148,9 @@
 		return
 	}
 	if realTime && !due.IsZero() && rec.plan.requestBytes < longMessageBytes {
-		told := time.Duration(a.toldMillis) * time.Millisecond
-		if left := due.Sub(a.began); told > left+toldSlack+labSlack {
-			report(Told, "a server was told %v when %v was left", told, left.Round(time.Millisecond))
+		passedOn := time.Duration(a.deadlineMillis) * time.Millisecond
+		if left := due.Sub(a.began); passedOn > left+deadlineSlack+labSlack {
+			report(PassedDeadline, "a server got a deadline of %v when %v was left", passedOn, left.Round(time.Millisecond))
 		}
 	}
 	if a.cutAt.IsZero() || rec.isServed() || due.IsZero() {
@@ -167,8 +168,8 @@
 	}
 }
 
-// restartedBetween reports whether a sidecar was restarted between the first and the last attempt of a request. No process
-// can know what its client sent to an earlier one.
+// restartedBetween reports whether a sidecar was restarted between the first and the last attempt of a request. No
+// process can know what its client sent to an earlier one.
 func (r *run) restartedBetween(sidecar int, attempts []*attempt) bool {
 	for _, p := range r.excuses {
 		first, last := attempts[0].began, attempts[len(attempts)-1].began
--- a/internal/lab/messagelab/messagelab.go
+++ b/internal/lab/messagelab/messagelab.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -214,6 +215,9 @@
 	return &r.result
 }
 
+// rejectedStatuses are those of answers that promise that the request never ran.
+var rejectedStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}
+
 // count adds a request to the figures of the result.
 func (r *run) count(rec *record) {
 	r.result.Requests++
@@ -228,7 +232,7 @@
 		r.result.Left++
 	case rec.isServed():
 		r.result.Served++
-	case rec.outcome == answered && (rec.status == http.StatusServiceUnavailable || rec.status == http.StatusTooManyRequests):
+	case rec.outcome == answered && slices.Contains(rejectedStatuses, rec.status):
 		r.result.Rejected++
 	default:
 		r.result.Failed++
--- a/internal/lab/messagelab/plan.go
+++ b/internal/lab/messagelab/plan.go
@@ -44,7 +44,7 @@
 	lumps    form = "lumps"     // pauses after each quarter of the body
 )
 
-// framing tells how the length of a message is known.
+// framing is how the length of a message is known.
 type framing string
 
 const (
@@ -166,7 +166,8 @@
 // serverPlan returns the server's part of the plan in a request's query.
 func serverPlan(id string, query url.Values) (*plan, error) {
 	p := &plan{id: id, form: form(query.Get("form")), answerFraming: framing(query.Get("framing"))}
-	for name, value := range map[string]*int{"reads": &p.serverReads, "rate": &p.serverReadRate, "bytes": &p.answerBytes} {
+	numbers := map[string]*int{"reads": &p.serverReads, "rate": &p.serverReadRate, "bytes": &p.answerBytes}
+	for name, value := range numbers {
 		n, err := strconv.Atoi(query.Get(name))
 		if err != nil {
 			return nil, fmt.Errorf("%s: %w", name, err)
--- a/internal/lab/messagelab/process.go
+++ b/internal/lab/messagelab/process.go
@@ -200,7 +200,8 @@
 }
 
 // waitReady waits until a process answers the readiness check or, if it is not the only one, says yes to operators.
-func (s *sidecar) waitReady(ctx context.Context, p *process, ready func(context.Context, *process) bool, timeout time.Duration) error {
+func (s *sidecar) waitReady(ctx context.Context, p *process, ready func(context.Context, *process) bool,
+	timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	for !ready(ctx, p) {
--- a/internal/lab/messagelab/server.go
+++ b/internal/lab/messagelab/server.go
@@ -25,14 +25,14 @@
 
 // attempt is what a server saw of an attempt.
 type attempt struct {
-	began      time.Time
-	toldMillis int       // the time that the sidecar told
-	complete   time.Time // when its last byte was read; zero if it never was
-	intact     bool      // its body is the client's
-	headAt     time.Time // when the head of the answer was written
-	given      int       // bytes of the answer's body that were written
-	wholeAt    time.Time // when the last of them was
-	cutAt      time.Time // when the sidecar had closed the connection before that
+	began          time.Time
+	deadlineMillis int       // the deadline that the sidecar passed on
+	complete       time.Time // when its last byte was read; zero if it never was
+	intact         bool      // its body is the client's
+	headAt         time.Time // when the head of the answer was written
+	given          int       // bytes of the answer's body that were written
+	answeredAt     time.Time // when the last of them was
+	cutAt          time.Time // when the sidecar had closed the connection before that
 }
 
 // servers are all slot servers of a run. They are safe for concurrent use.
@@ -104,8 +104,8 @@
 	if err != nil {
 		return false
 	}
-	told, _ := strconv.Atoi(request.Header.Get("X-Expires-In-Ms")) // 0 if the sidecar tells none
-	a := &attempt{began: began, toldMillis: told}
+	deadline, _ := strconv.Atoi(request.Header.Get("X-Expires-In-Ms")) // 0 without one
+	a := &attempt{began: began, deadlineMillis: deadline}
 	s.update(func() { s.attempts[p.id] = append(s.attempts[p.id], a) })
 	body, err := s.readBody(conn, request.Body, p)
 	if err != nil {
@@ -208,7 +208,7 @@
 			return err
 		}
 	}
-	s.update(func() { a.wholeAt = time.Now() })
+	s.update(func() { a.answeredAt = time.Now() })
 	return nil
 }
 
