--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Builds the stand-ins of cases 6 to 10: discovery, slot servers, clients, the platform and a relay are one program.
+# Builds the stand-ins of cases 6 to 8: discovery, slot servers, clients and the platform are one program.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p bin
--- a/review/standin-2/discovery.go
+++ b/review/standin-2/discovery.go
@@ -163,23 +163,14 @@
 func (d *discovery) change(id string, edit func(*instance)) (told time.Time, watches int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.changeLocked(id, edit, false)
-}
-
-// changeLocked does the same. With last set, each watch ends with the change, in the same write.
-func (d *discovery) changeLocked(id string, edit func(*instance), last bool) (told time.Time, watches int) {
 	d.generation++
 	in := d.entries[id]
 	edit(&in)
 	d.entries[id] = in
 	d.changed[id] = d.generation
 	text, _ := json.Marshal(list{Generation: d.generation, Instances: []instance{in}})
-	written := chunk(text)
-	if last {
-		written = append(written, "0\r\n\r\n"...)
-	}
 	for c := range d.watches {
-		if _, err := c.Write(written); err == nil {
+		if _, err := c.Write(chunk(text)); err == nil {
 			watches++
 		}
 	}
@@ -197,20 +188,3 @@
 	}
 	d.env.logf("discovery: down")
 }
-
-// comeBack listens again.
-func (d *discovery) comeBack() {
-	for limit := time.Now().Add(3 * time.Second); ; time.Sleep(10 * time.Millisecond) {
-		ln, err := net.Listen("tcp", d.addr)
-		if err == nil {
-			d.mu.Lock()
-			d.serve(ln)
-			d.mu.Unlock()
-			d.env.logf("discovery: back")
-			return
-		}
-		if time.Now().After(limit) {
-			cannotRun("discovery cannot listen again: %v", err)
-		}
-	}
-}
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -9,11 +9,6 @@
 
 // fleet starts servers, discovery and one sidecar that is ready.
 func fleet(e *env, servers int, set map[string]any) (*idSet, []*server, *discovery, *sidecar) {
-	return fleetBehind(e, servers, set, 0)
-}
-
-// fleetBehind does the same, with a delay each way between the sidecar and the servers of the other data centre.
-func fleetBehind(e *env, servers int, set map[string]any, delay time.Duration) (*idSet, []*server, *discovery, *sidecar) {
 	ids := newIDSet()
 	var all []*server
 	for i := range servers {
@@ -22,13 +17,6 @@
 			return time.Duration((56 + 80*rand.Float64()) / speed * float64(time.Millisecond))
 		}))
 	}
-	if delay > 0 {
-		for i, s := range all {
-			if i%2 == 1 { // in the other data centre
-				s.addr = relayed(s.addr, delay)
-			}
-		}
-	}
 	d := newDiscovery(e, all)
 	tmp := filepath.Join(e.dir, "tmp")
 	if err := os.Mkdir(tmp, 0o700); err != nil {
--- a/review/standin-2/held.go
+++ b/review/standin-2/held.go
@@ -30,13 +30,14 @@
 					time.Sleep(heldInterval)
 				}
 				text := marker(x.id, i) + strings.Repeat(".", 1024-len(marker(x.id, i)))
-				if _, err := io.WriteString(c, text); err != nil {
+				mu.Lock()
+				written[x.id] = append(written[x.id], time.Now()) // right before, so that it is there before the piece comes
+				mu.Unlock()
+				_, err := io.WriteString(c, text)
+				if err != nil {
 					e.logf("%s: piece %d of %s cannot be written: %v", x.server.id, i, x.id, err)
 					return false
 				}
-				mu.Lock()
-				written[x.id] = append(written[x.id], time.Now())
-				mu.Unlock()
 				if i >= heldAtOnce {
 					e.logf("%s: piece %d of %s written", x.server.id, i, x.id)
 				}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -10,8 +10,6 @@
 )
 
 var cases = map[string]func(*env){
-	"drain":  drainCase,
-	"second": secondCase,
 	"moved":  movedCase,
 	"held":   heldCase,
 	"pushed": pushedCase,
--- a/review/standin-2/moved.go
+++ b/review/standin-2/moved.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
-	"sync/atomic"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -15,9 +15,14 @@
 	known := a.known()
 	b := newDiscoveryAt(e, servers, 7) // counts its versions by itself
 	stop := make(chan struct{})
-	var ended atomic.Int64
+	var mu sync.Mutex
+	var results []result
 	wg := load(e, s.listen, ids, 8, func() time.Duration { return time.Duration(rand.IntN(100)) * time.Millisecond },
-		anyClass, stop, func(result) { ended.Add(1) })
+		anyClass, stop, func(x result) {
+			mu.Lock()
+			results = append(results, x)
+			mu.Unlock()
+		})
 	time.Sleep(2 * time.Second)
 	current := a
 	if e.trouble {
@@ -54,14 +59,24 @@
 		e.logf("no watch is open: the drain counts as told 6 s later")
 		told = told.Add(6 * time.Second)
 	}
-	time.Sleep(time.Until(told) + 15*time.Second)
+	// A server that drains finishes what it has, 1.5 s at most, and wants nothing new. Its process ends 8 s later.
+	time.Sleep(time.Until(told) + 8*time.Second)
+	drained.end()
+	time.Sleep(7 * time.Second)
 	close(stop)
 	wg.Wait()
 	late := drained.sendsFrom(told.Add(550 * time.Millisecond))
-	e.logf("%d requests ended, %d attempts at %s in all, %d of them later than 550 ms after its drain was told",
-		ended.Load(), len(drained.sendsFrom(time.Time{})), drained.id, len(late))
+	failed := 0
 	for _, x := range late {
 		e.breakf("%s was sent %s %s %d ms after it was told that the server drains", drained.id, x.class, x.id,
 			x.first.Sub(told).Milliseconds())
+		for _, r := range results {
+			if r.id == x.id && r.code != 200 {
+				failed++
+				e.logf("%s %s was answered %d", r.class, r.id, r.code)
+			}
+		}
 	}
+	e.logf("%d requests ended, %d attempts at %s in all, %d of them later than 550 ms after its drain was told, %d of these not served",
+		len(results), len(drained.sendsFrom(time.Time{})), drained.id, len(late), failed)
 }
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -21,14 +21,15 @@
 	work func() time.Duration
 	ids  *idSet
 
-	// answer writes the answer to a request, which has run; nil for a plain answer. waiting returns how many bytes the
-	// connection has for the next request. It reports whether the connection stays open.
+	// answer writes the answer to a request, which has run, and reports whether the connection stays open; nil for a
+	// plain answer.
 	answer func(c net.Conn, x *sent) bool
 
 	mu       sync.Mutex
+	ended    bool // the process has ended
+	conns    map[net.Conn]bool
 	sends    []*sent
 	inflight atomic.Int64
-	draining atomic.Bool
 }
 
 // sent is an attempt that a server got.
@@ -39,7 +40,6 @@
 	first     time.Time // when its first byte came
 	whole     time.Time // when its last byte came
 	body      string    // of the server's answer to it
-	next      func() bool
 }
 
 // idSet holds the ids that clients have sent, and what the servers answered.
@@ -87,7 +87,7 @@
 }
 
 func newServer(e *env, id string, ids *idSet, work func() time.Duration) *server {
-	s := &server{env: e, id: id, ids: ids, work: work, ln: listen()}
+	s := &server{env: e, id: id, ids: ids, work: work, ln: listen(), conns: map[net.Conn]bool{}}
 	s.addr = s.ln.Addr().String()
 	go s.accept(s.ln)
 	return s
@@ -103,8 +103,33 @@
 	}
 }
 
+// end ends the process: it resets its connections and refuses new ones.
+func (s *server) end() {
+	s.env.logf("%s: ends", s.id)
+	s.ln.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	for c := range s.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
 func (s *server) serve(c net.Conn) {
 	defer c.Close()
+	s.mu.Lock()
+	s.conns[c] = true
+	ended := s.ended
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+	if ended {
+		return
+	}
 	reader := bufio.NewReaderSize(c, 64<<10)
 	for {
 		if _, err := reader.Peek(1); err != nil {
@@ -119,16 +144,6 @@
 			return
 		}
 		x.whole = time.Now()
-		x.next = func() bool {
-			// Nobody else reads now: whether bytes of a further request have come.
-			if reader.Buffered() > 0 {
-				return true
-			}
-			c.SetReadDeadline(time.Now().Add(50 * time.Microsecond))
-			_, err := reader.Peek(1)
-			c.SetReadDeadline(time.Time{})
-			return err == nil
-		}
 		switch r.URL.Path {
 		case "/-/load", "/-/healthy":
 			load := fmt.Sprintf("TEXT busy_reqs=%d, cpu_share=%.2f, served_ps=10", s.inflight.Load(),
--- a/review/standin-2/settings.go
+++ b/review/standin-2/settings.go
@@ -37,10 +37,3 @@
 		"zone":        0,
 	}
 }
-
-// reportsInAnswers changes settings to those of a site that allows no probes and has load reports in answers.
-func reportsInAnswers(s map[string]any) map[string]any {
-	s["limits"].(map[string]any)["probes"] = false
-	s["reporting"].(map[string]any)["how"] = "answers"
-	return s
-}
