Build the review's stand-ins without cgo and without a registry

Cause: the scripts are run on a machine without a network. Change: review/build-2.sh sets CGO_ENABLED=0 and GOPROXY=off; the stand-ins need the standard library alone.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 mkdir -p bin
 root=$PWD
 cd review/standin-2
-GOFLAGS=-mod=mod GOWORK=off GOTOOLCHAIN=local go build -buildvcs=false -o "$root/bin/review2" .
+GOFLAGS=-mod=mod GOWORK=off GOPROXY=off GOTOOLCHAIN=local CGO_ENABLED=0 go build -buildvcs=false -o "$root/bin/review2" .
