Pass on what has come of a chunk, and the end of an answer before its trailer

Cause: net/http/httputil's reader of chunks reads within a chunk until the caller's buffer is full, here 16 KiB; between chunks it does not. Bodies with a length or that end with the connection were not held. Beside it: the last bytes of a chunked answer, and its end, waited for the end of the trailer, which is not forwarded.

Evidence: the new test writes each part only once the client has the part before.

Change: the package platform/chunked decodes chunks and returns what has arrived of one. The trailer is awaited for 200 ms at most after the last byte; a trailer that is malformed or too long by then still fails the answer.

--- a/internal/dataplane/httpfront/answer.go
+++ b/internal/dataplane/httpfront/answer.go
@@ -54,7 +54,7 @@
 	s.clients.answerStarted(c)
 	stream := answer.Reply.Content.(*upstreamAnswer).stream
 	end, sent := core.StreamAbandoned, int64(0)
-	out := stallWriter{c, maxStreamStall}
+	out := stallWriter{c.Conn, maxStreamStall}
 	if _, err := out.Write(r.head(stream.length, last)); err != nil {
 		s.unwritten.Inc()
 	} else {
--- a/internal/dataplane/httpfront/download.go
+++ b/internal/dataplane/httpfront/download.go
@@ -3,10 +3,10 @@
 import (
 	"errors"
 	"io"
-	"net/http/httputil"
 	"time"
 
 	"birchmoor/internal/dataplane/core"
+	"birchmoor/internal/platform/chunked"
 )
 
 // download is the body of an endpoint's answer that is streamed to the client. One goroutine owns it at a time; the
@@ -18,16 +18,35 @@
 	source    *bodySource
 	charge    charge // for the memory of beginning
 	done      func(end core.StreamEnd)
+
+	awaitsTrailer bool // the body has been read completely, but not its trailer
 }
 
 // pieceBytes is the size of the pieces in which a streamed answer is read and written. If there is no memory, it is
 // maxUnbudgetedBytes.
 const pieceBytes = 16 << 10
 
+// trailerTimeout is the time from the last byte of a streamed body to the end of its trailer. The client gets the end of
+// the answer at the latest then, since the last chunk ends the body (RFC 9112, 8) and the trailer is not forwarded.
+const trailerTimeout = 200 * time.Millisecond
+
 // piece is a part of a body. Its data is valid until the next piece is received.
 type piece struct {
-	data []byte
-	err  error // io.EOF after the last byte of the body
+	data          []byte
+	err           error // io.EOF after the last byte of the body and its trailer
+	awaitsTrailer bool  // no byte of the body follows, but its trailer
+}
+
+// failed reports whether the body could not be read completely.
+func (p *piece) failed() bool { return p.err != nil && !errors.Is(p.err, io.EOF) }
+
+// trailedBody is a body that a trailer may follow.
+type trailedBody interface {
+	io.Reader
+
+	// isBodyRead reports whether the last byte of the body was read. If no error was returned with it, the next read
+	// waits for the trailer.
+	isBodyRead() bool
 }
 
 // bodySource reads a body piece by piece on a goroutine of its own. So its owner can wait for a piece with a timeout: a
@@ -47,10 +66,12 @@
 
 func (s *bodySource) run(body io.Reader, pieceSize int) {
 	buf := make([]byte, pieceSize)
+	trailed, _ := body.(trailedBody)
 	for {
 		n, err := body.Read(buf)
+		awaitsTrailer := err == nil && trailed != nil && trailed.isBodyRead()
 		select {
-		case s.pieces <- piece{buf[:n], err}:
+		case s.pieces <- piece{buf[:n], err, awaitsTrailer}:
 		case <-s.stopped:
 			return
 		}
@@ -65,18 +86,18 @@
 	}
 }
 
-// receive returns the next piece. It returns nil if timeout fires first; a nil timeout never does.
-func (s *bodySource) receive(timeout <-chan time.Time) *piece {
+// receive returns the next piece. ok is false if timeout fires first; a nil timeout never does.
+func (s *bodySource) receive(timeout <-chan time.Time) (p piece, ok bool) {
 	if s.holds {
 		s.received <- struct{}{}
 		s.holds = false
 	}
 	select {
-	case p := <-s.pieces:
+	case p = <-s.pieces:
 		s.holds = p.err == nil
-		return &p
+		return p, true
 	case <-timeout:
-		return nil
+		return piece{}, false
 	}
 }
 
@@ -94,17 +115,18 @@
 	timer := time.NewTimer(time.Until(holdUntil))
 	defer timer.Stop()
 	for {
-		p := d.source.receive(timer.C)
+		p, ok := d.source.receive(timer.C)
 		switch {
-		case p == nil:
+		case !ok:
 			return false, nil
-		case p.err != nil && !errors.Is(p.err, io.EOF):
+		case p.failed():
 			return false, p.err
 		case len(d.beginning)+len(p.data) > MaxBufferedBodyBytes:
-			d.next = p
+			d.next = &p
 			return false, nil
 		}
 		d.beginning = append(d.beginning, p.data...)
+		d.awaitsTrailer = p.awaitsTrailer
 		if p.err != nil {
 			return true, nil
 		}
@@ -114,13 +136,33 @@
 	}
 }
 
+// nextPiece waits for the next piece. Once it has waited for the trailer for trailerTimeout, it returns the end of the
+// body, and awaitsTrailer stays set.
+func (d *download) nextPiece() piece {
+	if next := d.next; next != nil {
+		d.next = nil
+		d.awaitsTrailer = next.awaitsTrailer
+		return *next
+	}
+	var timeout <-chan time.Time
+	if d.awaitsTrailer {
+		timeout = time.After(trailerTimeout)
+	}
+	p, ok := d.source.receive(timeout)
+	if !ok {
+		return piece{err: io.EOF}
+	}
+	d.awaitsTrailer = p.awaitsTrailer
+	return p
+}
+
 // copyTo copies the body to the client, as chunks if its length is unknown. It returns how that ended, and how many
 // bytes of the body were written.
 func (d *download) copyTo(w io.Writer) (end core.StreamEnd, sent int64) {
 	bodyWriter := w
-	var chunks io.WriteCloser
+	var chunks *chunked.Writer
 	if d.length < 0 {
-		chunks = httputil.NewChunkedWriter(w)
+		chunks = chunked.NewWriter(w)
 		bodyWriter = chunks
 	}
 	write := func(data []byte) error {
@@ -137,13 +179,9 @@
 	d.beginning = nil
 	d.charge.release()
 	for ended := false; !ended; {
-		p := d.next
-		d.next = nil
-		if p == nil {
-			p = d.source.receive(nil)
-		}
-		ended = errors.Is(p.err, io.EOF)
-		if p.err != nil && !ended || sent+int64(len(p.data)) > MaxBodyBytes {
+		p := d.nextPiece()
+		ended = p.err != nil
+		if p.failed() || sent+int64(len(p.data)) > MaxBodyBytes {
 			return core.StreamCut, sent
 		}
 		if err := write(p.data); err != nil {
@@ -151,7 +189,7 @@
 		}
 	}
 	if chunks != nil {
-		if _, err := io.WriteString(w, "0\r\n\r\n"); err != nil {
+		if err := chunks.Close(); err != nil {
 			return core.StreamAbandoned, sent
 		}
 	}
--- /dev/null
+++ b/internal/dataplane/httpfront/heldbytes_test.go
@@ -0,0 +1,220 @@
+package httpfront
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"birchmoor/internal/testutil/sidecartest"
+)
+
+// The tests of this file write a message in parts, and each part only once the other side has received all bytes of the
+// body that came before. So a byte that waits for later ones is never received, on a machine of any speed.
+
+const (
+	bodyByte    = '\x01'          // each byte of the bodies; it occurs nowhere else in a message
+	maxHeldTime = 2 * time.Second // for bytes of a long message; see the page on operation, "Size"
+)
+
+// wireForm is an encoding of a body in HTTP/1.1. encode returns the header fields that announce the body, and the body
+// as it is sent in chunks of the given sizes, if the form has chunks.
+type wireForm struct {
+	name    string
+	encode  func(size int, chunkSizes []int) (fields, body string)
+	closes  bool // the body ends with the connection
+	chunked bool
+	trailer string // of a chunked body, with the empty line that ends it
+}
+
+func encodeLength(size int, _ []int) (fields, body string) {
+	return fmt.Sprintf("Content-Length: %d\r\n", size), bodyOf(size)
+}
+
+func encodeClose(size int, _ []int) (fields, body string) {
+	return "Connection: close\r\n", bodyOf(size)
+}
+
+// encodeChunks returns a body without the empty line after its last chunk.
+func encodeChunks(size int, chunkSizes []int) (fields, body string) {
+	var b strings.Builder
+	for i := 0; size > 0; i++ {
+		chunkSize := min(size, chunkSizes[i%len(chunkSizes)])
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", chunkSize, bodyOf(chunkSize))
+		size -= chunkSize
+	}
+	b.WriteString("0\r\n")
+	return "Transfer-Encoding: chunked\r\n", b.String()
+}
+
+func bodyOf(size int) string { return strings.Repeat(string(rune(bodyByte)), size) }
+
+func countBody(wire []byte) int { return bytes.Count(wire, []byte{bodyByte}) }
+
+var (
+	lengthForm  = wireForm{name: "length", encode: encodeLength}
+	closeForm   = wireForm{name: "close", encode: encodeClose, closes: true}
+	chunkForm   = wireForm{name: "chunks", encode: encodeChunks, chunked: true, trailer: "\r\n"}
+	trailerForm = wireForm{name: "trailer", encode: encodeChunks, chunked: true, trailer: "X-Sum: 7\r\nX-Note: n\r\n\r\n"}
+)
+
+// chunkSizes are the sizes of the chunks of a body: one chunk, usual ones, and short ones.
+var chunkSizes = map[string][]int{
+	"one chunk":     {1 << 30},
+	"usual chunks":  {32 << 10, 5000, 1},
+	"little chunks": {700, 1, 16},
+}
+
+// partReceiver counts the bytes of a body that have arrived on a connection.
+type partReceiver struct {
+	updates chan []byte
+	wire    []byte // all that was received; used by the waiting goroutine only
+}
+
+func receiveParts(c io.Reader) *partReceiver {
+	p := &partReceiver{updates: make(chan []byte, 1<<16)}
+	go func() {
+		defer close(p.updates)
+		buf := make([]byte, 256<<10)
+		for {
+			n, err := c.Read(buf)
+			if n > 0 {
+				p.updates <- bytes.Clone(buf[:n])
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	return p
+}
+
+// await waits until a condition on the received bytes is true, for maxHeldTime at most.
+func (p *partReceiver) await(condition func(wire []byte) bool) error {
+	timeout := time.After(maxHeldTime)
+	for !condition(p.wire) {
+		select {
+		case part, open := <-p.updates:
+			if !open {
+				return fmt.Errorf("the connection ended after %d bytes of the body", countBody(p.wire))
+			}
+			p.wire = append(p.wire, part...)
+		case <-timeout:
+			return fmt.Errorf("%d bytes of the body arrived within %v", countBody(p.wire), maxHeldTime)
+		}
+	}
+	return nil
+}
+
+func (p *partReceiver) awaitBody(size int) error {
+	return p.await(func(wire []byte) bool { return countBody(wire) >= size })
+}
+
+// encodeHead returns the head of a request without the fields that announce its body and without its end.
+func encodeHead(tb testing.TB, r *http.Request) string {
+	tb.Helper()
+	head := strings.Replace(encode(tb, r), "Content-Length: 0\r\n", "", 1)
+	return strings.TrimSuffix(head, "\r\n")
+}
+
+// cutPoints returns ascending positions in a wire text at which it is cut, the last of which is its end.
+func cutPoints(rng *rand.Rand, wire string, from, count int) []int {
+	cuts := []int{}
+	for pos := from; pos < len(wire) && len(cuts) < count; {
+		// Many steps are short, so that cuts fall into the lines between the chunks too.
+		pos += 1 + rng.IntN([]int{2, 8, 800, 20000}[rng.IntN(4)])
+		cuts = append(cuts, min(pos, len(wire)))
+	}
+	if last := len(cuts) - 1; last >= 0 && cuts[last] < len(wire) {
+		// The end of the body is where a reader waits for the next line: it is cut at each byte.
+		for pos := max(cuts[last]+1, len(wire)-10); pos <= len(wire); pos++ {
+			cuts = append(cuts, pos)
+		}
+	}
+	return cuts
+}
+
+// TestPartsOfAnswerAreForwardedAsTheyCome guards against parts of a long answer that wait for later parts: those of a
+// chunk waited until 16 KiB of it had come, those before a trailer until the trailer's end (review/7).
+func TestPartsOfAnswerAreForwardedAsTheyCome(t *testing.T) {
+	const size = 160 << 10
+	for _, form := range []wireForm{lengthForm, closeForm, chunkForm, trailerForm} {
+		for chunkName, sizes := range chunkSizes {
+			if !form.chunked && chunkName != "one chunk" {
+				continue
+			}
+			for _, atOnce := range []int{1, 2000, 68 << 10, 128 << 10} {
+				t.Run(fmt.Sprintf("%s, %s, %d at once", form.name, chunkName, atOnce), func(t *testing.T) {
+					t.Parallel()
+					testAnswerInParts(t, form, size, sizes, atOnce)
+				})
+			}
+		}
+	}
+}
+
+// testAnswerInParts plays two answers on one connection of a client.
+func testAnswerInParts(t *testing.T, form wireForm, size int, chunkSizes []int, atOnce int) {
+	type wrote struct {
+		bodyBytes int
+		ended     bool // the last byte of the body, but not of the trailer, was written
+	}
+	parts, received := make(chan wrote), make(chan struct{})
+	addr := sidecartest.RawEndpoint(t, func(c *net.TCPConn, r *bufio.Reader) {
+		rng := rand.New(rand.NewPCG(75, uint64(atOnce)))
+		for {
+			if _, err := sidecartest.ReadRequest(r); err != nil {
+				return
+			}
+			fields, body := form.encode(size, chunkSizes)
+			head := "HTTP/1.1 200 OK\r\n" + fields + "\r\n"
+			from := 0
+			for _, cut := range append([]int{atOnce}, cutPoints(rng, body, atOnce, 60)...) {
+				if _, err := io.WriteString(c, head+body[from:cut]); err != nil {
+					return
+				}
+				head = ""
+				from = cut
+				parts <- wrote{strings.Count(body[:cut], string(rune(bodyByte))), cut == len(body)}
+				<-received
+			}
+			if form.closes {
+				return
+			}
+			_, _ = io.WriteString(c, form.trailer)
+		}
+	})
+	f := startFront(t, readyInstances(addr))
+	c := f.connect(t)
+	receiver := receiveParts(c)
+	for range 2 {
+		receiver.wire = nil
+		write(t, c, encode(t, sidecartest.IdempotentRequest(900)))
+		for ended := false; !ended; {
+			part := sidecartest.Receive(t, parts, "a part of the answer")
+			if err := receiver.awaitBody(part.bodyBytes); err != nil {
+				t.Fatalf("of %d bytes that the endpoint has written: %v", part.bodyBytes, err)
+			}
+			ended = part.ended
+			if ended && form.chunked {
+				err := receiver.await(func(wire []byte) bool { return bytes.HasSuffix(wire, []byte("\r\n0\r\n\r\n")) })
+				if err != nil {
+					t.Fatalf("the end after the last chunk: %v", err)
+				}
+			}
+			received <- struct{}{}
+		}
+		if form.closes {
+			err := receiver.await(func(wire []byte) bool { return bytes.HasSuffix(wire, []byte("\r\n0\r\n\r\n")) })
+			if err != nil {
+				t.Fatalf("the end of the connection: %v", err)
+			}
+		}
+	}
+}
--- a/internal/dataplane/httpfront/pool.go
+++ b/internal/dataplane/httpfront/pool.go
@@ -20,6 +20,7 @@
 	paced     pacedConn
 	limit     io.LimitedReader // bounds what may still be read of an answer, including its head
 	reader    *bufio.Reader
+	small     *bufio.Reader // the usual reader, which is empty while a larger one replaces it; else nil
 	target    *target
 	idleSince time.Time
 }
@@ -33,6 +34,24 @@
 	return c
 }
 
+// growBuffer replaces an empty buffer by one of size bytes, unless it is as large already. It reports whether it did.
+func (c *conn) growBuffer(size int) bool {
+	if size <= c.reader.Size() || c.reader.Buffered() > 0 {
+		return false
+	}
+	c.small = c.reader
+	c.reader = bufio.NewReaderSize(&c.limit, size)
+	return true
+}
+
+// shrinkBuffer undoes growBuffer. The buffer must be empty.
+func (c *conn) shrinkBuffer() {
+	if c.small != nil {
+		c.reader = c.small
+		c.small = nil
+	}
+}
+
 const (
 	endpointReadBuffer   = 4096                  // bytes that are read from an endpoint at a time, but for bodies
 	minIdleTime          = 10 * time.Millisecond // a second answer to a request may arrive within this time
@@ -128,6 +147,7 @@
 		u.closeLocked(c)
 		return
 	}
+	c.shrinkBuffer()
 	c.idleSince = time.Now()
 	c.target.idle = append(c.target.idle, c)
 	u.idle[c.target] = struct{}{}
--- a/internal/dataplane/httpfront/stream.go
+++ b/internal/dataplane/httpfront/stream.go
@@ -74,7 +74,20 @@
 	}
 }
 
-// stallWriter writes to a connection by writeWithin. It implements io.Writer.
+// writeBuffersWithin writes buffers as writeWithin does, with one system call if c is a connection of package net. It
+// removes from buffers what it has written.
+func writeBuffersWithin(c net.Conn, buffers *net.Buffers, stall time.Duration) (written int64, err error) {
+	for {
+		_ = c.SetWriteDeadline(time.Now().Add(stall)) // fails on a closed connection, as the write does
+		n, err := buffers.WriteTo(c)
+		written += n
+		if len(*buffers) == 0 || n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
+		}
+	}
+}
+
+// stallWriter writes to a connection by writeWithin. It implements chunked.BuffersWriter.
 type stallWriter struct {
 	conn  net.Conn
 	stall time.Duration
@@ -83,6 +96,11 @@
 // Write implements io.Writer.
 func (w stallWriter) Write(p []byte) (int, error) { return writeWithin(w.conn, p, w.stall) }
 
+// WriteBuffers implements chunked.BuffersWriter.
+func (w stallWriter) WriteBuffers(buffers *net.Buffers) (int64, error) {
+	return writeBuffersWithin(w.conn, buffers, w.stall)
+}
+
 // startRecording begins a record with bytes that were read from the connection before, but not used yet.
 func (p *pacedConn) startRecording(unused []byte) {
 	p.recording = true
--- a/internal/dataplane/httpfront/trailer.go
+++ b/internal/dataplane/httpfront/trailer.go
@@ -16,6 +16,21 @@
 	errMalformedTrailer = errors.New("the trailer has a line that is not a field")
 )
 
+// hasTrailerArrived reports whether skipTrailer would not wait: the empty line that ends the trailer is in the buffer.
+func hasTrailerArrived(r *bufio.Reader) bool {
+	rest, _ := r.Peek(r.Buffered()) // reads from memory, so it cannot fail
+	for {
+		line, following, complete := bytes.Cut(rest, []byte{'\n'})
+		if !complete {
+			return false
+		}
+		if len(bytes.TrimRight(line, "\r")) == 0 {
+			return true
+		}
+		rest = following
+	}
+}
+
 // skipTrailer reads the trailer of a chunked message up to and including the empty line that ends it. Trailer fields
 // are not forwarded, so that none of them is kept: the trailer takes no memory beyond the reader's buffer. A connection
 // that ends after a complete line ends the trailer as well, since the last chunk has ended the body (RFC 9112, 8).
--- a/internal/dataplane/httpfront/upstream.go
+++ b/internal/dataplane/httpfront/upstream.go
@@ -204,7 +204,7 @@
 		answer.closesConnection = true
 	}
 	if err == nil && answer.stream != nil && stop() {
-		answer.stream.done = u.afterStream(c, answer)
+		answer.stream.done = u.afterStream(c, answer, answer.stream)
 		reply.Status = balancer.OK
 		reply.Content = answer
 		reply.Load = u.loadOf(answer)
@@ -267,16 +267,17 @@
 
 // afterStream returns the function that is called once an answer has been streamed. It releases the budget, and pools
 // or discards the connection.
-func (u *Upstream) afterStream(c *conn, answer *upstreamAnswer) func(core.StreamEnd) {
+func (u *Upstream) afterStream(c *conn, answer *upstreamAnswer, stream *download) func(core.StreamEnd) {
 	return func(end core.StreamEnd) {
 		answer.releaseCharges()
-		c.paced.readTimeout = 0
-		c.clearReadDeadline()
-		if end != core.StreamComplete || answer.closesConnection || c.reader.Buffered() > 0 {
+		isRead := end == core.StreamComplete && !stream.awaitsTrailer // otherwise a read may be in progress
+		if !isRead || answer.closesConnection || c.reader.Buffered() > 0 {
 			u.discard(c)
-		} else {
-			u.put(c)
+			return
 		}
+		c.paced.readTimeout = 0
+		c.clearReadDeadline()
+		u.put(c)
 	}
 }
 
