Keep the bound of a trailer exact with the larger buffer; move chunked bodies to a file

The connection now gives at most what is left of the trailer's 16 KiB after its last chunk.

The chunked body of an answer moves to chunkedbody.go, and the buffer that grows for a long body to messageReader.

--- a/internal/dataplane/httpfront/clients.go
+++ b/internal/dataplane/httpfront/clients.go
@@ -1,7 +1,6 @@
 package httpfront
 
 import (
-	"bufio"
 	"container/list"
 	"errors"
 	"io"
@@ -37,7 +36,7 @@
 	raw     syscall.RawConn // nil where the connection has none
 	paced   pacedConn
 	limit   io.LimitedReader // bounds what may still be read of the current request
-	reader  *bufio.Reader
+	reader  *messageReader
 
 	// Used by the owner only.
 	headDeadline  time.Time // by which the head being read must be complete; zero before its first byte
@@ -98,6 +97,8 @@
 		log: log, active: list.New(), unused: list.New(), idle: list.New(), lingering: list.New()}
 }
 
+const clientReadBuffer = 4096 // bytes that are read from a client at a time, but for bodies
+
 const (
 	minAcceptBackoff = 5 * time.Millisecond
 	maxAcceptBackoff = time.Second
@@ -135,7 +136,7 @@
 	}
 	c.paced.Conn = c
 	c.limit.R = &c.paced
-	c.reader = bufio.NewReader(&c.limit)
+	c.reader = newMessageReader(&c.limit, clientReadBuffer)
 	k.mu.Lock()
 	var evicted *client
 	if k.lenLocked() >= k.maxConns {
--- a/internal/dataplane/httpfront/pool.go
+++ b/internal/dataplane/httpfront/pool.go
@@ -1,7 +1,6 @@
 package httpfront
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -19,8 +18,7 @@
 	net.Conn
 	paced     pacedConn
 	limit     io.LimitedReader // bounds what may still be read of an answer, including its head
-	reader    *bufio.Reader
-	small     *bufio.Reader // the usual reader, which is empty while a larger one replaces it; else nil
+	reader    *messageReader
 	target    *target
 	idleSince time.Time
 }
@@ -30,28 +28,10 @@
 	c := &conn{Conn: netConn, target: dst}
 	c.paced = pacedConn{Conn: netConn, head: headMeter{budget: heads, acquire: heads.TryAcquire}}
 	c.limit.R = &c.paced
-	c.reader = bufio.NewReaderSize(&c.limit, endpointReadBuffer)
+	c.reader = newMessageReader(&c.limit, endpointReadBuffer)
 	return c
 }
 
-// growBuffer replaces an empty buffer by one of size bytes, unless it is as large already. It reports whether it did.
-func (c *conn) growBuffer(size int) bool {
-	if size <= c.reader.Size() || c.reader.Buffered() > 0 {
-		return false
-	}
-	c.small = c.reader
-	c.reader = bufio.NewReaderSize(&c.limit, size)
-	return true
-}
-
-// shrinkBuffer undoes growBuffer. The buffer must be empty.
-func (c *conn) shrinkBuffer() {
-	if c.small != nil {
-		c.reader = c.small
-		c.small = nil
-	}
-}
-
 const (
 	endpointReadBuffer   = 4096                  // bytes that are read from an endpoint at a time, but for bodies
 	minIdleTime          = 10 * time.Millisecond // a second answer to a request may arrive within this time
@@ -147,7 +127,7 @@
 		u.closeLocked(c)
 		return
 	}
-	c.shrinkBuffer()
+	c.reader.shrink()
 	c.idleSince = time.Now()
 	c.target.idle = append(c.target.idle, c)
 	u.idle[c.target] = struct{}{}
--- a/internal/dataplane/httpfront/requesthead.go
+++ b/internal/dataplane/httpfront/requesthead.go
@@ -45,7 +45,7 @@
 		c.headDeadline = time.Now().Add(RequestTimeout)
 	}
 	c.setReadDeadline(c.headDeadline)
-	return http.ReadRequest(c.reader)
+	return http.ReadRequest(c.reader.Reader)
 }
 
 // acquireHeadMemory charges memory for a part of a head, and reports whether it was granted. It waits for
--- a/internal/dataplane/httpfront/trailer.go
+++ b/internal/dataplane/httpfront/trailer.go
@@ -32,8 +32,8 @@
 }
 
 // skipTrailer reads the trailer of a chunked message up to and including the empty line that ends it. Trailer fields
-// are not forwarded, so that none of them is kept: the trailer takes no memory beyond the reader's buffer. A connection
-// that ends after a complete line ends the trailer as well, since the last chunk has ended the body (RFC 9112, 8).
+// are not forwarded, so that none of them is kept: the trailer takes no memory beyond the reader's buffer. The error is
+// io.EOF if the connection ends after a complete line.
 func skipTrailer(r *bufio.Reader) error {
 	remaining := maxTrailerBytes
 	for lines := 0; ; lines++ {
@@ -41,7 +41,7 @@
 		longLine := errors.Is(err, bufio.ErrBufferFull)
 		switch {
 		case errors.Is(err, io.EOF) && len(line) == 0:
-			return nil
+			return io.EOF
 		case errors.Is(err, io.EOF):
 			return io.ErrUnexpectedEOF
 		case err != nil && !longLine:
--- a/internal/dataplane/httpfront/trailer_test.go
+++ b/internal/dataplane/httpfront/trailer_test.go
@@ -15,7 +15,6 @@
 	"birchmoor/balancer"
 	"birchmoor/internal/dataplane/bytebudget"
 	"birchmoor/internal/dataplane/core"
-	"birchmoor/internal/platform/chunked"
 	"birchmoor/internal/testutil/sidecartest"
 )
 
@@ -180,7 +179,7 @@
 	const answer = "2\r\nok\r\n0\r\n"
 	c := newConn(&endlessConn{prefix: answer, repeated: "a: 1\r\n"}, newTarget("endpoint"), bytebudget.New(1))
 	c.limit.N = int64(len(answer))
-	body := &chunkedReader{chunks: chunked.NewReader(c.reader), conn: c}
+	body := newChunkedAnswer(c)
 	if _, err := io.ReadAll(body); !errors.Is(err, errAnswerTooLarge) {
 		t.Errorf("error %v, want %v", err, errAnswerTooLarge)
 	}
--- a/internal/dataplane/httpfront/upstreamanswer.go
+++ b/internal/dataplane/httpfront/upstreamanswer.go
@@ -12,7 +12,6 @@
 	"birchmoor/balancer"
 	"birchmoor/internal/dataplane/bytebudget"
 	"birchmoor/internal/dataplane/core"
-	"birchmoor/internal/platform/chunked"
 )
 
 const (
@@ -104,7 +103,7 @@
 	if err := c.paced.head.begin(arrived); err != nil {
 		return nil, err
 	}
-	text := textproto.NewReader(c.reader)
+	text := textproto.NewReader(c.reader.Reader)
 	line, err := text.ReadLine()
 	if err != nil {
 		return nil, err
@@ -151,8 +150,9 @@
 	}
 	c.paced.readTimeout = maxStreamStall
 	streamBytes := pieceBytes
-	if _, isChunked := body.(*chunkedReader); isChunked {
-		streamBytes += pieceBytes // for the connection's buffer, see growBuffer
+	chunks, isChunked := body.(*chunkedAnswer)
+	if isChunked {
+		streamBytes += pieceBytes // for the connection's buffer
 	}
 	var beginning charge
 	hasMemory := !isShort && beginning.tryAcquire(budget, MaxBufferedBodyBytes) &&
@@ -162,6 +162,9 @@
 		answer.stream = newDownload(body, length, maxUnbudgetedBytes) // slow readers hold the memory
 		return nil
 	}
+	if isChunked {
+		chunks.growTo = pieceBytes
+	}
 	stream := newDownload(body, length, pieceBytes)
 	stream.charge = beginning
 	complete, err := stream.fill(holdUntil)
@@ -193,7 +196,7 @@
 		}
 		return io.LimitReader(c.reader, int64(length)), int64(length), nil
 	case len(lengths) == 0 && len(encodings) == 1 && strings.EqualFold(encodings[0], "chunked"):
-		return &chunkedReader{chunks: chunked.NewReader(c.reader), conn: c}, -1, nil
+		return newChunkedAnswer(c), -1, nil
 	case len(lengths) == 0 && len(encodings) == 0:
 		answer.closesConnection = true // the body ends with the connection
 		return c.reader, -1, nil
@@ -202,51 +205,6 @@
 	}
 }
 
-// chunkedReader reads a chunked body and, after its last chunk, the trailer.
-type chunkedReader struct {
-	chunks    *chunked.Reader // returns io.EOF after the last chunk
-	conn      *conn
-	readBytes int  // bytes of the body that were read
-	bodyRead  bool // the last chunk was read, and the trailer comes next
-}
-
-// Read implements io.Reader. It returns the last bytes of the body without waiting for the trailer, which the next call
-// reads; if there are none left, it returns 0 bytes once.
-func (r *chunkedReader) Read(b []byte) (int, error) {
-	n := 0
-	if !r.bodyRead {
-		r.growBuffer(len(b))
-		var err error
-		n, err = r.chunks.Read(b)
-		r.readBytes += n
-		if !errors.Is(err, io.EOF) {
-			return n, err
-		}
-		r.bodyRead = true
-		if !hasTrailerArrived(r.conn.reader) {
-			return n, nil
-		}
-	}
-	if err := skipTrailer(r.conn.reader); err != nil {
-		return n, err
-	}
-	if r.conn.limit.N <= 0 {
-		return n, errAnswerTooLarge // the trailer ended at the bound of the answer, not with the connection
-	}
-	return n, io.EOF
-}
-
-// growBuffer makes the connection's buffer as large as the pieces of a long body, once many bytes of it were read.
-// Otherwise each piece of short chunks would be as short as the buffer.
-func (r *chunkedReader) growBuffer(pieceSize int) {
-	if r.readBytes > pieceSize && r.conn.growBuffer(pieceSize) {
-		r.chunks.SetInput(r.conn.reader)
-	}
-}
-
-// isBodyRead implements trailedBody.
-func (r *chunkedReader) isBodyRead() bool { return r.bodyRead }
-
 // exactReader reads a body of known length, and turns an early end into io.ErrUnexpectedEOF.
 type exactReader struct {
 	r         io.Reader
--- a/internal/platform/chunked/reader.go
+++ b/internal/platform/chunked/reader.go
@@ -10,7 +10,6 @@
 	"errors"
 	"io"
 	"math"
-	"strconv"
 )
 
 // Errors of a Reader. None of them is temporary.
@@ -44,7 +43,6 @@
 // Reader decodes a chunked body. It is not safe for concurrent use.
 type Reader struct {
 	in        *bufio.Reader
-	lineEnd   [len("\r\n")]byte // as it was read after the data of a chunk
 	phase     phase
 	remaining uint64 // bytes of data of the current chunk that were not read
 	excess    int64  // bytes besides the data that exceed the allowance so far
@@ -118,12 +116,14 @@
 }
 
 func (r *Reader) readDataEnd() error {
-	if _, err := io.ReadFull(r.in, r.lineEnd[:]); err != nil {
+	end, err := r.in.Peek(len("\r\n"))
+	if err != nil {
 		return unexpectedEOF(err)
 	}
-	if string(r.lineEnd[:]) != "\r\n" {
+	if string(end) != "\r\n" {
 		return ErrMalformed
 	}
+	_, _ = r.in.Discard(len(end)) // from memory, so it cannot fail
 	r.phase = phaseSize
 	return nil
 }
@@ -165,26 +165,35 @@
 	return nil
 }
 
-// parseSize returns the size that the line before a chunk begins with, in hexadecimal. An extension may follow it.
-func parseSize(line []byte) (uint64, error) {
-	digits, _, _ := bytes.Cut(bytes.TrimRight(line, " \t"), []byte{';'})
-	if len(digits) > maxSizeDigits {
-		return 0, ErrMalformed
-	}
-	for _, digit := range digits {
-		if !isHexDigit(digit) {
-			return 0, ErrMalformed
+// parseSize returns the size that the line before a chunk begins with, in hexadecimal. Spaces or an extension may follow
+// it.
+func parseSize(line []byte) (size uint64, err error) {
+	digits := 0
+	for digits < len(line) && digits < maxSizeDigits {
+		digit, ok := hexValue(line[digits])
+		if !ok {
+			break
 		}
+		size = size<<4 | uint64(digit)
+		digits++
 	}
-	size, err := strconv.ParseUint(string(digits), 16, 64)
-	if err != nil {
+	rest := line[digits:]
+	if digits == 0 || len(rest) > 0 && rest[0] != ';' && len(bytes.TrimRight(rest, " \t")) > 0 {
 		return 0, ErrMalformed
 	}
 	return size, nil
 }
 
-func isHexDigit(b byte) bool {
-	return '0' <= b && b <= '9' || 'a' <= b && b <= 'f' || 'A' <= b && b <= 'F'
+func hexValue(b byte) (value byte, ok bool) {
+	switch {
+	case '0' <= b && b <= '9':
+		return b - '0', true
+	case 'a' <= b && b <= 'f':
+		return b - 'a' + 10, true
+	case 'A' <= b && b <= 'F':
+		return b - 'A' + 10, true
+	}
+	return 0, false
 }
 
 // unexpectedEOF turns io.EOF into io.ErrUnexpectedEOF.
