Pass on what has come of a chunk of a request, and its last bytes before the trailer

Cause: as for answers, in the reader of net/http, which http.ReadRequest sets up.

Change: requests in chunks are read by platform/chunked as well. A request is complete only with the end of its trailer, as before, and a trailer that is malformed, cut or over 16 KiB is answered 400 (TestTrailersOfRequests). A chunk is written to the server with one system call; the buffer is 32 KiB while a long body in chunks is read, charged to the budget of long bodies.

--- a/internal/dataplane/httpfront/chunkedbody.go
+++ b/internal/dataplane/httpfront/chunkedbody.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 
 	"birchmoor/internal/platform/chunked"
 )
@@ -69,3 +70,35 @@
 
 // isBodyRead implements trailedBody.
 func (r *chunkedAnswer) isBodyRead() bool { return r.bodyRead }
+
+// chunkedRequest reads the chunked body of a request and its trailer. A request is complete only once its trailer is: a
+// client that breaks off before has not sent all of it.
+type chunkedRequest struct{ chunkedBody }
+
+// requestBody returns the body of a request whose head was read from in.
+func requestBody(r *http.Request, in *messageReader) io.Reader {
+	if r.ContentLength >= 0 {
+		return r.Body
+	}
+	return &chunkedRequest{newChunkedBody(in)} // that of net/http, which has read nothing yet, waits within chunks
+}
+
+// Read implements io.Reader. It returns the last bytes of the body without waiting for the trailer, and io.EOF after
+// it.
+func (r *chunkedRequest) Read(b []byte) (n int, err error) {
+	if !r.bodyRead {
+		n, err = r.readChunks(b)
+		if err != nil || !r.bodyRead || n > 0 && !hasTrailerArrived(r.in.Reader) {
+			return n, err
+		}
+	}
+	err = skipTrailer(r.in.Reader)
+	if errors.Is(err, io.EOF) {
+		return n, io.ErrUnexpectedEOF
+	}
+	r.in.shrink()
+	if err == nil {
+		err = io.EOF
+	}
+	return n, err
+}
--- a/internal/dataplane/httpfront/requestbody.go
+++ b/internal/dataplane/httpfront/requestbody.go
@@ -40,7 +40,8 @@
 	c.paced.readTimeout = maxBodyStall
 	headAt := s.loop.Now() - time.Since(c.requestReadAt).Microseconds()
 	beginning := &bodyBeginning{server: s, client: c, request: req, clock: newBodyClock(headAt, r.ContentLength)}
-	err := beginning.read(r.Body, r.ContentLength)
+	body := requestBody(r, c.reader)
+	err := beginning.read(body, r.ContentLength)
 	msg := req.Payload.(*message)
 	msg.bodyCharges = beginning.charges
 	if err != nil {
@@ -52,7 +53,10 @@
 		req.StreamsBody = true
 		req.Input.BodyStreaming = true
 		req.Input.Deadline = s.loop.Now() + maxUploadTime.Microseconds()
-		msg.upload = s.newUpload(c, r, req.TimeAfterBody, beginning)
+		if chunks, isChunked := body.(*chunkedRequest); isChunked {
+			s.growBuffer(chunks, msg)
+		}
+		msg.upload = s.newUpload(c, body, r.ContentLength, req.TimeAfterBody, beginning)
 		return nil
 	}
 	c.paced.readTimeout = 0
@@ -125,14 +129,23 @@
 	return nil
 }
 
-// newUpload returns the rest of a body whose beginning was read.
-func (s *Server) newUpload(c *client, r *http.Request, answerTime int64, beginning *bodyBeginning) *upload {
+// growBuffer lets the rest of a chunked body be read through a larger buffer, if there is memory for it.
+func (s *Server) growBuffer(body *chunkedRequest, msg *message) {
+	var buffer charge
+	if buffer.tryAcquire(s.longBodies, readAheadBlockBytes) {
+		msg.bodyCharges = append(msg.bodyCharges, buffer)
+		body.growTo = readAheadBlockBytes
+	}
+}
+
+// newUpload returns the rest of a body of the given length, or -1, whose beginning was read.
+func (s *Server) newUpload(c *client, body io.Reader, length, answerTime int64, beginning *bodyBeginning) *upload {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetReadBuffer(uploadSocketBytes) // fails on a closed connection, as reads do
 	}
 	return &upload{
-		body:           r.Body,
-		length:         r.ContentLength,
+		body:           body,
+		length:         length,
 		answerTime:     answerTime,
 		beginningBytes: beginning.bytes,
 		buf:            beginning.buf,
--- a/internal/dataplane/httpfront/trailer_test.go
+++ b/internal/dataplane/httpfront/trailer_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"runtime"
 	"strings"
 	"testing"
@@ -184,3 +185,40 @@
 		t.Errorf("error %v, want %v", err, errAnswerTooLarge)
 	}
 }
+
+// TestTrailersOfRequests expects a request to be served if its trailer is in order, and to be rejected otherwise: the
+// bytes after it would belong to the trailer for one reader and to the next request for another.
+func TestTrailersOfRequests(t *testing.T) {
+	served, rejected := http.StatusOK, http.StatusBadRequest
+	for _, tc := range []struct {
+		name, trailer string
+		want          int
+	}{
+		{"none", "\r\n", served},
+		{"one field", "X-Sum: 1\r\n\r\n", served},
+		{"no colon", "X-Sum 1\r\n\r\n", rejected},
+		{"no name", ": 1\r\n\r\n", rejected},
+		{"continuation of nothing", " X-Sum: 1\r\n\r\n", rejected},
+		{"no end", "X-Sum: 1\r\n", rejected},
+		{"nothing", "", rejected},
+		{"too long", "X-Long: " + strings.Repeat("x", maxTrailerBytes) + "\r\n\r\n", rejected},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			addr := sidecartest.RawEndpoint(t, func(c *net.TCPConn, r *bufio.Reader) {
+				if _, err := sidecartest.ReadRequest(r); err == nil {
+					_, _ = io.WriteString(c, sidecartest.OKResponse)
+				}
+			})
+			f := startFront(t, readyInstances(addr))
+			c := f.connect(t)
+			r := sidecartest.Request("POST", "/book/1", "book", 900, "")
+			write(t, c, encodeHead(t, r)+"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"+tc.trailer)
+			if tc.want == rejected { // a client that ends its sending gets no attempt
+				_ = c.CloseWrite() // fails if the request was rejected already
+			}
+			if resp, _ := readAnswer(t, c, r); resp.StatusCode != tc.want {
+				t.Errorf("status %d, want %d", resp.StatusCode, tc.want)
+			}
+		})
+	}
+}
--- a/internal/dataplane/httpfront/upload.go
+++ b/internal/dataplane/httpfront/upload.go
@@ -6,12 +6,12 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http/httputil"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"birchmoor/balancer"
+	"birchmoor/internal/platform/chunked"
 )
 
 // upload is the rest of a streamed request body, whose beginning was buffered. One goroutine reads it from the client,
@@ -155,7 +155,7 @@
 	out := stallWriter{c, maxStreamStall}
 	var body io.Writer = out
 	if u.length < 0 {
-		body = httputil.NewChunkedWriter(out)
+		body = chunked.NewWriter(out)
 	}
 	sent = int64(u.beginningBytes)
 	for {
@@ -165,7 +165,7 @@
 			if !mayEnd() {
 				return sent, errTimeIsUp
 			}
-			_, err := io.WriteString(out, "0\r\n\r\n")
+			_, err := io.WriteString(out, chunked.End)
 			return sent, err
 		case errors.Is(end, io.EOF):
 			return sent, nil
--- a/internal/dataplane/httpfront/upstream.go
+++ b/internal/dataplane/httpfront/upstream.go
@@ -256,7 +256,7 @@
 	}
 	// The beginning of the body was copied into the encoded request, so that its buffer is free for the rest.
 	rest.queue.addSpare(rest.buf)
-	sent, err := rest.sendTo(ctx, c, attempt.BodyEnding)
+	sent, err := rest.sendTo(ctx, c.Conn, attempt.BodyEnding)
 	progress.bodySent = sent
 	var bodyErr *bodyError
 	if errors.As(err, &bodyErr) {
