Take a list of discovery as soon as it has come, not once its chunk has ended

Cause: that of, in http.Transport: its body waits within a chunk until the decoder's buffer is full, and at the end for the trailer.

Change: platform/streamhttp, an http.RoundTripper for streams, which reads chunks by platform/chunked. Each request has a connection of its own, as before; the bound of the head and the end by the context are kept. The sidecar still links only the standard library and the CBOR codec.

--- a/internal/dataplane/discovery/watcher.go
+++ b/internal/dataplane/discovery/watcher.go
@@ -13,6 +13,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"birchmoor/internal/platform/streamhttp"
 )
 
 // NoGeneration is the generation of a watcher that has not yet received a list from its discovery.
@@ -58,12 +60,7 @@
 		log:           log,
 	}
 	dial := func(ctx context.Context, network, addr string) (net.Conn, error) { return w.Dial(ctx, network, addr) }
-	w.client = &http.Client{Transport: &http.Transport{
-		DialContext:            dial,
-		DisableKeepAlives:      true,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	w.client = &http.Client{Transport: &streamhttp.Transport{Dial: dial, MaxHeaderBytes: maxHeaderBytes}}
 	return w
 }
 
