Take a line of a replica's stream as soon as it has come, not once its chunk has ended

Change: followers open streams by platform/streamhttp, over TLS where keys are set, with the handshake's timeout as before. Each stream has a connection of its own; calls and states use the pool as before.

--- a/internal/store/follower/follower.go
+++ b/internal/store/follower/follower.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -26,6 +27,7 @@
 	"time"
 
 	"birchmoor/internal/platform/keys"
+	"birchmoor/internal/platform/streamhttp"
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/changefeed"
 	"birchmoor/internal/store/usage"
@@ -76,6 +78,7 @@
 	clientID   uint64
 	seq        atomic.Uint64  // sequence number of the last request
 	clients    []*http.Client // by index of the replica
+	streams    []*http.Client // for streams, by index of the replica
 	startedAt  time.Time
 	ctx        context.Context // cancelled by Close
 	cancel     context.CancelFunc
@@ -151,19 +154,24 @@
 
 func (f *Follower) createHTTPClients() error {
 	for _, replica := range f.cfg.Replicas {
-		transport := &http.Transport{
-			DialContext:         f.dial,
-			MaxIdleConnsPerHost: maxIdleConnsPerReplica,
-			TLSHandshakeTimeout: requestTimeout,
-		}
+		var tlsConfig *tls.Config
 		if f.cfg.Keys != nil {
-			tlsConfig, err := f.cfg.Keys.Client(replica.Name)
-			if err != nil {
+			var err error
+			if tlsConfig, err = f.cfg.Keys.Client(replica.Name); err != nil {
 				return fmt.Errorf("follower: replica %q: %w", replica.Name, err)
 			}
-			transport.TLSClientConfig = tlsConfig
 		}
-		f.clients = append(f.clients, &http.Client{Transport: transport})
+		f.clients = append(f.clients, &http.Client{Transport: &http.Transport{
+			DialContext:         f.dial,
+			MaxIdleConnsPerHost: maxIdleConnsPerReplica,
+			TLSHandshakeTimeout: requestTimeout,
+			TLSClientConfig:     tlsConfig,
+		}})
+		f.streams = append(f.streams, &http.Client{Transport: &streamhttp.Transport{
+			Dial:             f.dial,
+			TLS:              tlsConfig,
+			HandshakeTimeout: requestTimeout,
+		}})
 	}
 	return nil
 }
--- a/internal/store/follower/stream.go
+++ b/internal/store/follower/stream.go
@@ -127,7 +127,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := f.clients[s.index].Do(request)
+	response, err := f.streams[s.index].Do(request)
 	if err != nil {
 		return nil, s.endReason(err)
 	}
