--- a/internal/dataplane/httpfront/forward_bench_test.go
+++ b/internal/dataplane/httpfront/forward_bench_test.go
@@ -52,6 +52,7 @@
 
 // benchmarkForward sends a request with the given fields and body, or a short one if that is empty, b.N times.
 func benchmarkForward(b *testing.B, fieldsAndBody, answer string) {
+	b.Helper()
 	addr := sidecartest.RawEndpoint(b, func(c *net.TCPConn, r *bufio.Reader) {
 		for {
 			if _, err := sidecartest.ReadRequest(r); err != nil {
--- a/internal/dataplane/httpfront/heldbytes_test.go
+++ b/internal/dataplane/httpfront/heldbytes_test.go
@@ -161,6 +161,7 @@
 
 // testAnswerInParts plays two answers on one connection of a client.
 func testAnswerInParts(t *testing.T, form wireForm, size int, chunkSizes []int, atOnce int) {
+	t.Helper()
 	type wrote struct {
 		bodyBytes int
 		ended     bool // the last byte of the body, but not of the trailer, was written
--- a/internal/dataplane/httpfront/heldrequest_test.go
+++ b/internal/dataplane/httpfront/heldrequest_test.go
@@ -34,6 +34,7 @@
 
 // testRequestInParts plays two requests on one connection of a client.
 func testRequestInParts(t *testing.T, form wireForm, size int, chunkSizes []int, atOnce int) {
+	t.Helper()
 	conns := make(chan *partReceiver, 4)
 	mayAnswer := make(chan struct{})
 	addr := sidecartest.RawEndpoint(t, func(c *net.TCPConn, _ *bufio.Reader) {
--- a/internal/platform/streamhttp/transport_test.go
+++ b/internal/platform/streamhttp/transport_test.go
@@ -44,7 +44,7 @@
 	return (&net.Dialer{Timeout: time.Minute}).DialContext
 }
 
-func get(t *testing.T, ctx context.Context, transport *Transport, url string) (*http.Response, error) {
+func get(ctx context.Context, t *testing.T, transport *Transport, url string) (*http.Response, error) {
 	t.Helper()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -70,7 +70,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			addr, closed := rawServer(t, tc.response)
-			response, err := get(t, t.Context(), &Transport{Dial: dialer(), MaxHeaderBytes: 4 << 10}, "http://"+addr)
+			response, err := get(t.Context(), t, &Transport{Dial: dialer(), MaxHeaderBytes: 4 << 10}, "http://"+addr)
 			if (err != nil) != tc.wantRejected || tc.want != nil && !errors.Is(err, tc.want) {
 				t.Fatalf("error %v, want %v, rejected %v", err, tc.want, tc.wantRejected)
 			}
@@ -91,7 +91,7 @@
 	addr, closed := rawServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no")
 	cause := errors.New("silence")
 	ctx, cancel := context.WithCancelCause(t.Context())
-	response, err := get(t, ctx, &Transport{Dial: dialer()}, "http://"+addr)
+	response, err := get(ctx, t, &Transport{Dial: dialer()}, "http://"+addr)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -113,7 +113,7 @@
 	server.StartTLS()
 	defer server.Close()
 	trusting := server.Client().Transport.(*http.Transport).TLSClientConfig
-	response, err := get(t, t.Context(), &Transport{Dial: dialer(), TLS: trusting, HandshakeTimeout: time.Minute}, server.URL)
+	response, err := get(t.Context(), t, &Transport{Dial: dialer(), TLS: trusting, HandshakeTimeout: time.Minute}, server.URL)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -123,7 +123,7 @@
 	}
 	_ = response.Body.Close()
 	var unknown *tls.CertificateVerificationError
-	if _, err := get(t, t.Context(), &Transport{Dial: dialer()}, server.URL); !errors.As(err, &unknown) {
+	if _, err := get(t.Context(), t, &Transport{Dial: dialer()}, server.URL); !errors.As(err, &unknown) {
 		t.Errorf("without the server's certificate: error %v, want a failed verification", err)
 	}
 }
