--- a/internal/controlplane/adminapi/client.go
+++ b/internal/controlplane/adminapi/client.go
@@ -109,7 +109,7 @@
 		"ttl":   {claim.TTL.String()},
 		"note":  {claim.Note},
 	}
-	response, err := c.Do(ctx, http.MethodGet, pathLock, query, nil)
+	response, err := c.Stream(ctx, pathLock, query)
 	if err != nil {
 		return err
 	}
--- a/internal/store/admin/client.go
+++ b/internal/store/admin/client.go
@@ -11,13 +11,15 @@
 	"net/url"
 	"time"
 
+	"birchmoor/internal/platform/streamhttp"
 	"birchmoor/internal/store"
 	"birchmoor/internal/store/engine"
 )
 
 // Client is a client of a Server. Its methods are safe for concurrent use.
 type Client struct {
-	http *http.Client
+	http    *http.Client
+	streams *http.Client
 
 	// Timeout is how long the server may take to answer; 0 means the server's default. It should end before the
 	// deadline of a call's context, so that the server's own error, such as an unknown outcome, still arrives.
@@ -29,7 +31,10 @@
 	dial := func(ctx context.Context, _, _ string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "unix", path)
 	}
-	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: dial}}}
+	return &Client{
+		http:    &http.Client{Transport: &http.Transport{DialContext: dial}},
+		streams: &http.Client{Transport: &streamhttp.Transport{Dial: dial}},
+	}
 }
 
 // ResponseError is an error that a server answered with.
@@ -45,6 +50,17 @@
 // Otherwise the error is a *ResponseError if the response has an ErrorBody.
 func (c *Client) Do(
 	ctx context.Context, method, path string, query url.Values, body io.Reader,
+) (*http.Response, error) {
+	return c.send(ctx, c.http, method, path, query, body)
+}
+
+// Stream sends a GET request as Do does. The bytes of the response can be read as they arrive.
+func (c *Client) Stream(ctx context.Context, path string, query url.Values) (*http.Response, error) {
+	return c.send(ctx, c.streams, http.MethodGet, path, query, nil)
+}
+
+func (c *Client) send(
+	ctx context.Context, client *http.Client, method, path string, query url.Values, body io.Reader,
 ) (*http.Response, error) {
 	if c.Timeout > 0 {
 		values := url.Values{"timeout": {c.Timeout.String()}}
@@ -55,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := c.http.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return nil, err
 	}
@@ -134,7 +150,7 @@
 // error is a *ResponseError with status http.StatusGone. The query may have prefix, and after, the revision after which
 // the watch begins.
 func (c *Client) Watch(ctx context.Context, query url.Values, onEvent func(store.Event) error) error {
-	response, err := c.Do(ctx, http.MethodGet, watchPath, query, nil)
+	response, err := c.Stream(ctx, watchPath, query)
 	if err != nil {
 		return err
 	}
