Forward the beginning of a long request without filling its buffer first

Callers saw (by the new test; no report): the first bytes of a request body that its length makes too long for the buffer reached no server until 64 KiB of it had come: 1 s for a client at 64 kB a second, and over 9 s for the slowest that is accepted.

Cause: the beginning of every body was read up to the size of the buffer, also where its length tells already that it will be streamed. (The beginning of a body in chunks has no such sign: whether it fits decides whether it can be repeated, so that it is still read up to 64 KiB or its end.)

Change: such a body is streamed with the first read after 50 ms, as answers are.

--- a/internal/dataplane/httpfront/heldrequest_test.go
+++ b/internal/dataplane/httpfront/heldrequest_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"birchmoor/internal/testutil/sidecartest"
 )
@@ -81,3 +82,33 @@
 		}
 	}
 }
+
+// TestBeginningOfLongRequestIsForwarded guards against the beginning of a long request that waits until 64 KiB of it have
+// come, although its length tells that it does not fit the buffer. The client writes it slowly, and the endpoint must
+// receive some of it long before that.
+func TestBeginningOfLongRequestIsForwarded(t *testing.T) {
+	conns := make(chan *partReceiver, 4)
+	addr := sidecartest.RawEndpoint(t, func(c *net.TCPConn, _ *bufio.Reader) {
+		conns <- receiveParts(c)
+		<-t.Context().Done()
+	})
+	f := startFront(t, readyInstances(addr))
+	c := f.connect(t)
+	const size, partBytes, interval = 4 * MaxBufferedBodyBytes, 256, 100 * time.Millisecond
+	fields, body := encodeLength(size, nil)
+	write(t, c, encodeHead(t, sidecartest.Request("POST", "/book/1", "book", 900, ""))+fields+"\r\n")
+	for sent := 0; ; sent += partBytes {
+		if sent > MaxBufferedBodyBytes/2 {
+			t.Fatalf("%d bytes were written, and the endpoint has received nothing", sent)
+		}
+		write(t, c, body[sent:sent+partBytes])
+		select {
+		case endpoint := <-conns:
+			if err := endpoint.awaitBody(sent); err != nil {
+				t.Errorf("of %d bytes that the client has written: %v", sent+partBytes, err)
+			}
+			return
+		case <-time.After(interval):
+		}
+	}
+}
--- a/internal/dataplane/httpfront/requestbody.go
+++ b/internal/dataplane/httpfront/requestbody.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	shortBodyBytes      = 16 << 10 // the first bytes of each body have a budget of their own
-	shortBodiesDivisor  = 4        // part of the budget of bodies that these have
+	shortBodyBytes      = 16 << 10              // the first bytes of each body have a budget of their own
+	shortBodiesDivisor  = 4                     // part of the budget of bodies that these have
+	maxBeginningTime    = 50 * time.Millisecond // from the head of a body that is longer than the buffer, until it is streamed
 	evictionInterval    = 100 * time.Millisecond
 	errNoBodyMemoryText = "no room for the body"
 )
@@ -79,7 +80,9 @@
 	complete bool
 }
 
-// read reads a body of the given length, or -1. A body that ends early or arrives too slowly is an error.
+// read reads a body of the given length, or -1. A body that ends early or arrives too slowly is an error. The beginning of
+// a body that is streamed in any case may be short: it does not wait for the rest of the buffer longer than
+// maxBeginningTime, but for further bytes, so that a client that stops takes no endpoint's time.
 func (b *bodyBeginning) read(body io.Reader, length int64) error {
 	want := int(min(uint64(length), MaxBufferedBodyBytes)) // -1 yields the maximum
 	b.buf = make([]byte, min(want, maxUnbudgetedBytes))
@@ -100,6 +103,9 @@
 		if err != nil || time.Since(startedAt) > bodyGrace+time.Duration(b.bytes)*time.Second/minBodyBytesPerSecond {
 			return newRequestError(http.StatusBadRequest, "the body is not whole")
 		}
+		if length > MaxBufferedBodyBytes && time.Since(startedAt) > maxBeginningTime {
+			break
+		}
 	}
 	b.complete = int64(b.bytes) == length
 	return nil
