--- a/internal/dataplane/httpfront/heldbytes_test.go
+++ b/internal/dataplane/httpfront/heldbytes_test.go
@@ -140,6 +140,23 @@
 	return cuts
 }
 
+// partedMessage is a message with a body that is written in parts.
+type partedMessage struct {
+	form       wireForm
+	size       int   // of the body
+	chunkSizes []int // if the form has chunks
+	atOnce     int   // bytes of the encoded body in the first part
+}
+
+// isBufferedWhole reports whether the sidecar needs the complete body before it passes any of it on: that of a short
+// answer shows whether the attempt has succeeded.
+func (m *partedMessage) isBufferedWhole() bool {
+	return m.form.name == lengthForm.name && m.size <= MaxBufferedBodyBytes
+}
+
+// hasEnded reports whether the received bytes end as a chunked body does.
+func hasEnded(wire []byte) bool { return bytes.HasSuffix(wire, []byte("\r\n0\r\n\r\n")) }
+
 // TestPartsOfAnswerAreForwardedAsTheyCome guards against parts of a long answer that wait for later parts: those of a
 // chunk waited until 16 KiB of it had come, those before a trailer until the trailer's end (review/7).
 func TestPartsOfAnswerAreForwardedAsTheyCome(t *testing.T) {
@@ -152,70 +169,86 @@
 			for _, atOnce := range []int{1, 2000, 68 << 10, 128 << 10} {
 				t.Run(fmt.Sprintf("%s, %s, %d at once", form.name, chunkName, atOnce), func(t *testing.T) {
 					t.Parallel()
-					testAnswerInParts(t, form, size, sizes, atOnce)
+					answer := partedMessage{form, size, sizes, atOnce}
+					playAnswersInParts(t, rand.New(rand.NewPCG(75, uint64(atOnce))), answer, answer)
 				})
 			}
 		}
 	}
 }
 
-// testAnswerInParts plays two answers on one connection of a client.
-func testAnswerInParts(t *testing.T, form wireForm, size int, chunkSizes []int, atOnce int) {
-	t.Helper()
-	type wrote struct {
-		bodyBytes int
-		ended     bool // the last byte of the body, but not of the trailer, was written
+// partWritten tells how much of a message has been written.
+type partWritten struct {
+	bodyBytes int
+	ended     bool // the last byte of the body, but not of the trailer, was written
+}
+
+// writeInParts writes an answer, and each part only after received has a value, which is sent for the part before.
+func writeInParts(c io.Writer, rng *rand.Rand, m *partedMessage, parts chan<- partWritten, received <-chan struct{}) error {
+	fields, body := m.form.encode(m.size, m.chunkSizes)
+	head := "HTTP/1.1 200 OK\r\n" + fields + "\r\n"
+	from := 0
+	for _, cut := range append([]int{min(m.atOnce, len(body))}, cutPoints(rng, body, m.atOnce, 60)...) {
+		if _, err := io.WriteString(c, head+body[from:cut]); err != nil {
+			return err
+		}
+		head = ""
+		from = cut
+		if m.isBufferedWhole() && cut < len(body) {
+			continue
+		}
+		parts <- partWritten{strings.Count(body[:cut], string(rune(bodyByte))), cut == len(body)}
+		<-received
 	}
-	parts, received := make(chan wrote), make(chan struct{})
+	_, err := io.WriteString(c, m.form.trailer)
+	return err
+}
+
+// playAnswersInParts plays answers one after the other on one connection of a client.
+func playAnswersInParts(t *testing.T, rng *rand.Rand, answers ...partedMessage) {
+	t.Helper()
+	parts, received := make(chan partWritten), make(chan struct{})
+	next := make(chan *partedMessage, 1)
 	addr := sidecartest.RawEndpoint(t, func(c *net.TCPConn, r *bufio.Reader) {
-		rng := rand.New(rand.NewPCG(75, uint64(atOnce)))
 		for {
 			if _, err := sidecartest.ReadRequest(r); err != nil {
 				return
 			}
-			fields, body := form.encode(size, chunkSizes)
-			head := "HTTP/1.1 200 OK\r\n" + fields + "\r\n"
-			from := 0
-			for _, cut := range append([]int{atOnce}, cutPoints(rng, body, atOnce, 60)...) {
-				if _, err := io.WriteString(c, head+body[from:cut]); err != nil {
-					return
-				}
-				head = ""
-				from = cut
-				parts <- wrote{strings.Count(body[:cut], string(rune(bodyByte))), cut == len(body)}
-				<-received
-			}
-			if form.closes {
+			answer := <-next
+			if err := writeInParts(c, rng, answer, parts, received); err != nil || answer.form.closes {
 				return
 			}
-			_, _ = io.WriteString(c, form.trailer)
 		}
 	})
 	f := startFront(t, readyInstances(addr))
 	c := f.connect(t)
 	receiver := receiveParts(c)
-	for range 2 {
+	for i := range answers {
+		answer := &answers[i]
+		next <- answer
 		receiver.wire = nil
 		write(t, c, encode(t, sidecartest.IdempotentRequest(900)))
 		for ended := false; !ended; {
 			part := sidecartest.Receive(t, parts, "a part of the answer")
 			if err := receiver.awaitBody(part.bodyBytes); err != nil {
-				t.Fatalf("of %d bytes that the endpoint has written: %v", part.bodyBytes, err)
+				t.Fatalf("answer %d, of %d bytes that the endpoint has written: %v", i, part.bodyBytes, err)
 			}
 			ended = part.ended
-			if ended && form.chunked {
-				err := receiver.await(func(wire []byte) bool { return bytes.HasSuffix(wire, []byte("\r\n0\r\n\r\n")) })
-				if err != nil {
-					t.Fatalf("the end after the last chunk: %v", err)
+			isStreamed := bytes.Contains(receiver.wire, []byte("Transfer-Encoding: chunked"))
+			if ended && answer.form.chunked && isStreamed {
+				if err := receiver.await(hasEnded); err != nil {
+					t.Fatalf("answer %d, the end after the last chunk: %v", i, err)
 				}
 			}
 			received <- struct{}{}
 		}
-		if form.closes {
-			err := receiver.await(func(wire []byte) bool { return bytes.HasSuffix(wire, []byte("\r\n0\r\n\r\n")) })
-			if err != nil {
-				t.Fatalf("the end of the connection: %v", err)
+		if answer.form.closes && bytes.Contains(receiver.wire, []byte("Transfer-Encoding: chunked")) {
+			if err := receiver.await(hasEnded); err != nil {
+				t.Fatalf("answer %d, the end of the connection: %v", i, err)
 			}
 		}
+		if n := countBody(receiver.wire); n != answer.size {
+			t.Fatalf("answer %d: %d bytes of the body were received, want %d", i, n, answer.size)
+		}
 	}
 }
--- a/internal/dataplane/httpfront/heldrequest_test.go
+++ b/internal/dataplane/httpfront/heldrequest_test.go
@@ -26,15 +26,17 @@
 			for _, atOnce := range []int{68 << 10, 128 << 10} {
 				t.Run(fmt.Sprintf("%s, %s, %d at once", form.name, chunkName, atOnce), func(t *testing.T) {
 					t.Parallel()
-					testRequestInParts(t, form, size, sizes, atOnce)
+					request := partedMessage{form, size, sizes, atOnce}
+					playRequestsInParts(t, rand.New(rand.NewPCG(75, uint64(atOnce))), request, request)
 				})
 			}
 		}
 	}
 }
 
-// testRequestInParts plays two requests on one connection of a client.
-func testRequestInParts(t *testing.T, form wireForm, size int, chunkSizes []int, atOnce int) {
+// playRequestsInParts plays requests one after the other on one connection of a client. The first part of a long one
+// must be longer than the buffer.
+func playRequestsInParts(t *testing.T, rng *rand.Rand, requests ...partedMessage) {
 	t.Helper()
 	conns := make(chan *partReceiver, 4)
 	mayAnswer := make(chan struct{})
@@ -50,35 +52,49 @@
 	f := startFront(t, readyInstances(addr))
 	c := f.connect(t)
 	answers := receiveParts(c)
-	rng := rand.New(rand.NewPCG(75, uint64(atOnce)))
 	var endpoint *partReceiver
-	for range 2 {
-		fields, body := form.encode(size, chunkSizes)
-		r := sidecartest.Request("POST", "/book/1", "book", 900, "")
-		write(t, c, encodeHead(t, r)+fields+"\r\n"+body[:atOnce])
-		if endpoint == nil {
-			endpoint = sidecartest.Receive(t, conns, "a connection to the endpoint")
+	for i, request := range requests {
+		if endpoint != nil {
+			endpoint.wire = nil
 		}
-		endpoint.wire = nil
+		fields, body := request.form.encode(request.size, request.chunkSizes)
+		atOnce := min(request.atOnce, len(body))
+		head := encodeHead(t, sidecartest.Request("POST", "/book/1", "book", 900, ""))
+		write(t, c, head+fields+"\r\n"+body[:atOnce])
+		isShort := request.size <= MaxBufferedBodyBytes
 		for from, cuts := atOnce, cutPoints(rng, body, atOnce, 60); len(cuts) > 0; cuts = cuts[1:] {
+			if endpoint == nil && !isShort {
+				endpoint = sidecartest.Receive(t, conns, "a connection to the endpoint")
+			}
 			write(t, c, body[from:cuts[0]])
 			from = cuts[0]
+			if isShort {
+				continue // it is sent once it is complete, since it may have to be sent again
+			}
 			sent := strings.Count(body[:from], string(rune(bodyByte)))
 			if err := endpoint.awaitBody(sent); err != nil {
-				t.Fatalf("of %d bytes that the client has written: %v", sent, err)
+				t.Fatalf("request %d, of %d bytes that the client has written: %v", i, sent, err)
 			}
 		}
-		write(t, c, form.trailer)
-		if form.chunked {
-			err := endpoint.await(func(wire []byte) bool { return bytes.HasSuffix(wire, []byte("\r\n0\r\n\r\n")) })
-			if err != nil {
-				t.Fatalf("the end of the request: %v", err)
+		write(t, c, request.form.trailer)
+		if endpoint == nil {
+			endpoint = sidecartest.Receive(t, conns, "a connection to the endpoint")
+		}
+		if err := endpoint.awaitBody(request.size); err != nil {
+			t.Fatalf("request %d, the end of the request: %v", i, err)
+		}
+		if request.form.chunked && !isShort {
+			if err := endpoint.await(hasEnded); err != nil {
+				t.Fatalf("request %d, the end of the request: %v", i, err)
 			}
 		}
 		mayAnswer <- struct{}{}
 		answers.wire = nil
 		if err := answers.await(func(wire []byte) bool { return bytes.HasSuffix(wire, []byte("\r\n\r\nok")) }); err != nil {
-			t.Fatalf("the answer: %v, received %q", err, answers.wire)
+			t.Fatalf("request %d, the answer: %v, received %q", i, err, answers.wire)
+		}
+		if n := countBody(endpoint.wire); n != request.size {
+			t.Fatalf("request %d: %d bytes of the body were received, want %d", i, n, request.size)
 		}
 	}
 }
