--- a/internal/dataplane/handover/heldline_test.go
+++ b/internal/dataplane/handover/heldline_test.go
@@ -36,5 +36,7 @@
 		}
 	}
 	_ = theirs.Close()
-	<-ended
+	if err := <-ended; err != nil {
+		t.Errorf("the conversation ended with %v", err)
+	}
 }
